--- /dev/null
+++ b/cmake/StepledgeModule.cmake
@@ -0,0 +1,15 @@
+# stepledge_module(NAME name SOURCES ... DEPS ... TESTS ...)
+# One static library a module, and one test program where it has tests.
+function(stepledge_module)
+  cmake_parse_arguments(M "" "NAME" "SOURCES;DEPS;TESTS;TEST_DEPS" ${ARGN})
+  add_library(sl_${M_NAME} STATIC ${M_SOURCES})
+  target_include_directories(sl_${M_NAME} PUBLIC ${PROJECT_SOURCE_DIR}/src)
+  target_link_libraries(sl_${M_NAME} PUBLIC ${M_DEPS})
+  if(M_TESTS)
+    add_executable(test_${M_NAME} ${M_TESTS} ${PROJECT_SOURCE_DIR}/src/base/tests/TestMain.cpp)
+    target_link_libraries(test_${M_NAME} PRIVATE sl_${M_NAME} ${M_TEST_DEPS})
+    target_compile_definitions(test_${M_NAME} PRIVATE
+      STEPLEDGE_TEST_DATA="${CMAKE_CURRENT_SOURCE_DIR}/tests/data")
+    add_test(NAME ${M_NAME} COMMAND test_${M_NAME})
+  endif()
+endfunction()
--- /dev/null
+++ b/src/base/types/Ids.h
@@ -0,0 +1,62 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Identifiers of the things the product speaks of, each of its own type.
+
+#ifndef STEPLEDGE_BASE_TYPES_IDS_H
+#define STEPLEDGE_BASE_TYPES_IDS_H
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+namespace stepledge {
+
+/// A name from settings; names of different things do not mix.
+template <typename Tag> class NamedId {
+public:
+  NamedId() = default;
+  explicit NamedId(std::string name) : Name(std::move(name)) {}
+
+  const std::string &str() const { return Name; }
+  bool empty() const { return Name.empty(); }
+
+  auto operator<=>(const NamedId &) const = default;
+
+  template <typename H> friend H AbslHashValue(H state, const NamedId &id) {
+    return H::combine(std::move(state), id.Name);
+  }
+
+private:
+  std::string Name;
+};
+
+using DatabaseId = NamedId<struct DatabaseTag>;
+using InstanceId = NamedId<struct InstanceTag>;
+using VmId = NamedId<struct VmTag>;
+using HallId = NamedId<struct HallTag>;
+/// Names a decision or request across VMs: "<vm>-<number>".
+using DecisionId = NamedId<struct DecisionTag>;
+/// Names an open transaction and its owner: "<vm>.<number>.<nonce>".
+using TransactionId = NamedId<struct TransactionTag>;
+
+/// A number counted by one process; numbers of different things do not mix.
+template <typename Tag> struct NumberedId {
+  std::uint64_t Number = 0;
+
+  auto operator<=>(const NumberedId &) const = default;
+
+  template <typename H> friend H AbslHashValue(H state, NumberedId id) {
+    return H::combine(std::move(state), id.Number);
+  }
+};
+
+using RequestId = NumberedId<struct RequestTag>;
+/// Never reused in a process, so a late answer names a connection that is gone.
+using ConnectionId = NumberedId<struct ConnectionTag>;
+using BatchId = NumberedId<struct BatchTag>;
+
+} // namespace stepledge
+
+#endif // STEPLEDGE_BASE_TYPES_IDS_H
--- /dev/null
+++ b/src/base/types/LogPosition.h
@@ -0,0 +1,36 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Terms and log positions of a database group.
+
+#ifndef STEPLEDGE_BASE_TYPES_LOGPOSITION_H
+#define STEPLEDGE_BASE_TYPES_LOGPOSITION_H
+
+#include <compare>
+#include <cstdint>
+
+namespace stepledge {
+
+/// Counts the primaries of a database group; each promotion has a new one.
+struct Term {
+  std::uint64_t Number = 0;
+  auto operator<=>(const Term &) const = default;
+};
+
+/// A place in a database group's log, in the group's own unit.
+struct LogPosition {
+  std::uint64_t Offset = 0;
+  auto operator<=>(const LogPosition &) const = default;
+};
+
+/// A place in the log together with the term it was written in. The order is
+/// term first, which is also the order in which a new primary is preferred.
+struct Mark {
+  Term WrittenIn;
+  LogPosition Position;
+  auto operator<=>(const Mark &) const = default;
+};
+
+} // namespace stepledge
+
+#endif // STEPLEDGE_BASE_TYPES_LOGPOSITION_H
