--- /dev/null
+++ b/src/session/TermHistory.cpp
@@ -0,0 +1,66 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "session/TermHistory.h"
+
+#include <algorithm>
+
+namespace stepledge::session {
+
+namespace {
+
+/// Terms kept; older ones are only of use to sessions long past.
+constexpr std::size_t TermsKept = 1024;
+
+} // namespace
+
+void TermHistory::learn(Term term, LogPosition start) {
+  Starts[term] = start;
+  if (Starts.size() > TermsKept)
+    Starts.erase(Starts.begin());
+}
+
+std::optional<LogPosition> TermHistory::startOf(Term term) const {
+  const auto it = Starts.find(term);
+  if (it == Starts.end())
+    return std::nullopt;
+  return it->second;
+}
+
+Term TermHistory::latest() const {
+  return Starts.empty() ? Term{} : Starts.rbegin()->first;
+}
+
+Inclusion TermHistory::carriesOver(Mark mark, Term upTo) const {
+  // NOTE: Only the terms that wrote something have a start. A term without
+  // one kept all that was before it, but it can't be told from a term not yet
+  // heard of, so the last term must be known.
+  if (Starts.find(upTo) == Starts.end())
+    return Inclusion::Unproved;
+  for (auto it = Starts.upper_bound(mark.WrittenIn);
+       it != Starts.end() && it->first <= upTo; ++it)
+    if (mark.Position > it->second)
+      return Inclusion::Lost;
+  return Inclusion::Included;
+}
+
+Inclusion TermHistory::includes(Mark at, Mark mark) const {
+  if (at.WrittenIn < mark.WrittenIn)
+    return Inclusion::Behind;
+  if (at.WrittenIn > mark.WrittenIn) {
+    const auto kept = carriesOver(mark, at.WrittenIn);
+    if (kept != Inclusion::Included)
+      return kept;
+  }
+  return at.Position >= mark.Position ? Inclusion::Included
+                                      : Inclusion::Behind;
+}
+
+Inclusion TermHistory::includesAll(Mark at, const DatabaseMarks &marks) const {
+  auto worst = Inclusion::Included;
+  for (const auto &it : marks)
+    worst = std::max(worst, includes(at, it));
+  return worst;
+}
+
+} // namespace stepledge::session
--- /dev/null
+++ b/src/session/types/SessionMarks.h
@@ -0,0 +1,45 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file What a session has seen of each database.
+
+#ifndef STEPLEDGE_SESSION_TYPES_SESSIONMARKS_H
+#define STEPLEDGE_SESSION_TYPES_SESSIONMARKS_H
+
+#include "base/types/Ids.h"
+#include "base/types/LogPosition.h"
+
+#include <map>
+#include <vector>
+
+namespace stepledge::session {
+
+/// The marks of one database: the highest position of each term, by rising
+/// term. More than one term is kept until an instance proves that the older
+/// ones carried over, so that merging never hides a lost history.
+using DatabaseMarks = std::vector<Mark>;
+
+class SessionMarks {
+public:
+  /// Adds \p mark, keeping the higher position of its term.
+  void add(const DatabaseId &database, Mark mark);
+  /// Adds all of \p other.
+  void merge(const SessionMarks &other);
+  /// Puts \p mark in place of all marks of \p database. Only for a mark that
+  /// is proved to include them.
+  void replace(const DatabaseId &database, Mark mark);
+
+  /// The marks of \p database; empty where the session has seen nothing.
+  const DatabaseMarks &of(const DatabaseId &database) const;
+  const std::map<DatabaseId, DatabaseMarks> &all() const { return Marks; }
+  bool empty() const { return Marks.empty(); }
+
+  bool operator==(const SessionMarks &) const = default;
+
+private:
+  std::map<DatabaseId, DatabaseMarks> Marks;
+};
+
+} // namespace stepledge::session
+
+#endif // STEPLEDGE_SESSION_TYPES_SESSIONMARKS_H
--- /dev/null
+++ b/src/settings/types/Settings.h
@@ -0,0 +1,150 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The checked settings of one process.
+
+#ifndef STEPLEDGE_SETTINGS_TYPES_SETTINGS_H
+#define STEPLEDGE_SETTINGS_TYPES_SETTINGS_H
+
+#include "base/types/Ids.h"
+#include "base/types/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace stepledge::settings {
+
+/// An IP number and a port.
+struct Endpoint {
+  std::string Address;
+  std::uint16_t Port = 0;
+
+  bool isSet() const { return Port != 0; }
+  auto operator<=>(const Endpoint &) const = default;
+};
+
+/// Whose word a write waits for before it is acknowledged.
+enum class AcknowledgeMode {
+  /// A majority of the group's instances; no acknowledged write is lost.
+  Majority,
+  /// The primary alone; a loss of the primary may undo acknowledged writes.
+  Primary,
+};
+
+struct InstanceSettings {
+  InstanceId Id;
+  HallId Hall;
+  Endpoint Address;
+  /// Connections this process may hold, with the monitoring one.
+  int Connections = 0;
+  /// Statements this process may have in flight.
+  int Slots = 0;
+};
+
+struct DatabaseSettings {
+  DatabaseId Id;
+  /// The name and user the instances know it by.
+  std::string Name;
+  std::string User;
+  std::string Password;
+  AcknowledgeMode Acknowledge = AcknowledgeMode::Majority;
+  /// How old data may be for a read that states no age; 0 means the
+  /// primary's.
+  Duration ReadMaxAge{0};
+  std::vector<InstanceSettings> Instances;
+};
+
+/// The SQL texts by which a site's database group is asked and told.
+struct DialectSettings {
+  /// One row: role, term, log_term, durable, applied, leaving, history.
+  std::string Observe = "SELECT standin('role') AS role, standin('term') AS "
+                        "term, standin('log_term') AS log_term, "
+                        "standin('durable') AS durable, standin('applied') AS "
+                        "applied, standin('leaving') AS leaving, "
+                        "standin('history') AS history";
+  std::string Fence = "SELECT standin('fence', $1)";
+  std::string Promote = "SELECT standin('promote', $1)";
+  std::string Follow = "SELECT standin('follow', $1, $2, $3)";
+  std::string LedgerCreate =
+      "CREATE TABLE IF NOT EXISTS stepledge_request (key TEXT PRIMARY KEY, "
+      "digest TEXT NOT NULL, result TEXT)";
+  std::string LedgerInsert =
+      "INSERT INTO stepledge_request (key, digest) VALUES ($1, $2)";
+  std::string LedgerRecord =
+      "UPDATE stepledge_request SET result = $2 WHERE key = $1";
+  std::string LedgerRead =
+      "SELECT digest, result FROM stepledge_request WHERE key = $1";
+};
+
+/// What one request may ask for, and how much may wait.
+struct LimitSettings {
+  std::size_t BodyBytes = 256 * 1024;
+  std::size_t StatementBytes = 64 * 1024;
+  std::size_t Parameters = 256;
+  std::size_t Headers = 64;
+  std::size_t KeyBytes = 128;
+  std::size_t ResultRows = 10000;
+  std::size_t ResultBytes = 4 * 1024 * 1024;
+  std::size_t TokenBytes = 4096;
+  std::size_t Tokens = 16;
+  /// Waiting requests per database and class.
+  std::size_t Queue = 256;
+  std::size_t Transactions = 8;
+  /// Retries may be this share of requests.
+  double RetryShare = 0.1;
+};
+
+struct TimingSettings {
+  Duration Observe = milliseconds(100);
+  /// An instance silent for this long is not chosen.
+  Duration Silence = milliseconds(600);
+  Duration DefaultDeadline = milliseconds(2000);
+  Duration LongestDeadline = milliseconds(30000);
+  Duration TransactionIdle = milliseconds(5000);
+  Duration TransactionTotal = milliseconds(30000);
+  /// How lately a majority must have confirmed the primary for a read of
+  /// current data.
+  Duration PrimaryConfirm = milliseconds(1000);
+  /// How long a read may wait for a replica to catch up.
+  Duration CatchUp = milliseconds(50);
+  /// From the stop signal to closing the listener, for the balancer.
+  Duration DrainNotice = milliseconds(1000);
+  Duration ForwardLimit = milliseconds(5000);
+};
+
+struct SessionKey {
+  std::uint32_t Id = 0;
+  /// At least 32 bytes.
+  std::string Secret;
+};
+
+struct PeerSettings {
+  VmId Vm;
+  HallId Hall;
+  Endpoint Mesh;
+};
+
+struct Settings {
+  VmId Vm;
+  HallId Hall;
+  std::string DataFolder;
+  Endpoint Callers;
+  Endpoint Mesh;
+  std::vector<PeerSettings> Peers;
+  /// The first signs; all are accepted.
+  std::vector<SessionKey> SessionKeys;
+  /// One-way time from this VM's hall; absent halls count as far.
+  std::map<HallId, Duration> Distances;
+  std::vector<DatabaseSettings> Databases;
+  DialectSettings Dialect;
+  LimitSettings Limits;
+  TimingSettings Timing;
+  std::string LogLevel = "info";
+};
+
+} // namespace stepledge::settings
+
+#endif // STEPLEDGE_SETTINGS_TYPES_SETTINGS_H
--- a/src/standin/internal/Engine.cpp
+++ b/src/standin/internal/Engine.cpp
@@ -109,6 +109,7 @@
                nullptr, nullptr, nullptr);
   Received = number(Own.get(), "SELECT max(position) FROM standin_log");
   LogTerm = termAt(Received);
+  readHistory();
   Applied = load("applied");
   Promised = std::max<std::uint64_t>(load("promised"), 1);
   const auto role = load("role");
@@ -135,6 +136,16 @@
                                std::to_string(position));
 }
 
+void Engine::readHistory() {
+  History.clear();
+  auto stmt = prepare(Own.get(), "SELECT term, min(position)-1 FROM "
+                                 "standin_log GROUP BY term ORDER BY term");
+  while (stmt && sqlite3_step(stmt.get()) == SQLITE_ROW)
+    History += (History.empty() ? "" : ",") +
+               std::to_string(sqlite3_column_int64(stmt.get(), 0)) + ":" +
+               std::to_string(sqlite3_column_int64(stmt.get(), 1));
+}
+
 bool Engine::appendEntry(sqlite3 *handle, std::uint64_t position,
                          std::uint64_t term, const std::string &body) {
   auto stmt = prepare(handle, "INSERT INTO standin_log VALUES(?,?,?)");
@@ -154,6 +165,7 @@
   LogTerm = Promised;
   Applied = Received;
   store("applied", Applied);
+  readHistory();
 }
 
 bool Engine::logWrite(sqlite3 *handle, const nlohmann::json &statements) {
@@ -195,7 +207,10 @@
     Due.push_back({position, due});
   }
   sqlite3_exec(Own.get(), "COMMIT", nullptr, nullptr, nullptr);
-  LogTerm = termAt(Received);
+  const auto newest = termAt(Received);
+  if (newest != LogTerm)
+    readHistory();
+  LogTerm = newest;
   return true;
 }
 
@@ -255,6 +270,7 @@
   Due.clear();
   Received = keep;
   LogTerm = termAt(Received);
+  readHistory();
   Applied = 0;
   store("applied", 0);
   applyUpTo(Received);
@@ -364,6 +380,8 @@
     answerNumber(engine->Applied);
   else if (name == "leaving")
     answerNumber(engine->CurrentFaults.Leaving ? 1 : 0);
+  else if (name == "history")
+    answerText(engine->History);
   else if (name == "peak_connections")
     answerNumber(static_cast<std::uint64_t>(engine->SeenPeaks.Connections));
   else if (name == "peak_in_flight")
--- a/src/standin/internal/Engine.h
+++ b/src/standin/internal/Engine.h
@@ -88,6 +88,7 @@
   void store(const char *name, std::uint64_t value);
   std::uint64_t load(const char *name);
   std::uint64_t termAt(std::uint64_t position);
+  void readHistory();
 
   std::int64_t fence(std::uint64_t term);
   std::int64_t promote(std::uint64_t term);
@@ -106,6 +107,8 @@
   std::uint64_t Received = 0;
   std::uint64_t Applied = 0;
   std::deque<Waiting> Due;
+  /// "TERM:START,..." for each term in the log.
+  std::string History;
 };
 
 } // namespace stepledge::standin
