Ask for both ends of a term history before an old mark carries over

And an unknown term between two known ones let a lost mark pass as carried over. Change: both ends must be known, since an instance reports its terms without a gap. Conclusion: an unknown history proves nothing.

--- a/src/session/TermHistory.cpp
+++ b/src/session/TermHistory.cpp
@@ -32,10 +32,9 @@
 }
 
 Inclusion TermHistory::carriesOver(Mark mark, Term upTo) const {
-  // NOTE: Only the terms that wrote something have a start. A term without
-  // one kept all that was before it, but it can't be told from a term not yet
-  // heard of, so the last term must be known.
-  if (Starts.find(upTo) == Starts.end())
+  // NOTE: An instance reports the terms of its log without a gap, so where
+  // both ends are known all between are.
+  if (!startOf(upTo) || !startOf(mark.WrittenIn))
     return Inclusion::Unproved;
   for (auto it = Starts.upper_bound(mark.WrittenIn);
        it != Starts.end() && it->first <= upTo; ++it)
--- a/src/session/TermHistory.h
+++ b/src/session/TermHistory.h
@@ -29,6 +29,7 @@
 class TermHistory {
 public:
   /// Term \p term began after \p start, the last position of the log before.
+  /// To be called for all terms of one instance's log, without a gap.
   void learn(Term term, LogPosition start);
 
   std::optional<LogPosition> startOf(Term term) const;
--- a/src/session/tests/SessionTest.cpp
+++ b/src/session/tests/SessionTest.cpp
@@ -110,6 +110,7 @@
 
 TEST_CASE("TermHistory_LostInAnyTermBetween") {
   TermHistory history;
+  history.learn(Term{1}, LogPosition{0});
   history.learn(Term{2}, LogPosition{10});
   history.learn(Term{3}, LogPosition{20});
   CHECK(history.includes(mark(3, 30), mark(1, 15)) == Inclusion::Lost);
@@ -120,10 +121,12 @@
   TermHistory history;
   history.learn(Term{2}, LogPosition{10});
   CHECK(history.includes(mark(3, 30), mark(2, 5)) == Inclusion::Unproved);
+  CHECK(history.includes(mark(2, 30), mark(1, 5)) == Inclusion::Unproved);
 }
 
 TEST_CASE("TermHistory_MergedMarksKeepTheLostOne") {
   TermHistory history;
+  history.learn(Term{1}, LogPosition{0});
   history.learn(Term{2}, LogPosition{10});
   SessionMarks marks;
   marks.add(Bookings, mark(1, 11));
