Add routing: the view of a group, ages, and the choice of instance

Cause: reads must go to replicas where what the session saw and the stated age allow it, and nowhere else. Change: GroupView bounds ages by the local clock from the sending of the question, and by a majority's last word, since a primary replaced while its hall was cut off would else look fresh for ever. ReadRouter chooses with a verdict on each instance, and proves the position that rode along. Conclusion: decisions are pure; time and chance come in as arguments.

--- /dev/null
+++ b/src/routing/GroupView.cpp
@@ -0,0 +1,179 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "routing/GroupView.h"
+
+#include <algorithm>
+
+namespace stepledge::routing {
+
+namespace {
+
+constexpr std::size_t SamplesKept = 2048;
+constexpr Duration SampleSpacing = milliseconds(2);
+constexpr int LagWeight = 4;
+constexpr double FailureFactor = 0.5;
+constexpr double SuccessStep = 0.1;
+
+} // namespace
+
+GroupView::GroupView(const std::vector<InstanceId> &instances) {
+  for (const auto &it : instances)
+    States[it];
+}
+
+void GroupView::observe(const InstanceId &instance,
+                        const Observation &observation, TimePoint askedAt,
+                        TimePoint now) {
+  const auto it = States.find(instance);
+  if (it == States.end())
+    return;
+  auto &state = it->second;
+  // NOTE: Answers on several connections may cross; an older one adds nothing.
+  if (state.Seen && askedAt < state.AskedAt)
+    return;
+  for (const auto &start : observation.History)
+    History.learn(start.Began, start.After);
+  state.Last = observation;
+  state.Seen = true;
+  state.AskedAt = askedAt;
+  state.HeardAt = now;
+  state.PromiseSeenAt = askedAt;
+  CurrentTerm = std::max(CurrentTerm, observation.LogTerm);
+  if (observation.Role == InstanceRole::Primary &&
+      observation.Promised >= CurrentTerm)
+    addSample(observation.appliedMark(), askedAt);
+  if (const auto age = ageOf(observation.appliedMark(), now))
+    state.Lag += (*age - state.Lag) / LagWeight;
+}
+
+void GroupView::addSample(Mark position, TimePoint askedAt) {
+  if (!Samples.empty()) {
+    auto &last = Samples.back();
+    if (position == last.Position) {
+      last.LastSeen = std::max(last.LastSeen, askedAt);
+      return;
+    }
+    if (position < last.Position)
+      return;
+    // NOTE: Under many writes, samples closer than the spacing take the
+    // place of the one before, which only makes ages look greater.
+    const bool close =
+        Samples.size() > 1 &&
+        askedAt - Samples[Samples.size() - 2].FirstSeen < SampleSpacing;
+    if (close) {
+      last = {position, askedAt, askedAt};
+      return;
+    }
+  }
+  Samples.push_back({position, askedAt, askedAt});
+  if (Samples.size() > SamplesKept)
+    Samples.pop_front();
+}
+
+void GroupView::noteFailure(const InstanceId &instance) {
+  if (const auto it = States.find(instance); it != States.end())
+    it->second.Health *= FailureFactor;
+}
+
+void GroupView::noteSuccess(const InstanceId &instance) {
+  if (const auto it = States.find(instance); it != States.end())
+    it->second.Health = std::min(1.0, it->second.Health + SuccessStep);
+}
+
+const InstanceState &GroupView::of(const InstanceId &instance) const {
+  static const InstanceState Nothing;
+  const auto it = States.find(instance);
+  return it == States.end() ? Nothing : it->second;
+}
+
+std::optional<InstanceId> GroupView::primary() const {
+  std::optional<InstanceId> found;
+  Term best;
+  for (const auto &[id, state] : States) {
+    const bool isPrimary =
+        state.Seen && state.Last.Role == InstanceRole::Primary;
+    if (isPrimary && state.Last.Promised > best) {
+      best = state.Last.Promised;
+      found = id;
+    }
+  }
+  const auto beyond =
+      std::count_if(States.begin(), States.end(), [best](const auto &it) {
+        return it.second.Last.Promised > best;
+      });
+  if (beyond >= majority())
+    return std::nullopt;
+  return found;
+}
+
+std::optional<TimePoint> GroupView::confirmedAt(Term term) const {
+  std::vector<TimePoint> times;
+  for (const auto &[id, state] : States)
+    if (state.Seen && state.Last.Promised == term)
+      times.push_back(state.PromiseSeenAt);
+  const auto needed = static_cast<std::size_t>(majority());
+  if (times.size() < needed)
+    return std::nullopt;
+  std::sort(times.rbegin(), times.rend());
+  return times[needed - 1];
+}
+
+std::optional<Duration> GroupView::ageOf(Mark applied, TimePoint now) const {
+  const auto after =
+      std::upper_bound(Samples.begin(), Samples.end(), applied,
+                       [](const Mark &mark, const Sample &sample) {
+                         return mark < sample.Position;
+                       });
+  if (after == Samples.begin())
+    return std::nullopt;
+  if (applied.WrittenIn < CurrentTerm) {
+    // NOTE: A log that went on past the place where a later term began shows
+    // what was lost; no age makes that right.
+    const auto kept =
+        History.includes({CurrentTerm, applied.Position}, applied);
+    if (kept != session::Inclusion::Included)
+      return std::nullopt;
+  }
+  const auto &sample = *std::prev(after);
+  auto freshAt = sample.LastSeen;
+  // NOTE: A primary that was replaced while this hall was cut off still
+  // answers here. Only a majority's word proves that its log was the newest.
+  if (sample.Position.WrittenIn == CurrentTerm) {
+    const auto confirmed = confirmedAt(CurrentTerm);
+    if (!confirmed)
+      return std::nullopt;
+    freshAt = std::min(freshAt, *confirmed);
+  }
+  return std::max(Duration{0}, now - freshAt);
+}
+
+std::optional<TimePoint> GroupView::reachedAt(Mark mark) const {
+  const auto it =
+      std::lower_bound(Samples.begin(), Samples.end(), mark,
+                       [](const Sample &sample, const Mark &wanted) {
+                         return sample.Position < wanted;
+                       });
+  if (it == Samples.end())
+    return std::nullopt;
+  return it->FirstSeen;
+}
+
+int GroupView::holders(Mark mark) const {
+  int n = 0;
+  for (const auto &[id, state] : States) {
+    const auto &last = state.Last;
+    const bool isCurrent = state.Seen && last.Promised == last.LogTerm &&
+                           last.LogTerm == CurrentTerm;
+    if (isCurrent && History.includes(last.durableMark(), mark) ==
+                         session::Inclusion::Included)
+      ++n;
+  }
+  return n;
+}
+
+bool GroupView::isHeldByMajority(Mark mark) const {
+  return holders(mark) >= majority();
+}
+
+} // namespace stepledge::routing
--- /dev/null
+++ b/src/routing/ReadRouter.cpp
@@ -0,0 +1,205 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "routing/ReadRouter.h"
+
+#include <algorithm>
+
+namespace stepledge::routing {
+
+namespace {
+
+/// Health below which an instance is left out while another one will do.
+constexpr double EjectedBelow = 0.1;
+
+Duration costOf(const InstanceLoad &load, double health) {
+  const auto waiting = load.ServiceTime * (load.InFlight + 1);
+  const auto cost = waiting + 2 * load.Distance;
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(cost.count() + 1) / std::max(health, 0.01)));
+}
+
+/// Of two instances picked by chance, the cheaper one. Looking at two and not
+/// at all keeps many VMs from choosing the same one together.
+std::size_t pickOfTwo(const std::vector<std::size_t> &candidates,
+                      const std::vector<Consideration> &considered,
+                      Random &random) {
+  if (candidates.size() == 1)
+    return candidates.front();
+  const auto first = random() % candidates.size();
+  auto second = random() % (candidates.size() - 1);
+  if (second >= first)
+    ++second;
+  const auto left = candidates[first];
+  const auto right = candidates[second];
+  return considered[left].Cost <= considered[right].Cost ? left : right;
+}
+
+bool isEligible(const Consideration &it) {
+  return it.Said == Verdict::Eligible;
+}
+
+std::vector<std::size_t> eligibleIn(const std::vector<Consideration> &list) {
+  std::vector<std::size_t> found;
+  for (std::size_t n = 0; n < list.size(); ++n)
+    if (isEligible(list[n]))
+      found.push_back(n);
+  return found;
+}
+
+bool anySaid(const std::vector<Consideration> &list, Verdict verdict) {
+  return std::any_of(list.begin(), list.end(),
+                     [verdict](const auto &it) { return it.Said == verdict; });
+}
+
+} // namespace
+
+ReadRouter::Judged ReadRouter::judge(const ReadNeed &need,
+                                     const GroupView &view,
+                                     const InstanceId &instance,
+                                     const InstanceState &state,
+                                     TimePoint now) const {
+  if (!state.Seen || now - state.HeardAt > Config.Silence)
+    return {Verdict::Silent, {}};
+  if (need.Tried.contains(instance))
+    return {Verdict::Tried, {}};
+  if (state.Last.Leaving && state.Last.Role != InstanceRole::Primary)
+    return {Verdict::Leaving, {}};
+  if (state.Last.Role == InstanceRole::Primary)
+    return judgePrimary(need, view, state, now);
+  if (need.isCurrent())
+    return {Verdict::NotPrimary, {}};
+  return judgeReplica(need, view, state, now);
+}
+
+ReadRouter::Judged ReadRouter::judgePrimary(const ReadNeed &need,
+                                            const GroupView &view,
+                                            const InstanceState &state,
+                                            TimePoint now) const {
+  const auto confirmed = view.confirmedAt(state.Last.Promised);
+  const auto allowed = need.isCurrent() ? Config.PrimaryConfirm : need.MaxAge;
+  if (!confirmed || now - *confirmed > allowed)
+    return {Verdict::Unconfirmed, {}};
+  const auto kept =
+      view.history().includesAll(state.Last.appliedMark(), need.Marks);
+  if (kept == session::Inclusion::Lost)
+    return {Verdict::HistoryLost, {}};
+  // NOTE: A mark of the primary's own term is in its log, however old this
+  // process's last look at it; a mark of a later term is not.
+  const bool isOlder = std::any_of(
+      need.Marks.begin(), need.Marks.end(), [&](const Mark &it) {
+        return it.WrittenIn > state.Last.Promised;
+      });
+  return {isOlder ? Verdict::Behind : Verdict::Eligible, {}};
+}
+
+ReadRouter::Judged ReadRouter::judgeReplica(const ReadNeed &need,
+                                            const GroupView &view,
+                                            const InstanceState &state,
+                                            TimePoint now) const {
+  const auto applied = state.Last.appliedMark();
+  const auto age = view.ageOf(applied, now);
+  // NOTE: The replica has gone on since it was last looked at, so its usual
+  // lag counts as well; the proof that rides with the read has the last word.
+  const bool fresh = age && std::min(*age, state.Lag) <= need.MaxAge;
+  if (!fresh)
+    return {Verdict::TooOld, {}};
+  const auto kept = view.history().includesAll(applied, need.Marks);
+  if (kept == session::Inclusion::Included)
+    return {Verdict::Eligible, {}};
+  if (kept != session::Inclusion::Behind)
+    return {kept == session::Inclusion::Lost ? Verdict::HistoryLost
+                                             : Verdict::Behind,
+            {}};
+  const auto newest = std::max_element(need.Marks.begin(), need.Marks.end());
+  const auto reached = view.reachedAt(*newest).value_or(now);
+  const auto caughtUp = reached + state.Lag + state.Lag / 4;
+  if (caughtUp <= now)
+    return {Verdict::Eligible, {}};
+  return {Verdict::Behind, caughtUp};
+}
+
+RouteDecision ReadRouter::choose(const ReadNeed &need, const GroupView &view,
+                                 const Loads &loads, TimePoint now,
+                                 Random &random) const {
+  RouteDecision decision;
+  std::optional<std::size_t> primary;
+  std::optional<WaitForCatchUp> catchUp;
+  for (const auto &[id, state] : view.all()) {
+    const auto judged = judge(need, view, id, state, now);
+    const auto load = loads.find(id);
+    Consideration entry{id, judged.Said,
+                        view.ageOf(state.Last.appliedMark(), now), {}};
+    if (judged.Said == Verdict::Eligible && load != loads.end()) {
+      entry.Cost = costOf(load->second, state.Health);
+      if (!load->second.CanStart)
+        entry.Said = Verdict::Busy;
+      else if (state.Health < EjectedBelow)
+        entry.Said = Verdict::Ejected;
+    }
+    const bool sooner = judged.CatchesUpAt &&
+                        (!catchUp || *judged.CatchesUpAt < catchUp->Until);
+    if (sooner)
+      catchUp = WaitForCatchUp{id, *judged.CatchesUpAt};
+    if (state.Last.Role == InstanceRole::Primary && isEligible(entry) &&
+        view.primary() == id)
+      primary = decision.Considered.size();
+    decision.Considered.push_back(std::move(entry));
+  }
+  auto &considered = decision.Considered;
+
+  // NOTE: Where all that would do are ejected, they are used all the same.
+  if (eligibleIn(considered).empty())
+    for (auto &it : considered)
+      if (it.Said == Verdict::Ejected)
+        it.Said = Verdict::Eligible;
+
+  auto candidates = eligibleIn(considered);
+  const bool hasReplica = std::any_of(
+      candidates.begin(), candidates.end(),
+      [&](std::size_t n) { return primary != n; });
+  if (hasReplica && primary)
+    std::erase(candidates, *primary);
+
+  const bool waitsWell = catchUp && catchUp->Until - now <= Config.CatchUp &&
+                         catchUp->Until < need.Deadline;
+  if (!hasReplica && waitsWell && !need.isCurrent()) {
+    decision.Choice = *catchUp;
+  } else if (!candidates.empty()) {
+    const auto chosen = pickOfTwo(candidates, considered, random);
+    considered[chosen].Said = Verdict::Chosen;
+    decision.Choice = UseInstance{considered[chosen].Instance};
+  } else if (anySaid(considered, Verdict::Busy)) {
+    decision.Choice = WaitForCapacity{};
+  } else if (anySaid(considered, Verdict::HistoryLost)) {
+    decision.Choice = RefuseRead{ResultCode::HistoryLost};
+  } else if (anySaid(considered, Verdict::Unconfirmed)) {
+    decision.Choice = WaitForChange{ResultCode::PrimaryUnconfirmed};
+  } else {
+    decision.Choice = WaitForChange{need.isCurrent()
+                                        ? ResultCode::NoPrimary
+                                        : ResultCode::NoInstanceFreshEnough};
+  }
+  return decision;
+}
+
+Proof ReadRouter::prove(const ReadNeed &need, const GroupView &view,
+                        const Observation &seen, TimePoint now) const {
+  const auto applied = seen.appliedMark();
+  const auto kept = view.history().includesAll(applied, need.Marks);
+  if (kept == session::Inclusion::Lost)
+    return Proof::HistoryLost;
+  if (kept != session::Inclusion::Included)
+    return Proof::Behind;
+  if (need.isCurrent()) {
+    const auto confirmed = view.confirmedAt(seen.Promised);
+    const bool isConfirmed =
+        confirmed && now - *confirmed <= Config.PrimaryConfirm;
+    const bool isPrimary = seen.Role == InstanceRole::Primary && isConfirmed;
+    return isPrimary ? Proof::Holds : Proof::NotPrimary;
+  }
+  const auto age = view.ageOf(applied, now);
+  return age && *age <= need.MaxAge ? Proof::Holds : Proof::TooOld;
+}
+
+} // namespace stepledge::routing
--- /dev/null
+++ b/src/routing/ReadRouter.h
@@ -0,0 +1,73 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Chooses the instance that answers a read.
+
+#ifndef STEPLEDGE_ROUTING_READROUTER_H
+#define STEPLEDGE_ROUTING_READROUTER_H
+
+#include "routing/GroupView.h"
+#include "routing/types/RouteDecision.h"
+
+#include <map>
+#include <random>
+
+namespace stepledge::routing {
+
+struct RouterSettings {
+  /// An instance silent for this long is not chosen.
+  Duration Silence = milliseconds(600);
+  /// How lately a majority must have confirmed the primary.
+  Duration PrimaryConfirm = milliseconds(1000);
+  /// How long a read may wait for a replica to catch up.
+  Duration CatchUp = milliseconds(50);
+};
+
+using Loads = std::map<InstanceId, InstanceLoad>;
+/// Passed in, so that a decision can be had again from its seed.
+using Random = std::mt19937_64;
+
+/// What the instance said with a read, held against what the read needs.
+enum class Proof {
+  Holds,
+  Behind,
+  HistoryLost,
+  TooOld,
+  NotPrimary,
+};
+
+class ReadRouter {
+public:
+  explicit ReadRouter(RouterSettings settings) : Config(settings) {}
+
+  RouteDecision choose(const ReadNeed &need, const GroupView &view,
+                       const Loads &loads, TimePoint now,
+                       Random &random) const;
+
+  /// Judges the position that rode along with the read.
+  Proof prove(const ReadNeed &need, const GroupView &view,
+              const Observation &seen, TimePoint now) const;
+
+private:
+  struct Judged {
+    Verdict Said;
+    /// Behind now, but expected to have caught up by then.
+    std::optional<TimePoint> CatchesUpAt;
+  };
+
+  Judged judge(const ReadNeed &need, const GroupView &view,
+               const InstanceId &instance, const InstanceState &state,
+               TimePoint now) const;
+  Judged judgeReplica(const ReadNeed &need, const GroupView &view,
+                      const InstanceState &state, TimePoint now) const;
+  Judged judgePrimary(const ReadNeed &need, const GroupView &view,
+                      const InstanceState &state, TimePoint now) const;
+  bool mayUsePrimary(const ReadNeed &need, const GroupView &view,
+                     TimePoint now) const;
+
+  RouterSettings Config;
+};
+
+} // namespace stepledge::routing
+
+#endif // STEPLEDGE_ROUTING_READROUTER_H
--- /dev/null
+++ b/src/routing/types/RouteDecision.h
@@ -0,0 +1,119 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file What a read needs, and which instance was chosen for it, and why.
+
+#ifndef STEPLEDGE_ROUTING_TYPES_ROUTEDECISION_H
+#define STEPLEDGE_ROUTING_TYPES_ROUTEDECISION_H
+
+#include "base/NameTable.h"
+#include "base/types/Ids.h"
+#include "base/types/ResultCode.h"
+#include "base/types/Time.h"
+#include "session/types/SessionMarks.h"
+
+#include <array>
+#include <optional>
+#include <set>
+#include <variant>
+#include <vector>
+
+namespace stepledge::routing {
+
+/// What one read asks for.
+struct ReadNeed {
+  session::DatabaseMarks Marks;
+  /// 0 asks for the primary's current data.
+  Duration MaxAge{0};
+  TimePoint Deadline;
+  /// Instances whose proof failed for this read already.
+  std::set<InstanceId> Tried;
+
+  bool isCurrent() const { return MaxAge.count() == 0; }
+};
+
+/// What this process can do with one instance now.
+struct InstanceLoad {
+  /// A connection and a slot are free.
+  bool CanStart = false;
+  int InFlight = 0;
+  Duration ServiceTime{0};
+  /// One way.
+  Duration Distance{0};
+};
+
+enum class Verdict {
+  Chosen,
+  Eligible,
+  Busy,
+  Silent,
+  Leaving,
+  Fenced,
+  NotPrimary,
+  Behind,
+  HistoryLost,
+  TooOld,
+  Unconfirmed,
+  Ejected,
+  Tried,
+};
+
+constexpr auto VerdictNames = std::to_array<NameEntry<Verdict>>({
+    {Verdict::Chosen, "chosen"},
+    {Verdict::Eligible, "would have done as well"},
+    {Verdict::Busy, "has no free connection or slot"},
+    {Verdict::Silent, "has not answered lately"},
+    {Verdict::Leaving, "is leaving"},
+    {Verdict::Fenced, "is fenced for a new primary"},
+    {Verdict::NotPrimary, "is not the primary"},
+    {Verdict::Behind, "has not yet got what the session saw"},
+    {Verdict::HistoryLost, "lost something the session saw"},
+    {Verdict::TooOld, "is older than the read allows"},
+    {Verdict::Unconfirmed, "is not confirmed as primary by a majority"},
+    {Verdict::Ejected, "failed too often lately"},
+    {Verdict::Tried, "was tried for this read and was behind"},
+});
+
+/// One instance as it looked when the decision was made.
+struct Consideration {
+  InstanceId Instance;
+  Verdict Said = Verdict::Silent;
+  std::optional<Duration> Age;
+  /// Expected time to the answer, for those that would do.
+  Duration Cost{0};
+};
+
+struct UseInstance {
+  InstanceId Instance;
+};
+
+/// A replica is expected to have caught up by then.
+struct WaitForCatchUp {
+  InstanceId Instance;
+  TimePoint Until;
+};
+
+/// Something would do, but has no free connection or slot.
+struct WaitForCapacity {};
+
+/// Nothing will do now; it may later, until the deadline.
+struct WaitForChange {
+  ResultCode Why = ResultCode::NoInstanceFreshEnough;
+};
+
+/// Nothing will ever do.
+struct RefuseRead {
+  ResultCode Why = ResultCode::HistoryLost;
+};
+
+using RouteChoice = std::variant<UseInstance, WaitForCatchUp, WaitForCapacity,
+                                 WaitForChange, RefuseRead>;
+
+struct RouteDecision {
+  RouteChoice Choice;
+  std::vector<Consideration> Considered;
+};
+
+} // namespace stepledge::routing
+
+#endif // STEPLEDGE_ROUTING_TYPES_ROUTEDECISION_H
