--- /dev/null
+++ b/src/admission/ConcurrencyLimit.h
@@ -0,0 +1,35 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file How many statements one instance is given at once: up to the granted
+/// slots while it answers as fast as usual, fewer as it slows down.
+
+#ifndef STEPLEDGE_ADMISSION_CONCURRENCYLIMIT_H
+#define STEPLEDGE_ADMISSION_CONCURRENCYLIMIT_H
+
+#include "base/types/Time.h"
+
+namespace stepledge::admission {
+
+class ConcurrencyLimit {
+public:
+  explicit ConcurrencyLimit(int slots) : Slots(slots), Allowed(slots) {}
+
+  /// A statement took \p time while \p inFlight were running.
+  void noteAnswer(Duration time, int inFlight);
+  /// A statement failed for want of an answer.
+  void noteLoss();
+
+  /// From 1 to the granted slots.
+  int limit() const;
+
+private:
+  int Slots;
+  double Allowed;
+  /// The best time seen, forgotten slowly.
+  Duration Best{0};
+};
+
+} // namespace stepledge::admission
+
+#endif // STEPLEDGE_ADMISSION_CONCURRENCYLIMIT_H
