Add the request path as a state machine

Cause: session reads, safe writes and transactions must be decided without sockets, clocks or threads, so that they can be replayed and embedded. Change: request, with flows for reads (proof rides along), writes (majority acknowledgement, ledger of keys, look-up of open outcomes), transactions (pinned, numbered, limited) and observation. The history of terms is now that of the newest log alone, and 'not run' after a look-up waits for a majority as 'ran' does: a new primary lost before a majority holds its term would bring the old log back.

--- a/src/base/ResultTable.cpp
+++ b/src/base/ResultTable.cpp
@@ -76,6 +76,14 @@
      "The primary was replaced while the write ran; it may have been lost."},
     {ReadAbandoned, "read-abandoned", NotRun, 504,
      "The read was not answered before its deadline; reads change nothing."},
+    {WriteDiscarded, "write-discarded", NotRun, 503,
+     "The primary was replaced and the write is in no log that counts; it "
+     "took no effect."},
+    {ResultLeftOut, "result-left-out", Ran, 200,
+     "The write ran; its result is larger than allowed and was left out."},
+    {WriteNotFound, "write-not-found", NotRun, 503,
+     "The connection was lost in the write, and a look-up of its key proved "
+     "that it was not run."},
     {TransactionUnknown, "transaction-unknown", NotRun, 404,
      "No such transaction is open; one that was open is rolled back."},
     {TransactionBusy, "transaction-busy", NotRun, 409,
--- a/src/base/types/ResultCode.h
+++ b/src/base/types/ResultCode.h
@@ -44,6 +44,9 @@
   UpstreamLost = 1407,
   ReplacedWhileWriting = 1408,
   ReadAbandoned = 1409,
+  WriteDiscarded = 1410,
+  ResultLeftOut = 1411,
+  WriteNotFound = 1412,
 
   // 1500: transactions
   TransactionUnknown = 1500,
--- /dev/null
+++ b/src/request/internal/DatabaseCoordinator.h
@@ -0,0 +1,59 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file All requests of one database: takes events, drives the flows.
+
+#ifndef STEPLEDGE_REQUEST_INTERNAL_DATABASECOORDINATOR_H
+#define STEPLEDGE_REQUEST_INTERNAL_DATABASECOORDINATOR_H
+
+#include "request/internal/DatabaseContext.h"
+#include "request/internal/ObserveFlow.h"
+#include "request/internal/ReadFlow.h"
+#include "request/internal/TransactionFlow.h"
+#include "request/internal/WriteFlow.h"
+
+#include <optional>
+
+namespace stepledge::request {
+
+class DatabaseCoordinator {
+public:
+  DatabaseCoordinator(const settings::DatabaseSettings &database,
+                      const settings::Settings &common,
+                      ProcessCounters &counters, routing::Random &chance);
+
+  void arrived(const CallerRequest &request, TimePoint now);
+  void opened(ConnectionId connection, TimePoint now);
+  void lost(ConnectionId connection, TimePoint now);
+  void finished(ConnectionId connection, const upstream::BatchResult &result,
+                TimePoint now);
+  void stop() { Context.Stopping = true; }
+  void setLeaving(const InstanceId &instance, bool leaving);
+
+  /// Does whatever is due; to be called after each event.
+  void advance(TimePoint now);
+  Effects takeEffects();
+  std::optional<TimePoint> nextWake(TimePoint now) const;
+  std::size_t openWork() const;
+  bool isServing(TimePoint now) const;
+
+private:
+  bool accept(ActiveRequest &request, TimePoint now);
+  bool start(ActiveRequest &request, TimePoint now);
+  void pump(TimePoint now);
+  void expireQueued(TimePoint now);
+  void expireSent(TimePoint now);
+  void keepWarm(TimePoint now);
+  void loseInstance(const InstanceId &instance, TimePoint now);
+  void loseWork(const RunningWork &running, TimePoint now);
+
+  DatabaseContext Context;
+  ObserveFlow Observing;
+  ReadFlow Reads;
+  WriteFlow Writes;
+  TransactionFlow Transactions;
+};
+
+} // namespace stepledge::request
+
+#endif // STEPLEDGE_REQUEST_INTERNAL_DATABASECOORDINATOR_H
--- /dev/null
+++ b/src/request/internal/ObservationRow.h
@@ -0,0 +1,22 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Reads an instance's answer to the dialect's `observe` text.
+
+#ifndef STEPLEDGE_REQUEST_INTERNAL_OBSERVATIONROW_H
+#define STEPLEDGE_REQUEST_INTERNAL_OBSERVATIONROW_H
+
+#include "routing/types/Observation.h"
+#include "upstream/types/Batch.h"
+
+#include <optional>
+
+namespace stepledge::request {
+
+/// None where the step failed or its row lacks a column or a number.
+std::optional<routing::Observation>
+readObservation(const upstream::StepResult &step);
+
+} // namespace stepledge::request
+
+#endif // STEPLEDGE_REQUEST_INTERNAL_OBSERVATIONROW_H
--- /dev/null
+++ b/src/request/internal/ObserveFlow.cpp
@@ -0,0 +1,93 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "request/internal/ObserveFlow.h"
+
+#include "request/internal/ObservationRow.h"
+
+#include <algorithm>
+
+namespace stepledge::request {
+
+namespace {
+
+/// Between questions while answers wait for a majority.
+constexpr Duration EagerSpacing = milliseconds(2);
+/// A monitoring connection that can't be opened yet is looked at again then.
+constexpr Duration OpenSpacing = milliseconds(50);
+
+} // namespace
+
+ObserveFlow::ObserveFlow(DatabaseContext &context) : Context(context) {
+  for (const auto &it : context.Database.Instances)
+    Monitors[it.Id];
+}
+
+TimePoint ObserveFlow::nextAsk(const Monitor &monitor, bool eager) const {
+  return monitor.Since + (eager ? EagerSpacing : Context.Common.Timing.Observe);
+}
+
+std::vector<InstanceId> ObserveFlow::tick(bool eager, TimePoint now) {
+  std::vector<InstanceId> silent;
+  for (auto &[instance, monitor] : Monitors) {
+    if (!monitor.Connection) {
+      if (!Context.Pool.mayOpen(instance, true, now))
+        continue;
+      monitor = {Context.Pool.startOpening(instance, true, now), true, now};
+      Context.Out.push_back(OpenConnection{
+          *monitor.Connection, Context.Database.Id, instance});
+    } else if (monitor.Waiting) {
+      if (now - monitor.Since >= Context.Common.Timing.Silence)
+        silent.push_back(instance);
+    } else if (now >= nextAsk(monitor, eager)) {
+      ask(monitor, now);
+    }
+  }
+  return silent;
+}
+
+void ObserveFlow::ask(Monitor &monitor, TimePoint now) {
+  monitor.Waiting = true;
+  monitor.Since = now;
+  Context.send(*monitor.Connection, ObserveWork{},
+               {{Context.Common.Dialect.Observe, {}, true}}, now);
+}
+
+void ObserveFlow::opened(ConnectionId connection, TimePoint now) {
+  for (auto &[instance, monitor] : Monitors)
+    if (monitor.Connection == connection)
+      ask(monitor, now);
+}
+
+void ObserveFlow::finished(const RunningWork &running, ConnectionId connection,
+                           const upstream::BatchResult &result,
+                           TimePoint now) {
+  auto &monitor = Monitors[running.Instance];
+  if (monitor.Connection == connection)
+    monitor.Waiting = false;
+  if (!result.Steps.empty())
+    if (const auto seen = readObservation(result.Steps.front())) {
+      Context.View.observe(running.Instance, *seen, running.SentAt, now);
+      Context.View.noteSuccess(running.Instance);
+    }
+  Context.release(connection, result.After, now);
+}
+
+void ObserveFlow::lost(const InstanceId &instance) {
+  Monitors[instance] = {};
+}
+
+TimePoint ObserveFlow::nextWake(bool eager, TimePoint now) const {
+  auto next = now + Context.Common.Timing.Observe;
+  for (const auto &[instance, monitor] : Monitors) {
+    auto wake = now + OpenSpacing;
+    if (monitor.Connection)
+      wake = monitor.Waiting
+                 ? monitor.Since + Context.Common.Timing.Silence
+                 : nextAsk(monitor, eager);
+    next = std::min(next, wake);
+  }
+  return next;
+}
+
+} // namespace stepledge::request
--- /dev/null
+++ b/src/request/internal/TransactionFlow.h
@@ -0,0 +1,62 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Transactions of several statements, each pinned to one connection.
+
+#ifndef STEPLEDGE_REQUEST_INTERNAL_TRANSACTIONFLOW_H
+#define STEPLEDGE_REQUEST_INTERNAL_TRANSACTIONFLOW_H
+
+#include "request/internal/DatabaseContext.h"
+#include "request/internal/TransactionTable.h"
+#include "request/internal/WriteFlow.h"
+
+namespace stepledge::request {
+
+class TransactionFlow {
+public:
+  TransactionFlow(DatabaseContext &context, WriteFlow &writes)
+      : Context(context), Writes(writes) {}
+
+  /// Refuses what can't be run, and takes its turn for what can. Returns
+  /// whether the request may be queued.
+  bool accept(ActiveRequest &request, TimePoint now);
+  /// Returns whether the request has left the queue.
+  bool start(ActiveRequest &request, TimePoint now);
+  void finished(const TransactionWork &work, const RunningWork &running,
+                ConnectionId connection, const upstream::BatchResult &result,
+                TimePoint now);
+  void lost(const TransactionWork &work, const InstanceId &instance,
+            TimePoint now);
+  /// A pinned connection that ran nothing was lost.
+  void lostPinned(ConnectionId connection, TimePoint now);
+  /// The deadline of a request that was sent, or that waits for a slot.
+  void expire(ActiveRequest &request, TimePoint now);
+  /// Ends what has been idle or open for too long.
+  void endOverdue(TimePoint now);
+  std::optional<TimePoint> nextLimit() const;
+  std::size_t open() const { return Table.size(); }
+
+private:
+  bool startBegin(ActiveRequest &request, TimePoint now);
+  bool acceptTurn(ActiveRequest &request, const TransactionId &id,
+                  std::uint32_t sequence, TimePoint now);
+  void begun(ActiveRequest *request, std::uint64_t number,
+             const RunningWork &running, const upstream::BatchResult &result,
+             TimePoint now);
+  void stepDone(ActiveRequest *request, std::uint64_t number,
+                const upstream::BatchResult &result, TimePoint now);
+  void commitDone(ActiveRequest *request, std::uint64_t number,
+                  const RunningWork &running,
+                  const upstream::BatchResult &result, TimePoint now);
+  /// Forgets the transaction; its connection is closed, which rolls it back.
+  void abandon(std::uint64_t number, ResultCode reason, TimePoint now);
+  TransactionId newId();
+
+  DatabaseContext &Context;
+  WriteFlow &Writes;
+  TransactionTable Table;
+};
+
+} // namespace stepledge::request
+
+#endif // STEPLEDGE_REQUEST_INTERNAL_TRANSACTIONFLOW_H
--- /dev/null
+++ b/src/request/internal/WriteFlow.cpp
@@ -0,0 +1,492 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "request/internal/WriteFlow.h"
+
+#include "request/internal/LedgerEntry.h"
+#include "request/internal/ObservationRow.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+
+namespace stepledge::request {
+
+namespace {
+
+using upstream::StepOutcome;
+using upstream::TransactionState;
+
+/// Where each step stands in a batch, by kind of batch.
+enum PlainStep : std::size_t {
+  PlainBegin,
+  PlainObserve,
+  PlainChange,
+  PlainCommit,
+  PlainObserveAfter,
+  PlainSteps,
+};
+enum InsertStep : std::size_t {
+  InsertBegin,
+  InsertObserve,
+  InsertKey,
+  InsertChange,
+  InsertSteps,
+};
+enum CommitStep : std::size_t {
+  CommitRecord,
+  CommitCommit,
+  CommitObserve,
+  CommitSteps,
+};
+enum ReplayStep : std::size_t {
+  ReplayRollback,
+  ReplayRead,
+  ReplayObserve,
+  ReplaySteps,
+};
+enum ProbeStep : std::size_t {
+  ProbeBegin,
+  ProbeObserve,
+  ProbeKey,
+  ProbeSteps,
+};
+
+constexpr std::string_view UniqueViolation = "23505";
+constexpr std::string_view ReadOnlyViolation = "25006";
+constexpr Duration ProbeSpacing = milliseconds(20);
+
+bool isSteadyPrimary(const std::optional<routing::Observation> &before,
+                     const std::optional<routing::Observation> &after) {
+  return before && after && before->Role == routing::InstanceRole::Primary &&
+         after->Role == routing::InstanceRole::Primary &&
+         before->Promised == after->Promised;
+}
+
+std::string failureText(const upstream::StepResult &step) {
+  return absl::StrCat(step.SqlState, ": ", step.Message);
+}
+
+} // namespace
+
+const WriteCall &WriteFlow::callOf(const ActiveRequest &request) const {
+  return std::get<WriteCall>(request.Request.Asked);
+}
+
+bool WriteFlow::accept(ActiveRequest &request, TimePoint now) {
+  const auto &key = callOf(request).Key;
+  if (key.empty())
+    return true;
+  const auto id = request.Request.Id;
+  const bool runs = std::any_of(
+      Context.Requests.begin(), Context.Requests.end(), [&](const auto &it) {
+        const auto *call =
+            std::get_if<WriteCall>(&it.second.Request.Asked);
+        return it.first != id && call != nullptr && call->Key == key;
+      });
+  if (runs)
+    Context.refuse(id, ResultCode::KeyStillRunning, "", now);
+  return !runs;
+}
+
+std::optional<InstanceId> WriteFlow::usablePrimary(ActiveRequest &request,
+                                                   TimePoint now) {
+  const auto primary = Context.livePrimary(now);
+  const auto &marks = request.Request.Marks.of(Context.Database.Id);
+  const bool isOlder =
+      primary && std::any_of(marks.begin(), marks.end(), [&](const Mark &it) {
+        return it.WrittenIn > Context.View.of(*primary).Last.Promised;
+      });
+  if (primary && !isOlder)
+    return primary;
+  if (request.Waiting != ResultCode::NoPrimary)
+    Context.note(request, {NoteKind::WaitingForPrimary, {}, {}, ""}, now);
+  request.Waiting = ResultCode::NoPrimary;
+  return std::nullopt;
+}
+
+bool WriteFlow::start(ActiveRequest &request, TimePoint now) {
+  const auto primary = usablePrimary(request, now);
+  if (!primary)
+    return false;
+  const auto &marks = request.Request.Marks.of(Context.Database.Id);
+  const bool isLost = std::any_of(
+      marks.begin(), marks.end(),
+      [this](const Mark &it) { return Context.View.isDiscarded(it); });
+  if (isLost) {
+    Context.refuse(request.Request.Id, ResultCode::HistoryLost, "", now);
+    return true;
+  }
+  const auto connection = Context.connectionFor(*primary);
+  if (!connection) {
+    if (request.Now != Phase::AwaitingProbe)
+      request.Waiting = ResultCode::DeadlinePassed;
+    return false;
+  }
+  Context.note(request, {NoteKind::Sent, *primary, {}, ""}, now);
+  request.On = *connection;
+  request.SentIn = std::max(request.SentIn,
+                            Context.View.of(*primary).Last.Promised);
+  if (request.Now == Phase::AwaitingProbe)
+    sendProbe(request, *connection, now);
+  else if (callOf(request).Key.empty())
+    sendPlain(request, *connection, now);
+  else
+    sendInsert(request, *connection, now);
+  return true;
+}
+
+void WriteFlow::sendPlain(ActiveRequest &request, ConnectionId connection,
+                          TimePoint now) {
+  const auto &change = callOf(request).Change;
+  const auto &observe = Context.Common.Dialect.Observe;
+  request.Now = Phase::Writing;
+  Context.send(connection, WriteWork{request.Request.Id, 0},
+               {{"BEGIN", {}, false},
+                {observe, {}, false},
+                {change.Sql, change.Parameters, false},
+                {"COMMIT", {}, true},
+                {observe, {}, true}},
+               now);
+}
+
+void WriteFlow::sendInsert(ActiveRequest &request, ConnectionId connection,
+                           TimePoint now) {
+  const auto &call = callOf(request);
+  const auto &dialect = Context.Common.Dialect;
+  std::vector<upstream::Step> steps;
+  if (LedgerReadyIn < request.SentIn)
+    steps.push_back({dialect.LedgerCreate, {}, true});
+  const auto offset = steps.size();
+  steps.push_back({"BEGIN", {}, false});
+  steps.push_back({dialect.Observe, {}, false});
+  steps.push_back(
+      {dialect.LedgerInsert, {call.Key, digestOf(call.Change)}, false});
+  steps.push_back({call.Change.Sql, call.Change.Parameters, true});
+  request.Now = Phase::Inserting;
+  Context.send(connection, WriteWork{request.Request.Id, offset},
+               std::move(steps), now);
+}
+
+void WriteFlow::sendReplay(ActiveRequest &request, ConnectionId connection,
+                           Phase phase, TimePoint now) {
+  const auto &dialect = Context.Common.Dialect;
+  request.Now = phase;
+  Context.send(connection, WriteWork{request.Request.Id, 0},
+               {{"ROLLBACK", {}, false},
+                {dialect.LedgerRead, {callOf(request).Key}, false},
+                {dialect.Observe, {}, true}},
+               now);
+}
+
+// Puts the key in as the request itself did. While the lost transaction is
+// still open, the instance makes this wait for its end; so success proves
+// that it never will commit, and a violation that it did.
+void WriteFlow::sendProbe(ActiveRequest &request, ConnectionId connection,
+                          TimePoint now) {
+  const auto &call = callOf(request);
+  const auto &dialect = Context.Common.Dialect;
+  const auto primary = Context.Pool.find(connection)->Instance;
+  Context.note(request, {NoteKind::LookingUpKey, primary, {}, ""}, now);
+  request.Now = Phase::Probing;
+  Context.send(
+      connection, WriteWork{request.Request.Id, 0},
+      {{"BEGIN", {}, false},
+       {dialect.Observe, {}, false},
+       {dialect.LedgerInsert, {call.Key, digestOf(call.Change)}, true}},
+      now);
+}
+
+std::optional<routing::Observation>
+WriteFlow::take(const RunningWork &running,
+                const upstream::BatchResult &result, std::size_t step,
+                TimePoint now) {
+  if (step >= result.Steps.size())
+    return std::nullopt;
+  auto seen = readObservation(result.Steps[step]);
+  if (seen)
+    Context.View.observe(running.Instance, *seen, running.SentAt, now);
+  return seen;
+}
+
+void WriteFlow::finished(const WriteWork &work, const RunningWork &running,
+                         ConnectionId connection,
+                         const upstream::BatchResult &result, TimePoint now) {
+  Context.noteServed(running.Instance, running.SentAt, now);
+  auto *request = Context.find(work.Request);
+  if (request == nullptr || request->On != connection)
+    return Context.release(connection, result.After, now);
+  const bool isWhole = result.Steps.size() == running.Steps;
+  switch (request->Now) {
+  case Phase::Inserting:
+    if (isWhole)
+      return insertDone(*request, running, connection, result, work.Offset,
+                        now);
+    break;
+  case Phase::Probing:
+    if (isWhole)
+      return probeDone(*request, running, connection, result, now);
+    break;
+  default:
+    break;
+  }
+  Context.release(connection, result.After, now);
+  if (!isWhole)
+    return outcomeOpen(*request, now);
+  switch (request->Now) {
+  case Phase::Writing:
+    return plainDone(*request, running, result, now);
+  case Phase::Committing:
+    return commitDone(*request, running, result, now);
+  case Phase::Replaying:
+  case Phase::ProbeReading:
+    return replayDone(*request, running, result, now);
+  default:
+    return;
+  }
+}
+
+void WriteFlow::notRun(ActiveRequest &request,
+                       const upstream::StepResult &step,
+                       const std::optional<routing::Observation> &seen,
+                       TimePoint now) {
+  const bool wasPrimary =
+      seen && seen->Role == routing::InstanceRole::Primary;
+  const bool wrongInstance =
+      step.Outcome == StepOutcome::Skipped ||
+      (step.SqlState == ReadOnlyViolation && !wasPrimary);
+  if (wrongInstance)
+    return Context.retryOrRefuse(request, ResultCode::NoPrimary, now);
+  Context.refuse(request.Request.Id, ResultCode::StatementFailed,
+                 failureText(step), now);
+}
+
+void WriteFlow::plainDone(ActiveRequest &request, const RunningWork &running,
+                          const upstream::BatchResult &result, TimePoint now) {
+  const auto before = take(running, result, PlainObserve, now);
+  const auto after = take(running, result, PlainObserveAfter, now);
+  const auto &change = result.Steps[PlainChange];
+  if (change.Outcome != StepOutcome::Ok)
+    return notRun(request, change, before, now);
+  const auto &commit = result.Steps[PlainCommit];
+  if (commit.Outcome != StepOutcome::Ok)
+    return Context.refuse(request.Request.Id, ResultCode::StatementFailed,
+                          failureText(commit), now);
+  if (!isSteadyPrimary(before, after))
+    return Context.refuse(request.Request.Id,
+                          ResultCode::ReplacedWhileWriting, "", now);
+  CallerAnswer answer;
+  answer.Result = resultOf(change);
+  if (!Context.fitsLimits(answer.Result)) {
+    answer.Result = {{}, {}, change.AffectedRows};
+    answer.Code = ResultCode::ResultLeftOut;
+  }
+  answer.AnsweredBy = running.Instance;
+  awaitMajority(request, after->appliedMark(), std::move(answer), now);
+}
+
+void WriteFlow::insertDone(ActiveRequest &request, const RunningWork &running,
+                           ConnectionId connection,
+                           const upstream::BatchResult &result,
+                           std::size_t offset, TimePoint now) {
+  const auto seen = take(running, result, offset + InsertObserve, now);
+  const auto &key = result.Steps[offset + InsertKey];
+  const auto &change = result.Steps[offset + InsertChange];
+  const bool isTaken = key.SqlState == UniqueViolation;
+  if (key.Outcome == StepOutcome::Failed && isTaken && seen) {
+    Context.note(request, {NoteKind::KeyFound, running.Instance, {}, ""}, now);
+    return sendReplay(request, connection, Phase::Replaying, now);
+  }
+  const auto &failed = key.Outcome != StepOutcome::Ok ? key : change;
+  if (failed.Outcome != StepOutcome::Ok) {
+    Context.release(connection, result.After, now);
+    return notRun(request, failed, seen, now);
+  }
+  const bool isOpen = result.After == TransactionState::Open;
+  if (!isOpen || !seen || seen->Role != routing::InstanceRole::Primary) {
+    Context.close(connection, now);
+    return outcomeOpen(request, now);
+  }
+  request.Pending = {};
+  request.Pending.Result = resultOf(change);
+  if (!Context.fitsLimits(request.Pending.Result)) {
+    Context.release(connection, result.After, now);
+    return Context.refuse(request.Request.Id, ResultCode::ResultTooLarge, "",
+                          now);
+  }
+  request.Pending.AnsweredBy = running.Instance;
+  request.SentIn = seen->Promised;
+  LedgerReadyIn = std::max(LedgerReadyIn, seen->Promised);
+  Context.note(request, {NoteKind::CommitSent, running.Instance, {}, ""}, now);
+  request.Now = Phase::Committing;
+  const auto &dialect = Context.Common.Dialect;
+  Context.send(connection, WriteWork{request.Request.Id, 0},
+               {{dialect.LedgerRecord,
+                 {callOf(request).Key, ledgerText(request.Pending.Result)},
+                 false},
+                {"COMMIT", {}, false},
+                {dialect.Observe, {}, true}},
+               now);
+}
+
+void WriteFlow::commitDone(ActiveRequest &request, const RunningWork &running,
+                           const upstream::BatchResult &result,
+                           TimePoint now) {
+  for (const auto step : {CommitRecord, CommitCommit})
+    if (result.Steps[step].Outcome == StepOutcome::Failed)
+      return Context.refuse(request.Request.Id, ResultCode::StatementFailed,
+                            failureText(result.Steps[step]), now);
+  const auto after = take(running, result, CommitObserve, now);
+  const bool isSteady = after && after->Promised == request.SentIn &&
+                        after->Role == routing::InstanceRole::Primary;
+  if (!isSteady)
+    return outcomeOpen(request, now);
+  awaitMajority(request, after->appliedMark(), std::move(request.Pending),
+                now);
+}
+
+void WriteFlow::replayDone(ActiveRequest &request, const RunningWork &running,
+                           const upstream::BatchResult &result,
+                           TimePoint now) {
+  const auto after = take(running, result, ReplayObserve, now);
+  const auto &read = result.Steps[ReplayRead];
+  const bool isPrimary =
+      after && after->Role == routing::InstanceRole::Primary;
+  if (read.Outcome != StepOutcome::Ok || !isPrimary)
+    return outcomeOpen(request, now);
+  // NOTE: The transaction that held the key may have been rolled back between
+  // the two looks; then nothing has been run under it yet.
+  if (read.Rows.empty()) {
+    if (request.Now == Phase::ProbeReading)
+      return outcomeOpen(request, now);
+    return Context.retryOrRefuse(request, ResultCode::KeyStillRunning, now);
+  }
+  const auto &row = read.Rows.front();
+  const auto digest = digestOf(callOf(request).Change);
+  if (row.size() != 2 || row[0].value_or("") != digest)
+    return Context.refuse(request.Request.Id, ResultCode::KeyReused, "", now);
+  const auto recorded = readLedgerText(row[1].value_or(""));
+  if (!recorded)
+    return Context.refuse(request.Request.Id, ResultCode::KeyStillRunning, "",
+                          now);
+  CallerAnswer answer;
+  answer.Result = *recorded;
+  answer.Replayed = request.Now == Phase::Replaying;
+  answer.AnsweredBy = running.Instance;
+  awaitMajority(request, after->appliedMark(), std::move(answer), now);
+}
+
+void WriteFlow::probeDone(ActiveRequest &request, const RunningWork &running,
+                          ConnectionId connection,
+                          const upstream::BatchResult &result, TimePoint now) {
+  const auto seen = take(running, result, ProbeObserve, now);
+  const auto &key = result.Steps[ProbeKey];
+  const bool isUsable = seen && seen->Promised >= request.SentIn &&
+                        seen->Role == routing::InstanceRole::Primary;
+  if (isUsable && key.SqlState == UniqueViolation) {
+    Context.note(request, {NoteKind::KeyFound, running.Instance, {}, ""}, now);
+    return sendReplay(request, connection, Phase::ProbeReading, now);
+  }
+  Context.release(connection, result.After, now);
+  if (!isUsable || key.Outcome != StepOutcome::Ok)
+    return outcomeOpen(request, now);
+  Context.note(request, {NoteKind::KeyAbsent, running.Instance, {}, ""}, now);
+  // NOTE: A new primary's log may lack the write and still be lost before a
+  // majority holds its term; the old log would then come back, and the write
+  // with it. So "not run" waits for a majority as "ran" does.
+  CallerAnswer answer;
+  answer.Code = ResultCode::WriteNotFound;
+  awaitMajority(request, seen->appliedMark(), std::move(answer), now);
+}
+
+void WriteFlow::outcomeOpen(ActiveRequest &request, TimePoint now) {
+  if (callOf(request).Key.empty())
+    return Context.refuse(request.Request.Id,
+                          ResultCode::WriteOutcomeUnknown, "", now);
+  request.Now = Phase::AwaitingProbe;
+  request.Waiting = ResultCode::WriteOutcomeUnknown;
+  request.NotBefore = now + ProbeSpacing;
+  Context.requeue(request);
+}
+
+void WriteFlow::lost(const WriteWork &work, const InstanceId &instance,
+                     TimePoint now) {
+  Context.View.noteFailure(instance);
+  auto *request = Context.find(work.Request);
+  if (request == nullptr)
+    return;
+  Context.note(*request, {NoteKind::InstanceLost, instance, {}, ""}, now);
+  switch (request->Now) {
+  case Phase::Inserting:
+  case Phase::Replaying:
+    return Context.retryOrRefuse(*request, ResultCode::UpstreamLost, now);
+  default:
+    return outcomeOpen(*request, now);
+  }
+}
+
+void WriteFlow::awaitMajority(ActiveRequest &request, Mark mark,
+                              CallerAnswer answer, TimePoint now) {
+  const auto id = request.Request.Id;
+  answer.Marks = request.Request.Marks;
+  const auto kept = Context.View.history().includesAll(
+      mark, answer.Marks.of(Context.Database.Id));
+  if (kept == session::Inclusion::Included)
+    answer.Marks.replace(Context.Database.Id, mark);
+  else
+    answer.Marks.add(Context.Database.Id, mark);
+  using settings::AcknowledgeMode;
+  if (Context.Database.Acknowledge == AcknowledgeMode::Primary)
+    return Context.finish(id, std::move(answer), now);
+  request.Now = Phase::AwaitingMajority;
+  request.Awaited = mark;
+  request.Pending = std::move(answer);
+  Context.note(request,
+               {NoteKind::AwaitingMajority, request.Pending.AnsweredBy, mark,
+                ""},
+               now);
+}
+
+bool WriteFlow::hasWaiters() const {
+  return std::any_of(Context.Requests.begin(), Context.Requests.end(),
+                     [](const auto &it) {
+                       return it.second.Now == Phase::AwaitingMajority;
+                     });
+}
+
+void WriteFlow::settle(TimePoint now) {
+  std::vector<RequestId> waiting;
+  for (const auto &[id, it] : Context.Requests)
+    if (it.Now == Phase::AwaitingMajority)
+      waiting.push_back(id);
+  std::sort(waiting.begin(), waiting.end());
+  for (const auto id : waiting) {
+    auto &request = *Context.find(id);
+    if (Context.View.isHeldByMajority(request.Awaited)) {
+      Context.note(request,
+                   {NoteKind::MajorityHolds, {}, request.Awaited, ""}, now);
+      Context.finish(id, std::move(request.Pending), now);
+    } else if (Context.View.isDiscarded(request.Awaited)) {
+      Context.note(request, {NoteKind::Discarded, {}, request.Awaited, ""},
+                   now);
+      Context.refuse(id, ResultCode::WriteDiscarded, "", now);
+    }
+  }
+}
+
+void WriteFlow::expire(ActiveRequest &request, TimePoint now) {
+  const auto id = request.Request.Id;
+  Context.note(request, {NoteKind::DeadlinePassed, {}, {}, ""}, now);
+  switch (request.Now) {
+  case Phase::Inserting:
+    // NOTE: No commit was sent, so the database rolls back what it has.
+    Context.close(request.On, now);
+    return Context.refuse(id, ResultCode::DeadlinePassed, "", now);
+  case Phase::AwaitingMajority:
+    return Context.refuse(id, ResultCode::AcknowledgementMissing, "", now);
+  default:
+    return Context.refuse(id, ResultCode::WriteOutcomeUnknown, "", now);
+  }
+}
+
+} // namespace stepledge::request
--- /dev/null
+++ b/src/request/internal/WriteFlow.h
@@ -0,0 +1,81 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Writes: run on the primary, acknowledged once a majority holds them,
+/// at most once under a key.
+
+#ifndef STEPLEDGE_REQUEST_INTERNAL_WRITEFLOW_H
+#define STEPLEDGE_REQUEST_INTERNAL_WRITEFLOW_H
+
+#include "request/internal/DatabaseContext.h"
+
+#include <map>
+#include <string>
+
+namespace stepledge::request {
+
+class WriteFlow {
+public:
+  explicit WriteFlow(DatabaseContext &context) : Context(context) {}
+
+  /// Refuses a resend of what is still running here. Returns whether the
+  /// request may be queued.
+  bool accept(ActiveRequest &request, TimePoint now);
+  /// Returns whether the request has left the queue.
+  bool start(ActiveRequest &request, TimePoint now);
+  void finished(const WriteWork &work, const RunningWork &running,
+                ConnectionId connection, const upstream::BatchResult &result,
+                TimePoint now);
+  void lost(const WriteWork &work, const InstanceId &instance, TimePoint now);
+  /// The deadline of a request that has been sent has come.
+  void expire(ActiveRequest &request, TimePoint now);
+
+  /// \p answer is given once a majority holds \p mark.
+  void awaitMajority(ActiveRequest &request, Mark mark, CallerAnswer answer,
+                     TimePoint now);
+  /// Answers what a majority has come to hold, or has lost for good.
+  void settle(TimePoint now);
+  bool hasWaiters() const;
+
+  /// The primary that may take a write of \p request now, or none; notes why.
+  std::optional<InstanceId> usablePrimary(ActiveRequest &request,
+                                          TimePoint now);
+
+private:
+  const WriteCall &callOf(const ActiveRequest &request) const;
+  void sendPlain(ActiveRequest &request, ConnectionId connection,
+                 TimePoint now);
+  void sendInsert(ActiveRequest &request, ConnectionId connection,
+                  TimePoint now);
+  void sendProbe(ActiveRequest &request, ConnectionId connection,
+                 TimePoint now);
+  void sendReplay(ActiveRequest &request, ConnectionId connection, Phase phase,
+                  TimePoint now);
+  void plainDone(ActiveRequest &request, const RunningWork &running,
+                 const upstream::BatchResult &result, TimePoint now);
+  void insertDone(ActiveRequest &request, const RunningWork &running,
+                  ConnectionId connection, const upstream::BatchResult &result,
+                  std::size_t offset, TimePoint now);
+  void commitDone(ActiveRequest &request, const RunningWork &running,
+                  const upstream::BatchResult &result, TimePoint now);
+  void replayDone(ActiveRequest &request, const RunningWork &running,
+                  const upstream::BatchResult &result, TimePoint now);
+  void probeDone(ActiveRequest &request, const RunningWork &running,
+                 ConnectionId connection, const upstream::BatchResult &result,
+                 TimePoint now);
+  /// The first step that was not run says whether another try can help.
+  void notRun(ActiveRequest &request, const upstream::StepResult &step,
+              const std::optional<routing::Observation> &seen, TimePoint now);
+  void outcomeOpen(ActiveRequest &request, TimePoint now);
+  std::optional<routing::Observation>
+  take(const RunningWork &running, const upstream::BatchResult &result,
+       std::size_t step, TimePoint now);
+
+  DatabaseContext &Context;
+  /// The term in which the ledger's table is known to be there.
+  Term LedgerReadyIn;
+};
+
+} // namespace stepledge::request
+
+#endif // STEPLEDGE_REQUEST_INTERNAL_WRITEFLOW_H
--- /dev/null
+++ b/src/request/types/CallerAnswer.h
@@ -0,0 +1,52 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file What a caller gets.
+
+#ifndef STEPLEDGE_REQUEST_TYPES_CALLERANSWER_H
+#define STEPLEDGE_REQUEST_TYPES_CALLERANSWER_H
+
+#include "base/types/Ids.h"
+#include "base/types/ResultCode.h"
+#include "base/types/Time.h"
+#include "session/types/SessionMarks.h"
+#include "upstream/types/Batch.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace stepledge::request {
+
+struct ResultSet {
+  std::vector<std::string> Columns;
+  std::vector<upstream::Row> Rows;
+  std::int64_t AffectedRows = 0;
+
+  bool operator==(const ResultSet &) const = default;
+};
+
+struct CallerAnswer {
+  RequestId Id;
+  ResultCode Code = ResultCode::Done;
+  /// Adds to the code's meaning; may be empty.
+  std::string Detail;
+  ResultSet Result;
+  /// What the session has seen, this answer included.
+  session::SessionMarks Marks;
+  InstanceId AnsweredBy;
+  bool FromReplica = false;
+  /// For reads: an upper bound of the data's age.
+  std::optional<Duration> Age;
+  /// The recorded answer of an earlier request with the same key.
+  bool Replayed = false;
+  TransactionId Transaction;
+  /// For refusals: when to come back.
+  Duration RetryAfter{0};
+  DecisionId Decision;
+};
+
+} // namespace stepledge::request
+
+#endif // STEPLEDGE_REQUEST_TYPES_CALLERANSWER_H
--- /dev/null
+++ b/src/request/types/DecisionRecord.h
@@ -0,0 +1,71 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file What was decided for one request, and why; kept to be asked about.
+
+#ifndef STEPLEDGE_REQUEST_TYPES_DECISIONRECORD_H
+#define STEPLEDGE_REQUEST_TYPES_DECISIONRECORD_H
+
+#include "base/types/Ids.h"
+#include "base/types/LogPosition.h"
+#include "base/types/ResultCode.h"
+#include "base/types/Time.h"
+#include "routing/types/RouteDecision.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace stepledge::request {
+
+enum class NoteKind {
+  Admitted,
+  Refused,
+  Sent,
+  ProofBehind,
+  ProofTooOld,
+  ProofNotPrimary,
+  ProofHistoryLost,
+  InstanceLost,
+  Retried,
+  RetryBudgetSpent,
+  WaitingForPrimary,
+  CommitSent,
+  KeyFound,
+  LookingUpKey,
+  KeyAbsent,
+  AwaitingMajority,
+  MajorityHolds,
+  Discarded,
+  DeadlinePassed,
+};
+
+/// One step, with what it was about where that applies.
+struct Note {
+  NoteKind Kind = NoteKind::Admitted;
+  InstanceId Instance;
+  Mark At;
+  std::string Detail;
+};
+
+struct RecordEntry {
+  /// Since the request arrived.
+  Duration After{0};
+  std::variant<Note, routing::RouteDecision> What;
+};
+
+struct DecisionRecord {
+  DecisionId Id;
+  DatabaseId Database;
+  std::string Kind;
+  std::vector<RecordEntry> Entries;
+  ResultCode Outcome = ResultCode::Done;
+  Duration Took{0};
+};
+
+/// The record in plain sentences, one an entry.
+std::vector<std::string> describe(const DecisionRecord &record);
+
+} // namespace stepledge::request
+
+#endif // STEPLEDGE_REQUEST_TYPES_DECISIONRECORD_H
--- /dev/null
+++ b/src/request/types/Events.h
@@ -0,0 +1,86 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file What the coordinator is told, and what it wants done.
+
+#ifndef STEPLEDGE_REQUEST_TYPES_EVENTS_H
+#define STEPLEDGE_REQUEST_TYPES_EVENTS_H
+
+#include "request/types/CallerAnswer.h"
+#include "request/types/CallerRequest.h"
+#include "request/types/DecisionRecord.h"
+#include "upstream/types/Batch.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace stepledge::request {
+
+struct RequestArrived {
+  CallerRequest Request;
+};
+
+struct ConnectionOpened {
+  ConnectionId Connection;
+};
+
+/// Also: could not be opened.
+struct ConnectionLost {
+  ConnectionId Connection;
+  std::string Reason;
+};
+
+struct BatchFinished {
+  ConnectionId Connection;
+  upstream::BatchResult Result;
+};
+
+/// A moment that nextWake() asked for has come.
+struct TimePassed {};
+
+/// The VM is to stop: nothing new is taken, what is open may finish.
+struct StopRequested {};
+
+/// An operator or the platform says whether an instance is to get new work.
+struct InstanceLeaving {
+  DatabaseId Database;
+  InstanceId Instance;
+  bool Leaving = true;
+};
+
+using Event =
+    std::variant<RequestArrived, ConnectionOpened, ConnectionLost,
+                 BatchFinished, TimePassed, StopRequested, InstanceLeaving>;
+
+struct OpenConnection {
+  ConnectionId Connection;
+  DatabaseId Database;
+  InstanceId Instance;
+};
+
+/// Whatever still comes from it will be ignored.
+struct CloseConnection {
+  ConnectionId Connection;
+};
+
+struct RunBatch {
+  ConnectionId Connection;
+  upstream::Batch Work;
+};
+
+struct SendAnswer {
+  CallerAnswer Answer;
+};
+
+struct RecordDecision {
+  DecisionRecord Record;
+};
+
+using Effect = std::variant<OpenConnection, CloseConnection, RunBatch,
+                            SendAnswer, RecordDecision>;
+using Effects = std::vector<Effect>;
+
+} // namespace stepledge::request
+
+#endif // STEPLEDGE_REQUEST_TYPES_EVENTS_H
--- a/src/routing/GroupView.cpp
+++ b/src/routing/GroupView.cpp
@@ -32,14 +32,12 @@
   // NOTE: Answers on several connections may cross; an older one adds nothing.
   if (state.Seen && askedAt < state.AskedAt)
     return;
-  for (const auto &start : observation.History)
-    History.learn(start.Began, start.After);
+  learnHistory(observation);
   state.Last = observation;
   state.Seen = true;
   state.AskedAt = askedAt;
   state.HeardAt = now;
   state.PromiseSeenAt = askedAt;
-  CurrentTerm = std::max(CurrentTerm, observation.LogTerm);
   if (observation.Role == InstanceRole::Primary &&
       observation.Promised >= CurrentTerm)
     addSample(observation.appliedMark(), askedAt);
@@ -47,6 +45,39 @@
     state.Lag += (*age - state.Lag) / LagWeight;
 }
 
+// NOTE: A primary that was lost before a majority held anything of its term
+// leaves a term that the next one's log lacks. So the history is that of the
+// newest log alone, and never a union.
+void GroupView::learnHistory(const Observation &observation) {
+  if (observation.LogTerm < CurrentTerm || observation.History.empty())
+    return;
+  if (observation.LogTerm > CurrentTerm)
+    History.clear();
+  CurrentTerm = observation.LogTerm;
+  for (const auto &it : observation.History)
+    History.learn(it.Began, it.After);
+}
+
+std::optional<Mark> GroupView::beginningOfTerm() const {
+  const auto start = History.startOf(CurrentTerm);
+  if (!start)
+    return std::nullopt;
+  return Mark{CurrentTerm, LogPosition{start->Offset + 1}};
+}
+
+bool GroupView::isDiscarded(Mark mark) const {
+  const auto beginning = beginningOfTerm();
+  if (!beginning || mark.WrittenIn >= CurrentTerm)
+    return false;
+  return isHeldByMajority(*beginning) &&
+         History.includes(*beginning, mark) == session::Inclusion::Lost;
+}
+
+void GroupView::setLeaving(const InstanceId &instance, bool leaving) {
+  if (const auto it = States.find(instance); it != States.end())
+    it->second.Leaving = leaving;
+}
+
 void GroupView::addSample(Mark position, TimePoint askedAt) {
   if (!Samples.empty()) {
     auto &last = Samples.back();
--- a/src/routing/GroupView.h
+++ b/src/routing/GroupView.h
@@ -31,6 +31,8 @@
   TimePoint PromiseSeenAt;
   /// How far its reads are behind the primary, smoothed.
   Duration Lag{0};
+  /// An operator or the platform wants it to get no new work.
+  bool Leaving = false;
   /// From 1 (in order) down towards 0 (ejected) as it fails.
   double Health = 1.0;
 };
@@ -46,6 +48,8 @@
   void noteFailure(const InstanceId &instance);
   void noteSuccess(const InstanceId &instance);
 
+  void setLeaving(const InstanceId &instance, bool leaving);
+
   const InstanceState &of(const InstanceId &instance) const;
   const std::map<InstanceId, InstanceState> &all() const { return States; }
   const session::TermHistory &history() const { return History; }
@@ -73,6 +77,10 @@
   int majority() const { return static_cast<int>(States.size()) / 2 + 1; }
   /// Whether no loss of a minority can undo \p mark.
   bool isHeldByMajority(Mark mark) const;
+  /// Whether a replacement has undone \p mark for good. A new primary's word
+  /// alone does not prove it: while only a minority holds the new term's
+  /// beginning, its loss may bring the old log back.
+  bool isDiscarded(Mark mark) const;
 
 private:
   /// The primary was at Position from FirstSeen to LastSeen, both of them
@@ -83,6 +91,9 @@
     TimePoint LastSeen;
   };
 
+  /// The first position of the current term.
+  std::optional<Mark> beginningOfTerm() const;
+  void learnHistory(const Observation &observation);
   void addSample(Mark position, TimePoint askedAt);
 
   std::map<InstanceId, InstanceState> States;
--- a/src/routing/ReadRouter.cpp
+++ b/src/routing/ReadRouter.cpp
@@ -63,7 +63,8 @@
     return {Verdict::Silent, {}};
   if (need.Tried.contains(instance))
     return {Verdict::Tried, {}};
-  if (state.Last.Leaving && state.Last.Role != InstanceRole::Primary)
+  const bool leaving = state.Leaving || state.Last.Leaving;
+  if (leaving && state.Last.Role != InstanceRole::Primary)
     return {Verdict::Leaving, {}};
   if (state.Last.Role == InstanceRole::Primary)
     return judgePrimary(need, view, state, now);
--- a/src/routing/tests/GroupViewTest.cpp
+++ b/src/routing/tests/GroupViewTest.cpp
@@ -122,3 +122,33 @@
   view.observe(Two, said(InstanceRole::Replica, 1, 5), at(100), at(220));
   CHECK(view.of(Two).Last.Applied == LogPosition{9});
 }
+
+TEST_CASE("GroupView_OrphanedTermIsForgotten") {
+  // Term 2 began at 10 on instance One alone and was lost with it; term 3
+  // began at 12 on a log that never saw term 2.
+  auto view = threeInstances();
+  view.observe(One, said(InstanceRole::Primary, 2, 11, TwoTerms), at(100),
+               at(101));
+  CHECK(view.history().includes(mark(2, 11), mark(1, 12)) ==
+        session::Inclusion::Lost);
+  CHECK_FALSE(view.isDiscarded(mark(1, 12)));
+  const std::vector<TermStart> third = {{Term{1}, {0}}, {Term{3}, {12}}};
+  view.observe(Two, said(InstanceRole::Primary, 3, 13, third), at(200),
+               at(201));
+  view.observe(Three, said(InstanceRole::Replica, 3, 13, third), at(200),
+               at(201));
+  CHECK(view.history().includes(mark(3, 13), mark(1, 12)) ==
+        session::Inclusion::Included);
+  CHECK(view.isHeldByMajority(mark(1, 12)));
+}
+
+TEST_CASE("GroupView_DiscardedOnlyOnceAMajorityHoldsTheNewTerm") {
+  auto view = threeInstances();
+  view.observe(Two, said(InstanceRole::Primary, 2, 11, TwoTerms), at(100),
+               at(101));
+  CHECK_FALSE(view.isDiscarded(mark(1, 12)));
+  view.observe(Three, said(InstanceRole::Replica, 2, 11, TwoTerms), at(110),
+               at(111));
+  CHECK(view.isDiscarded(mark(1, 12)));
+  CHECK_FALSE(view.isDiscarded(mark(1, 10)));
+}
--- a/src/session/TermHistory.h
+++ b/src/session/TermHistory.h
@@ -32,6 +32,9 @@
   /// To be called for all terms of one instance's log, without a gap.
   void learn(Term term, LogPosition start);
 
+  /// Forgets all; for when another log turns out to be the newest.
+  void clear() { Starts.clear(); }
+
   std::optional<LogPosition> startOf(Term term) const;
   Term latest() const;
 
