--- /dev/null
+++ b/src/api/internal/CallHandler.h
@@ -0,0 +1,46 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Finds what a call asks for, checks it, and hands it on.
+
+#ifndef STEPLEDGE_API_INTERNAL_CALLHANDLER_H
+#define STEPLEDGE_API_INTERNAL_CALLHANDLER_H
+
+#include "api/IHttpServer.h"
+#include "api/IRequestGateway.h"
+#include "api/internal/RequestReader.h"
+#include "session/ITokenCodec.h"
+#include "settings/types/Settings.h"
+
+#include <string>
+#include <vector>
+
+namespace stepledge::api {
+
+class CallHandler : public ICallHandler {
+public:
+  CallHandler(const settings::Settings &settings,
+              const session::ITokenCodec &tokens, IRequestGateway &gateway)
+      : Config(settings), Tokens(tokens), Gateway(gateway), Reader(settings) {}
+
+  void handle(HttpCall call, Reply reply) override;
+
+private:
+  using Path = std::vector<std::string>;
+
+  void get(const Path &path, const Reply &reply);
+  absl::StatusOr<CallerSubmission> readPost(const Path &path,
+                                            const std::string &body) const;
+  void post(const HttpCall &call, const Path &path, const Reply &reply);
+  void submit(CallerSubmission submission, const HttpCall &call,
+              const Reply &reply);
+
+  const settings::Settings &Config;
+  const session::ITokenCodec &Tokens;
+  IRequestGateway &Gateway;
+  RequestReader Reader;
+};
+
+} // namespace stepledge::api
+
+#endif // STEPLEDGE_API_INTERNAL_CALLHANDLER_H
--- /dev/null
+++ b/src/api/internal/HttpServer.cpp
@@ -0,0 +1,114 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "api/internal/HttpServer.h"
+
+#include <restinio/all.hpp>
+
+#include <exception>
+#include <utility>
+
+namespace stepledge::api {
+
+namespace {
+
+constexpr std::size_t PipelinedRequests = 16;
+constexpr std::chrono::seconds IdleLimit{60};
+/// Beyond the longest deadline, for a reply on its way.
+constexpr std::chrono::seconds ReplyMargin{15};
+constexpr std::size_t LongestUrl = 2048;
+constexpr std::size_t LongestHeaderValue = 16 * 1024;
+/// What the handler refuses with a code is let through this far; beyond it
+/// the connection is closed.
+constexpr std::size_t HardFactor = 4;
+
+struct Traits : public restinio::default_single_thread_traits_t {
+  using request_handler_t = std::function<restinio::request_handling_status_t(
+      restinio::request_handle_t)>;
+};
+
+using Server = restinio::http_server_t<Traits>;
+
+HttpCall readCall(const restinio::request_handle_t &request) {
+  const auto &header = request->header();
+  HttpCall call;
+  call.Method = header.method().c_str();
+  call.Path = std::string(header.path());
+  header.for_each_field([&](const auto &it) {
+    call.Headers.push_back({std::string(it.name()), std::string(it.value())});
+  });
+  call.Body = request->body();
+  return call;
+}
+
+void writeReply(const restinio::request_handle_t &request, HttpReply reply) {
+  const restinio::http_status_line_t status(
+      restinio::http_status_code_t(static_cast<std::uint16_t>(reply.Status)),
+      reply.Status < 400 ? "OK" : "Refused");
+  auto response = request->create_response(status);
+  response.append_header(restinio::http_field::content_type,
+                         reply.ContentType);
+  for (const auto &it : reply.Headers)
+    response.append_header(it.Name, it.Value);
+  response.set_body(std::move(reply.Body));
+  response.done();
+}
+
+restinio::incoming_http_msg_limits_t
+messageLimits(const settings::LimitSettings &limits) {
+  return restinio::incoming_http_msg_limits_t()
+      .max_url_size(LongestUrl)
+      .max_field_name_size(LongestUrl)
+      .max_field_value_size(LongestHeaderValue)
+      .max_field_count(HardFactor * limits.Headers)
+      .max_body_size(HardFactor * limits.BodyBytes);
+}
+
+class HttpServer : public IHttpServer {
+public:
+  HttpServer(asio::io_context &context, const settings::Settings &settings,
+             ICallHandler &handler)
+      : Listener(restinio::external_io_context(context),
+                 [&](auto &it) { configure(it, settings, handler); }) {
+    Listener.open_sync();
+  }
+
+  void stopListening() override {
+    if (std::exchange(Listening, false))
+      Listener.close_sync();
+  }
+
+private:
+  template <typename Config>
+  static void configure(Config &it, const settings::Settings &settings,
+                        ICallHandler &handler) {
+    it.address(settings.Callers.Address)
+        .port(settings.Callers.Port)
+        .max_pipelined_requests(PipelinedRequests)
+        .read_next_http_message_timelimit(IdleLimit)
+        .handle_request_timeout(
+            std::chrono::duration_cast<std::chrono::seconds>(
+                settings.Timing.LongestDeadline) +
+            ReplyMargin)
+        .incoming_http_msg_limits(messageLimits(settings.Limits))
+        .request_handler([&handler](restinio::request_handle_t request) {
+          handler.handle(readCall(request), [request](HttpReply reply) {
+            writeReply(request, std::move(reply));
+          });
+          return restinio::request_accepted();
+        });
+  }
+
+  Server Listener;
+  bool Listening = true;
+};
+
+} // namespace
+
+std::unique_ptr<IHttpServer>
+startHttpServer(asio::io_context &context, const settings::Settings &settings,
+                ICallHandler &handler) {
+  return std::make_unique<HttpServer>(context, settings, handler);
+}
+
+} // namespace stepledge::api
--- /dev/null
+++ b/src/api/types/HttpMessage.h
@@ -0,0 +1,42 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file A call and its reply, without the HTTP library.
+
+#ifndef STEPLEDGE_API_TYPES_HTTPMESSAGE_H
+#define STEPLEDGE_API_TYPES_HTTPMESSAGE_H
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace stepledge::api {
+
+struct HttpHeader {
+  std::string Name;
+  std::string Value;
+};
+
+struct HttpCall {
+  std::string Method;
+  /// Without the query.
+  std::string Path;
+  std::vector<HttpHeader> Headers;
+  std::string Body;
+
+  /// All values of a header, by its name in any case.
+  std::vector<std::string> all(const std::string &name) const;
+  /// The first of them, or empty.
+  std::string first(const std::string &name) const;
+};
+
+struct HttpReply {
+  int Status = 200;
+  std::vector<HttpHeader> Headers;
+  std::string ContentType = "application/json";
+  std::string Body;
+};
+
+} // namespace stepledge::api
+
+#endif // STEPLEDGE_API_TYPES_HTTPMESSAGE_H
