--- a/src/api/internal/CallHandler.cpp
+++ b/src/api/internal/CallHandler.cpp
@@ -31,9 +31,8 @@
 
 void CallHandler::handle(HttpCall call, Reply reply) {
   if (call.Headers.size() > Config.Limits.Headers)
-    return reply(
-        writeRefusal(ResultCode::TooManyHeaders,
-                     absl::StrCat("at most ", Config.Limits.Headers)));
+    return reply(writeRefusal(ResultCode::TooManyHeaders,
+                              absl::StrCat("at most ", Config.Limits.Headers)));
   const Path path = absl::StrSplit(call.Path, '/', absl::SkipEmpty());
   if (call.Method == "GET")
     return get(path, reply);
@@ -49,8 +48,8 @@
     const auto state = Gateway.readiness();
     if (state == Readiness::Serving)
       return reply(plainText(200, "ready\n"));
-    return reply(plainText(
-        503, state == Readiness::Stopping ? "stopping\n" : "starting\n"));
+    return reply(plainText(503, state == Readiness::Stopping ? "stopping\n"
+                                                             : "starting\n"));
   }
   if (path == Path{"metrics"})
     return reply(plainText(200, Gateway.metricsText()));
@@ -104,13 +103,12 @@
     return reply(refusalOf(marks.status()));
   submission.Request.Marks = *std::move(marks);
   submission.Trace = observe::parseTraceParent(call.first("traceparent"));
-  Gateway.submit(std::move(submission), [this, sent, reply](
-                                            const GatewayAnswer &answer) {
+  Gateway.submit(std::move(submission), [this, sent,
+                                         reply](const GatewayAnswer &answer) {
     auto out = writeAnswer(answer.Answer);
     writeToken(Tokens.encode(answer.Answer.Marks), sent,
                answer.Answer.Decision.str(), out);
-    out.Headers.push_back(
-        {"traceparent", observe::traceParent(answer.Trace)});
+    out.Headers.push_back({"traceparent", observe::traceParent(answer.Trace)});
     reply(std::move(out));
   });
 }
--- a/src/api/internal/HttpServer.cpp
+++ b/src/api/internal/HttpServer.cpp
@@ -46,8 +46,7 @@
       restinio::http_status_code_t(static_cast<std::uint16_t>(reply.Status)),
       reply.Status < 400 ? "OK" : "Refused");
   auto response = request->create_response(status);
-  response.append_header(restinio::http_field::content_type,
-                         reply.ContentType);
+  response.append_header(restinio::http_field::content_type, reply.ContentType);
   for (const auto &it : reply.Headers)
     response.append_header(it.Name, it.Value);
   response.set_body(std::move(reply.Body));
@@ -105,9 +104,9 @@
 
 } // namespace
 
-std::unique_ptr<IHttpServer>
-startHttpServer(asio::io_context &context, const settings::Settings &settings,
-                ICallHandler &handler) {
+std::unique_ptr<IHttpServer> startHttpServer(asio::io_context &context,
+                                             const settings::Settings &settings,
+                                             ICallHandler &handler) {
   return std::make_unique<HttpServer>(context, settings, handler);
 }
 
--- a/src/api/internal/HttpServer.h
+++ b/src/api/internal/HttpServer.h
@@ -16,9 +16,9 @@
 
 namespace stepledge::api {
 
-std::unique_ptr<IHttpServer>
-startHttpServer(asio::io_context &context, const settings::Settings &settings,
-                ICallHandler &handler);
+std::unique_ptr<IHttpServer> startHttpServer(asio::io_context &context,
+                                             const settings::Settings &settings,
+                                             ICallHandler &handler);
 
 } // namespace stepledge::api
 
--- a/src/api/internal/RequestReader.cpp
+++ b/src/api/internal/RequestReader.cpp
@@ -38,8 +38,7 @@
             std::initializer_list<std::string_view> known) {
     if (body.size() > Config.Limits.BodyBytes)
       return fail(ResultCode::BodyTooLarge,
-                  absl::StrCat("at most ", Config.Limits.BodyBytes,
-                               " bytes"));
+                  absl::StrCat("at most ", Config.Limits.BodyBytes, " bytes"));
     Fields = json::parse(body.empty() ? "{}" : body, nullptr, false);
     if (!Fields.is_object())
       return fail(ResultCode::BodyInvalid, "");
@@ -115,14 +114,13 @@
         Config.Timing.DefaultDeadline);
     const auto most = std::chrono::duration_cast<std::chrono::milliseconds>(
         Config.Timing.LongestDeadline);
-    return milliseconds(
-        number("deadline_ms", 1, most.count(), usual.count()));
+    return milliseconds(number("deadline_ms", 1, most.count(), usual.count()));
   }
 
   std::string key() {
     auto out = text("idempotency_key");
-    if (out.size() > Config.Limits.KeyBytes || (has("idempotency_key") &&
-                                                out.empty()))
+    if (out.size() > Config.Limits.KeyBytes ||
+        (has("idempotency_key") && out.empty()))
       fail(ResultCode::FieldInvalid,
            absl::StrCat("'idempotency_key' must have 1 to ",
                         Config.Limits.KeyBytes, " bytes"));
@@ -177,14 +175,12 @@
 } // namespace
 
 absl::StatusOr<CallerSubmission>
-RequestReader::read(const DatabaseId &database,
-                    const std::string &body) const {
+RequestReader::read(const DatabaseId &database, const std::string &body) const {
   BodyFields fields(body, Config,
                     {"statement", "parameters", "max_age_ms", "deadline_ms"});
   request::ReadCall call{fields.statement(), std::nullopt};
   if (fields.has("max_age_ms"))
-    call.MaxAge =
-        milliseconds(fields.number("max_age_ms", 0, LongestAgeMs, 0));
+    call.MaxAge = milliseconds(fields.number("max_age_ms", 0, LongestAgeMs, 0));
   return submissionOf(fields, database, std::move(call));
 }
 
--- a/src/api/tests/ApiTest.cpp
+++ b/src/api/tests/ApiTest.cpp
@@ -95,10 +95,10 @@
          ResultCode::FieldInvalid);
   expect(R"({"statement":"SELECT 1","parameters":[[1]]})",
          ResultCode::FieldInvalid);
-  expect(json{{"statement", "SELECT 1"},
-              {"parameters", std::vector<int>(300, 1)}}
-             .dump(),
-         ResultCode::TooManyParameters);
+  expect(
+      json{{"statement", "SELECT 1"}, {"parameters", std::vector<int>(300, 1)}}
+          .dump(),
+      ResultCode::TooManyParameters);
   expect(json{{"statement", std::string(70000, 'x')}}.dump(),
          ResultCode::StatementTooLong);
   expect(std::string(300000, ' '), ResultCode::BodyTooLarge);
@@ -109,8 +109,8 @@
 
 TEST_CASE("Api_TooManyHeadersAreRefused") {
   Fixture fixture;
-  const auto reply = fixture.call("GET", "/live", "",
-                                  std::vector<HttpHeader>(65, {"a", "b"}));
+  const auto reply =
+      fixture.call("GET", "/live", "", std::vector<HttpHeader>(65, {"a", "b"}));
   CHECK(reply.Status == 431);
 }
 
@@ -189,8 +189,7 @@
                R"({"sequence":2,"statement":"SELECT 1"})");
   REQUIRE(fixture.Gateway.Seen.size() == 1);
   CHECK(fixture.Gateway.Seen[0].Request.Database == DatabaseId("bookings"));
-  CHECK(fixture.codeOfPost("/v1/transactions/vm.bookings.1.ff/commit",
-                           "{}") ==
+  CHECK(fixture.codeOfPost("/v1/transactions/vm.bookings.1.ff/commit", "{}") ==
         static_cast<int>(ResultCode::FieldMissing));
 }
 
--- a/src/base/NameTable.h
+++ b/src/base/NameTable.h
@@ -20,8 +20,8 @@
 
 /// The name of \p value, or "?" where the table lacks it.
 template <typename Enum, std::size_t N>
-constexpr std::string_view
-nameIn(const std::array<NameEntry<Enum>, N> &table, Enum value) {
+constexpr std::string_view nameIn(const std::array<NameEntry<Enum>, N> &table,
+                                  Enum value) {
   for (const auto &it : table)
     if (it.Value == value)
       return it.Name;
--- a/src/base/ResultTable.cpp
+++ b/src/base/ResultTable.cpp
@@ -142,15 +142,13 @@
 std::span<const ResultRow> resultRows() { return Rows; }
 
 const ResultRow &resultRow(ResultCode code) {
-  const auto *it = std::find_if(
-      Rows.begin(), Rows.end(),
-      [code](const ResultRow &row) { return row.Code == code; });
+  const auto *it =
+      std::find_if(Rows.begin(), Rows.end(),
+                   [code](const ResultRow &row) { return row.Code == code; });
   return it == Rows.end() ? Rows.front() : *it;
 }
 
-std::string_view nameOf(ResultClass value) {
-  return nameIn(ClassNames, value);
-}
+std::string_view nameOf(ResultClass value) { return nameIn(ClassNames, value); }
 
 absl::Status makeStatus(ResultCode code, std::string_view detail) {
   if (code == Done)
--- a/src/base/tests/ResultTableTest.cpp
+++ b/src/base/tests/ResultTableTest.cpp
@@ -22,8 +22,8 @@
   out << "|---|---|---|---|---|\n";
   for (const auto &row : resultRows())
     out << "| " << static_cast<int>(row.Code) << " | " << row.Name << " | "
-        << nameOf(row.Class) << " | " << row.HttpStatus << " | "
-        << row.Meaning << " |\n";
+        << nameOf(row.Class) << " | " << row.HttpStatus << " | " << row.Meaning
+        << " |\n";
   return out.str();
 }
 
--- a/src/mesh/ForwardCodec.cpp
+++ b/src/mesh/ForwardCodec.cpp
@@ -140,8 +140,8 @@
   out.Marks = read(answer.marks());
   out.AnsweredBy = InstanceId(answer.answered_by());
   out.Transaction = TransactionId(answer.transaction());
-  out.RetryAfter = Duration(
-      static_cast<Duration::rep>(answer.retry_after_microseconds()));
+  out.RetryAfter =
+      Duration(static_cast<Duration::rep>(answer.retry_after_microseconds()));
   out.Decision = DecisionId(answer.decision());
   return out;
 }
--- a/src/mesh/internal/ZmqMesh.cpp
+++ b/src/mesh/internal/ZmqMesh.cpp
@@ -40,9 +40,8 @@
   try {
     Listener.bind(zmqAddress(settings.Mesh));
   } catch (const zmq::error_t &failure) {
-    throw std::runtime_error(absl::StrCat("can't listen at ",
-                                          zmqAddress(settings.Mesh), ": ",
-                                          failure.what()));
+    throw std::runtime_error(absl::StrCat(
+        "can't listen at ", zmqAddress(settings.Mesh), ": ", failure.what()));
   }
   for (const auto &it : settings.Peers)
     if (it.Vm != settings.Vm)
@@ -79,8 +78,7 @@
     return false;
   const auto bytes = envelope.SerializeAsString();
   try {
-    return it->second
-        .send(zmq::buffer(bytes), zmq::send_flags::dontwait)
+    return it->second.send(zmq::buffer(bytes), zmq::send_flags::dontwait)
         .has_value();
   } catch (const zmq::error_t &) {
     return false;
@@ -111,8 +109,8 @@
     if (!from.more() || !Listener.recv(body, zmq::recv_flags::dontwait))
       continue;
     wire::Envelope envelope;
-    const bool isRead = envelope.ParseFromArray(
-        body.data(), static_cast<int>(body.size()));
+    const bool isRead =
+        envelope.ParseFromArray(body.data(), static_cast<int>(body.size()));
     if (isRead && OnEnvelope)
       OnEnvelope(VmId(from.to_string()), envelope);
   }
--- a/src/mesh/tests/MeshTest.cpp
+++ b/src/mesh/tests/MeshTest.cpp
@@ -26,7 +26,8 @@
   sent.Marks.add(sent.Database, {Term{2}, LogPosition{7}});
   sent.Deadline = at(500);
   sent.Asked = request::StatementCall{
-      TransactionId("entry-a1.bookings.3.00ff"), 4,
+      TransactionId("entry-a1.bookings.3.00ff"),
+      4,
       {"UPDATE t SET a = $1, b = $2", {"x", std::nullopt}}};
   const auto call = toForwardCall(sent, at(100));
   REQUIRE(call.has_value());
--- a/src/observe/IDecisionJournal.h
+++ b/src/observe/IDecisionJournal.h
@@ -16,8 +16,7 @@
 
   virtual void add(request::DecisionRecord record) = 0;
   /// Null where the record was never here or has made room for newer ones.
-  virtual const request::DecisionRecord *
-  find(const DecisionId &id) const = 0;
+  virtual const request::DecisionRecord *find(const DecisionId &id) const = 0;
 };
 
 } // namespace stepledge::observe
--- a/src/observe/TraceContext.cpp
+++ b/src/observe/TraceContext.cpp
@@ -34,10 +34,9 @@
     return std::nullopt;
   TraceContext out;
   std::uint64_t flags = 0;
-  const bool isRead =
-      readHex(parts[1].substr(0, SpanDigits), out.TraceHigh) &&
-      readHex(parts[1].substr(SpanDigits), out.TraceLow) &&
-      readHex(parts[2], out.Span) && readHex(parts[3], flags);
+  const bool isRead = readHex(parts[1].substr(0, SpanDigits), out.TraceHigh) &&
+                      readHex(parts[1].substr(SpanDigits), out.TraceLow) &&
+                      readHex(parts[2], out.Span) && readHex(parts[3], flags);
   const bool isZero = (out.TraceHigh == 0 && out.TraceLow == 0) || !out.Span;
   if (!isRead || isZero)
     return std::nullopt;
--- a/src/observe/internal/EasyLog.cpp
+++ b/src/observe/internal/EasyLog.cpp
@@ -32,13 +32,12 @@
                      "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level [%logger] %msg");
   config.setGlobally(el::ConfigurationType::ToFile, "false");
   config.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
-  for (const auto it :
-       {el::Level::Debug, el::Level::Info, el::Level::Warning})
+  for (const auto it : {el::Level::Debug, el::Level::Info, el::Level::Warning})
     if (isOff(level, it))
       config.set(it, el::ConfigurationType::Enabled, "false");
   for (const auto &it : PartNames)
-    el::Loggers::reconfigureLogger(
-        el::Loggers::getLogger(std::string(it.Name)), config);
+    el::Loggers::reconfigureLogger(el::Loggers::getLogger(std::string(it.Name)),
+                                   config);
 }
 
 void EasyLog::debug(Part part, const std::string &line) {
--- a/src/observe/internal/FileTracer.cpp
+++ b/src/observe/internal/FileTracer.cpp
@@ -29,14 +29,13 @@
   auto attributes = json::array();
   for (const auto &it : span.Attributes)
     attributes.push_back(attribute(it.Name, it.Value));
-  json out = {
-      {"traceId", absl::StrFormat("%016x%016x", span.Context.TraceHigh,
-                                  span.Context.TraceLow)},
-      {"spanId", absl::StrFormat("%016x", span.Context.Span)},
-      {"name", span.Name},
-      {"startTimeUnixNano", nanoseconds(span.Start)},
-      {"endTimeUnixNano", nanoseconds(span.End)},
-      {"attributes", std::move(attributes)}};
+  json out = {{"traceId", absl::StrFormat("%016x%016x", span.Context.TraceHigh,
+                                          span.Context.TraceLow)},
+              {"spanId", absl::StrFormat("%016x", span.Context.Span)},
+              {"name", span.Name},
+              {"startTimeUnixNano", nanoseconds(span.Start)},
+              {"endTimeUnixNano", nanoseconds(span.End)},
+              {"attributes", std::move(attributes)}};
   if (span.Parent != 0)
     out["parentSpanId"] = absl::StrFormat("%016x", span.Parent);
   return out;
@@ -58,9 +57,8 @@
                                   attribute("service.instance.id", Vm)})}};
   const json scope = {{"spans", json::array({spanJson(span)})}};
   const json line = {
-      {"resourceSpans",
-       json::array({{{"resource", resource},
-                     {"scopeSpans", json::array({scope})}}})}};
+      {"resourceSpans", json::array({{{"resource", resource},
+                                      {"scopeSpans", json::array({scope})}}})}};
   Out << line.dump(-1, ' ', false, json::error_handler_t::replace) << '\n'
       << std::flush;
 }
--- a/src/observe/internal/PrometheusMetrics.cpp
+++ b/src/observe/internal/PrometheusMetrics.cpp
@@ -52,8 +52,7 @@
             {"result", std::string(row.Name)},
             {"class", std::string(nameOf(row.Class))}})
       .Increment();
-  Times.Add({{"database", sample.Database}, {"kind", sample.Kind}},
-            TimeBuckets)
+  Times.Add({{"database", sample.Database}, {"kind", sample.Kind}}, TimeBuckets)
       .Observe(toMilliseconds(sample.Took) / 1000.0);
   if (sample.Kind == "read" && sample.Code == ResultCode::Done)
     Reads
--- a/src/observe/tests/ObserveTest.cpp
+++ b/src/observe/tests/ObserveTest.cpp
@@ -75,8 +75,8 @@
 
 TEST_CASE("Metrics_CountAnswers") {
   const auto metrics = makeMetrics();
-  metrics->noteAnswer({"bookings", "read", ResultCode::Done, true,
-                       milliseconds(3)});
+  metrics->noteAnswer(
+      {"bookings", "read", ResultCode::Done, true, milliseconds(3)});
   const auto text = metrics->text();
   CHECK(text.find("stepledge_reads_total{database=\"bookings\",from="
                   "\"replica\"} 1") != std::string::npos);
--- a/src/request/DecisionText.cpp
+++ b/src/request/DecisionText.cpp
@@ -103,9 +103,8 @@
   for (const auto &entry : record.Entries) {
     const auto text =
         std::visit([](const auto &it) { return sentence(it); }, entry.What);
-    lines.push_back(
-        absl::StrFormat("After %.1f ms: %s", toMilliseconds(entry.After),
-                        text));
+    lines.push_back(absl::StrFormat("After %.1f ms: %s",
+                                    toMilliseconds(entry.After), text));
   }
   const auto &row = resultRow(record.Outcome);
   lines.push_back(absl::StrFormat(
--- a/src/request/TransactionIdText.cpp
+++ b/src/request/TransactionIdText.cpp
@@ -13,8 +13,7 @@
 constexpr std::size_t Parts = 4;
 
 std::string partOf(const TransactionId &transaction, std::size_t n) {
-  const std::vector<std::string> parts =
-      absl::StrSplit(transaction.str(), '.');
+  const std::vector<std::string> parts = absl::StrSplit(transaction.str(), '.');
   return parts.size() == Parts ? parts[n] : std::string();
 }
 
--- a/src/request/internal/ConnectionPool.cpp
+++ b/src/request/internal/ConnectionPool.cpp
@@ -60,8 +60,7 @@
   if (failed) {
     auto &limits = Limits[dropped.Instance];
     const auto doublings = std::min(limits.Failures, BackoffDoublings);
-    const auto wait = std::min(FirstBackoff * (1 << doublings),
-                               LongestBackoff);
+    const auto wait = std::min(FirstBackoff * (1 << doublings), LongestBackoff);
     limits.NotBefore = now + wait;
     ++limits.Failures;
   }
--- a/src/request/internal/DatabaseContext.cpp
+++ b/src/request/internal/DatabaseContext.cpp
@@ -30,11 +30,18 @@
 }
 
 int slotsOf(const settings::DatabaseSettings &database) {
-  return std::accumulate(
-      database.Instances.begin(), database.Instances.end(), 0,
-      [](int n, const auto &it) { return n + it.Slots; });
+  return std::accumulate(database.Instances.begin(), database.Instances.end(),
+                         0, [](int n, const auto &it) { return n + it.Slots; });
 }
 
+struct RequestOf {
+  RequestId operator()(const ReadWork &it) const { return it.Request; }
+  RequestId operator()(const WriteWork &it) const { return it.Request; }
+  RequestId operator()(const TransactionWork &it) const { return it.Request; }
+  RequestId operator()(const ObserveWork &) const { return {}; }
+  RequestId operator()(const ResetWork &) const { return {}; }
+};
+
 routing::RouterSettings routerSettings(const settings::TimingSettings &it) {
   return {it.Silence, it.PrimaryConfirm, it.CatchUp};
 }
@@ -53,8 +60,7 @@
       Router(routerSettings(common.Timing)),
       Queue({common.Limits.Queue, slotsOf(database)}),
       Retries(common.Limits.RetryShare, RetryReserve),
-      Pool(database, counters.Connections), Counters(counters),
-      Chance(chance) {
+      Pool(database, counters.Connections), Counters(counters), Chance(chance) {
   for (const auto &it : database.Instances) {
     Limits.emplace(it.Id, admission::ConcurrencyLimit(it.Slots));
     ServiceTimes[it.Id] = milliseconds(1);
@@ -77,8 +83,7 @@
         {now - request.ArrivedAt, std::move(note)});
 }
 
-void DatabaseContext::finish(RequestId id, CallerAnswer answer,
-                             TimePoint now) {
+void DatabaseContext::finish(RequestId id, CallerAnswer answer, TimePoint now) {
   const auto it = Requests.find(id);
   if (it == Requests.end())
     return;
@@ -101,17 +106,15 @@
   answer.Detail = detail;
   const int status = resultRow(code).HttpStatus;
   if (status == 503 || status == 504)
-    answer.RetryAfter =
-        std::max(LeastRetryAfter,
-                 Queue.expectedWait(admission::WorkClass::Browse));
+    answer.RetryAfter = std::max(
+        LeastRetryAfter, Queue.expectedWait(admission::WorkClass::Browse));
   finish(id, std::move(answer), now);
 }
 
 void DatabaseContext::requeue(ActiveRequest &request) {
   if (request.Now != Phase::AwaitingProbe)
     request.Now = Phase::Queued;
-  Queue.putBack(
-      {request.Request.Id, request.Class, request.Request.Deadline});
+  Queue.putBack({request.Request.Id, request.Class, request.Request.Deadline});
 }
 
 void DatabaseContext::retryOrRefuse(ActiveRequest &request, ResultCode code,
@@ -136,7 +139,8 @@
   const BatchId batch{++Counters.Batches};
   Running[connection] = {work, batch, pooled->Instance, now, steps.size()};
   Pool.setState(connection, ConnectionState::Busy, now);
-  Out.push_back(RunBatch{connection, {batch, std::move(steps)}});
+  Out.push_back(RunBatch{
+      connection, std::visit(RequestOf(), work), {batch, std::move(steps)}});
 }
 
 void DatabaseContext::close(ConnectionId connection, TimePoint now) {
@@ -146,8 +150,7 @@
 }
 
 void DatabaseContext::release(ConnectionId connection,
-                              upstream::TransactionState after,
-                              TimePoint now) {
+                              upstream::TransactionState after, TimePoint now) {
   if (after == upstream::TransactionState::Idle)
     return Pool.setState(connection, ConnectionState::Idle, now);
   if (after == upstream::TransactionState::Unclear)
@@ -157,8 +160,7 @@
 
 bool DatabaseContext::hasFreeSlot(const InstanceId &instance) const {
   const auto it = Limits.find(instance);
-  return it != Limits.end() &&
-         Pool.inFlight(instance) < it->second.limit();
+  return it != Limits.end() && Pool.inFlight(instance) < it->second.limit();
 }
 
 std::optional<ConnectionId>
@@ -177,9 +179,8 @@
 }
 
 bool DatabaseContext::hasCapacity() const {
-  return std::any_of(
-      Database.Instances.begin(), Database.Instances.end(),
-      [this](const auto &it) { return hasFreeSlot(it.Id); });
+  return std::any_of(Database.Instances.begin(), Database.Instances.end(),
+                     [this](const auto &it) { return hasFreeSlot(it.Id); });
 }
 
 std::optional<InstanceId> DatabaseContext::livePrimary(TimePoint now) const {
--- a/src/request/internal/DatabaseContext.h
+++ b/src/request/internal/DatabaseContext.h
@@ -41,8 +41,8 @@
 };
 struct ResetWork {};
 
-using Work = std::variant<ObserveWork, ReadWork, WriteWork, TransactionWork,
-                          ResetWork>;
+using Work =
+    std::variant<ObserveWork, ReadWork, WriteWork, TransactionWork, ResetWork>;
 
 struct RunningWork {
   Work What;
@@ -97,8 +97,7 @@
   bool hasCapacity() const;
   /// The primary, if it has been heard of lately.
   std::optional<InstanceId> livePrimary(TimePoint now) const;
-  void noteServed(const InstanceId &instance, TimePoint sentAt,
-                  TimePoint now);
+  void noteServed(const InstanceId &instance, TimePoint sentAt, TimePoint now);
   /// @}
 
   bool fitsLimits(const ResultSet &result) const;
--- a/src/request/internal/DatabaseCoordinator.cpp
+++ b/src/request/internal/DatabaseCoordinator.cpp
@@ -27,14 +27,11 @@
 /// The statement of a call, if it has one.
 struct StatementOf {
   const Statement *operator()(const ReadCall &it) const { return &it.Query; }
-  const Statement *operator()(const WriteCall &it) const {
-    return &it.Change;
-  }
+  const Statement *operator()(const WriteCall &it) const { return &it.Change; }
   const Statement *operator()(const StatementCall &it) const {
     return &it.Change;
   }
-  template <typename Other>
-  const Statement *operator()(const Other &) const {
+  template <typename Other> const Statement *operator()(const Other &) const {
     return nullptr;
   }
 };
@@ -236,8 +233,7 @@
   std::visit(Visitor{*this, running, connection, result, now}, running.What);
 }
 
-void DatabaseCoordinator::setLeaving(const InstanceId &instance,
-                                     bool leaving) {
+void DatabaseCoordinator::setLeaving(const InstanceId &instance, bool leaving) {
   Context.View.setLeaving(instance, leaving);
 }
 
--- a/src/request/internal/ObservationRow.cpp
+++ b/src/request/internal/ObservationRow.cpp
@@ -15,8 +15,7 @@
 const std::string *cell(const upstream::StepResult &step,
                         std::string_view column) {
   for (std::size_t n = 0; n < step.Columns.size(); ++n)
-    if (step.Columns[n] == column && n < step.Rows[0].size() &&
-        step.Rows[0][n])
+    if (step.Columns[n] == column && n < step.Rows[0].size() && step.Rows[0][n])
       return &*step.Rows[0][n];
   return nullptr;
 }
--- a/src/request/internal/ObserveFlow.cpp
+++ b/src/request/internal/ObserveFlow.cpp
@@ -34,8 +34,8 @@
       if (!Context.Pool.mayOpen(instance, true, now))
         continue;
       monitor = {Context.Pool.startOpening(instance, true, now), true, now};
-      Context.Out.push_back(OpenConnection{
-          *monitor.Connection, Context.Database.Id, instance});
+      Context.Out.push_back(
+          OpenConnection{*monitor.Connection, Context.Database.Id, instance});
     } else if (monitor.Waiting) {
       if (now - monitor.Since >= Context.Common.Timing.Silence)
         silent.push_back(instance);
@@ -60,8 +60,7 @@
 }
 
 void ObserveFlow::finished(const RunningWork &running, ConnectionId connection,
-                           const upstream::BatchResult &result,
-                           TimePoint now) {
+                           const upstream::BatchResult &result, TimePoint now) {
   auto &monitor = Monitors[running.Instance];
   if (monitor.Connection == connection)
     monitor.Waiting = false;
@@ -73,18 +72,15 @@
   Context.release(connection, result.After, now);
 }
 
-void ObserveFlow::lost(const InstanceId &instance) {
-  Monitors[instance] = {};
-}
+void ObserveFlow::lost(const InstanceId &instance) { Monitors[instance] = {}; }
 
 TimePoint ObserveFlow::nextWake(bool eager, TimePoint now) const {
   auto next = now + Context.Common.Timing.Observe;
   for (const auto &[instance, monitor] : Monitors) {
     auto wake = now + OpenSpacing;
     if (monitor.Connection)
-      wake = monitor.Waiting
-                 ? monitor.Since + Context.Common.Timing.Silence
-                 : nextAsk(monitor, eager);
+      wake = monitor.Waiting ? monitor.Since + Context.Common.Timing.Silence
+                             : nextAsk(monitor, eager);
     next = std::min(next, wake);
   }
   return next;
--- a/src/request/internal/ReadFlow.cpp
+++ b/src/request/internal/ReadFlow.cpp
@@ -48,11 +48,10 @@
   const auto choice = decision.Choice;
   // NOTE: A waiting read is decided on again and again; only a change of the
   // decision's kind is worth a record.
-  const auto *last =
-      request.Record.Entries.empty()
-          ? nullptr
-          : std::get_if<routing::RouteDecision>(
-                &request.Record.Entries.back().What);
+  const auto *last = request.Record.Entries.empty()
+                         ? nullptr
+                         : std::get_if<routing::RouteDecision>(
+                               &request.Record.Entries.back().What);
   if (last == nullptr || last->Choice.index() != choice.index())
     request.Record.Entries.push_back(
         {now - request.ArrivedAt, std::move(decision)});
@@ -119,8 +118,7 @@
   Context.note(request, {noteFor(proof), instance, seen.appliedMark(), ""},
                now);
   if (proof == routing::Proof::HistoryLost)
-    return Context.refuse(request.Request.Id, ResultCode::HistoryLost, "",
-                          now);
+    return Context.refuse(request.Request.Id, ResultCode::HistoryLost, "", now);
   request.Tried = {instance};
   Context.retryOrRefuse(request, ResultCode::NoInstanceFreshEnough, now);
 }
@@ -131,8 +129,7 @@
   const auto id = request.Request.Id;
   if (step.Outcome != upstream::StepOutcome::Ok)
     return Context.refuse(id, ResultCode::StatementFailed,
-                          absl::StrCat(step.SqlState, ": ", step.Message),
-                          now);
+                          absl::StrCat(step.SqlState, ": ", step.Message), now);
   CallerAnswer answer;
   answer.Result = resultOf(step);
   if (!Context.fitsLimits(answer.Result))
--- a/src/request/internal/ReadFlow.h
+++ b/src/request/internal/ReadFlow.h
@@ -26,8 +26,8 @@
   void sendTo(ActiveRequest &request, const InstanceId &instance,
               TimePoint now);
   void judge(ActiveRequest &request, const InstanceId &instance,
-             const routing::Observation &seen,
-             const upstream::StepResult &step, TimePoint now);
+             const routing::Observation &seen, const upstream::StepResult &step,
+             TimePoint now);
   void answer(ActiveRequest &request, const InstanceId &instance,
               const routing::Observation &seen,
               const upstream::StepResult &step, TimePoint now);
--- a/src/request/internal/RequestCoordinator.cpp
+++ b/src/request/internal/RequestCoordinator.cpp
@@ -14,12 +14,11 @@
                                        std::uint64_t seed, TimePoint now)
     : Config(settings), Chance(seed), LastNow(now) {
   for (const auto &it : Config.Databases)
-    Databases[it.Id] = std::make_unique<DatabaseCoordinator>(
-        it, Config, Counters, Chance);
+    Databases[it.Id] =
+        std::make_unique<DatabaseCoordinator>(it, Config, Counters, Chance);
 }
 
-DatabaseCoordinator *
-RequestCoordinator::byConnection(ConnectionId connection) {
+DatabaseCoordinator *RequestCoordinator::byConnection(ConnectionId connection) {
   const auto it = Connections.find(connection);
   return it == Connections.end() ? nullptr : it->second;
 }
@@ -32,8 +31,8 @@
   const bool isName = std::holds_alternative<ReadCall>(request.Asked) ||
                       std::holds_alternative<WriteCall>(request.Asked) ||
                       std::holds_alternative<BeginCall>(request.Asked);
-  answer.Code = isName ? ResultCode::DatabaseUnknown
-                       : ResultCode::TransactionUnknown;
+  answer.Code =
+      isName ? ResultCode::DatabaseUnknown : ResultCode::TransactionUnknown;
   answer.Marks = request.Marks;
   answer.Decision =
       DecisionId(absl::StrCat(Config.Vm.str(), "-", ++Counters.Decisions));
@@ -133,9 +132,9 @@
 }
 
 bool RequestCoordinator::isServing(TimePoint now) const {
-  return std::all_of(
-      Databases.begin(), Databases.end(),
-      [now](const auto &it) { return it.second->isServing(now); });
+  return std::all_of(Databases.begin(), Databases.end(), [now](const auto &it) {
+    return it.second->isServing(now);
+  });
 }
 
 } // namespace stepledge::request
--- a/src/request/internal/SqlGuard.cpp
+++ b/src/request/internal/SqlGuard.cpp
@@ -14,11 +14,11 @@
 namespace {
 
 constexpr auto ForbiddenWords = std::to_array<std::string_view>(
-    {"ABORT",    "ATTACH",   "BEGIN",    "CHECKPOINT", "CLOSE",  "CLUSTER",
-     "COMMIT",   "COPY",     "DEALLOCATE", "DECLARE",  "DETACH", "DISCARD",
-     "DO",       "END",      "EXECUTE",  "FETCH",      "LISTEN", "LOAD",
-     "LOCK",     "MOVE",     "NOTIFY",   "PRAGMA",     "PREPARE", "RELEASE",
-     "RESET",    "ROLLBACK", "SAVEPOINT", "SET",       "START",  "UNLISTEN",
+    {"ABORT",  "ATTACH",   "BEGIN",      "CHECKPOINT", "CLOSE",   "CLUSTER",
+     "COMMIT", "COPY",     "DEALLOCATE", "DECLARE",    "DETACH",  "DISCARD",
+     "DO",     "END",      "EXECUTE",    "FETCH",      "LISTEN",  "LOAD",
+     "LOCK",   "MOVE",     "NOTIFY",     "PRAGMA",     "PREPARE", "RELEASE",
+     "RESET",  "ROLLBACK", "SAVEPOINT",  "SET",        "START",   "UNLISTEN",
      "VACUUM"});
 
 /// Drops blanks and comments from the front; false where one never ends.
@@ -57,8 +57,7 @@
       break;
     word.push_back(absl::ascii_toupper(static_cast<unsigned char>(c)));
   }
-  return word.empty() || std::find(ForbiddenWords.begin(),
-                                   ForbiddenWords.end(),
+  return word.empty() || std::find(ForbiddenWords.begin(), ForbiddenWords.end(),
                                    word) != ForbiddenWords.end();
 }
 
--- a/src/request/internal/TransactionFlow.cpp
+++ b/src/request/internal/TransactionFlow.cpp
@@ -44,10 +44,10 @@
 } // namespace
 
 TransactionId TransactionFlow::newId() {
-  return TransactionId(absl::StrCat(
-      Context.Common.Vm.str(), ".", Context.Database.Id.str(), ".",
-      ++Context.Counters.Transactions, ".",
-      absl::StrFormat("%016x", Context.Chance())));
+  return TransactionId(
+      absl::StrCat(Context.Common.Vm.str(), ".", Context.Database.Id.str(), ".",
+                   ++Context.Counters.Transactions, ".",
+                   absl::StrFormat("%016x", Context.Chance())));
 }
 
 bool TransactionFlow::accept(ActiveRequest &request, TimePoint now) {
@@ -65,8 +65,7 @@
     return acceptTurn(request, commit->Transaction, commit->Sequence, now);
   const auto &id = std::get<RollbackCall>(call).Transaction;
   const auto *open = Table.find(id).second;
-  return acceptTurn(request, id, open == nullptr ? 0 : open->NextSequence,
-                    now);
+  return acceptTurn(request, id, open == nullptr ? 0 : open->NextSequence, now);
 }
 
 bool TransactionFlow::acceptTurn(ActiveRequest &request,
@@ -81,8 +80,7 @@
     return refuse(Table.whyClosed(id), "");
   if (sequence != transaction->NextSequence)
     return refuse(ResultCode::TransactionSequence,
-                  absl::StrCat("the next one is ",
-                               transaction->NextSequence));
+                  absl::StrCat("the next one is ", transaction->NextSequence));
   if (transaction->Now != TransactionPhase::Ready)
     return refuse(ResultCode::TransactionBusy, "");
   transaction->Now = TransactionPhase::Running;
@@ -113,9 +111,9 @@
     return false;
   if (const auto *statement = std::get_if<StatementCall>(&call)) {
     request.Now = Phase::InTransaction;
-    Context.send(
-        request.On, work,
-        {{statement->Change.Sql, statement->Change.Parameters, true}}, now);
+    Context.send(request.On, work,
+                 {{statement->Change.Sql, statement->Change.Parameters, true}},
+                 now);
     return true;
   }
   const auto &observe = Context.Common.Dialect.Observe;
@@ -123,9 +121,9 @@
   transaction->Now = TransactionPhase::Committing;
   Context.note(request, {NoteKind::CommitSent, transaction->Instance, {}, ""},
                now);
-  Context.send(request.On, work,
-               {{observe, {}, false}, {"COMMIT", {}, true}, {observe, {}, true}},
-               now);
+  Context.send(
+      request.On, work,
+      {{observe, {}, false}, {"COMMIT", {}, true}, {observe, {}, true}}, now);
   return true;
 }
 
@@ -149,10 +147,9 @@
   request.Now = Phase::Beginning;
   request.On = *connection;
   Context.note(request, {NoteKind::Sent, *primary, {}, ""}, now);
-  Context.send(*connection, TransactionWork{number, request.Request.Id},
-               {{"BEGIN", {}, false},
-                {Context.Common.Dialect.Observe, {}, true}},
-               now);
+  Context.send(
+      *connection, TransactionWork{number, request.Request.Id},
+      {{"BEGIN", {}, false}, {Context.Common.Dialect.Observe, {}, true}}, now);
   return true;
 }
 
@@ -220,8 +217,7 @@
   if (isKept) {
     transaction.Now = TransactionPhase::Ready;
     transaction.UsedAt = now;
-    Context.Pool.setState(transaction.Connection, ConnectionState::Pinned,
-                          now);
+    Context.Pool.setState(transaction.Connection, ConnectionState::Pinned, now);
     return Context.finish(request->Request.Id, std::move(answer), now);
   }
   Context.release(transaction.Connection, result.After, now);
@@ -233,14 +229,12 @@
     return Context.finish(id, std::move(answer), now);
   if (step.Outcome != StepOutcome::Ok)
     return Context.refuse(id, ResultCode::StatementFailed,
-                          absl::StrCat(step.SqlState, ": ", step.Message),
-                          now);
+                          absl::StrCat(step.SqlState, ": ", step.Message), now);
   // NOTE: The statement ended its transaction by itself, in a way that the
   // check of its first word missed; what it did can't be told.
-  Context.refuse(id,
-                 isOpen ? ResultCode::ResultTooLarge
-                        : ResultCode::WriteOutcomeUnknown,
-                 "", now);
+  Context.refuse(
+      id, isOpen ? ResultCode::ResultTooLarge : ResultCode::WriteOutcomeUnknown,
+      "", now);
 }
 
 void TransactionFlow::commitDone(ActiveRequest *request, std::uint64_t number,
--- a/src/request/internal/WriteFlow.cpp
+++ b/src/request/internal/WriteFlow.cpp
@@ -80,8 +80,7 @@
   const auto id = request.Request.Id;
   const bool runs = std::any_of(
       Context.Requests.begin(), Context.Requests.end(), [&](const auto &it) {
-        const auto *call =
-            std::get_if<WriteCall>(&it.second.Request.Asked);
+        const auto *call = std::get_if<WriteCall>(&it.second.Request.Asked);
         return it.first != id && call != nullptr && call->Key == key;
       });
   if (runs)
@@ -110,9 +109,10 @@
   if (!primary)
     return false;
   const auto &marks = request.Request.Marks.of(Context.Database.Id);
-  const bool isLost = std::any_of(
-      marks.begin(), marks.end(),
-      [this](const Mark &it) { return Context.View.isDiscarded(it); });
+  const bool isLost =
+      std::any_of(marks.begin(), marks.end(), [this](const Mark &it) {
+        return Context.View.isDiscarded(it);
+      });
   if (isLost) {
     Context.refuse(request.Request.Id, ResultCode::HistoryLost, "", now);
     return true;
@@ -125,8 +125,8 @@
   }
   Context.note(request, {NoteKind::Sent, *primary, {}, ""}, now);
   request.On = *connection;
-  request.SentIn = std::max(request.SentIn,
-                            Context.View.of(*primary).Last.Promised);
+  request.SentIn =
+      std::max(request.SentIn, Context.View.of(*primary).Last.Promised);
   if (request.Now == Phase::AwaitingProbe)
     sendProbe(request, *connection, now);
   else if (callOf(request).Key.empty())
@@ -198,9 +198,8 @@
 }
 
 std::optional<routing::Observation>
-WriteFlow::take(const RunningWork &running,
-                const upstream::BatchResult &result, std::size_t step,
-                TimePoint now) {
+WriteFlow::take(const RunningWork &running, const upstream::BatchResult &result,
+                std::size_t step, TimePoint now) {
   if (step >= result.Steps.size())
     return std::nullopt;
   auto seen = readObservation(result.Steps[step]);
@@ -246,12 +245,10 @@
   }
 }
 
-void WriteFlow::notRun(ActiveRequest &request,
-                       const upstream::StepResult &step,
+void WriteFlow::notRun(ActiveRequest &request, const upstream::StepResult &step,
                        const std::optional<routing::Observation> &seen,
                        TimePoint now) {
-  const bool wasPrimary =
-      seen && seen->Role == routing::InstanceRole::Primary;
+  const bool wasPrimary = seen && seen->Role == routing::InstanceRole::Primary;
   const bool wrongInstance =
       step.Outcome == StepOutcome::Skipped ||
       (step.SqlState == ReadOnlyViolation && !wasPrimary);
@@ -273,8 +270,8 @@
     return Context.refuse(request.Request.Id, ResultCode::StatementFailed,
                           failureText(commit), now);
   if (!isSteadyPrimary(before, after))
-    return Context.refuse(request.Request.Id,
-                          ResultCode::ReplacedWhileWriting, "", now);
+    return Context.refuse(request.Request.Id, ResultCode::ReplacedWhileWriting,
+                          "", now);
   CallerAnswer answer;
   answer.Result = resultOf(change);
   if (!Context.fitsLimits(answer.Result)) {
@@ -330,8 +327,7 @@
 }
 
 void WriteFlow::commitDone(ActiveRequest &request, const RunningWork &running,
-                           const upstream::BatchResult &result,
-                           TimePoint now) {
+                           const upstream::BatchResult &result, TimePoint now) {
   for (const auto step : {CommitRecord, CommitCommit})
     if (result.Steps[step].Outcome == StepOutcome::Failed)
       return Context.refuse(request.Request.Id, ResultCode::StatementFailed,
@@ -341,17 +337,14 @@
                         after->Role == routing::InstanceRole::Primary;
   if (!isSteady)
     return outcomeOpen(request, now);
-  awaitMajority(request, after->appliedMark(), std::move(request.Pending),
-                now);
+  awaitMajority(request, after->appliedMark(), std::move(request.Pending), now);
 }
 
 void WriteFlow::replayDone(ActiveRequest &request, const RunningWork &running,
-                           const upstream::BatchResult &result,
-                           TimePoint now) {
+                           const upstream::BatchResult &result, TimePoint now) {
   const auto after = take(running, result, ReplayObserve, now);
   const auto &read = result.Steps[ReplayRead];
-  const bool isPrimary =
-      after && after->Role == routing::InstanceRole::Primary;
+  const bool isPrimary = after && after->Role == routing::InstanceRole::Primary;
   if (read.Outcome != StepOutcome::Ok || !isPrimary)
     return outcomeOpen(request, now);
   // NOTE: The transaction that held the key may have been rolled back between
@@ -366,11 +359,11 @@
   if (row.size() != 2 || row[0].value_or("") != digest)
     return Context.refuse(request.Request.Id, ResultCode::KeyReused, "", now);
   const auto recorded = readLedgerText(row[1].value_or(""));
-  if (!recorded)
-    return Context.refuse(request.Request.Id, ResultCode::KeyStillRunning, "",
-                          now);
   CallerAnswer answer;
-  answer.Result = *recorded;
+  if (recorded)
+    answer.Result = *recorded;
+  else
+    answer.Code = ResultCode::ResultLeftOut;
   answer.Replayed = request.Now == Phase::Replaying;
   answer.AnsweredBy = running.Instance;
   awaitMajority(request, after->appliedMark(), std::move(answer), now);
@@ -401,8 +394,8 @@
 
 void WriteFlow::outcomeOpen(ActiveRequest &request, TimePoint now) {
   if (callOf(request).Key.empty())
-    return Context.refuse(request.Request.Id,
-                          ResultCode::WriteOutcomeUnknown, "", now);
+    return Context.refuse(request.Request.Id, ResultCode::WriteOutcomeUnknown,
+                          "", now);
   request.Now = Phase::AwaitingProbe;
   request.Waiting = ResultCode::WriteOutcomeUnknown;
   request.NotBefore = now + ProbeSpacing;
@@ -441,17 +434,15 @@
   request.Now = Phase::AwaitingMajority;
   request.Awaited = mark;
   request.Pending = std::move(answer);
-  Context.note(request,
-               {NoteKind::AwaitingMajority, request.Pending.AnsweredBy, mark,
-                ""},
-               now);
+  Context.note(
+      request,
+      {NoteKind::AwaitingMajority, request.Pending.AnsweredBy, mark, ""}, now);
 }
 
 bool WriteFlow::hasWaiters() const {
-  return std::any_of(Context.Requests.begin(), Context.Requests.end(),
-                     [](const auto &it) {
-                       return it.second.Now == Phase::AwaitingMajority;
-                     });
+  return std::any_of(
+      Context.Requests.begin(), Context.Requests.end(),
+      [](const auto &it) { return it.second.Now == Phase::AwaitingMajority; });
 }
 
 void WriteFlow::settle(TimePoint now) {
@@ -463,8 +454,8 @@
   for (const auto id : waiting) {
     auto &request = *Context.find(id);
     if (Context.View.isHeldByMajority(request.Awaited)) {
-      Context.note(request,
-                   {NoteKind::MajorityHolds, {}, request.Awaited, ""}, now);
+      Context.note(request, {NoteKind::MajorityHolds, {}, request.Awaited, ""},
+                   now);
       Context.finish(id, std::move(request.Pending), now);
     } else if (Context.View.isDiscarded(request.Awaited)) {
       Context.note(request, {NoteKind::Discarded, {}, request.Awaited, ""},
--- a/src/request/internal/WriteFlow.h
+++ b/src/request/internal/WriteFlow.h
@@ -67,9 +67,9 @@
   void notRun(ActiveRequest &request, const upstream::StepResult &step,
               const std::optional<routing::Observation> &seen, TimePoint now);
   void outcomeOpen(ActiveRequest &request, TimePoint now);
-  std::optional<routing::Observation>
-  take(const RunningWork &running, const upstream::BatchResult &result,
-       std::size_t step, TimePoint now);
+  std::optional<routing::Observation> take(const RunningWork &running,
+                                           const upstream::BatchResult &result,
+                                           std::size_t step, TimePoint now);
 
   DatabaseContext &Context;
   /// The term in which the ledger's table is known to be there.
--- a/src/request/types/Events.h
+++ b/src/request/types/Events.h
@@ -66,6 +66,8 @@
 
 struct RunBatch {
   ConnectionId Connection;
+  /// The request it serves; 0 for the process's own questions.
+  RequestId For;
   upstream::Batch Work;
 };
 
--- a/src/routing/ReadRouter.cpp
+++ b/src/routing/ReadRouter.cpp
@@ -87,8 +87,8 @@
     return {Verdict::HistoryLost, {}};
   // NOTE: A mark of the primary's own term is in its log, however old this
   // process's last look at it; a mark of a later term is not.
-  const bool isOlder = std::any_of(
-      need.Marks.begin(), need.Marks.end(), [&](const Mark &it) {
+  const bool isOlder =
+      std::any_of(need.Marks.begin(), need.Marks.end(), [&](const Mark &it) {
         return it.WrittenIn > state.Last.Promised;
       });
   return {isOlder ? Verdict::Behind : Verdict::Eligible, {}};
@@ -129,8 +129,8 @@
   for (const auto &[id, state] : view.all()) {
     const auto judged = judge(need, view, id, state, now);
     const auto load = loads.find(id);
-    Consideration entry{id, judged.Said,
-                        view.ageOf(state.Last.appliedMark(), now), {}};
+    Consideration entry{
+        id, judged.Said, view.ageOf(state.Last.appliedMark(), now), {}};
     if (judged.Said == Verdict::Eligible && load != loads.end()) {
       entry.Cost = costOf(load->second, state.Health);
       if (!load->second.CanStart)
@@ -156,9 +156,9 @@
         it.Said = Verdict::Eligible;
 
   auto candidates = eligibleIn(considered);
-  const bool hasReplica = std::any_of(
-      candidates.begin(), candidates.end(),
-      [&](std::size_t n) { return primary != n; });
+  const bool hasReplica =
+      std::any_of(candidates.begin(), candidates.end(),
+                  [&](std::size_t n) { return primary != n; });
   if (hasReplica && primary)
     std::erase(candidates, *primary);
 
@@ -177,9 +177,9 @@
   } else if (anySaid(considered, Verdict::Unconfirmed)) {
     decision.Choice = WaitForChange{ResultCode::PrimaryUnconfirmed};
   } else {
-    decision.Choice = WaitForChange{need.isCurrent()
-                                        ? ResultCode::NoPrimary
-                                        : ResultCode::NoInstanceFreshEnough};
+    decision.Choice =
+        WaitForChange{need.isCurrent() ? ResultCode::NoPrimary
+                                       : ResultCode::NoInstanceFreshEnough};
   }
   return decision;
 }
--- a/src/routing/ReadRouter.h
+++ b/src/routing/ReadRouter.h
@@ -41,8 +41,7 @@
   explicit ReadRouter(RouterSettings settings) : Config(settings) {}
 
   RouteDecision choose(const ReadNeed &need, const GroupView &view,
-                       const Loads &loads, TimePoint now,
-                       Random &random) const;
+                       const Loads &loads, TimePoint now, Random &random) const;
 
   /// Judges the position that rode along with the read.
   Proof prove(const ReadNeed &need, const GroupView &view,
--- a/src/routing/tests/ReadRouterTest.cpp
+++ b/src/routing/tests/ReadRouterTest.cpp
@@ -149,9 +149,8 @@
   Fixture fixture;
   const auto need = Fixture::browse({mark(50)});
   const auto prove = [&](std::uint64_t position) {
-    return fixture.Router.prove(need, fixture.View,
-                                said(InstanceRole::Replica, position),
-                                at(1010));
+    return fixture.Router.prove(
+        need, fixture.View, said(InstanceRole::Replica, position), at(1010));
   };
   CHECK(prove(50) == Proof::Holds);
   CHECK(prove(49) == Proof::Behind);
--- a/src/session/ITokenCodec.h
+++ b/src/session/ITokenCodec.h
@@ -24,8 +24,7 @@
   virtual std::string encode(const SessionMarks &marks) const = 0;
 
   /// The marks of one token. Errors: TokenBroken, TokenForged, TokenTooLarge.
-  virtual absl::StatusOr<SessionMarks>
-  decode(std::string_view token) const = 0;
+  virtual absl::StatusOr<SessionMarks> decode(std::string_view token) const = 0;
 
   /// The merged marks of several tokens; one bad token fails all.
   virtual absl::StatusOr<SessionMarks>
--- a/src/session/SessionMarks.cpp
+++ b/src/session/SessionMarks.cpp
@@ -9,11 +9,10 @@
 
 void SessionMarks::add(const DatabaseId &database, Mark mark) {
   auto &marks = Marks[database];
-  const auto it =
-      std::lower_bound(marks.begin(), marks.end(), mark,
-                       [](const Mark &left, const Mark &right) {
-                         return left.WrittenIn < right.WrittenIn;
-                       });
+  const auto it = std::lower_bound(marks.begin(), marks.end(), mark,
+                                   [](const Mark &left, const Mark &right) {
+                                     return left.WrittenIn < right.WrittenIn;
+                                   });
   if (it != marks.end() && it->WrittenIn == mark.WrittenIn)
     it->Position = std::max(it->Position, mark.Position);
   else
--- a/src/session/TermHistory.cpp
+++ b/src/session/TermHistory.cpp
@@ -51,8 +51,7 @@
     if (kept != Inclusion::Included)
       return kept;
   }
-  return at.Position >= mark.Position ? Inclusion::Included
-                                      : Inclusion::Behind;
+  return at.Position >= mark.Position ? Inclusion::Included : Inclusion::Behind;
 }
 
 Inclusion TermHistory::includesAll(Mark at, const DatabaseMarks &marks) const {
--- a/src/session/internal/TokenCodec.cpp
+++ b/src/session/internal/TokenCodec.cpp
@@ -67,9 +67,9 @@
 
 absl::StatusOr<SessionMarks> TokenCodec::decode(std::string_view token) const {
   if (token.size() > Limits.TokenBytes)
-    return makeStatus(ResultCode::TokenTooLarge,
-                      absl::StrCat("a token may have ", Limits.TokenBytes,
-                                   " bytes"));
+    return makeStatus(
+        ResultCode::TokenTooLarge,
+        absl::StrCat("a token may have ", Limits.TokenBytes, " bytes"));
   std::string bytes;
   wire::SignedToken parsed;
   if (!absl::WebSafeBase64Unescape(
@@ -95,9 +95,9 @@
 absl::StatusOr<SessionMarks>
 TokenCodec::decodeAll(const std::vector<std::string> &tokens) const {
   if (tokens.size() > Limits.Tokens)
-    return makeStatus(ResultCode::TokenTooLarge,
-                      absl::StrCat("at most ", Limits.Tokens,
-                                   " tokens may be sent"));
+    return makeStatus(
+        ResultCode::TokenTooLarge,
+        absl::StrCat("at most ", Limits.Tokens, " tokens may be sent"));
   SessionMarks merged;
   for (const auto &it : tokens) {
     auto marks = decode(it);
--- a/src/session/tests/SessionTest.cpp
+++ b/src/session/tests/SessionTest.cpp
@@ -86,8 +86,8 @@
   second.add(Bookings, mark(1, 12));
   second.add(Schedules, mark(1, 3));
   const auto codec = codecWith({1});
-  const auto either = codec->decodeAll(
-      {codec->encode(second), codec->encode(first)});
+  const auto either =
+      codec->decodeAll({codec->encode(second), codec->encode(first)});
   REQUIRE(either.ok());
   CHECK(either->of(Bookings) == DatabaseMarks{mark(1, 12)});
   CHECK(either->of(Schedules) == DatabaseMarks{mark(1, 3)});
--- a/src/settings/SettingsModule.cpp
+++ b/src/settings/SettingsModule.cpp
@@ -28,6 +28,9 @@
 constexpr std::array<std::string_view, 4> LogLevels = {"debug", "info",
                                                        "warning", "error"};
 
+constexpr std::array<std::string_view, 5> TlsModes = {
+    "disable", "prefer", "require", "verify-ca", "verify-full"};
+
 void readInstance(TableReader &reader, DatabaseSettings &database) {
   InstanceSettings instance;
   instance.Connections = 25;
@@ -52,6 +55,11 @@
   reader.optional("name", database.Name);
   reader.optional("user", database.User);
   reader.optional("password", database.Password);
+  reader.optional("tls", database.Tls);
+  if (std::find(TlsModes.begin(), TlsModes.end(), database.Tls) ==
+      TlsModes.end())
+    reader.fault("tls", "must be disable, prefer, require, verify-ca or "
+                        "verify-full");
   std::string mode = "majority";
   reader.optional("acknowledge", mode);
   if (const auto value = valueIn(AcknowledgeNames, mode))
@@ -59,9 +67,8 @@
   else
     reader.fault("acknowledge", "must be \"majority\" or \"primary\"");
   reader.optional("read_max_age_ms", Range{0, 86400000}, database.ReadMaxAge);
-  reader.tables("instances", [&](TableReader &inner) {
-    readInstance(inner, database);
-  });
+  reader.tables("instances",
+                [&](TableReader &inner) { readInstance(inner, database); });
   if (database.Instances.empty())
     reader.fault("instances", "at least one is needed");
   for (const auto &it : out.Databases)
@@ -189,8 +196,8 @@
     readAll(reader, report.Checked);
     reader.finish();
   } catch (const toml::parse_error &failure) {
-    report.Faults.push_back({failure.source().begin.line,
-                             std::string(failure.description())});
+    report.Faults.push_back(
+        {failure.source().begin.line, std::string(failure.description())});
   }
   std::stable_sort(report.Faults.begin(), report.Faults.end(),
                    [](const SettingsFault &left, const SettingsFault &right) {
--- a/src/settings/internal/TableReader.cpp
+++ b/src/settings/internal/TableReader.cpp
@@ -80,8 +80,8 @@
   if (value && *value >= range.Least && *value <= range.Most)
     out = *value;
   else
-    fault(key, absl::StrCat("must be a whole number from ", range.Least,
-                            " to ", range.Most));
+    fault(key, absl::StrCat("must be a whole number from ", range.Least, " to ",
+                            range.Most));
 }
 
 void TableReader::optional(std::string_view key, Range range, Duration &out) {
@@ -92,10 +92,9 @@
 }
 
 void TableReader::checkName(std::string_view key, const std::string &text) {
-  const bool fits =
-      std::all_of(text.begin(), text.end(), [](unsigned char c) {
-        return std::isalnum(c) != 0 || c == '-' || c == '_';
-      });
+  const bool fits = std::all_of(text.begin(), text.end(), [](unsigned char c) {
+    return std::isalnum(c) != 0 || c == '-' || c == '_';
+  });
   if (!fits || text.size() > 64)
     fault(key, "must be up to 64 letters, digits, '-' or '_'");
 }
@@ -174,8 +173,7 @@
 void TableReader::finish() {
   for (const auto &[name, node] : Table)
     if (Known.find(name.str()) == Known.end())
-      Faults.push_back(
-          {lineOf(node), named(name.str()) + ": no such setting"});
+      Faults.push_back({lineOf(node), named(name.str()) + ": no such setting"});
 }
 
 } // namespace stepledge::settings
--- a/src/settings/internal/TableReader.h
+++ b/src/settings/internal/TableReader.h
@@ -60,8 +60,9 @@
   void table(std::string_view key, const Visit &visit);
   void tables(std::string_view key, const Visit &visit);
   /// Each key of the table with a whole number of milliseconds.
-  void durations(std::string_view key,
-                 const std::function<void(const std::string &, Duration)> &take);
+  void
+  durations(std::string_view key,
+            const std::function<void(const std::string &, Duration)> &take);
 
   void fault(std::string_view key, const std::string &text);
   /// Faults every key that was not asked for.
--- a/src/settings/types/Settings.h
+++ b/src/settings/types/Settings.h
@@ -50,6 +50,8 @@
   std::string Name;
   std::string User;
   std::string Password;
+  /// libpq's sslmode.
+  std::string Tls = "prefer";
   AcknowledgeMode Acknowledge = AcknowledgeMode::Majority;
   /// How old data may be for a read that states no age; 0 means the
   /// primary's.
--- a/src/standin/Main.cpp
+++ b/src/standin/Main.cpp
@@ -48,13 +48,13 @@
   }
 
   void accept(Acceptor &acceptor, bool isControl) {
-    acceptor.async_accept([this, &acceptor, isControl](
-                              asio::error_code ec,
-                              asio::ip::tcp::socket socket) {
-      if (!ec)
-        admit(std::move(socket), isControl);
-      accept(acceptor, isControl);
-    });
+    acceptor.async_accept(
+        [this, &acceptor, isControl](asio::error_code ec,
+                                     asio::ip::tcp::socket socket) {
+          if (!ec)
+            admit(std::move(socket), isControl);
+          accept(acceptor, isControl);
+        });
   }
 
   void admit(asio::ip::tcp::socket socket, bool isControl) {
--- a/src/standin/internal/Engine.cpp
+++ b/src/standin/internal/Engine.cpp
@@ -49,14 +49,11 @@
   auto stmt = prepare(handle, statement.at("sql").get<std::string>());
   if (!stmt)
     return false;
-  int index = 0;
+  int number = 0;
   for (const auto &it : statement.at("parameters")) {
-    ++index;
-    if (it.is_null())
-      continue;
-    const auto text = it.get<std::string>();
-    sqlite3_bind_text(stmt.get(), index, text.c_str(),
-                      static_cast<int>(text.size()), SQLITE_TRANSIENT);
+    ++number;
+    if (!it.is_null())
+      bindParameter(stmt.get(), number, it.get<std::string>());
   }
   int rc = SQLITE_ROW;
   while (rc == SQLITE_ROW)
@@ -76,6 +73,14 @@
 
 } // namespace
 
+// NOTE: SQLite counts "$2" by where it stands, not by its number.
+void bindParameter(sqlite3_stmt *statement, int number, std::string_view text) {
+  const auto name = "$" + std::to_string(number);
+  const int index = sqlite3_bind_parameter_index(statement, name.c_str());
+  sqlite3_bind_text(statement, index, text.data(),
+                    static_cast<int>(text.size()), SQLITE_TRANSIENT);
+}
+
 Engine::Engine(const StandinOptions &options) : Options(options) {
   std::filesystem::create_directories(Options.DataFolder);
   CurrentFaults.Lag = Options.Lag;
@@ -231,8 +236,8 @@
                                        std::to_string(Applied + 1));
     if (!stmt || sqlite3_step(stmt.get()) != SQLITE_ROW)
       return;
-    const auto body = nlohmann::json::parse(reinterpret_cast<const char *>(
-        sqlite3_column_text(stmt.get(), 0)));
+    const auto body = nlohmann::json::parse(
+        reinterpret_cast<const char *>(sqlite3_column_text(stmt.get(), 0)));
     stmt.reset();
     sqlite3_exec(Own.get(), "BEGIN IMMEDIATE", nullptr, nullptr, nullptr);
     for (const auto &it : body)
@@ -253,13 +258,13 @@
     OnRebuilt();
   std::vector<std::string> drops;
   {
-    auto stmt = prepare(Own.get(),
-                        "SELECT name FROM sqlite_master WHERE type='table' "
-                        "AND name NOT LIKE 'standin_%' AND name NOT LIKE "
-                        "'sqlite_%'");
+    auto stmt =
+        prepare(Own.get(), "SELECT name FROM sqlite_master WHERE type='table' "
+                           "AND name NOT LIKE 'standin_%' AND name NOT LIKE "
+                           "'sqlite_%'");
     while (stmt && sqlite3_step(stmt.get()) == SQLITE_ROW)
-      drops.emplace_back(reinterpret_cast<const char *>(
-          sqlite3_column_text(stmt.get(), 0)));
+      drops.emplace_back(
+          reinterpret_cast<const char *>(sqlite3_column_text(stmt.get(), 0)));
   }
   for (const auto &it : drops)
     sqlite3_exec(Own.get(), ("DROP TABLE \"" + it + "\"").c_str(), nullptr,
@@ -324,11 +329,11 @@
     return answer.dump();
   }
   auto entries = nlohmann::json::array();
-  auto stmt = prepare(Own.get(),
-                      "SELECT position, term, body FROM standin_log WHERE "
-                      "position>" +
-                          std::to_string(position) + " LIMIT " +
-                          std::to_string(EntriesPerAnswer));
+  auto stmt =
+      prepare(Own.get(), "SELECT position, term, body FROM standin_log WHERE "
+                         "position>" +
+                             std::to_string(position) + " LIMIT " +
+                             std::to_string(EntriesPerAnswer));
   while (stmt && sqlite3_step(stmt.get()) == SQLITE_ROW)
     entries.push_back({{"position", sqlite3_column_int64(stmt.get(), 0)},
                        {"term", sqlite3_column_int64(stmt.get(), 1)},
@@ -392,18 +397,17 @@
     sqlite3_result_int64(context, engine->promote(unsignedAt(values, 1)));
   else if (name == "follow" && count == 4)
     sqlite3_result_int64(
-        context, engine->follow(textAt(values, 1),
-                                static_cast<std::uint16_t>(
-                                    sqlite3_value_int(values[2])),
-                                unsignedAt(values, 3)));
+        context,
+        engine->follow(textAt(values, 1),
+                       static_cast<std::uint16_t>(sqlite3_value_int(values[2])),
+                       unsignedAt(values, 3)));
   else if (name == "entries" && count == 4)
-    answerText(engine->entriesAfter(unsignedAt(values, 1),
-                                    unsignedAt(values, 2),
-                                    unsignedAt(values, 3)));
+    answerText(engine->entriesAfter(
+        unsignedAt(values, 1), unsignedAt(values, 2), unsignedAt(values, 3)));
   else if (name == "fault" && count == 3)
-    sqlite3_result_int64(context,
-                         engine->setFault(textAt(values, 1),
-                                          sqlite3_value_int64(values[2])));
+    sqlite3_result_int64(
+        context,
+        engine->setFault(textAt(values, 1), sqlite3_value_int64(values[2])));
   else
     sqlite3_result_error(context, "unknown stand-in function", -1);
 }
--- a/src/standin/internal/Engine.h
+++ b/src/standin/internal/Engine.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace stepledge::standin {
@@ -43,6 +44,9 @@
   int InFlight = 0;
 };
 
+/// Binds "$NUMBER", if the statement has it.
+void bindParameter(sqlite3_stmt *statement, int number, std::string_view text);
+
 class Engine {
 public:
   explicit Engine(const StandinOptions &options);
--- a/src/standin/internal/Follower.cpp
+++ b/src/standin/internal/Follower.cpp
@@ -71,12 +71,11 @@
   Asking = true;
   AskedAt = std::chrono::steady_clock::now();
   upstream::Batch batch;
-  batch.Steps.push_back(
-      {"SELECT standin('entries',$1,$2,$3)",
-       {std::to_string(Instance.logPosition()),
-        std::to_string(Instance.logTerm()),
-        std::to_string(Instance.promised())},
-       true});
+  batch.Steps.push_back({"SELECT standin('entries',$1,$2,$3)",
+                         {std::to_string(Instance.logPosition()),
+                          std::to_string(Instance.logTerm()),
+                          std::to_string(Instance.promised())},
+                         true});
   Connection->run(batch);
 }
 
--- a/src/standin/internal/ServerSession.cpp
+++ b/src/standin/internal/ServerSession.cpp
@@ -68,8 +68,8 @@
 
 ServerSession::ServerSession(asio::ip::tcp::socket socket, Engine &engine,
                              SlotGate &gate, bool isControl)
-    : Socket(std::move(socket)), Timer(Socket.get_executor()),
-      Instance(engine), Gate(gate), Control(isControl) {}
+    : Socket(std::move(socket)), Timer(Socket.get_executor()), Instance(engine),
+      Gate(gate), Control(isControl) {}
 
 ServerSession::~ServerSession() {
   if (HoldsSlot)
@@ -130,8 +130,7 @@
 
 void ServerSession::takeStartup() {
   while (!Started && Received.size() >= 8) {
-    const auto length =
-        static_cast<std::size_t>(WireReader(Received).int32());
+    const auto length = static_cast<std::size_t>(WireReader(Received).int32());
     if (length < 8 || Received.size() < length)
       return;
     const std::string body = Received.substr(4, length - 4);
@@ -234,8 +233,7 @@
     const auto text = reader.bytes(static_cast<std::size_t>(length));
     Parameters.push_back(std::string(text));
     if (Statement)
-      sqlite3_bind_text(Statement.get(), index, text.data(),
-                        static_cast<int>(text.size()), SQLITE_TRANSIENT);
+      bindParameter(Statement.get(), index, text);
   }
   write(WireMessage('2').finish());
   done();
@@ -341,8 +339,7 @@
 
 bool ServerSession::commit() {
   const bool writes = !Written.empty();
-  const bool logged =
-      !writes || Instance.logWrite(Database.get(), Written);
+  const bool logged = !writes || Instance.logWrite(Database.get(), Written);
   const bool held = logged && sqlite3_exec(Database.get(), "COMMIT", nullptr,
                                            nullptr, nullptr) == SQLITE_OK;
   if (!held)
@@ -417,13 +414,13 @@
   Writing = true;
   InWriting = std::move(Output);
   Output.clear();
-  asio::async_write(Socket, asio::buffer(InWriting),
-                    [self = shared_from_this()](asio::error_code ec,
-                                                std::size_t) {
-                      self->Writing = false;
-                      if (!ec)
-                        self->flush();
-                    });
+  asio::async_write(
+      Socket, asio::buffer(InWriting),
+      [self = shared_from_this()](asio::error_code ec, std::size_t) {
+        self->Writing = false;
+        if (!ec)
+          self->flush();
+      });
 }
 
 } // namespace stepledge::standin
--- a/src/standin/internal/WireMessages.cpp
+++ b/src/standin/internal/WireMessages.cpp
@@ -97,7 +97,12 @@
   WireMessage message('T');
   message.int16(static_cast<std::int16_t>(columns.size()));
   for (const auto &it : columns)
-    message.string(it).int32(0).int16(0).int32(TextType).int16(-1).int32(-1)
+    message.string(it)
+        .int32(0)
+        .int16(0)
+        .int32(TextType)
+        .int16(-1)
+        .int32(-1)
         .int16(0);
   return message.finish();
 }
--- a/src/upstream/internal/PgConnection.cpp
+++ b/src/upstream/internal/PgConnection.cpp
@@ -37,8 +37,8 @@
 
 } // namespace
 
-PgConnection::PgConnection(asio::io_context &context,
-                           const std::string &target, ConnectionEvents events)
+PgConnection::PgConnection(asio::io_context &context, const std::string &target,
+                           ConnectionEvents events)
     : Context(context), Events(std::move(events)),
       Connection(PQconnectStart(target.c_str())), Socket(context) {
   if (!Connection || PQstatus(Connection.get()) == CONNECTION_BAD) {
@@ -179,8 +179,8 @@
     step.Outcome = StepOutcome::Failed;
     step.SqlState =
         textOrEmpty(PQresultErrorField(result.get(), PG_DIAG_SQLSTATE));
-    step.Message = textOrEmpty(
-        PQresultErrorField(result.get(), PG_DIAG_MESSAGE_PRIMARY));
+    step.Message =
+        textOrEmpty(PQresultErrorField(result.get(), PG_DIAG_MESSAGE_PRIMARY));
   }
   return true;
 }
