--- a/src/admission/tests/AdmissionTest.cpp
+++ b/src/admission/tests/AdmissionTest.cpp
@@ -23,6 +23,7 @@
 
 std::vector<std::uint64_t> idsOf(const std::vector<QueuedRequest> &list) {
   std::vector<std::uint64_t> out;
+  out.reserve(list.size());
   for (const auto &it : list)
     out.push_back(it.Id.Number);
   return out;
--- a/src/api/IRequestGateway.h
+++ b/src/api/IRequestGateway.h
@@ -39,7 +39,7 @@
 public:
   using Done = std::function<void(const GatewayAnswer &answer)>;
   /// Empty where nothing is known of the decision.
-  using Explained = std::function<void(std::vector<std::string> lines)>;
+  using Explained = std::function<void(const std::vector<std::string> &lines)>;
 
   virtual ~IRequestGateway() = default;
 
--- a/src/api/internal/CallHandler.cpp
+++ b/src/api/internal/CallHandler.cpp
@@ -54,9 +54,9 @@
   if (path == Path{"metrics"})
     return reply(plainText(200, Gateway.metricsText()));
   if (path.size() == 3 && path[0] == "v1" && path[1] == "explain") {
-    const auto id = path[2];
+    const auto &id = path[2];
     return Gateway.explain(DecisionId(id),
-                           [id, reply](std::vector<std::string> lines) {
+                           [id, reply](const std::vector<std::string> &lines) {
                              reply(writeExplanation(id, lines));
                            });
   }
--- a/src/api/internal/HttpServer.cpp
+++ b/src/api/internal/HttpServer.cpp
@@ -17,7 +17,7 @@
 /// Beyond the longest deadline, for a reply on its way.
 constexpr std::chrono::seconds ReplyMargin{15};
 constexpr std::size_t LongestUrl = 2048;
-constexpr std::size_t LongestHeaderValue = 16 * 1024;
+constexpr std::size_t LongestHeaderValue = 16384;
 /// What the handler refuses with a code is let through this far; beyond it
 /// the connection is closed.
 constexpr std::size_t HardFactor = 4;
@@ -90,7 +90,7 @@
                 settings.Timing.LongestDeadline) +
             ReplyMargin)
         .incoming_http_msg_limits(messageLimits(settings.Limits))
-        .request_handler([&handler](restinio::request_handle_t request) {
+        .request_handler([&handler](const restinio::request_handle_t &request) {
           handler.handle(readCall(request), [request](HttpReply reply) {
             writeReply(request, std::move(reply));
           });
--- a/src/request/internal/DatabaseContext.cpp
+++ b/src/request/internal/DatabaseContext.cpp
@@ -184,7 +184,7 @@
 }
 
 std::optional<InstanceId> DatabaseContext::livePrimary(TimePoint now) const {
-  const auto primary = View.primary();
+  auto primary = View.primary();
   if (!primary || now - View.of(*primary).HeardAt > Common.Timing.Silence)
     return std::nullopt;
   return primary;
--- a/src/request/internal/WriteFlow.cpp
+++ b/src/request/internal/WriteFlow.cpp
@@ -90,7 +90,7 @@
 
 std::optional<InstanceId> WriteFlow::usablePrimary(ActiveRequest &request,
                                                    TimePoint now) {
-  const auto primary = Context.livePrimary(now);
+  auto primary = Context.livePrimary(now);
   const auto &marks = request.Request.Marks.of(Context.Database.Id);
   const bool isOlder =
       primary && std::any_of(marks.begin(), marks.end(), [&](const Mark &it) {
--- a/src/routing/GroupView.cpp
+++ b/src/routing/GroupView.cpp
@@ -113,9 +113,9 @@
 }
 
 const InstanceState &GroupView::of(const InstanceId &instance) const {
-  static const InstanceState Nothing;
+  static const InstanceState nothing;
   const auto it = States.find(instance);
-  return it == States.end() ? Nothing : it->second;
+  return it == States.end() ? nothing : it->second;
 }
 
 std::optional<InstanceId> GroupView::primary() const {
--- a/src/session/SessionMarks.cpp
+++ b/src/session/SessionMarks.cpp
@@ -30,9 +30,9 @@
 }
 
 const DatabaseMarks &SessionMarks::of(const DatabaseId &database) const {
-  static const DatabaseMarks Nothing;
+  static const DatabaseMarks nothing;
   const auto it = Marks.find(database);
-  return it == Marks.end() ? Nothing : it->second;
+  return it == Marks.end() ? nothing : it->second;
 }
 
 } // namespace stepledge::session
--- a/src/session/tests/SessionTest.cpp
+++ b/src/session/tests/SessionTest.cpp
@@ -21,8 +21,9 @@
   return {Term{term}, LogPosition{position}};
 }
 
-std::unique_ptr<ITokenCodec> codecWith(std::vector<std::uint32_t> ids) {
+std::unique_ptr<ITokenCodec> codecWith(const std::vector<std::uint32_t> &ids) {
   std::vector<settings::SessionKey> keys;
+  keys.reserve(ids.size());
   for (const auto it : ids)
     keys.push_back({it, std::string(32, static_cast<char>('a' + it))});
   return makeTokenCodec(keys, settings::LimitSettings{});
--- a/src/standin/Main.cpp
+++ b/src/standin/Main.cpp
@@ -24,9 +24,8 @@
 class Server {
 public:
   Server(asio::io_context &context, const StandinOptions &options)
-      : Context(context), Instance(options), Gate(Instance),
-        Copier(context, Instance), Callers(context), Controls(context),
-        Timer(context) {
+      : Instance(options), Gate(Instance), Copier(context, Instance),
+        Callers(context), Controls(context), Timer(context) {
     listen(Callers, options.Port, false);
     listen(Controls, options.ControlPort, true);
     Instance.OnRebuilt = [this] { closeAll(); };
@@ -96,7 +95,6 @@
     });
   }
 
-  asio::io_context &Context;
   Engine Instance;
   SlotGate Gate;
   Follower Copier;
--- a/src/standin/internal/ServerSession.cpp
+++ b/src/standin/internal/ServerSession.cpp
@@ -242,6 +242,7 @@
 void ServerSession::describe() {
   const int count = Statement ? sqlite3_column_count(Statement.get()) : 0;
   std::vector<std::string> columns;
+  columns.reserve(static_cast<std::size_t>(count));
   for (int n = 0; n < count; ++n)
     columns.emplace_back(sqlite3_column_name(Statement.get(), n));
   if (!columns.empty())
@@ -400,7 +401,7 @@
     });
 }
 
-void ServerSession::write(std::string bytes) {
+void ServerSession::write(const std::string &bytes) {
   Output += bytes;
   if (!Writing)
     flush();
--- a/src/standin/internal/ServerSession.h
+++ b/src/standin/internal/ServerSession.h
@@ -71,7 +71,7 @@
   bool commit();
   void fail(std::string_view sqlState, std::string_view text);
   void done();
-  void write(std::string bytes);
+  void write(const std::string &bytes);
   void flush();
 
   asio::ip::tcp::socket Socket;
