Hold whole sessions against golden files

Cause: the promises must be provable without sockets or clocks. Two faults found by reading them: a replica just seen behind was tried at once, since only its usual lag was asked; and a read forgot which instances it had tried, so it could use up its tries on replicas while the primary was free.

--- a/src/request/internal/ReadFlow.cpp
+++ b/src/request/internal/ReadFlow.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Before an instance whose proof failed is tried again for the same read.
+constexpr Duration TryAgainSpacing = milliseconds(10);
+
 /// Where each step stands in a read's batch.
 enum ReadStep : std::size_t {
   BeginStep,
@@ -67,12 +70,22 @@
   if (const auto *wait = std::get_if<routing::WaitForCatchUp>(&choice))
     request.NotBefore = wait->Until;
   else if (const auto *change = std::get_if<routing::WaitForChange>(&choice))
-    request.Waiting = change->Why;
+    waitForChange(request, change->Why, now);
   else
     request.Waiting = ResultCode::DeadlinePassed;
   return false;
 }
 
+// What was tried may do by then.
+void ReadFlow::waitForChange(ActiveRequest &request, ResultCode why,
+                             TimePoint now) {
+  request.Waiting = why;
+  if (request.Tried.empty())
+    return;
+  request.Tried.clear();
+  request.NotBefore = now + TryAgainSpacing;
+}
+
 void ReadFlow::sendTo(ActiveRequest &request, const InstanceId &instance,
                       TimePoint now) {
   const auto connection = Context.connectionFor(instance);
@@ -102,7 +115,7 @@
     return;
   if (!seen) {
     Context.View.noteFailure(running.Instance);
-    request->Tried = {running.Instance};
+    request->Tried.insert(running.Instance);
     return Context.retryOrRefuse(*request, ResultCode::UpstreamLost, now);
   }
   judge(*request, running.Instance, *seen, result.Steps[QueryStep], now);
@@ -119,7 +132,7 @@
                now);
   if (proof == routing::Proof::HistoryLost)
     return Context.refuse(request.Request.Id, ResultCode::HistoryLost, "", now);
-  request.Tried = {instance};
+  request.Tried.insert(instance);
   Context.retryOrRefuse(request, ResultCode::NoInstanceFreshEnough, now);
 }
 
@@ -149,7 +162,7 @@
   if (request == nullptr)
     return;
   Context.note(*request, {NoteKind::InstanceLost, instance, {}, ""}, now);
-  request->Tried = {instance};
+  request->Tried.insert(instance);
   Context.retryOrRefuse(*request, ResultCode::UpstreamLost, now);
 }
 
--- a/src/request/internal/ReadFlow.h
+++ b/src/request/internal/ReadFlow.h
@@ -23,6 +23,7 @@
 
 private:
   routing::ReadNeed needOf(const ActiveRequest &request) const;
+  void waitForChange(ActiveRequest &request, ResultCode why, TimePoint now);
   void sendTo(ActiveRequest &request, const InstanceId &instance,
               TimePoint now);
   void judge(ActiveRequest &request, const InstanceId &instance,
--- /dev/null
+++ b/src/request/tests/SessionScript.h
@@ -0,0 +1,87 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Runs a whole session from text: events in, effects out.
+///
+/// Lines of a script (times in milliseconds, positions as TERM:OFFSET):
+///   instance NAME HALL          before all else
+///   acknowledge primary         instead of a majority
+///   state NAME ROLE TERM POS [HISTORY]   what NAME says of itself from now on
+///   silent NAME on|off          its answers to questions stay away
+///   at MS                       lets time pass up to then
+///   read ID max_age=N|- marks=M SQL
+///   write ID key=K|- marks=M SQL
+///   begin ID | statement ID TX SEQ SQL | commit ID TX SEQ | rollback ID TX
+///   reply BATCH ok [VALUE]      every step goes well; a look-up of a key
+///                               finds VALUE, as DIGEST/RESULT or same/RESULT
+///   reply BATCH fail STEP STATE the step fails, those after it are skipped
+///   again BATCH                 the same answer once more
+///   lose BATCH                  its connection is lost
+///   leaving NAME on|off | stop
+/// Lines that begin with ">" are effects; questions about instances and the
+/// opening of connections are left out.
+
+#ifndef STEPLEDGE_REQUEST_TESTS_SESSIONSCRIPT_H
+#define STEPLEDGE_REQUEST_TESTS_SESSIONSCRIPT_H
+
+#include "request/IRequestCoordinator.h"
+#include "routing/types/Observation.h"
+#include "settings/types/Settings.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace stepledge::request {
+
+class SessionScript {
+public:
+  /// Runs \p script and returns it with its effects in place.
+  std::string run(const std::string &script);
+
+private:
+  using Words = std::vector<std::string>;
+
+  struct SentBatch {
+    ConnectionId Connection;
+    upstream::Batch Work;
+    upstream::BatchResult Answer;
+  };
+
+  void line(const std::string &text);
+  void command(const Words &words);
+  void advanceTo(TimePoint when);
+  void tell(const Event &event);
+  void take(const Effects &effects);
+  void show(const RunBatch &run);
+  void show(const SendAnswer &sent);
+  void arrive(const Words &words);
+  Call callOf(const Words &words) const;
+  void reply(const Words &words);
+  upstream::StepResult stepAnswer(const std::string &sql,
+                                  const InstanceId &instance,
+                                  const std::string &value) const;
+  std::string restOf(const Words &words, std::size_t from) const;
+  bool isQuestion(const upstream::Batch &batch) const;
+  void out(const std::string &text);
+
+  settings::Settings Config;
+  std::unique_ptr<IRequestCoordinator> Coordinator;
+  TimePoint Now;
+  std::map<ConnectionId, InstanceId> Connections;
+  std::map<InstanceId, routing::Observation> States;
+  std::set<InstanceId> Silent;
+  std::map<std::string, SentBatch> Batches;
+  std::map<RequestId, std::string> Names;
+  std::map<std::string, TransactionId> Transactions;
+  std::vector<Event> Soon;
+  /// What the latest key was put in with.
+  std::string LastDigest;
+  std::string Output;
+};
+
+} // namespace stepledge::request
+
+#endif // STEPLEDGE_REQUEST_TESTS_SESSIONSCRIPT_H
--- a/src/routing/ReadRouter.cpp
+++ b/src/routing/ReadRouter.cpp
@@ -11,6 +11,8 @@
 
 /// Health below which an instance is left out while another one will do.
 constexpr double EjectedBelow = 0.1;
+/// A replica seen behind is not expected to have caught up any sooner.
+constexpr Duration LeastCatchUp = milliseconds(1);
 
 Duration costOf(const InstanceLoad &load, double health) {
   const auto waiting = load.ServiceTime * (load.InFlight + 1);
@@ -114,7 +116,10 @@
             {}};
   const auto newest = std::max_element(need.Marks.begin(), need.Marks.end());
   const auto reached = view.reachedAt(*newest).value_or(now);
-  const auto caughtUp = reached + state.Lag + state.Lag / 4;
+  // NOTE: It was behind when last asked, whatever its usual lag says.
+  const auto usual = reached + state.Lag + state.Lag / 4;
+  const auto caughtUp =
+      std::max(usual, state.AskedAt + state.Lag / 4 + LeastCatchUp);
   if (caughtUp <= now)
     return {Verdict::Eligible, {}};
   return {Verdict::Behind, caughtUp};
