Give Asio a descriptor of its own for libpq's socket

Cause: a process test hung for ten minutes on a stand-in that left 32 bytes unread. libpq closes its socket when it fails; the system gave the number to an accepted socket; destroying the old connection then took that one out of the event loop. Ruled out: the stand-in's message loop, SQLite's locks, the slot gate. The daemon could have lost a connection the same way. Change: Asio waits on a duplicate, made anew at each step of the opening.

--- a/src/upstream/internal/PgConnection.cpp
+++ b/src/upstream/internal/PgConnection.cpp
@@ -7,6 +7,8 @@
 
 #include <asio/post.hpp>
 
+#include <unistd.h>
+
 #include <utility>
 
 namespace stepledge::upstream {
@@ -51,12 +53,7 @@
   pollConnect(PGRES_POLLING_WRITING);
 }
 
-PgConnection::~PgConnection() {
-  Life->Alive = false;
-  // NOTE: libpq closes the socket, so Asio must let go of it first.
-  if (Socket.is_open())
-    Socket.release();
-}
+PgConnection::~PgConnection() { Life->Alive = false; }
 
 template <typename Handler>
 void PgConnection::wait(bool forWrite, Handler handler) {
@@ -72,13 +69,16 @@
 }
 
 void PgConnection::adoptSocket() {
-  const int fd = PQsocket(Connection.get());
-  if (Socket.is_open() && Socket.native_handle() == fd)
-    return;
-  if (Socket.is_open())
-    Socket.release();
+  // NOTE: libpq closes its socket by itself when it fails, and the system
+  // gives the number to another one. Asio would then let go of that one
+  // instead. So Asio has a descriptor of its own, made anew at each step of
+  // the opening, in which libpq may change its socket too.
   asio::error_code ec;
-  Socket.assign(fd, ec);
+  if (Socket.is_open())
+    Socket.close(ec);
+  const int fd = dup(PQsocket(Connection.get()));
+  if (fd >= 0)
+    Socket.assign(fd, ec);
 }
 
 void PgConnection::pollConnect(PostgresPollingStatusType next) {
