Replace a lost primary without a control group

Cause: no outside party orders a promotion, and until now nobody did. Change: failover, a driver that any VM may run: suspect a silent primary, ask the other halls, fence a majority at a new term, promote the furthest of it (term before position), let the others follow. Each VM gives out only terms that leave its own number as remainder, so two drivers can't promote two instances in one term, and a driver that dies leaves nothing that another can't read from the instances. Weighed against a leader of a control group: that needs a second majority to be up, and adds nothing to safety, which the instances' promises carry. Before: writes stopped for good when the primary was killed.

--- a/src/base/ResultTable.cpp
+++ b/src/base/ResultTable.cpp
@@ -129,6 +129,9 @@
      "A connection to the instance could not be opened."},
     {ConnectionClosed, "connection-closed", Unknown, 502,
      "The connection to the instance was closed while in use."},
+    {ReplacementGivenUp, "replacement-given-up", NotRun, 503,
+     "The replacement got no further; the primary came back, another VM went "
+     "on, or no majority was in reach."},
 });
 
 constexpr auto ClassNames = std::to_array<NameEntry<ResultClass>>({
--- a/src/base/types/ResultCode.h
+++ b/src/base/types/ResultCode.h
@@ -76,6 +76,9 @@
   // 1800: upstream
   ConnectFailed = 1800,
   ConnectionClosed = 1801,
+
+  // 1900: failover
+  ReplacementGivenUp = 1900,
 };
 
 /// What a result says of the request's effect.
--- a/src/bench/internal/Cluster.cpp
+++ b/src/bench/internal/Cluster.cpp
@@ -186,7 +186,8 @@
 void Cluster::writeSettings(Index vm) {
   const auto &self = Vms[vm];
   std::ofstream out(self.SettingsPath);
-  out << "[vm]\nid = \"" << self.Name << "\"\nhall = \"" << self.Hall
+  out << "[vm]\nnumber = " << vm + 1 << "\nid = \"" << self.Name
+      << "\"\nhall = \"" << self.Hall
       << "\"\ncallers = \"127.0.0.1:" << self.Callers
       << "\"\nmesh = \"127.0.0.1:" << self.Mesh << "\"\ndata_folder = \""
       << Places.Folder << "/" << self.Name << "\"\nlog_level = \""
@@ -194,7 +195,8 @@
   for (const auto &it : Vms)
     if (it.Name != self.Name)
       out << "[[peers]]\nvm = \"" << it.Name << "\"\nhall = \"" << it.Hall
-          << "\"\nmesh = \"127.0.0.1:" << it.Mesh << "\"\n";
+          << "\"\nnumber = " << 1 + (&it - Vms.data())
+          << "\nmesh = \"127.0.0.1:" << it.Mesh << "\"\n";
   out << "[[session_keys]]\nid = 1\nsecret_hex = \"" << SessionSecret << "\"\n";
   for (const auto &it : Plan.Groups)
     out << groupSettings(it);
--- a/src/bench/tests/ProcessTest.cpp
+++ b/src/bench/tests/ProcessTest.cpp
@@ -162,12 +162,11 @@
   };
   waitFor(30);
   cluster.instance("bookings-1").kill();
-  const auto primary = cluster.replacePrimary("bookings", 2, "bookings-1");
+  // The VMs replace it by themselves.
   const int before = acknowledged;
   waitFor(before + 30);
   stop = true;
   writer.join();
-  CHECK_FALSE(primary.empty());
   CHECK(acknowledged >= before + 30);
   CallerClient reader(cluster.callers(2));
   const auto reply = readUntilRan(reader, "SELECT slot FROM booking");
--- a/src/daemon/internal/RequestService.cpp
+++ b/src/daemon/internal/RequestService.cpp
@@ -118,7 +118,10 @@
       Self.answer(it.Answer);
     }
     void operator()(const request::RecordDecision &it) const {
-      Self.Seen.Journal.add(it.Record);
+      Self.record(it.Record);
+    }
+    void operator()(const request::AskOtherHalls &it) const {
+      Self.askOtherHalls(it);
     }
   };
   for (const auto &it : effects)
@@ -252,6 +255,13 @@
                               const mesh::wire::Envelope &envelope) {
   if (envelope.has_forward_call())
     return serveForwarded(from, envelope);
+  if (envelope.has_silence_call())
+    return answerSilence(from, envelope.silence_call());
+  if (envelope.has_silence_answer()) {
+    const auto &said = envelope.silence_answer();
+    return tell(request::PeerOpinion{DatabaseId(said.database()), from,
+                                     Term{said.term()}, said.is_silent()});
+  }
   if (envelope.has_explain_call()) {
     mesh::wire::Envelope reply;
     reply.set_number(envelope.number());
@@ -282,6 +292,37 @@
   answer(back);
 }
 
+void RequestService::record(const request::DecisionRecord &record) {
+  if (record.Kind == "replacement")
+    for (const auto &it : request::describe(record))
+      Seen.Log.warning(Part::Request,
+                       absl::StrCat(record.Database.str(), ": ", it));
+  Seen.Journal.add(record);
+}
+
+void RequestService::askOtherHalls(const request::AskOtherHalls &question) {
+  mesh::wire::Envelope envelope;
+  auto *call = envelope.mutable_silence_call();
+  call->set_database(question.Database.str());
+  call->set_term(question.Current.Number);
+  for (const auto &it : Config.Peers)
+    if (it.Hall != Config.Hall && Mesh != nullptr)
+      Mesh->send(it.Vm, envelope);
+}
+
+void RequestService::answerSilence(const VmId &from,
+                                   const mesh::wire::SilenceCall &call) {
+  mesh::wire::Envelope reply;
+  auto *said = reply.mutable_silence_answer();
+  said->set_database(call.database());
+  said->set_term(call.term());
+  said->set_is_silent(Coordinator &&
+                      Coordinator->isPrimarySilent(DatabaseId(call.database()),
+                                                   monotonicNow()));
+  if (Mesh != nullptr)
+    Mesh->send(from, reply);
+}
+
 void RequestService::serveForwarded(const VmId &from,
                                     const mesh::wire::Envelope &envelope) {
   const auto &call = envelope.forward_call();
--- a/src/daemon/internal/RequestService.h
+++ b/src/daemon/internal/RequestService.h
@@ -68,6 +68,9 @@
   void tell(const request::Event &event);
   void apply(const request::Effects &effects);
   void answer(const request::CallerAnswer &answer);
+  void record(const request::DecisionRecord &record);
+  void askOtherHalls(const request::AskOtherHalls &question);
+  void answerSilence(const VmId &from, const mesh::wire::SilenceCall &call);
   RequestId keep(const request::CallerRequest &request, Done done,
                  const std::optional<observe::TraceContext> &trace);
   bool belongsElsewhere(const request::CallerRequest &request) const;
--- a/src/request/DecisionText.cpp
+++ b/src/request/DecisionText.cpp
@@ -39,6 +39,13 @@
     {MajorityHolds, "A majority of the instances held #."},
     {Discarded, "The primary was replaced, and the new one's log lacks #."},
     {DeadlinePassed, "The deadline passed."},
+    {PrimarySuspected, "@ had been silent for too long, so the VMs in other "
+                       "halls were asked whether they hear it."},
+    {FencingMajority, "They don't; a majority of the instances was told to "
+                      "promise a new term."},
+    {PromotingFurthest, "A majority promised; the one with the furthest log "
+                        "was told to become primary."},
+    {ReplacementEnded, "It ended; the primary is @, at #."},
 });
 
 std::string markText(Mark mark) {
--- a/src/request/IRequestCoordinator.h
+++ b/src/request/IRequestCoordinator.h
@@ -27,6 +27,11 @@
   /// Requests and transactions not yet finished.
   virtual std::size_t openWork() const = 0;
 
+  /// Whether no primary of \p database has been heard of lately; for another
+  /// VM's question.
+  virtual bool isPrimarySilent(const DatabaseId &database,
+                               TimePoint now) const = 0;
+
   /// Whether every database's configuration is known and a read or a write
   /// can be served; for the balancer's question.
   virtual bool isServing(TimePoint now) const = 0;
--- a/src/request/internal/DatabaseCoordinator.cpp
+++ b/src/request/internal/DatabaseCoordinator.cpp
@@ -60,7 +60,8 @@
     const settings::Settings &common, ProcessCounters &counters,
     routing::Random &chance)
     : Context(database, common, counters, chance), Observing(Context),
-      Reads(Context), Writes(Context), Transactions(Context, Writes) {}
+      Replacing(Context, Observing), Reads(Context), Writes(Context),
+      Transactions(Context, Writes) {}
 
 Effects DatabaseCoordinator::takeEffects() {
   return std::exchange(Context.Out, {});
@@ -292,9 +293,15 @@
   }
 }
 
+// Answers wait for a majority, or writes for a new primary.
+bool DatabaseCoordinator::isEager() const {
+  return Writes.hasWaiters() || Replacing.isEager();
+}
+
 void DatabaseCoordinator::advance(TimePoint now) {
-  for (const auto &it : Observing.tick(Writes.hasWaiters(), now))
+  for (const auto &it : Observing.tick(isEager(), now))
     loseInstance(it, now);
+  Replacing.tick(now);
   Writes.settle(now);
   expireQueued(now);
   expireSent(now);
@@ -304,7 +311,7 @@
 }
 
 std::optional<TimePoint> DatabaseCoordinator::nextWake(TimePoint now) const {
-  auto next = Observing.nextWake(Writes.hasWaiters(), now);
+  auto next = Observing.nextWake(isEager(), now);
   if (const auto limit = Transactions.nextLimit())
     next = std::min(next, *limit);
   for (const auto &[id, it] : Context.Requests) {
--- a/src/request/internal/DatabaseCoordinator.h
+++ b/src/request/internal/DatabaseCoordinator.h
@@ -9,6 +9,7 @@
 #include "request/internal/DatabaseContext.h"
 #include "request/internal/ObserveFlow.h"
 #include "request/internal/ReadFlow.h"
+#include "request/internal/ReplacementFlow.h"
 #include "request/internal/TransactionFlow.h"
 #include "request/internal/WriteFlow.h"
 
@@ -30,6 +31,9 @@
   void stop() { Context.Stopping = true; }
   void setLeaving(const InstanceId &instance, bool leaving);
 
+  void peerSaid(const PeerOpinion &opinion) { Replacing.peerSaid(opinion); }
+  bool isPrimarySilent(TimePoint now) const { return Replacing.isSilent(now); }
+
   /// Does whatever is due; to be called after each event.
   void advance(TimePoint now);
   Effects takeEffects();
@@ -38,6 +42,7 @@
   bool isServing(TimePoint now) const;
 
 private:
+  bool isEager() const;
   bool accept(ActiveRequest &request, TimePoint now);
   bool start(ActiveRequest &request, TimePoint now);
   void pump(TimePoint now);
@@ -49,6 +54,7 @@
 
   DatabaseContext Context;
   ObserveFlow Observing;
+  ReplacementFlow Replacing;
   ReadFlow Reads;
   WriteFlow Writes;
   TransactionFlow Transactions;
--- a/src/request/internal/ObserveFlow.cpp
+++ b/src/request/internal/ObserveFlow.cpp
@@ -53,6 +53,21 @@
                {{Context.Common.Dialect.Observe, {}, true}}, now);
 }
 
+void ObserveFlow::order(const InstanceId &instance, upstream::Step step,
+                        TimePoint now) {
+  auto &monitor = Monitors[instance];
+  if (!monitor.Connection || monitor.Waiting)
+    return;
+  monitor.Waiting = true;
+  monitor.Since = now;
+  // NOTE: A transaction of its own, so that the question is answered whatever
+  // becomes of the order.
+  step.SyncAfter = true;
+  Context.send(*monitor.Connection, ObserveWork{},
+               {std::move(step), {Context.Common.Dialect.Observe, {}, true}},
+               now);
+}
+
 void ObserveFlow::opened(ConnectionId connection, TimePoint now) {
   for (auto &[instance, monitor] : Monitors)
     if (monitor.Connection == connection)
@@ -65,7 +80,7 @@
   if (monitor.Connection == connection)
     monitor.Waiting = false;
   if (!result.Steps.empty())
-    if (const auto seen = readObservation(result.Steps.front())) {
+    if (const auto seen = readObservation(result.Steps.back())) {
       Context.View.observe(running.Instance, *seen, running.SentAt, now);
       Context.View.noteSuccess(running.Instance);
     }
--- a/src/request/internal/ObserveFlow.h
+++ b/src/request/internal/ObserveFlow.h
@@ -23,6 +23,9 @@
   /// instances that have not answered for too long.
   std::vector<InstanceId> tick(bool eager, TimePoint now);
   void opened(ConnectionId connection, TimePoint now);
+  /// Sends \p step to \p instance with the next question, at once if none is
+  /// under way; else it is dropped, to be given again.
+  void order(const InstanceId &instance, upstream::Step step, TimePoint now);
   void finished(const RunningWork &running, ConnectionId connection,
                 const upstream::BatchResult &result, TimePoint now);
   /// A monitoring connection was lost or could not be opened.
--- /dev/null
+++ b/src/request/internal/ReplacementFlow.h
@@ -0,0 +1,43 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Replacement of the primary: hands the driver's orders to the
+/// instances and the other VMs, and records what was done.
+
+#ifndef STEPLEDGE_REQUEST_INTERNAL_REPLACEMENTFLOW_H
+#define STEPLEDGE_REQUEST_INTERNAL_REPLACEMENTFLOW_H
+
+#include "failover/ReplacementDriver.h"
+#include "request/internal/DatabaseContext.h"
+#include "request/internal/ObserveFlow.h"
+
+namespace stepledge::request {
+
+class ReplacementFlow {
+public:
+  ReplacementFlow(DatabaseContext &context, ObserveFlow &observing);
+
+  void tick(TimePoint now);
+  void peerSaid(const PeerOpinion &opinion);
+  bool isSilent(TimePoint now) const {
+    return Driver.isSilent(Context.View, now);
+  }
+  bool isEager() const { return Driver.isEager(); }
+
+private:
+  void give(const failover::FenceInstance &order, TimePoint now);
+  void give(const failover::PromoteInstance &order, TimePoint now);
+  void give(const failover::FollowPrimary &order, TimePoint now);
+  void give(const failover::AskPeers &order, TimePoint now);
+  void note(failover::ReplacementStage before, TimePoint now);
+
+  DatabaseContext &Context;
+  ObserveFlow &Observing;
+  failover::ReplacementDriver Driver;
+  DecisionRecord Record;
+  TimePoint BegunAt;
+};
+
+} // namespace stepledge::request
+
+#endif // STEPLEDGE_REQUEST_INTERNAL_REPLACEMENTFLOW_H
--- a/src/request/internal/RequestCoordinator.cpp
+++ b/src/request/internal/RequestCoordinator.cpp
@@ -109,6 +109,13 @@
       found->second->setLeaving(it.Instance, it.Leaving);
       Self.collect(*found->second, Now, Out);
     }
+    void operator()(const PeerOpinion &it) const {
+      const auto found = Self.Databases.find(it.Database);
+      if (found == Self.Databases.end())
+        return;
+      found->second->peerSaid(it);
+      Self.collect(*found->second, Now, Out);
+    }
   };
   LastNow = now;
   Effects out;
@@ -131,6 +138,12 @@
   return n;
 }
 
+bool RequestCoordinator::isPrimarySilent(const DatabaseId &database,
+                                         TimePoint now) const {
+  const auto it = Databases.find(database);
+  return it != Databases.end() && it->second->isPrimarySilent(now);
+}
+
 bool RequestCoordinator::isServing(TimePoint now) const {
   return std::all_of(Databases.begin(), Databases.end(), [now](const auto &it) {
     return it.second->isServing(now);
--- a/src/request/internal/RequestCoordinator.h
+++ b/src/request/internal/RequestCoordinator.h
@@ -23,6 +23,8 @@
   Effects onEvent(const Event &event, TimePoint now) override;
   std::optional<TimePoint> nextWake() const override;
   std::size_t openWork() const override;
+  bool isPrimarySilent(const DatabaseId &database,
+                       TimePoint now) const override;
   bool isServing(TimePoint now) const override;
 
 private:
--- a/src/request/tests/DifferentialTest.cpp
+++ b/src/request/tests/DifferentialTest.cpp
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace stepledge;
@@ -115,6 +116,7 @@
     answered(it.Answer);
   }
   void apply(const RecordDecision &) {}
+  void apply(const AskOtherHalls &) {}
 
   FakeGroup &Group;
   std::uint64_t Base;
@@ -294,9 +296,16 @@
 
 } // namespace
 
+// The same schedules every time, unless others are asked for.
+void fixSeed() { setenv("RC_PARAMS", "seed=20261202 max_success=150", 0); }
+
 // Seeds that once broke a promise.
 TEST_CASE("Differential_SeedsOfOld") {
-  const bool holds = rc::check("old failures stay mended", [] {
+  fixSeed();
+  bool isDone = false;
+  const bool holds = rc::check("old failures stay mended", [&isDone] {
+    if (std::exchange(isDone, true))
+      return;
     for (const auto seed :
          {0ULL, 303847ULL, 14113ULL, 17166794928746ULL, 65073808766934965ULL})
       Trial(seed).run();
@@ -305,7 +314,7 @@
 }
 
 TEST_CASE("Differential_SessionsAgainstASingleCopy") {
-  setenv("RC_PARAMS", "seed=20261202 max_success=150", 0);
+  fixSeed();
   const bool holds = rc::check("promises hold under any schedule",
                                [](std::uint64_t seed) { Trial(seed).run(); });
   CHECK(holds);
--- a/src/request/types/DecisionRecord.h
+++ b/src/request/types/DecisionRecord.h
@@ -38,6 +38,10 @@
   MajorityHolds,
   Discarded,
   DeadlinePassed,
+  PrimarySuspected,
+  FencingMajority,
+  PromotingFurthest,
+  ReplacementEnded,
 };
 
 /// One step, with what it was about where that applies.
--- a/src/request/types/Events.h
+++ b/src/request/types/Events.h
@@ -49,9 +49,17 @@
   bool Leaving = true;
 };
 
-using Event =
-    std::variant<RequestArrived, ConnectionOpened, ConnectionLost,
-                 BatchFinished, TimePassed, StopRequested, InstanceLeaving>;
+/// Another VM says whether it hears the primary of that term.
+struct PeerOpinion {
+  DatabaseId Database;
+  VmId Peer;
+  Term Current;
+  bool IsSilent = false;
+};
+
+using Event = std::variant<RequestArrived, ConnectionOpened, ConnectionLost,
+                           BatchFinished, TimePassed, StopRequested,
+                           InstanceLeaving, PeerOpinion>;
 
 struct OpenConnection {
   ConnectionId Connection;
@@ -79,8 +87,14 @@
   DecisionRecord Record;
 };
 
+/// Ask the VMs in other halls whether they hear the primary of that term.
+struct AskOtherHalls {
+  DatabaseId Database;
+  Term Current;
+};
+
 using Effect = std::variant<OpenConnection, CloseConnection, RunBatch,
-                            SendAnswer, RecordDecision>;
+                            SendAnswer, RecordDecision, AskOtherHalls>;
 using Effects = std::vector<Effect>;
 
 } // namespace stepledge::request
--- a/src/settings/SettingsModule.cpp
+++ b/src/settings/SettingsModule.cpp
@@ -20,6 +20,7 @@
 
 constexpr std::size_t SecretBytes = 32;
 constexpr Range AnyTime{1, 3600000};
+constexpr Range VmNumbers{0, 4095};
 
 constexpr auto AcknowledgeNames = std::to_array<NameEntry<AcknowledgeMode>>({
     {AcknowledgeMode::Majority, "majority"},
@@ -97,6 +98,7 @@
 void readVm(TableReader &reader, Settings &out) {
   reader.requiredId("id", out.Vm);
   reader.requiredId("hall", out.Hall);
+  reader.optionalNumber("number", VmNumbers, out.VmNumber);
   reader.requiredEndpoint("callers", out.Callers);
   reader.optionalEndpoint("mesh", out.Mesh);
   reader.optional("data_folder", out.DataFolder);
@@ -149,6 +151,23 @@
     reader.fault("silence_ms", "must be at least twice observe_ms");
 }
 
+// NOTE: Two VMs with one number could promote two instances in one term.
+bool isNumberTaken(const Settings &settings, std::uint64_t number) {
+  if (number == 0)
+    return false;
+  return number == settings.VmNumber ||
+         std::any_of(
+             settings.Peers.begin(), settings.Peers.end(),
+             [number](const PeerSettings &it) { return it.Number == number; });
+}
+
+void readFailover(TableReader &reader, FailoverSettings &out) {
+  reader.optional("enabled", out.Enabled);
+  reader.optional("suspect_ms", AnyTime, out.Suspect);
+  reader.optional("stagger_ms", Range{0, 60000}, out.Stagger);
+  reader.optional("rest_ms", Range{0, 3600000}, out.Rest);
+}
+
 void readAll(TableReader &reader, Settings &out) {
   bool hasVm = false;
   reader.table("vm", [&](TableReader &inner) {
@@ -162,6 +181,9 @@
     inner.requiredId("vm", peer.Vm);
     inner.requiredId("hall", peer.Hall);
     inner.requiredEndpoint("mesh", peer.Mesh);
+    inner.optionalNumber("number", VmNumbers, peer.Number);
+    if (isNumberTaken(out, peer.Number))
+      inner.fault("number", "is another VM's");
     out.Peers.push_back(std::move(peer));
   });
   reader.tables("session_keys",
@@ -178,6 +200,8 @@
     reader.fault("databases", "at least one is needed");
   reader.table("dialect",
                [&](TableReader &inner) { readDialect(inner, out.Dialect); });
+  reader.table("failover",
+               [&](TableReader &inner) { readFailover(inner, out.Failover); });
   reader.table("limits",
                [&](TableReader &inner) { readLimits(inner, out.Limits); });
   reader.table("timing",
--- a/src/settings/internal/TableReader.cpp
+++ b/src/settings/internal/TableReader.cpp
@@ -71,6 +71,16 @@
     fault(key, "must be a number from 0 to 1");
 }
 
+void TableReader::optional(std::string_view key, bool &out) {
+  const auto *node = find(key);
+  if (node == nullptr)
+    return;
+  if (const auto value = node->value_exact<bool>())
+    out = *value;
+  else
+    fault(key, "must be true or false");
+}
+
 void TableReader::optional(std::string_view key, Range range,
                            std::int64_t &out) {
   const auto *node = find(key);
--- a/src/settings/internal/TableReader.h
+++ b/src/settings/internal/TableReader.h
@@ -37,6 +37,7 @@
   void required(std::string_view key, std::string &out);
   void optional(std::string_view key, std::string &out);
   void optional(std::string_view key, double &out);
+  void optional(std::string_view key, bool &out);
   void optional(std::string_view key, Range range, std::int64_t &out);
   /// A whole number of milliseconds.
   void optional(std::string_view key, Range range, Duration &out);
--- a/src/settings/types/Settings.h
+++ b/src/settings/types/Settings.h
@@ -127,10 +127,25 @@
   VmId Vm;
   HallId Hall;
   Endpoint Mesh;
+  /// As VmNumber below, of that VM.
+  std::uint64_t Number = 0;
+};
+
+struct FailoverSettings {
+  bool Enabled = true;
+  /// A primary silent for this long is suspected.
+  Duration Suspect = milliseconds(250);
+  /// VMs act one after another by this much, so that usually one does.
+  Duration Stagger = milliseconds(60);
+  /// After a replacement, before this VM begins the next one.
+  Duration Rest = milliseconds(3000);
 };
 
 struct Settings {
   VmId Vm;
+  /// This VM's own among all VMs, from 1; it gives out the terms that leave
+  /// it as remainder. 0: the VM never replaces a primary.
+  std::uint64_t VmNumber = 0;
   HallId Hall;
   std::string DataFolder;
   Endpoint Callers;
@@ -142,6 +157,7 @@
   std::map<HallId, Duration> Distances;
   std::vector<DatabaseSettings> Databases;
   DialectSettings Dialect;
+  FailoverSettings Failover;
   LimitSettings Limits;
   TimingSettings Timing;
   std::string LogLevel = "info";
