Let proxies race to replace the primary in the seeded schedules

Cause: two drivers, or one that dies, must not split a group. Change: the fake group takes fences, promotions and follows; primaries are cut off in silence; a fifth of the questions between halls is lost.

--- a/src/request/tests/DifferentialTest.cpp
+++ b/src/request/tests/DifferentialTest.cpp
@@ -32,8 +32,28 @@
 constexpr int Rounds = 40;
 const DatabaseId Database("bookings");
 
-settings::Settings settingsOf(int proxy) {
+void addPeers(int proxy, settings::Settings &out) {
+  out.VmNumber = static_cast<std::uint64_t>(proxy) + 1;
+  out.Hall = HallId("hall" + std::to_string(proxy));
+  // Short, so that drivers meet often.
+  out.Failover.Suspect = milliseconds(40);
+  out.Failover.Stagger = milliseconds(5);
+  out.Failover.Rest = milliseconds(50);
+  for (int n = 0; n < Proxies; ++n)
+    if (n != proxy)
+      out.Peers.push_back({VmId("vm" + std::to_string(n)),
+                           HallId("hall" + std::to_string(n)),
+                           {},
+                           static_cast<std::uint64_t>(n) + 1});
+}
+
+/// Who replaces a lost primary.
+enum class Replacing { Operators, Proxies };
+
+settings::Settings settingsOf(int proxy, Replacing replacing) {
   settings::Settings out;
+  if (replacing == Replacing::Proxies)
+    addPeers(proxy, out);
   out.Vm = VmId("vm" + std::to_string(proxy));
   settings::DatabaseSettings database;
   database.Id = Database;
@@ -51,13 +71,22 @@
 public:
   using Answered = std::function<void(const CallerAnswer &answer)>;
 
-  Proxy(FakeGroup &group, int number, std::uint64_t seed)
-      : Group(group), Base(static_cast<std::uint64_t>(number) << 32),
-        Coordinator(
-            makeRequestCoordinator(settingsOf(number), seed, group.now())) {
+  using Asked = std::function<void(int number, const AskOtherHalls &question)>;
+
+  Proxy(FakeGroup &group, int number, std::uint64_t seed, Replacing replacing,
+        Asked asked)
+      : Group(group), Number(number),
+        Base(static_cast<std::uint64_t>(number) << 32), Ask(std::move(asked)),
+        Coordinator(makeRequestCoordinator(settingsOf(number, replacing), seed,
+                                           group.now())) {
     tell(TimePassed{});
   }
 
+  bool isSilent() const {
+    return Coordinator->isPrimarySilent(Database, Group.now());
+  }
+  void hear(const PeerOpinion &opinion) { tell(opinion); }
+
   void submit(CallerRequest request, Answered answered) {
     request.Id = RequestId{++Requests};
     Waiting[request.Id] = std::move(answered);
@@ -116,10 +145,12 @@
     answered(it.Answer);
   }
   void apply(const RecordDecision &) {}
-  void apply(const AskOtherHalls &) {}
+  void apply(const AskOtherHalls &it) { Ask(Number, it); }
 
   FakeGroup &Group;
+  int Number;
   std::uint64_t Base;
+  Asked Ask;
   std::unique_ptr<IRequestCoordinator> Coordinator;
   std::map<RequestId, Answered> Waiting;
   std::map<ConnectionId, int> Instances;
@@ -167,14 +198,17 @@
 
 class Trial {
 public:
-  explicit Trial(std::uint64_t seed)
-      : Random(seed), Group(seed ^ 0x5eed, settings::DialectSettings{}) {
+  explicit Trial(std::uint64_t seed, Replacing by = Replacing::Operators)
+      : By(by), Random(seed),
+        Group(seed ^ 0x5eed, settings::DialectSettings{}) {
     Group.FaultPercent = static_cast<int>(Random() % 4);
     for (int n = 1; n < 3; ++n)
       if (Random() % 2 == 0)
         Group.instance(n).Lag = milliseconds(1);
     for (int n = 0; n < Proxies; ++n)
-      All.push_back(std::make_unique<Proxy>(Group, n, seed + 1));
+      All.push_back(std::make_unique<Proxy>(
+          Group, n, seed + 1, by,
+          [this](int asker, const AskOtherHalls &it) { ask(asker, it); }));
     for (int n = 0; n < Sessions; ++n) {
       Session it;
       it.Name = "s" + std::to_string(n);
@@ -189,7 +223,7 @@
         if (!it.Busy && Random() % 3 != 0)
           act(it);
       if (Random() % 12 == 0)
-        Group.replacePrimary();
+        losePrimary();
       if (Random() % 8 == 0)
         Group.heal();
       Group.runUntil(Group.now() + milliseconds(15));
@@ -200,6 +234,30 @@
   }
 
 private:
+  void losePrimary() {
+    if (By == Replacing::Operators)
+      return Group.replacePrimary();
+    const int primary = Group.newestPrimary();
+    if (primary >= 0)
+      Group.isolate(primary);
+  }
+
+  void ask(int asker, const AskOtherHalls &question) {
+    for (int n = 0; n < Proxies; ++n) {
+      if (n == asker || Group.chance(20))
+        continue;
+      Group.after(Group.upTo(3000), [this, asker, n, question] {
+        const bool isSilent = All[static_cast<std::size_t>(n)]->isSilent();
+        const PeerOpinion opinion{question.Database,
+                                  VmId("vm" + std::to_string(n)),
+                                  question.Current, isSilent};
+        Group.after(Group.upTo(3000), [this, asker, opinion] {
+          All[static_cast<std::size_t>(asker)]->hear(opinion);
+        });
+      });
+    }
+  }
+
   void act(Session &it) {
     CallerRequest request;
     request.Database = Database;
@@ -287,6 +345,7 @@
     RC_ASSERT(answered > 0);
   }
 
+  Replacing By;
   std::mt19937_64 Random;
   FakeGroup Group;
   std::vector<std::unique_ptr<Proxy>> All;
@@ -319,3 +378,12 @@
                                [](std::uint64_t seed) { Trial(seed).run(); });
   CHECK(holds);
 }
+
+// The same, with the proxies replacing lost primaries, all at once at times.
+TEST_CASE("Differential_ProxiesReplaceThePrimary") {
+  fixSeed();
+  const bool holds = rc::check(
+      "promises hold while proxies race to replace the primary",
+      [](std::uint64_t seed) { Trial(seed, Replacing::Proxies).run(); });
+  CHECK(holds);
+}
--- a/src/request/tests/FakeGroup.cpp
+++ b/src/request/tests/FakeGroup.cpp
@@ -105,6 +105,8 @@
   const bool isLostOnTheWayBack = chance(FaultPercent);
   const bool isDoubled = chance(FaultPercent);
   after(upTo(NetworkMicroseconds), [=, this] {
+    if (Instances[Index(instance)].Isolated)
+      return;
     if (isLostOnTheWay) {
       forget(connection);
       return lost();
@@ -114,6 +116,8 @@
       return run(connection, instance, batch, done, lost);
     const auto result = execute(connection, instance, batch);
     after(upTo(NetworkMicroseconds), [=, this] {
+      if (Instances[Index(instance)].Isolated)
+        return;
       if (isLostOnTheWayBack) {
         forget(connection);
         return lost();
@@ -187,6 +191,9 @@
                ? ok()
                : oneRow({"digest", "result"}, {entry->Digest, entry->Result});
   }
+  if (step.Sql == Dialect.Fence || step.Sql == Dialect.Promote ||
+      step.Sql == Dialect.Follow)
+    return control(it, step);
   const std::vector<std::string> words = absl::StrSplit(step.Sql, ' ');
   if (words[0] == "PUT") {
     if (it.Role != "primary")
@@ -204,6 +211,27 @@
   return oneRow({"value"}, {std::to_string(value)});
 }
 
+StepResult FakeGroup::control(FakeInstance &it, const upstream::Step &step) {
+  std::uint64_t term = 0;
+  (void)absl::SimpleAtoi(step.Parameters.back().value_or(""), &term);
+  if (step.Sql == Dialect.Fence && term > it.Promised) {
+    it.Promised = term;
+    it.Role = "fenced";
+    it.Following = -1;
+  } else if (step.Sql == Dialect.Promote && term == it.Promised &&
+             it.Role != "primary") {
+    it.Role = "primary";
+    it.Log.push_back({term, "", 0, "", "", ""});
+    it.Applied = it.Log.size();
+  } else if (step.Sql == Dialect.Follow && term >= it.Promised) {
+    it.Promised = term;
+    it.Role = "replica";
+    // The address of an instance is its number here.
+    it.Following = std::stoi(step.Parameters[1].value_or("0"));
+  }
+  return ok();
+}
+
 StepResult FakeGroup::insertKey(OpenTransaction &transaction,
                                 const FakeInstance &it,
                                 const upstream::Step &step) {
@@ -338,11 +366,16 @@
   });
 }
 
+void FakeGroup::isolate(int instance) {
+  Instances[Index(instance)].Isolated = true;
+  Instances[Index(instance)].CutFromGroup = true;
+}
+
 void FakeGroup::heal() {
   const int primary = newestPrimary();
   for (std::size_t n = 0; n < Instances.size(); ++n) {
     auto &it = Instances[n];
-    it.CutFromGroup = false;
+    it.CutFromGroup = it.Isolated = false;
     it.Lag = Duration{0};
     if (primary < 0 || static_cast<int>(n) == primary ||
         it.Promised > Instances[Index(primary)].Promised)
--- a/src/request/tests/FakeGroup.h
+++ b/src/request/tests/FakeGroup.h
@@ -44,6 +44,8 @@
   int Following = 0;
   /// Hears and tells nothing to the other instances.
   bool CutFromGroup = false;
+  /// Hears nothing from callers either.
+  bool Isolated = false;
   Duration Lag{0};
 
   std::uint64_t logTerm() const { return Log.empty() ? 0 : Log.back().InTerm; }
@@ -75,6 +77,9 @@
 
   /// Fences a majority at the next term and promotes the furthest of it.
   void replacePrimary();
+  /// Neither callers nor the other instances reach it; what was sent to it is
+  /// never answered.
+  void isolate(int instance);
   /// Ends cuts and lets every instance follow the newest primary.
   void heal();
   int newestPrimary() const;
@@ -112,6 +117,7 @@
                                  const upstream::Step &step);
   bool waitsForKey(std::uint64_t connection, int instance,
                    const upstream::Batch &batch) const;
+  upstream::StepResult control(FakeInstance &it, const upstream::Step &step);
   upstream::StepResult observe(const FakeInstance &it) const;
   void replicate();
   void copyFrom(const FakeInstance &primary, FakeInstance &replica);
