Measure the failover gap and the share of replica reads

Cause: the two figures that the users weigh must be known. Change: tools/bench failover and reads, with a checker that knows only what callers were told and what the database holds.

--- a/src/bench/BenchModule.h
+++ b/src/bench/BenchModule.h
@@ -7,6 +7,7 @@
 #define STEPLEDGE_BENCH_BENCHMODULE_H
 
 #include "bench/internal/Cluster.h"
+#include "bench/types/ExperimentOptions.h"
 
 #include <iosfwd>
 
@@ -16,6 +17,13 @@
 /// Returns 0 where all went as promised.
 int runDemo(const TrialPlaces &places, std::ostream &out);
 
+/// Each prints a table and, as its last line, one JSON object. Returns 0
+/// where no promise was broken.
+int runFailover(const TrialPlaces &places, const ExperimentOptions &options,
+                std::ostream &out);
+int runReads(const TrialPlaces &places, const ExperimentOptions &options,
+             std::ostream &out);
+
 } // namespace stepledge::bench
 
 #endif // STEPLEDGE_BENCH_BENCHMODULE_H
