Leave a replaced primary at once

Cause: writes under way at a lost primary waited for the silence limit of 600 ms although its successor was already seen. Change: when a new term is seen, what runs at other instances is given up; an outcome that is open is looked up at the new primary.

--- a/src/request/internal/DatabaseCoordinator.cpp
+++ b/src/request/internal/DatabaseCoordinator.cpp
@@ -188,13 +188,37 @@
                                        TimePoint now) {
   Context.View.noteFailure(instance);
   for (const auto &it : Context.Pool.of(instance)) {
-    if (Context.Pool.find(it.Id) == nullptr)
-      continue;
-    Context.Out.push_back(CloseConnection{it.Id});
-    lost(it.Id, now);
+    if (Context.Pool.find(it.Id) != nullptr)
+      loseConnection(it.Id, now);
   }
 }
 
+void DatabaseCoordinator::loseConnection(ConnectionId connection,
+                                         TimePoint now) {
+  Context.Out.push_back(CloseConnection{connection});
+  lost(connection, now);
+}
+
+// NOTE: What runs there can't be acknowledged any more. Its outcome is looked
+// up at the new primary at once, instead of when the old one is given up on.
+void DatabaseCoordinator::leaveReplacedPrimary(TimePoint now) {
+  const auto primary = Context.View.primary();
+  if (!primary || Context.View.term() == LeftBefore)
+    return;
+  if (Context.View.of(*primary).Last.LogTerm != Context.View.term())
+    return;
+  LeftBefore = Context.View.term();
+  std::vector<ConnectionId> left;
+  for (const auto &[connection, running] : Context.Running)
+    if (running.Instance != *primary &&
+        (std::holds_alternative<WriteWork>(running.What) ||
+         std::holds_alternative<TransactionWork>(running.What)))
+      left.push_back(connection);
+  for (const auto &it : left)
+    if (Context.Pool.find(it) != nullptr)
+      loseConnection(it, now);
+}
+
 void DatabaseCoordinator::finished(ConnectionId connection,
                                    const upstream::BatchResult &result,
                                    TimePoint now) {
@@ -302,6 +326,7 @@
   for (const auto &it : Observing.tick(isEager(), now))
     loseInstance(it, now);
   Replacing.tick(now);
+  leaveReplacedPrimary(now);
   Writes.settle(now);
   expireQueued(now);
   expireSent(now);
--- a/src/request/internal/DatabaseCoordinator.h
+++ b/src/request/internal/DatabaseCoordinator.h
@@ -49,10 +49,15 @@
   void expireQueued(TimePoint now);
   void expireSent(TimePoint now);
   void keepWarm(TimePoint now);
+  /// Gives up what still runs at a primary that has been replaced.
+  void leaveReplacedPrimary(TimePoint now);
+  void loseConnection(ConnectionId connection, TimePoint now);
   void loseInstance(const InstanceId &instance, TimePoint now);
   void loseWork(const RunningWork &running, TimePoint now);
 
   DatabaseContext Context;
+  /// The term in which work was last given up on older primaries.
+  Term LeftBefore;
   ObserveFlow Observing;
   ReplacementFlow Replacing;
   ReadFlow Reads;
