--- a/src/bench/BenchModule.h
+++ b/src/bench/BenchModule.h
@@ -21,6 +21,8 @@
 /// where no promise was broken.
 int runFailover(const TrialPlaces &places, const ExperimentOptions &options,
                 std::ostream &out);
+/// What one unit of state or work costs; feeds docs/CAPACITY.md.
+int runSlopes(std::ostream &out);
 int runReads(const TrialPlaces &places, const ExperimentOptions &options,
              std::ostream &out);
 
--- a/src/bench/Main.cpp
+++ b/src/bench/Main.cpp
@@ -18,6 +18,7 @@
   std::string profile = "kiln";
   auto *failover = app.add_subcommand("failover", "Lose the primary");
   auto *reads = app.add_subcommand("reads", "Browse while replicas lag");
+  auto *slopes = app.add_subcommand("slopes", "Measure costs of a unit");
   for (auto *it : {failover, reads}) {
     it->add_option("--seed", options.Seed);
     it->add_option("--profile", profile)
@@ -37,6 +38,8 @@
       return stepledge::bench::runDemo(places, std::cout);
     if (failover->parsed())
       return stepledge::bench::runFailover(places, options, std::cout);
+    if (slopes->parsed())
+      return stepledge::bench::runSlopes(std::cout);
     if (reads->parsed())
       return stepledge::bench::runReads(places, options, std::cout);
   } catch (const std::exception &failure) {
--- a/src/bench/ReadsExperiment.cpp
+++ b/src/bench/ReadsExperiment.cpp
@@ -166,6 +166,7 @@
   });
   Tally tally;
   std::vector<std::thread> callers;
+  callers.reserve(Callers);
   for (int n = 0; n < Callers; ++n)
     callers.emplace_back([&, n] {
       Caller(cluster, n, options, tally, counter).run(setUp.session());
--- a/src/bench/internal/ChildProcess.cpp
+++ b/src/bench/internal/ChildProcess.cpp
@@ -11,8 +11,6 @@
 #include <csignal>
 #include <stdexcept>
 
-extern char **environ;
-
 namespace stepledge::bench {
 
 namespace {
--- a/src/bench/tests/ProcessTest.cpp
+++ b/src/bench/tests/ProcessTest.cpp
@@ -210,6 +210,7 @@
   std::atomic<int> answered{0};
   std::atomic<int> cut{0};
   std::vector<std::thread> callers;
+  callers.reserve(4);
   for (int caller = 0; caller < 4; ++caller) {
     callers.emplace_back([&] {
       CallerClient client(cluster.callers(0));
@@ -245,6 +246,7 @@
   CallerClient setUp(cluster.callers(0));
   REQUIRE(setUp.write("bookings", Create, {}, "", LongDeadlineMs).ran());
   std::vector<std::thread> callers;
+  callers.reserve(12);
   std::atomic<int> ran{0};
   std::vector<std::string> refusals(12);
   for (int caller = 0; caller < 12; ++caller) {
--- a/src/request/tests/SessionScript.cpp
+++ b/src/request/tests/SessionScript.cpp
@@ -46,6 +46,7 @@
 
 std::string marksText(const session::DatabaseMarks &marks) {
   std::vector<std::string> out;
+  out.reserve(marks.size());
   for (const auto &it : marks)
     out.push_back(absl::StrCat(it.WrittenIn.Number, ":", it.Position.Offset));
   return out.empty() ? "-" : absl::StrJoin(out, ",");
@@ -53,6 +54,7 @@
 
 std::string historyText(const std::vector<routing::TermStart> &history) {
   std::vector<std::string> out;
+  out.reserve(history.size());
   for (const auto &it : history)
     out.push_back(absl::StrCat(it.Began.Number, ":", it.After.Offset));
   return absl::StrJoin(out, ",");
