Hand over from a primary that is leaving, without cutting a request

Change: it opens no new transactions; after a grace of 1.5 s new work is held for 150 ms and a driver promotes the furthest of those that stay, which are a majority by themselves. What a call is named and which transaction it is in stood three times and now stands once. Before: the process test's writers never left bookings-1. Conclusion: a planned switchover by the instance's own word; the operator's intent for it is still to be built.

--- a/src/bench/tests/ProcessTest.cpp
+++ b/src/bench/tests/ProcessTest.cpp
@@ -238,6 +238,49 @@
   CHECK(cut == 0);
 }
 
+TEST_CASE("Process_LeavingPrimaryHandsOverWithoutACutRequest") {
+  Cluster cluster({}, places());
+  REQUIRE(cluster.waitReady(StartSeconds));
+  CallerClient setUp(cluster.callers(0));
+  REQUIRE(setUp.write("bookings", Create, {}, "", LongDeadlineMs).ran());
+  std::atomic<bool> stop{false};
+  std::atomic<int> ran{0};
+  std::vector<std::string> refusals(3);
+  std::vector<std::thread> writers;
+  writers.reserve(3);
+  for (int vm = 0; vm < 3; ++vm) {
+    writers.emplace_back([&, vm] {
+      CallerClient client(cluster.callers(vm));
+      for (int n = 0; !stop && n < 100000; ++n) {
+        const auto slot = std::to_string(vm) + "-" + std::to_string(n);
+        // Without a key: whatever is cut off would be unknown.
+        const auto reply =
+            client.write("bookings", Insert, {slot, "ann"}, "", LongDeadlineMs);
+        ran += reply.ran() ? 1 : 0;
+        if (!reply.ran())
+          refusals[static_cast<std::size_t>(vm)] += reply.Body.dump();
+      }
+    });
+  }
+  const auto roleOf = [&](const std::string &name) {
+    return cluster.control(name, "SELECT standin('role')");
+  };
+  cluster.fault("bookings-1", "leaving", 1);
+  for (int check = 0; check < 1000 && roleOf("bookings-1") == "primary";
+       ++check)
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  const int before = ran;
+  for (int check = 0; check < 1000 && ran < before + 30; ++check)
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  stop = true;
+  for (auto &it : writers)
+    it.join();
+  CHECK(roleOf("bookings-1") == "replica");
+  CHECK(ran >= before + 30);
+  for (const auto &it : refusals)
+    CHECK(it == "");
+}
+
 TEST_CASE("Process_LimitsHoldAtEveryInstance") {
   ClusterPlan plan;
   plan.Groups[0].ServiceMs = 2;
--- a/src/daemon/internal/RequestService.cpp
+++ b/src/daemon/internal/RequestService.cpp
@@ -25,36 +25,8 @@
 constexpr Duration HandOverSpacing = milliseconds(10);
 constexpr Duration ExplainLimit = milliseconds(1000);
 
-struct CallName {
-  std::string operator()(const request::ReadCall &) const { return "read"; }
-  std::string operator()(const request::WriteCall &) const { return "write"; }
-  std::string operator()(const request::BeginCall &) const { return "begin"; }
-  std::string operator()(const request::StatementCall &) const {
-    return "statement";
-  }
-  std::string operator()(const request::CommitCall &) const { return "commit"; }
-  std::string operator()(const request::RollbackCall &) const {
-    return "rollback";
-  }
-};
-
-struct TransactionOf {
-  TransactionId operator()(const request::StatementCall &it) const {
-    return it.Transaction;
-  }
-  TransactionId operator()(const request::CommitCall &it) const {
-    return it.Transaction;
-  }
-  TransactionId operator()(const request::RollbackCall &it) const {
-    return it.Transaction;
-  }
-  template <typename Other> TransactionId operator()(const Other &) const {
-    return {};
-  }
-};
-
 VmId ownerOf(const request::CallerRequest &request) {
-  return request::ownerOf(std::visit(TransactionOf(), request.Asked));
+  return request::ownerOf(request::transactionOf(request.Asked));
 }
 
 TraceBook::WallTime wallNow() { return std::chrono::system_clock::now(); }
@@ -148,7 +120,7 @@
 RequestService::keep(const request::CallerRequest &request, Done done,
                      const std::optional<observe::TraceContext> &trace) {
   const RequestId id{++NextRequest};
-  const auto kind = std::visit(CallName(), request.Asked);
+  const auto kind = request::kindOf(request.Asked);
   Waiting[id] = {std::move(done), monotonicNow(), request.Database.str(), kind};
   Traces.beginRequest(id, trace, kind, wallNow());
   return id;
--- a/src/failover/ReplacementDriver.cpp
+++ b/src/failover/ReplacementDriver.cpp
@@ -89,7 +89,7 @@
   if (livePrimary(view, now)) {
     Stage = ReplacementStage::Watching;
     // NOTE: The primary lives, so nobody needs to be asked.
-    if (isStranded(view, now))
+    if (isStranded(view, now) || isLeaving(view, now))
       beginFencing(view, now);
     return;
   }
@@ -141,7 +141,12 @@
     return rest(now + Config.Suspect);
   const InstanceState *best = nullptr;
   int fenced = 0;
+  // NOTE: Any majority of the group holds all that was acknowledged, so the
+  // furthest of those that stay will do, where they are one.
+  const auto staying = candidates(view);
   for (const auto &[id, state] : view.all()) {
+    if (!staying.contains(id))
+      continue;
     if (isReachable(state, now) && state.Last.Promised < Next)
       out.push_back(FenceInstance{id, Next});
     if (!isFencedAt(state, Next))
@@ -190,6 +195,27 @@
   }
 }
 
+std::set<InstanceId>
+ReplacementDriver::candidates(const GroupView &view) const {
+  std::set<InstanceId> staying;
+  std::set<InstanceId> all;
+  for (const auto &[id, state] : view.all()) {
+    all.insert(id);
+    if (!state.LeavingSince)
+      staying.insert(id);
+  }
+  return static_cast<int>(staying.size()) >= view.majority() ? staying : all;
+}
+
+// Only worth while where somebody that stays can take over.
+bool ReplacementDriver::isLeaving(const GroupView &view, TimePoint now) const {
+  const auto primary = livePrimary(view, now);
+  const auto leaving = view.leavingFor(*primary, now);
+  return leaving && *leaving >= Config.Leave + Config.Rank * Config.Stagger &&
+         !candidates(view).contains(*primary) &&
+         reachable(view, now) >= view.majority();
+}
+
 bool ReplacementDriver::isStranded(const GroupView &view, TimePoint now) {
   const auto primary = livePrimary(view, now);
   const auto term = view.of(*primary).Last.Promised;
--- a/src/failover/ReplacementDriver.h
+++ b/src/failover/ReplacementDriver.h
@@ -38,6 +38,8 @@
   /// An instance that promised a later term than the primary's, and so
   /// follows nobody, is brought back by a new term after this long.
   Duration Stranded = milliseconds(3000);
+  /// A primary known to be leaving for this long is replaced.
+  Duration Leave = milliseconds(1650);
   /// An instance silent for this long counts as out of reach.
   Duration Silence = milliseconds(600);
 };
@@ -75,6 +77,10 @@
               std::vector<ReplacementOrder> &out) const;
   void rest(TimePoint until);
   bool isReachable(const routing::InstanceState &state, TimePoint now) const;
+  bool isLeaving(const routing::GroupView &view, TimePoint now) const;
+  /// The instances that may be promoted: those that stay, where they are a
+  /// majority by themselves.
+  std::set<InstanceId> candidates(const routing::GroupView &view) const;
   bool isStranded(const routing::GroupView &view, TimePoint now);
   std::optional<InstanceId> livePrimary(const routing::GroupView &view,
                                         TimePoint now) const;
--- a/src/failover/tests/ReplacementDriverTest.cpp
+++ b/src/failover/tests/ReplacementDriverTest.cpp
@@ -192,3 +192,32 @@
   }
   CHECK(fixture.Driver.stage() == ReplacementStage::Fencing);
 }
+
+TEST_CASE("ReplacementDriver_LeavingPrimaryIsReplacedByOneThatStays") {
+  Fixture fixture;
+  fixture.View.setLeaving(One, true, at(0));
+  const auto see = [&](std::int64_t ms) {
+    fixture.see(One, InstanceRole::Primary, 1, 50, ms);
+    fixture.replicasAt(ms);
+  };
+  see(1600);
+  fixture.tick(1600);
+  CHECK(fixture.Driver.stage() == ReplacementStage::Watching);
+  see(1700);
+  fixture.tick(1700);
+  // The leaving one is not fenced: the others are a majority.
+  CHECK(fixture.tick(1701) ==
+        Orders{FenceInstance{Three, Term{7}}, FenceInstance{Two, Term{7}}});
+  fixture.see(Two, InstanceRole::Fenced, 7, 50, 1705);
+  fixture.see(Three, InstanceRole::Fenced, 7, 49, 1705);
+  CHECK(fixture.tick(1706) == Orders{PromoteInstance{Two, Term{7}}});
+}
+
+TEST_CASE("ReplacementDriver_LeavingPrimaryStaysWhereNobodyCanTakeOver") {
+  Fixture fixture;
+  fixture.View.setLeaving(One, true, at(0));
+  fixture.View.setLeaving(Two, true, at(0));
+  fixture.see(One, InstanceRole::Primary, 1, 50, 1700);
+  fixture.replicasAt(1700);
+  CHECK(fixture.tick(1700).empty());
+}
--- a/src/request/internal/DatabaseContext.cpp
+++ b/src/request/internal/DatabaseContext.cpp
@@ -42,8 +42,10 @@
   RequestId operator()(const ResetWork &) const { return {}; }
 };
 
-routing::RouterSettings routerSettings(const settings::TimingSettings &it) {
-  return {it.Silence, it.PrimaryConfirm, it.CatchUp};
+routing::RouterSettings routerSettings(const settings::Settings &common) {
+  const auto &timing = common.Timing;
+  return {timing.Silence, timing.PrimaryConfirm, common.Failover.LeaveGrace,
+          timing.CatchUp};
 }
 
 } // namespace
@@ -57,7 +59,7 @@
                                  ProcessCounters &counters,
                                  routing::Random &chance)
     : Database(database), Common(common), View(idsOf(database)),
-      Router(routerSettings(common.Timing)),
+      Router(routerSettings(common)),
       Queue({common.Limits.Queue, slotsOf(database)}),
       Retries(common.Limits.RetryShare, RetryReserve),
       Pool(database, counters.Connections), Counters(counters), Chance(chance) {
--- a/src/request/internal/DatabaseCoordinator.cpp
+++ b/src/request/internal/DatabaseCoordinator.cpp
@@ -15,15 +15,6 @@
 
 using admission::WorkClass;
 
-struct KindName {
-  std::string operator()(const ReadCall &) const { return "read"; }
-  std::string operator()(const WriteCall &) const { return "write"; }
-  std::string operator()(const BeginCall &) const { return "begin"; }
-  std::string operator()(const StatementCall &) const { return "statement"; }
-  std::string operator()(const CommitCall &) const { return "commit"; }
-  std::string operator()(const RollbackCall &) const { return "rollback"; }
-};
-
 /// The statement of a call, if it has one.
 struct StatementOf {
   const Statement *operator()(const ReadCall &it) const { return &it.Query; }
@@ -36,11 +27,7 @@
   }
 };
 
-bool isInTransaction(const Call &call) {
-  return std::holds_alternative<StatementCall>(call) ||
-         std::holds_alternative<CommitCall>(call) ||
-         std::holds_alternative<RollbackCall>(call);
-}
+bool isInTransaction(const Call &call) { return !transactionOf(call).empty(); }
 
 WorkClass classOf(const CallerRequest &request, Duration usualMaxAge) {
   if (isInTransaction(request.Asked))
@@ -77,7 +64,7 @@
   request.Record.Id = DecisionId(
       absl::StrCat(Context.Common.Vm.str(), "-", ++Context.Counters.Decisions));
   request.Record.Database = Context.Database.Id;
-  request.Record.Kind = std::visit(KindName(), asked.Asked);
+  request.Record.Kind = kindOf(asked.Asked);
   if (!accept(request, now))
     return;
   const auto admission =
@@ -258,10 +245,6 @@
   std::visit(Visitor{*this, running, connection, result, now}, running.What);
 }
 
-void DatabaseCoordinator::setLeaving(const InstanceId &instance, bool leaving) {
-  Context.View.setLeaving(instance, leaving);
-}
-
 void DatabaseCoordinator::expireQueued(TimePoint now) {
   for (const auto &it : Context.Queue.takeExpired(now)) {
     auto *request = Context.find(it.Id);
--- a/src/request/internal/DatabaseCoordinator.h
+++ b/src/request/internal/DatabaseCoordinator.h
@@ -29,7 +29,9 @@
   void finished(ConnectionId connection, const upstream::BatchResult &result,
                 TimePoint now);
   void stop() { Context.Stopping = true; }
-  void setLeaving(const InstanceId &instance, bool leaving);
+  void setLeaving(const InstanceId &instance, bool leaving, TimePoint now) {
+    Context.View.setLeaving(instance, leaving, now);
+  }
 
   void peerSaid(const PeerOpinion &opinion) { Replacing.peerSaid(opinion); }
   bool isPrimarySilent(TimePoint now) const { return Replacing.isSilent(now); }
--- a/src/request/internal/ReplacementFlow.cpp
+++ b/src/request/internal/ReplacementFlow.cpp
@@ -18,6 +18,7 @@
   out.Suspect = common.Failover.Suspect;
   out.Stagger = common.Failover.Stagger;
   out.Rest = common.Failover.Rest;
+  out.Leave = common.Failover.LeaveGrace + common.Failover.LeaveHold;
   out.Silence = common.Timing.Silence;
   const auto &peers = common.Peers;
   out.Rank = static_cast<int>(
--- a/src/request/internal/RequestCoordinator.cpp
+++ b/src/request/internal/RequestCoordinator.cpp
@@ -106,7 +106,7 @@
       const auto found = Self.Databases.find(it.Database);
       if (found == Self.Databases.end())
         return;
-      found->second->setLeaving(it.Instance, it.Leaving);
+      found->second->setLeaving(it.Instance, it.Leaving, Now);
       Self.collect(*found->second, Now, Out);
     }
     void operator()(const PeerOpinion &it) const {
--- a/src/request/internal/TransactionFlow.cpp
+++ b/src/request/internal/TransactionFlow.cpp
@@ -25,22 +25,6 @@
   CommitSteps,
 };
 
-/// Ids of the transaction a call is about; empty for an opening.
-struct TransactionOf {
-  TransactionId operator()(const StatementCall &it) const {
-    return it.Transaction;
-  }
-  TransactionId operator()(const CommitCall &it) const {
-    return it.Transaction;
-  }
-  TransactionId operator()(const RollbackCall &it) const {
-    return it.Transaction;
-  }
-  template <typename Other> TransactionId operator()(const Other &) const {
-    return {};
-  }
-};
-
 } // namespace
 
 TransactionId TransactionFlow::newId() {
@@ -94,8 +78,7 @@
   const auto &call = request.Request.Asked;
   if (std::holds_alternative<BeginCall>(call))
     return startBegin(request, now);
-  const auto [number, transaction] =
-      Table.find(std::visit(TransactionOf(), call));
+  const auto [number, transaction] = Table.find(transactionOf(call));
   if (transaction == nullptr) {
     Context.refuse(request.Request.Id, ResultCode::TransactionLost, "", now);
     return true;
--- a/src/request/internal/WriteFlow.cpp
+++ b/src/request/internal/WriteFlow.cpp
@@ -92,6 +92,18 @@
   return !runs;
 }
 
+// A leaving primary is asked for outcomes to its end, but begins no
+// transactions, and after the grace nothing else.
+bool WriteFlow::takesNewWork(const InstanceId &primary,
+                             const ActiveRequest &request,
+                             TimePoint now) const {
+  const auto leaving = Context.View.leavingFor(primary, now);
+  if (!leaving || request.Now == Phase::AwaitingProbe)
+    return true;
+  return !std::holds_alternative<BeginCall>(request.Request.Asked) &&
+         *leaving < Context.Common.Failover.LeaveGrace;
+}
+
 std::optional<InstanceId> WriteFlow::usablePrimary(ActiveRequest &request,
                                                    TimePoint now) {
   auto primary = Context.livePrimary(now);
@@ -100,7 +112,7 @@
       primary && std::any_of(marks.begin(), marks.end(), [&](const Mark &it) {
         return it.WrittenIn > Context.View.of(*primary).Last.Promised;
       });
-  if (primary && !isOlder)
+  if (primary && !isOlder && takesNewWork(*primary, request, now))
     return primary;
   if (request.Now == Phase::AwaitingProbe)
     return std::nullopt;
--- a/src/request/internal/WriteFlow.h
+++ b/src/request/internal/WriteFlow.h
@@ -46,6 +46,8 @@
                                           TimePoint now);
 
 private:
+  bool takesNewWork(const InstanceId &primary, const ActiveRequest &request,
+                    TimePoint now) const;
   bool hasLostHistory(const ActiveRequest &request) const;
   const WriteCall &callOf(const ActiveRequest &request) const;
   void sendPlain(ActiveRequest &request, ConnectionId connection,
--- a/src/request/types/CallerRequest.h
+++ b/src/request/types/CallerRequest.h
@@ -66,6 +66,10 @@
   Call Asked;
 };
 
+/// A short name of what a call asks for, as in "read".
+std::string kindOf(const Call &call);
+/// The transaction a call is within; empty for the others.
+TransactionId transactionOf(const Call &call);
 /// The database a transaction id names; empty for text that is no such id.
 DatabaseId databaseOf(const TransactionId &transaction);
 /// The VM that holds the transaction; empty for text that is no such id.
--- a/src/routing/GroupView.cpp
+++ b/src/routing/GroupView.cpp
@@ -38,6 +38,7 @@
   state.AskedAt = askedAt;
   state.HeardAt = now;
   state.PromiseSeenAt = askedAt;
+  noteLeaving(state, now);
   if (observation.Role == InstanceRole::Primary &&
       observation.Promised >= CurrentTerm)
     addSample(observation.appliedMark(), askedAt);
@@ -73,9 +74,29 @@
          History.includes(*beginning, mark) == session::Inclusion::Lost;
 }
 
-void GroupView::setLeaving(const InstanceId &instance, bool leaving) {
-  if (const auto it = States.find(instance); it != States.end())
-    it->second.Leaving = leaving;
+void GroupView::setLeaving(const InstanceId &instance, bool leaving,
+                           TimePoint now) {
+  const auto it = States.find(instance);
+  if (it == States.end())
+    return;
+  it->second.Leaving = leaving;
+  noteLeaving(it->second, now);
+}
+
+// The most cautious word wins.
+void GroupView::noteLeaving(InstanceState &state, TimePoint now) {
+  if (!state.Leaving && !state.Last.Leaving)
+    state.LeavingSince.reset();
+  else if (!state.LeavingSince)
+    state.LeavingSince = now;
+}
+
+std::optional<Duration> GroupView::leavingFor(const InstanceId &instance,
+                                              TimePoint now) const {
+  const auto since = of(instance).LeavingSince;
+  if (!since)
+    return std::nullopt;
+  return now - *since;
 }
 
 void GroupView::addSample(Mark position, TimePoint askedAt) {
--- a/src/routing/GroupView.h
+++ b/src/routing/GroupView.h
@@ -33,6 +33,8 @@
   Duration Lag{0};
   /// An operator or the platform wants it to get no new work.
   bool Leaving = false;
+  /// Since when that, or its own word, has been known.
+  std::optional<TimePoint> LeavingSince;
   /// From 1 (in order) down towards 0 (ejected) as it fails.
   double Health = 1.0;
 };
@@ -48,7 +50,11 @@
   void noteFailure(const InstanceId &instance);
   void noteSuccess(const InstanceId &instance);
 
-  void setLeaving(const InstanceId &instance, bool leaving);
+  void setLeaving(const InstanceId &instance, bool leaving, TimePoint now);
+  /// How long it has been known that the instance is to leave; none if it
+  /// isn't.
+  std::optional<Duration> leavingFor(const InstanceId &instance,
+                                     TimePoint now) const;
 
   const InstanceState &of(const InstanceId &instance) const;
   const std::map<InstanceId, InstanceState> &all() const { return States; }
@@ -93,6 +99,7 @@
 
   /// The first position of the current term.
   std::optional<Mark> beginningOfTerm() const;
+  static void noteLeaving(InstanceState &state, TimePoint now);
   void learnHistory(const Observation &observation);
   void addSample(Mark position, TimePoint askedAt);
 
--- a/src/routing/ReadRouter.cpp
+++ b/src/routing/ReadRouter.cpp
@@ -65,8 +65,9 @@
     return {Verdict::Silent, {}};
   if (need.Tried.contains(instance))
     return {Verdict::Tried, {}};
-  const bool leaving = state.Leaving || state.Last.Leaving;
-  if (leaving && state.Last.Role != InstanceRole::Primary)
+  const auto leaving = view.leavingFor(instance, now);
+  const bool isPrimary = state.Last.Role == InstanceRole::Primary;
+  if (leaving && (!isPrimary || *leaving >= Config.LeaveGrace))
     return {Verdict::Leaving, {}};
   if (state.Last.Role == InstanceRole::Primary)
     return judgePrimary(need, view, state, now);
--- a/src/routing/ReadRouter.h
+++ b/src/routing/ReadRouter.h
@@ -19,6 +19,8 @@
   Duration Silence = milliseconds(600);
   /// How lately a majority must have confirmed the primary.
   Duration PrimaryConfirm = milliseconds(1000);
+  /// A leaving primary is read from for this long yet.
+  Duration LeaveGrace = milliseconds(1500);
   /// How long a read may wait for a replica to catch up.
   Duration CatchUp = milliseconds(50);
 };
--- a/src/settings/SettingsModule.cpp
+++ b/src/settings/SettingsModule.cpp
@@ -166,6 +166,8 @@
   reader.optional("suspect_ms", AnyTime, out.Suspect);
   reader.optional("stagger_ms", Range{0, 60000}, out.Stagger);
   reader.optional("rest_ms", Range{0, 3600000}, out.Rest);
+  reader.optional("leave_grace_ms", AnyTime, out.LeaveGrace);
+  reader.optional("leave_hold_ms", AnyTime, out.LeaveHold);
 }
 
 void readAll(TableReader &reader, Settings &out) {
--- a/src/settings/types/Settings.h
+++ b/src/settings/types/Settings.h
@@ -139,6 +139,12 @@
   Duration Stagger = milliseconds(60);
   /// After a replacement, before this VM begins the next one.
   Duration Rest = milliseconds(3000);
+  /// A leaving primary opens no new transactions, and takes writes and reads
+  /// for this long yet.
+  Duration LeaveGrace = milliseconds(1500);
+  /// Then new work is held for this long, so that what runs can end, before
+  /// another instance is promoted.
+  Duration LeaveHold = milliseconds(150);
 };
 
 struct Settings {
