Bound a wait in a process test

Cause: a loop that waited for callers' answers had no bound, so a fault would have hung it instead of failing it. Change: it counts its checks and then demands the answers.

--- a/src/bench/tests/ProcessTest.cpp
+++ b/src/bench/tests/ProcessTest.cpp
@@ -229,8 +229,9 @@
       }
     });
   }
-  while (answered < 20)
+  for (int check = 0; check < 5000 && answered < 20; ++check)
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  CHECK(answered >= 20);
   cluster.daemon(0).sendTerm();
   for (auto &it : callers)
     it.join();
