Take out what nothing calls, and keep the bench's clock once

Six functions had no caller (one was declared and never written), since the VMs replace a primary by themselves; the bench read its clock in three places. Change: they are gone; secondsNow() stands in bench/internal/BenchClock.h. Behaviour and tests are as they were.

--- a/src/bench/FailoverExperiment.cpp
+++ b/src/bench/FailoverExperiment.cpp
@@ -3,6 +3,7 @@
 
 #include "bench/BenchModule.h"
 #include "bench/HistoryChecker.h"
+#include "bench/internal/BenchClock.h"
 #include "bench/internal/CallerClient.h"
 #include "bench/internal/Quantiles.h"
 
@@ -35,12 +36,6 @@
     {Loss::Frozen, "frozen"},
 });
 
-double secondsNow() {
-  return std::chrono::duration<double>(
-             std::chrono::steady_clock::now().time_since_epoch())
-      .count();
-}
-
 /// Writers that never stop, one at each VM, and when they were answered.
 class Writers {
 public:
--- a/src/bench/ReadsExperiment.cpp
+++ b/src/bench/ReadsExperiment.cpp
@@ -3,6 +3,7 @@
 
 #include "bench/BenchModule.h"
 #include "bench/HistoryChecker.h"
+#include "bench/internal/BenchClock.h"
 #include "bench/internal/CallerClient.h"
 #include "bench/internal/Quantiles.h"
 
@@ -28,12 +29,6 @@
 /// A session's requests before the next session begins.
 constexpr int SessionLength = 40;
 
-double secondsNow() {
-  return std::chrono::duration<double>(
-             std::chrono::steady_clock::now().time_since_epoch())
-      .count();
-}
-
 struct Tally {
   std::atomic<int> Reads{0};
   std::atomic<int> FromReplica{0};
--- a/src/bench/internal/CallerClient.cpp
+++ b/src/bench/internal/CallerClient.cpp
@@ -3,9 +3,9 @@
 
 #include "bench/internal/CallerClient.h"
 
-#include <httplib.h>
+#include "bench/internal/BenchClock.h"
 
-#include <chrono>
+#include <httplib.h>
 
 namespace stepledge::bench {
 
@@ -15,12 +15,6 @@
 
 constexpr int AnswerSeconds = 35;
 
-double secondsNow() {
-  return std::chrono::duration<double>(
-             std::chrono::steady_clock::now().time_since_epoch())
-      .count();
-}
-
 std::unique_ptr<httplib::Client> connectTo(std::uint16_t port) {
   auto client = std::make_unique<httplib::Client>("127.0.0.1", port);
   client->set_keep_alive(true);
--- a/src/bench/internal/ChildProcess.cpp
+++ b/src/bench/internal/ChildProcess.cpp
@@ -81,18 +81,6 @@
   return ExitCode;
 }
 
-bool ChildProcess::isRunning() {
-  if (Id <= 0)
-    return false;
-  int status = 0;
-  if (waitpid(Id, &status, WNOHANG) != Id)
-    return true;
-  if (WIFEXITED(status))
-    ExitCode = WEXITSTATUS(status);
-  Id = -1;
-  return false;
-}
-
 void ChildProcess::freeze() const { signal(SIGSTOP); }
 
 void ChildProcess::thaw() const { signal(SIGCONT); }
--- a/src/bench/internal/ChildProcess.h
+++ b/src/bench/internal/ChildProcess.h
@@ -32,7 +32,6 @@
   void sendTerm() const;
   /// Its exit code once it has ended; waits for that.
   int wait();
-  bool isRunning();
   void freeze() const;
   void thaw() const;
   pid_t id() const { return Id; }
--- a/src/bench/internal/Cluster.cpp
+++ b/src/bench/internal/Cluster.cpp
@@ -5,7 +5,6 @@
 
 #include "bench/internal/CallerClient.h"
 
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
 #include <arpa/inet.h>
@@ -241,40 +240,4 @@
           absl::StrCat("SELECT standin('fault','", name, "',", value, ")"));
 }
 
-std::string Cluster::replacePrimary(const std::string &database, int term,
-                                    const std::string &without) {
-  std::vector<std::string> fenced;
-  int members = 0;
-  for (const auto &name : instanceNames()) {
-    if (!name.starts_with(database + "-"))
-      continue;
-    ++members;
-    if (name != without && control(name, absl::StrCat("SELECT standin('fence',",
-                                                      term, ")")) == "1")
-      fenced.push_back(name);
-  }
-  if (static_cast<int>(fenced.size()) < members / 2 + 1)
-    return {};
-  std::string best;
-  std::pair<int, int> furthest{-1, -1};
-  for (const auto &name : fenced) {
-    std::pair<int, int> mark;
-    if (!absl::SimpleAtoi(control(name, "SELECT standin('log_term')"),
-                          &mark.first) ||
-        !absl::SimpleAtoi(control(name, "SELECT standin('durable')"),
-                          &mark.second))
-      continue;
-    if (mark > furthest) {
-      furthest = mark;
-      best = name;
-    }
-  }
-  control(best, absl::StrCat("SELECT standin('promote',", term, ")"));
-  for (const auto &name : fenced)
-    if (name != best)
-      control(name, absl::StrCat("SELECT standin('follow','127.0.0.1',",
-                                 instancePort(best), ",", term, ")"));
-  return best;
-}
-
 } // namespace stepledge::bench
--- a/src/bench/internal/Cluster.h
+++ b/src/bench/internal/Cluster.h
@@ -43,9 +43,6 @@
   ChildProcess &instance(const std::string &name) {
     return *Instances.at(name).Process;
   }
-  std::uint16_t instancePort(const std::string &name) const {
-    return Instances.at(name).Port;
-  }
   void startInstance(const std::string &name);
   std::vector<std::string> instanceNames() const;
 
@@ -53,10 +50,6 @@
   /// "" where there is none.
   std::string control(const std::string &instance, const std::string &sql);
   void fault(const std::string &instance, const std::string &name, int value);
-  /// Fences a majority at \p term and promotes the furthest of it, as the
-  /// operators of a group do. Returns its name, or "".
-  std::string replacePrimary(const std::string &database, int term,
-                             const std::string &without);
   const std::string &folder() const { return Places.Folder; }
 
 private:
--- a/src/request/internal/ConnectionPool.cpp
+++ b/src/request/internal/ConnectionPool.cpp
@@ -135,12 +135,4 @@
   return std::min(it->second.Slots + 1, it->second.Connections - 1);
 }
 
-std::optional<TimePoint>
-ConnectionPool::mayOpenAgainAt(const InstanceId &instance) const {
-  const auto it = Limits.find(instance);
-  if (it == Limits.end() || it->second.Failures == 0)
-    return std::nullopt;
-  return it->second.NotBefore;
-}
-
 } // namespace stepledge::request
--- a/src/request/internal/ConnectionPool.h
+++ b/src/request/internal/ConnectionPool.h
@@ -65,7 +65,6 @@
   /// Connections that should be open though none is asked for: as many as can
   /// run at once and one to spare, since opening takes long.
   int warmTarget(const InstanceId &instance) const;
-  std::optional<TimePoint> mayOpenAgainAt(const InstanceId &instance) const;
   std::size_t size() const { return Connections.size(); }
 
 private:
--- a/src/routing/ReadRouter.h
+++ b/src/routing/ReadRouter.h
@@ -63,8 +63,6 @@
                       const InstanceState &state, TimePoint now) const;
   Judged judgePrimary(const ReadNeed &need, const GroupView &view,
                       const InstanceState &state, TimePoint now) const;
-  bool mayUsePrimary(const ReadNeed &need, const GroupView &view,
-                     TimePoint now) const;
 
   RouterSettings Config;
 };
--- a/src/session/TermHistory.cpp
+++ b/src/session/TermHistory.cpp
@@ -27,10 +27,6 @@
   return it->second;
 }
 
-Term TermHistory::latest() const {
-  return Starts.empty() ? Term{} : Starts.rbegin()->first;
-}
-
 Inclusion TermHistory::carriesOver(Mark mark, Term upTo) const {
   // NOTE: An instance reports the terms of its log without a gap, so where
   // both ends are known all between are.
--- a/src/session/TermHistory.h
+++ b/src/session/TermHistory.h
@@ -36,7 +36,6 @@
   void clear() { Starts.clear(); }
 
   std::optional<LogPosition> startOf(Term term) const;
-  Term latest() const;
 
   /// Whether a log that has got to \p at includes \p mark.
   Inclusion includes(Mark at, Mark mark) const;
