--- a/cmake/StepledgeModule.cmake
+++ b/cmake/StepledgeModule.cmake
@@ -5,7 +5,7 @@
   add_library(sl_${M_NAME} STATIC ${M_SOURCES})
   target_include_directories(sl_${M_NAME} PUBLIC ${PROJECT_SOURCE_DIR}/src)
   target_link_libraries(sl_${M_NAME} PUBLIC ${M_DEPS})
-  if(M_TESTS)
+  if(M_TESTS AND NOT STEPLEDGE_PLATFORM_ONLY)
     add_executable(test_${M_NAME} ${M_TESTS} ${PROJECT_SOURCE_DIR}/src/base/tests/TestMain.cpp)
     target_link_libraries(test_${M_NAME} PRIVATE sl_${M_NAME} ${M_TEST_DEPS})
     target_compile_definitions(test_${M_NAME} PRIVATE
--- a/src/api/ApiModule.h
+++ b/src/api/ApiModule.h
@@ -6,8 +6,8 @@
 #ifndef STEPLEDGE_API_APIMODULE_H
 #define STEPLEDGE_API_APIMODULE_H
 
-#include "api/IHttpServer.h"
 #include "api/IRequestGateway.h"
+#include "http/IHttpServer.h"
 #include "session/ITokenCodec.h"
 #include "settings/types/Settings.h"
 
@@ -17,14 +17,14 @@
 
 namespace stepledge::api {
 
-std::unique_ptr<ICallHandler>
+std::unique_ptr<http::ICallHandler>
 makeCallHandler(const settings::Settings &settings,
                 const session::ITokenCodec &tokens, IRequestGateway &gateway);
 
 /// Listens at once. Throws std::exception where the address can't be.
-std::unique_ptr<IHttpServer> makeHttpServer(asio::io_context &context,
-                                            const settings::Settings &settings,
-                                            ICallHandler &handler);
+std::unique_ptr<http::IHttpServer>
+makeHttpServer(asio::io_context &context, const settings::Settings &settings,
+               http::ICallHandler &handler);
 
 } // namespace stepledge::api
 
--- a/src/api/internal/AnswerWriter.cpp
+++ b/src/api/internal/AnswerWriter.cpp
@@ -50,7 +50,7 @@
 
 } // namespace
 
-HttpReply writeAnswer(const request::CallerAnswer &answer) {
+http::HttpReply writeAnswer(const request::CallerAnswer &answer) {
   auto body = outcomeJson(answer.Code, answer.Detail);
   const auto &row = resultRow(answer.Code);
   if (!answer.Decision.empty())
@@ -68,7 +68,7 @@
     body["replayed"] = true;
   if (!answer.Transaction.empty())
     body["transaction"] = answer.Transaction.str();
-  HttpReply reply;
+  http::HttpReply reply;
   if (answer.RetryAfter.count() > 0) {
     body["retry_after_ms"] = toMilliseconds(answer.RetryAfter);
     reply.Headers.push_back({"Retry-After", seconds(answer.RetryAfter)});
@@ -78,18 +78,18 @@
   return reply;
 }
 
-HttpReply writeRefusal(ResultCode code, const std::string &detail) {
-  HttpReply reply;
+http::HttpReply writeRefusal(ResultCode code, const std::string &detail) {
+  http::HttpReply reply;
   reply.Status = resultRow(code).HttpStatus;
   reply.Body = dump(outcomeJson(code, detail));
   return reply;
 }
 
-HttpReply writeExplanation(const std::string &decision,
-                           const std::vector<std::string> &lines) {
+http::HttpReply writeExplanation(const std::string &decision,
+                                 const std::vector<std::string> &lines) {
   if (lines.empty())
     return writeRefusal(ResultCode::DecisionUnknown, decision);
-  HttpReply reply;
+  http::HttpReply reply;
   reply.Body = dump({{"decision", decision}, {"explanation", lines}});
   return reply;
 }
--- a/src/api/internal/AnswerWriter.h
+++ b/src/api/internal/AnswerWriter.h
@@ -6,7 +6,7 @@
 #ifndef STEPLEDGE_API_INTERNAL_ANSWERWRITER_H
 #define STEPLEDGE_API_INTERNAL_ANSWERWRITER_H
 
-#include "api/types/HttpMessage.h"
+#include "http/types/HttpMessage.h"
 #include "request/types/CallerAnswer.h"
 
 #include <string>
@@ -14,10 +14,10 @@
 
 namespace stepledge::api {
 
-HttpReply writeAnswer(const request::CallerAnswer &answer);
-HttpReply writeRefusal(ResultCode code, const std::string &detail);
-HttpReply writeExplanation(const std::string &decision,
-                           const std::vector<std::string> &lines);
+http::HttpReply writeAnswer(const request::CallerAnswer &answer);
+http::HttpReply writeRefusal(ResultCode code, const std::string &detail);
+http::HttpReply writeExplanation(const std::string &decision,
+                                 const std::vector<std::string> &lines);
 
 } // namespace stepledge::api
 
--- a/src/api/internal/CallHandler.cpp
+++ b/src/api/internal/CallHandler.cpp
@@ -15,12 +15,12 @@
 
 namespace {
 
-HttpReply refusalOf(const absl::Status &status) {
+http::HttpReply refusalOf(const absl::Status &status) {
   return writeRefusal(codeOf(status), std::string(status.message()));
 }
 
-HttpReply plainText(int status, std::string text) {
-  HttpReply reply;
+http::HttpReply plainText(int status, std::string text) {
+  http::HttpReply reply;
   reply.Status = status;
   reply.ContentType = "text/plain; version=0.0.4";
   reply.Body = std::move(text);
@@ -29,7 +29,7 @@
 
 } // namespace
 
-void CallHandler::handle(HttpCall call, Reply reply) {
+void CallHandler::handle(http::HttpCall call, http::Reply reply) {
   if (call.Headers.size() > Config.Limits.Headers)
     return reply(writeRefusal(ResultCode::TooManyHeaders,
                               absl::StrCat("at most ", Config.Limits.Headers)));
@@ -41,7 +41,7 @@
   reply(writeRefusal(ResultCode::PathUnknown, call.Method));
 }
 
-void CallHandler::get(const Path &path, const Reply &reply) {
+void CallHandler::get(const Path &path, const http::Reply &reply) {
   if (path == Path{"live"})
     return reply(plainText(200, "live\n"));
   if (path == Path{"ready"}) {
@@ -87,16 +87,16 @@
   return makeStatus(ResultCode::PathUnknown, "");
 }
 
-void CallHandler::post(const HttpCall &call, const Path &path,
-                       const Reply &reply) {
+void CallHandler::post(const http::HttpCall &call, const Path &path,
+                       const http::Reply &reply) {
   auto submission = readPost(path, call.Body);
   if (!submission.ok())
     return reply(refusalOf(submission.status()));
   submit(*std::move(submission), call, reply);
 }
 
-void CallHandler::submit(CallerSubmission submission, const HttpCall &call,
-                         const Reply &reply) {
+void CallHandler::submit(CallerSubmission submission,
+                         const http::HttpCall &call, const http::Reply &reply) {
   const auto sent = readTokens(call);
   auto marks = Tokens.decodeAll(sent.Tokens);
   if (!marks.ok())
--- a/src/api/internal/CallHandler.h
+++ b/src/api/internal/CallHandler.h
@@ -6,9 +6,9 @@
 #ifndef STEPLEDGE_API_INTERNAL_CALLHANDLER_H
 #define STEPLEDGE_API_INTERNAL_CALLHANDLER_H
 
-#include "api/IHttpServer.h"
 #include "api/IRequestGateway.h"
 #include "api/internal/RequestReader.h"
+#include "http/IHttpServer.h"
 #include "session/ITokenCodec.h"
 #include "settings/types/Settings.h"
 
@@ -17,23 +17,24 @@
 
 namespace stepledge::api {
 
-class CallHandler : public ICallHandler {
+class CallHandler : public http::ICallHandler {
 public:
   CallHandler(const settings::Settings &settings,
               const session::ITokenCodec &tokens, IRequestGateway &gateway)
       : Config(settings), Tokens(tokens), Gateway(gateway), Reader(settings) {}
 
-  void handle(HttpCall call, Reply reply) override;
+  void handle(http::HttpCall call, http::Reply reply) override;
 
 private:
   using Path = std::vector<std::string>;
 
-  void get(const Path &path, const Reply &reply);
+  void get(const Path &path, const http::Reply &reply);
   absl::StatusOr<CallerSubmission> readPost(const Path &path,
                                             const std::string &body) const;
-  void post(const HttpCall &call, const Path &path, const Reply &reply);
-  void submit(CallerSubmission submission, const HttpCall &call,
-              const Reply &reply);
+  void post(const http::HttpCall &call, const Path &path,
+            const http::Reply &reply);
+  void submit(CallerSubmission submission, const http::HttpCall &call,
+              const http::Reply &reply);
 
   const settings::Settings &Config;
   const session::ITokenCodec &Tokens;
--- a/src/api/internal/SessionHeaders.cpp
+++ b/src/api/internal/SessionHeaders.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-SentTokens readTokens(const HttpCall &call) {
+SentTokens readTokens(const http::HttpCall &call) {
   SentTokens out;
   for (const auto &value : call.all(TokenHeader))
     for (const auto part : absl::StrSplit(value, ','))
@@ -39,7 +39,7 @@
 }
 
 void writeToken(const std::string &token, const SentTokens &sent,
-                const std::string &decision, HttpReply &reply) {
+                const std::string &decision, http::HttpReply &reply) {
   if (token.empty())
     return;
   reply.Headers.push_back({TokenHeader, token});
--- a/src/api/internal/SessionHeaders.h
+++ b/src/api/internal/SessionHeaders.h
@@ -6,7 +6,7 @@
 #ifndef STEPLEDGE_API_INTERNAL_SESSIONHEADERS_H
 #define STEPLEDGE_API_INTERNAL_SESSIONHEADERS_H
 
-#include "api/types/HttpMessage.h"
+#include "http/types/HttpMessage.h"
 
 #include <string>
 #include <vector>
@@ -23,13 +23,13 @@
 
 /// Reads every `Stepledge-Session` header (each may list several, with
 /// commas) and every cookie whose name begins with `stepledge-session-`.
-SentTokens readTokens(const HttpCall &call);
+SentTokens readTokens(const http::HttpCall &call);
 
 /// Adds the header with \p token, a cookie named after \p decision, and the
 /// expiry of just those cookies that were sent. Each answer's cookie has a
 /// name of its own, so that parallel answers don't overwrite one another.
 void writeToken(const std::string &token, const SentTokens &sent,
-                const std::string &decision, HttpReply &reply);
+                const std::string &decision, http::HttpReply &reply);
 
 } // namespace stepledge::api
 
--- /dev/null
+++ b/src/consensus/ConsensusNode.cpp
@@ -0,0 +1,408 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "consensus/ConsensusNode.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace stepledge::consensus {
+
+ConsensusNode::ConsensusNode(wire::Member self, ConsensusOptions options,
+                             DurableState durable, std::uint64_t seed,
+                             TimePoint now)
+    : Self(std::move(self)), Options(options), Random(seed), Term(durable.Term),
+      VotedFor(durable.VotedFor), Base(std::move(durable.Snapshot)) {
+  for (auto &it : durable.Entries)
+    Log.push_back(std::move(it));
+  Commit = Base.index();
+  DurableIndex = lastIndex();
+  if (Base.index() > 0)
+    Pending.Restored = Base;
+  recomputeVoters();
+  resetElectionTimer(now);
+}
+
+bool ConsensusNode::isVoter(MemberNumber number) const {
+  return std::any_of(Voters.voters().begin(), Voters.voters().end(),
+                     [&](const auto &it) { return it.number() == number; });
+}
+
+std::uint64_t ConsensusNode::lastIndex() const {
+  return Log.empty() ? Base.index() : Log.back().index();
+}
+
+std::uint64_t ConsensusNode::lastTerm() const {
+  return Log.empty() ? Base.term() : Log.back().term();
+}
+
+std::uint64_t ConsensusNode::termAt(std::uint64_t index) const {
+  if (index == Base.index())
+    return Base.term();
+  if (index < Base.index() || index > lastIndex())
+    return 0;
+  return entryAt(index).term();
+}
+
+const wire::Entry &ConsensusNode::entryAt(std::uint64_t index) const {
+  return Log[index - Base.index() - 1];
+}
+
+std::size_t ConsensusNode::majority() const {
+  return static_cast<std::size_t>(Voters.voters_size()) / 2 + 1;
+}
+
+bool ConsensusNode::canServe() const {
+  return isLeader() && termAt(Commit) == Term;
+}
+
+std::optional<wire::Member> ConsensusNode::leader() const {
+  return isLeader() ? Self : Leader;
+}
+
+std::string ConsensusNode::ipOf(MemberNumber number) const {
+  for (const auto &it : Voters.voters())
+    if (it.number() == number)
+      return it.ip();
+  const auto it = Others.find(number);
+  return it == Others.end() ? std::string() : it->second.Member.ip();
+}
+
+void ConsensusNode::resetElectionTimer(TimePoint now) {
+  std::uniform_int_distribution<std::int64_t> extra(
+      0, Options.ElectionTimeout.count());
+  ElectionAt = now + Options.ElectionTimeout + Duration(extra(Random));
+}
+
+void ConsensusNode::tick(TimePoint now) {
+  if (isLeader()) {
+    checkQuorum(now);
+    if (!isLeader() || now < HeartbeatAt)
+      return;
+    HeartbeatAt = now + Options.HeartbeatInterval;
+    replicateAll(now, true);
+    maintainVoters(now);
+    return;
+  }
+  if (now >= ElectionAt && isVoter())
+    startTrial(now);
+}
+
+void ConsensusNode::receive(TimePoint now, const wire::Message &message) {
+  if (message.has_join_request()) {
+    if (isLeader())
+      onJoinRequest(now, message.join_request().member());
+    else if (Leader && Leader->number() != message.from())
+      send(Leader->ip(), Leader->number(), message);
+    return;
+  }
+  if (message.to() != Self.number())
+    return;
+  const bool isTrial =
+      (message.has_vote_request() && message.vote_request().is_trial()) ||
+      (message.has_vote_reply() && message.vote_reply().is_trial());
+  const bool hasLeader =
+      (isLeader() || Leader) && now - LeaderContact < Options.ElectionTimeout;
+  // NOTE: a member that hears its leader lets nobody depose it.
+  if (message.has_vote_request() && hasLeader)
+    return;
+  if (message.term() > Term && !isTrial)
+    becomeFollower(now, message.term());
+  if (message.has_vote_request())
+    onVoteRequest(now, message);
+  else if (message.has_vote_reply())
+    onVoteReply(now, message);
+  else if (message.has_append_request())
+    onAppendRequest(now, message);
+  else if (message.has_append_reply())
+    onAppendReply(now, message);
+  else if (message.has_snapshot_request())
+    onSnapshotRequest(now, message);
+}
+
+void ConsensusNode::becomeFollower(TimePoint now, std::uint64_t term) {
+  const bool wasLeader = isLeader();
+  Role = MemberRole::Follower;
+  Leader.reset();
+  if (term > Term) {
+    Term = term;
+    VotedFor = 0;
+    saveVote();
+  }
+  if (wasLeader)
+    failReads();
+  resetElectionTimer(now);
+}
+
+void ConsensusNode::startTrial(TimePoint now) {
+  Role = MemberRole::TrialCandidate;
+  Leader.reset();
+  resetElectionTimer(now);
+  VotesFor = {Self.number()};
+  if (VotesFor.size() >= majority())
+    return startElection(now);
+  askForVotes(true);
+}
+
+void ConsensusNode::startElection(TimePoint now) {
+  Role = MemberRole::Candidate;
+  ++Term;
+  VotedFor = Self.number();
+  saveVote();
+  resetElectionTimer(now);
+  // NOTE: the own vote counts at once: it goes out, as the requests do, only
+  // when it is on disk.
+  VotesFor = {Self.number()};
+  if (VotesFor.size() >= majority())
+    return becomeLeader(now);
+  askForVotes(false);
+}
+
+void ConsensusNode::askForVotes(bool isTrial) {
+  for (const auto &it : Voters.voters()) {
+    if (it.number() == Self.number())
+      continue;
+    wire::Message message;
+    message.set_term(isTrial ? Term + 1 : Term);
+    auto &request = *message.mutable_vote_request();
+    request.set_is_trial(isTrial);
+    request.set_last_index(lastIndex());
+    request.set_last_term(lastTerm());
+    if (isTrial)
+      send(it.ip(), it.number(), message);
+    else
+      sendDurably(it.ip(), it.number(), message);
+  }
+}
+
+void ConsensusNode::onVoteRequest(TimePoint now, const wire::Message &message) {
+  const auto &request = message.vote_request();
+  const bool isUpToDate =
+      std::make_pair(request.last_term(), request.last_index()) >=
+      std::make_pair(lastTerm(), lastIndex());
+  const bool mayVote = request.is_trial()
+                           ? message.term() > Term
+                           : message.term() == Term &&
+                                 (VotedFor == 0 || VotedFor == message.from());
+  const bool granted = isUpToDate && mayVote && isVoter();
+  if (granted && !request.is_trial()) {
+    VotedFor = message.from();
+    saveVote();
+    resetElectionTimer(now);
+  }
+  wire::Message reply;
+  reply.set_term(request.is_trial() && granted ? message.term() : Term);
+  reply.mutable_vote_reply()->set_is_trial(request.is_trial());
+  reply.mutable_vote_reply()->set_granted(granted);
+  const std::string ip = ipOf(message.from());
+  if (!ip.empty())
+    sendDurably(ip, message.from(), reply);
+}
+
+void ConsensusNode::onVoteReply(TimePoint now, const wire::Message &message) {
+  const auto &reply = message.vote_reply();
+  const auto wanted =
+      reply.is_trial() ? MemberRole::TrialCandidate : MemberRole::Candidate;
+  const std::uint64_t term = reply.is_trial() ? Term + 1 : Term;
+  if (Role != wanted || !reply.granted() || message.term() != term)
+    return;
+  if (isVoter(message.from()))
+    VotesFor.insert(message.from());
+  if (VotesFor.size() < majority())
+    return;
+  if (reply.is_trial())
+    startElection(now);
+  else
+    becomeLeader(now);
+}
+
+void ConsensusNode::becomeLeader(TimePoint now) {
+  Role = MemberRole::Leader;
+  Leader.reset();
+  LeaderContact = now;
+  HeartbeatAt = now;
+  Others.clear();
+  for (const auto &it : Voters.voters()) {
+    if (it.number() == Self.number())
+      continue;
+    auto &progress = Others[it.number()];
+    progress.Member = it;
+    progress.Next = lastIndex() + 1;
+    progress.HeardAt = now;
+  }
+  wire::Entry first;
+  append(std::move(first));
+  replicateAll(now, true);
+}
+
+std::optional<std::uint64_t> ConsensusNode::propose(TimePoint now,
+                                                    std::string command) {
+  if (!isLeader())
+    return std::nullopt;
+  wire::Entry entry;
+  entry.set_command(std::move(command));
+  append(std::move(entry));
+  replicateAll(now, false);
+  return lastIndex();
+}
+
+bool ConsensusNode::requestRead(TimePoint now, std::uint64_t token) {
+  if (!canServe())
+    return false;
+  ++Round;
+  Reads.push_back({token, Round, Commit});
+  replicateAll(now, true);
+  confirmReads();
+  return true;
+}
+
+void ConsensusNode::append(wire::Entry entry) {
+  entry.set_term(Term);
+  entry.set_index(lastIndex() + 1);
+  if (entry.has_membership()) {
+    Voters = entry.membership();
+    VotersIndex = entry.index();
+  }
+  wire::Record it;
+  *it.mutable_entry() = entry;
+  BytesSinceSnapshot += entry.command().size();
+  Log.push_back(std::move(entry));
+  record(std::move(it));
+}
+
+void ConsensusNode::truncateFrom(std::uint64_t index) {
+  while (lastIndex() >= index && !Log.empty())
+    Log.pop_back();
+  DurableIndex = std::min(DurableIndex, lastIndex());
+  recomputeVoters();
+}
+
+void ConsensusNode::recomputeVoters() {
+  for (auto it = Log.rbegin(); it != Log.rend(); ++it) {
+    if (!it->has_membership())
+      continue;
+    Voters = it->membership();
+    VotersIndex = it->index();
+    return;
+  }
+  Voters = Base.membership();
+  VotersIndex = Base.index();
+}
+
+void ConsensusNode::saveVote() {
+  wire::Record it;
+  it.set_term(Term);
+  it.set_has_vote(true);
+  it.set_voted_for(VotedFor);
+  record(std::move(it));
+}
+
+void ConsensusNode::record(wire::Record record) {
+  Pending.Records.push_back(std::move(record));
+}
+
+void ConsensusNode::send(const std::string &ip, MemberNumber to,
+                         wire::Message message) {
+  if (!message.has_join_request())
+    message.set_from(Self.number());
+  message.set_to(to);
+  Pending.Messages.push_back({ip, std::move(message)});
+}
+
+void ConsensusNode::sendDurably(const std::string &ip, MemberNumber to,
+                                wire::Message message) {
+  const bool hasRecords = !Pending.Records.empty() || Pending.MustRewrite;
+  const std::uint64_t needed = hasRecords ? LastTicket + 1 : LastTicket;
+  if (needed <= PersistedTicket)
+    return send(ip, to, std::move(message));
+  message.set_from(Self.number());
+  message.set_to(to);
+  HeldMessages.emplace_back(needed, OutgoingMessage{ip, std::move(message)});
+}
+
+Effects ConsensusNode::takeEffects() {
+  Effects effects = std::move(Pending);
+  Pending = Effects();
+  if (!effects.Records.empty() || effects.MustRewrite) {
+    effects.Ticket = ++LastTicket;
+    PersistPoints.push_back({LastTicket, lastIndex(), lastTerm()});
+  }
+  return effects;
+}
+
+void ConsensusNode::persisted(TimePoint now, std::uint64_t ticket) {
+  PersistedTicket = std::max(PersistedTicket, ticket);
+  while (!PersistPoints.empty() && PersistPoints.front().Ticket <= ticket) {
+    const auto point = PersistPoints.front();
+    PersistPoints.pop_front();
+    if (termAt(point.Index) == point.Term && point.Index >= Base.index())
+      DurableIndex = std::max(DurableIndex, point.Index);
+  }
+  while (!HeldMessages.empty() && HeldMessages.front().first <= ticket) {
+    auto held = std::move(HeldMessages.front().second);
+    HeldMessages.pop_front();
+    // NOTE: a vote of an earlier term is no longer this member's word.
+    if (held.Message.term() >= Term)
+      Pending.Messages.push_back(std::move(held));
+  }
+  if (isLeader()) {
+    advanceCommit();
+  } else if (Leader) {
+    wire::Message reply;
+    reply.set_term(Term);
+    reply.mutable_append_reply()->set_accepted(true);
+    reply.mutable_append_reply()->set_index(
+        std::min(DurableIndex, MatchedIndex));
+    send(Leader->ip(), Leader->number(), std::move(reply));
+  }
+  (void)now;
+}
+
+std::vector<wire::Record> ConsensusNode::allRecords() const {
+  std::vector<wire::Record> records;
+  wire::Record identity;
+  identity.set_identity(Self.number());
+  records.push_back(std::move(identity));
+  wire::Record base;
+  *base.mutable_snapshot() = Base;
+  records.push_back(std::move(base));
+  wire::Record vote;
+  vote.set_term(Term);
+  vote.set_has_vote(true);
+  vote.set_voted_for(VotedFor);
+  records.push_back(std::move(vote));
+  for (const auto &it : Log) {
+    wire::Record entry;
+    *entry.mutable_entry() = it;
+    records.push_back(std::move(entry));
+  }
+  return records;
+}
+
+bool ConsensusNode::wantsSnapshot() const {
+  const std::uint64_t applied = Commit - Base.index();
+  return applied > Options.SnapshotEntries + Options.EntriesKept ||
+         (BytesSinceSnapshot > Options.SnapshotBytes && applied > 1);
+}
+
+void ConsensusNode::takeSnapshot(std::uint64_t index, std::string state) {
+  if (index <= Base.index() || index > Commit)
+    return;
+  // NOTE: the state covers all up to its index, so nothing below is kept; a
+  // member that is behind it gets the state.
+  const std::uint64_t term = termAt(index);
+  wire::Membership voters = Base.membership();
+  while (!Log.empty() && Log.front().index() <= index) {
+    if (Log.front().has_membership())
+      voters = Log.front().membership();
+    Log.pop_front();
+  }
+  Base.set_index(index);
+  Base.set_term(term);
+  *Base.mutable_membership() = std::move(voters);
+  Base.set_state(std::move(state));
+  BytesSinceSnapshot = 0;
+  Pending.MustRewrite = true;
+}
+
+} // namespace stepledge::consensus
--- /dev/null
+++ b/src/consensus/DiskWriter.cpp
@@ -0,0 +1,92 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "consensus/DiskWriter.h"
+
+#include <chrono>
+#include <iterator>
+#include <utility>
+
+namespace stepledge::consensus {
+
+namespace {
+
+/// The pause after a disk refused a write, before it is tried again.
+constexpr std::chrono::milliseconds FailurePause(100);
+
+} // namespace
+
+DiskWriter::DiskWriter(LogStore &store,
+                       std::function<void(std::uint64_t)> onDone,
+                       std::function<void(const absl::Status &)> onFailure)
+    : Store(store), OnDone(std::move(onDone)), OnFailure(std::move(onFailure)),
+      Thread([this] { run(); }) {}
+
+DiskWriter::~DiskWriter() {
+  {
+    const std::lock_guard guard(Lock);
+    IsStopping = true;
+  }
+  Changed.notify_all();
+  Thread.join();
+}
+
+void DiskWriter::append(std::uint64_t ticket,
+                        std::vector<wire::Record> records) {
+  {
+    const std::lock_guard guard(Lock);
+    // NOTE: all that waits is written in one go: group commit.
+    std::move(records.begin(), records.end(), std::back_inserter(Next.Records));
+    Next.Ticket = ticket;
+    HasNext = true;
+  }
+  Changed.notify_all();
+}
+
+void DiskWriter::rewrite(std::uint64_t ticket,
+                         std::vector<wire::Record> records) {
+  {
+    const std::lock_guard guard(Lock);
+    Next.Records = std::move(records);
+    Next.IsRewrite = true;
+    Next.Ticket = ticket;
+    HasNext = true;
+  }
+  Changed.notify_all();
+}
+
+void DiskWriter::run() {
+  while (true) {
+    Job job;
+    {
+      std::unique_lock guard(Lock);
+      Changed.wait(guard, [this] { return HasNext || IsStopping; });
+      if (IsStopping)
+        return;
+      job = std::exchange(Next, Job());
+      HasNext = false;
+    }
+    writeUntilDone(job);
+  }
+}
+
+void DiskWriter::writeUntilDone(Job &job) {
+  while (true) {
+    const auto status =
+        job.IsRewrite ? Store.rewrite(job.Records) : Store.append(job.Records);
+    if (status.ok())
+      return OnDone(job.Ticket);
+    OnFailure(status);
+    std::unique_lock guard(Lock);
+    Changed.wait_for(guard, FailurePause, [this] { return IsStopping; });
+    if (IsStopping)
+      return;
+    // NOTE: a rewrite that came meanwhile holds all of this job too.
+    if (HasNext && Next.IsRewrite) {
+      job = std::exchange(Next, Job());
+      HasNext = false;
+    }
+  }
+}
+
+} // namespace stepledge::consensus
--- /dev/null
+++ b/src/consensus/internal/Replication.cpp
@@ -0,0 +1,335 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The part of ConsensusNode that copies the log and commits entries.
+
+#include "consensus/ConsensusNode.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace stepledge::consensus {
+
+void ConsensusNode::onAppendRequest(TimePoint now,
+                                    const wire::Message &message) {
+  if (message.term() < Term) {
+    wire::Message reply;
+    reply.set_term(Term);
+    reply.mutable_append_reply()->set_accepted(false);
+    const std::string ip = ipOf(message.from());
+    if (!ip.empty())
+      send(ip, message.from(), std::move(reply));
+    return;
+  }
+  followLeader(now, message);
+  const auto &request = message.append_request();
+  wire::Message reply;
+  reply.set_term(Term);
+  auto &result = *reply.mutable_append_reply();
+  result.set_round(request.round());
+  const std::uint64_t previous = request.previous_index();
+  const bool isBehindBase = previous < Base.index();
+  if (!isBehindBase &&
+      (previous > lastIndex() || termAt(previous) != request.previous_term())) {
+    result.set_accepted(false);
+    result.set_index(std::min(lastIndex(), previous - 1));
+    return send(Leader->ip(), Leader->number(), std::move(reply));
+  }
+  std::uint64_t matched = previous;
+  for (const auto &it : request.entries()) {
+    matched = it.index();
+    if (it.index() <= Base.index() ||
+        (it.index() <= lastIndex() && termAt(it.index()) == it.term()))
+      continue;
+    truncateFrom(it.index());
+    Log.push_back(it);
+    if (it.has_membership()) {
+      Voters = it.membership();
+      VotersIndex = it.index();
+    }
+    BytesSinceSnapshot += it.command().size();
+    wire::Record entry;
+    *entry.mutable_entry() = it;
+    record(std::move(entry));
+  }
+  MatchedIndex = std::max(matched, std::min(MatchedIndex, lastIndex()));
+  setCommit(std::min(request.commit(), MatchedIndex));
+  result.set_accepted(true);
+  // NOTE: what is not on disk yet is reported by persisted().
+  result.set_index(std::min(DurableIndex, MatchedIndex));
+  send(Leader->ip(), Leader->number(), std::move(reply));
+}
+
+void ConsensusNode::followLeader(TimePoint now, const wire::Message &message) {
+  if (!Leader || Leader->number() != message.from()) {
+    MatchedIndex = Commit;
+    wire::Member it;
+    it.set_number(message.from());
+    it.set_ip(message.sender_ip());
+    Leader = std::move(it);
+  }
+  Role = MemberRole::Follower;
+  LeaderContact = now;
+  resetElectionTimer(now);
+}
+
+void ConsensusNode::onSnapshotRequest(TimePoint now,
+                                      const wire::Message &message) {
+  if (message.term() < Term)
+    return;
+  followLeader(now, message);
+  const auto &request = message.snapshot_request();
+  if (request.snapshot().index() > Commit) {
+    Base = request.snapshot();
+    const bool keepsTail =
+        lastIndex() > Base.index() && termAt(Base.index()) == Base.term();
+    if (!keepsTail)
+      Log.clear();
+    while (!Log.empty() && Log.front().index() <= Base.index())
+      Log.pop_front();
+    Commit = Base.index();
+    DurableIndex = 0;
+    MatchedIndex = Base.index();
+    BytesSinceSnapshot = 0;
+    recomputeVoters();
+    Pending.Restored = Base;
+    Pending.Committed.clear();
+    Pending.Records.clear();
+    Pending.MustRewrite = true;
+  }
+  wire::Message reply;
+  reply.set_term(Term);
+  reply.mutable_append_reply()->set_accepted(true);
+  reply.mutable_append_reply()->set_round(request.round());
+  reply.mutable_append_reply()->set_index(std::min(Commit, MatchedIndex));
+  sendDurably(Leader->ip(), Leader->number(), std::move(reply));
+}
+
+void ConsensusNode::onAppendReply(TimePoint now, const wire::Message &message) {
+  const auto it = Others.find(message.from());
+  if (!isLeader() || message.term() != Term || it == Others.end())
+    return;
+  auto &progress = it->second;
+  const auto &reply = message.append_reply();
+  progress.HeardAt = now;
+  progress.Round = std::max(progress.Round, reply.round());
+  if (reply.accepted()) {
+    progress.Match = std::max(progress.Match, reply.index());
+    progress.Next = std::max(progress.Next, progress.Match + 1);
+    if (reply.round() > 0)
+      progress.IsBusy = false;
+  } else {
+    progress.Next = std::max<std::uint64_t>(
+        progress.Match + 1, std::min(progress.Next - 1, reply.index() + 1));
+    progress.IsBusy = false;
+  }
+  advanceCommit();
+  confirmReads();
+  if (progress.Next <= lastIndex())
+    replicate(now, progress, false);
+}
+
+void ConsensusNode::onJoinRequest(TimePoint now, const wire::Member &member) {
+  auto [it, isNew] = Others.try_emplace(member.number());
+  auto &progress = it->second;
+  progress.JoinedAt = now;
+  if (!isNew)
+    return;
+  progress.Member = member;
+  progress.HeardAt = now;
+  progress.Next = lastIndex() + 1;
+  replicate(now, progress, true);
+}
+
+void ConsensusNode::replicateAll(TimePoint now, bool mustSend) {
+  for (auto &[number, it] : Others)
+    replicate(now, it, mustSend);
+}
+
+void ConsensusNode::replicate(TimePoint now, Progress &progress,
+                              bool mustSend) {
+  if (progress.IsBusy && now - progress.SentAt > Options.ResendAfter) {
+    progress.IsBusy = false;
+    progress.Next = progress.Match + 1;
+  }
+  if (progress.Next <= Base.index()) {
+    if (!progress.IsBusy)
+      return sendSnapshot(now, progress);
+    if (!mustSend)
+      return;
+  }
+  if (progress.IsBusy && !mustSend)
+    return;
+  // NOTE: while a batch is on its way, heartbeats repeat no entries; they
+  // match at a place that the receiver is known to have.
+  const std::uint64_t next =
+      progress.IsBusy ? progress.Match + 1 : progress.Next;
+  if (next <= Base.index())
+    return;
+  wire::Message message;
+  message.set_term(Term);
+  message.set_sender_ip(Self.ip());
+  auto &request = *message.mutable_append_request();
+  request.set_previous_index(next - 1);
+  request.set_previous_term(termAt(next - 1));
+  request.set_commit(Commit);
+  request.set_round(Round);
+  std::uint64_t bytes = 0;
+  for (std::uint64_t index = next; !progress.IsBusy && index <= lastIndex();
+       ++index) {
+    const auto &entry = entryAt(index);
+    bytes += entry.command().size();
+    if (bytes > Options.BatchBytes && index > next)
+      break;
+    *request.add_entries() = entry;
+    progress.Next = index + 1;
+  }
+  if (request.entries_size() > 0) {
+    progress.IsBusy = true;
+    progress.SentAt = now;
+  }
+  send(progress.Member.ip(), progress.Member.number(), std::move(message));
+}
+
+void ConsensusNode::sendSnapshot(TimePoint now, Progress &progress) {
+  wire::Message message;
+  message.set_term(Term);
+  message.set_sender_ip(Self.ip());
+  *message.mutable_snapshot_request()->mutable_snapshot() = Base;
+  message.mutable_snapshot_request()->set_round(Round);
+  progress.IsBusy = true;
+  progress.SentAt = now;
+  progress.Next = Base.index() + 1;
+  send(progress.Member.ip(), progress.Member.number(), std::move(message));
+}
+
+void ConsensusNode::advanceCommit() {
+  std::vector<std::uint64_t> matches;
+  for (const auto &it : Voters.voters()) {
+    const auto other = Others.find(it.number());
+    if (it.number() == Self.number())
+      matches.push_back(DurableIndex);
+    else
+      matches.push_back(other == Others.end() ? 0 : other->second.Match);
+  }
+  if (matches.empty())
+    return;
+  std::sort(matches.begin(), matches.end(), std::greater<>());
+  const std::uint64_t index = matches[majority() - 1];
+  // NOTE: entries of earlier terms commit only together with one of this term.
+  if (index > Commit && termAt(index) == Term)
+    setCommit(index);
+}
+
+void ConsensusNode::setCommit(std::uint64_t index) {
+  while (Commit < index) {
+    ++Commit;
+    Pending.Committed.push_back(entryAt(Commit));
+  }
+}
+
+void ConsensusNode::confirmReads() {
+  std::erase_if(Reads, [&](const PendingRead &read) {
+    std::size_t confirmed = 0;
+    for (const auto &it : Voters.voters()) {
+      const auto other = Others.find(it.number());
+      confirmed += it.number() == Self.number() ||
+                   (other != Others.end() && other->second.Round >= read.Round);
+    }
+    if (confirmed < majority())
+      return false;
+    Pending.ConfirmedReads.push_back(read.Token);
+    return true;
+  });
+}
+
+void ConsensusNode::failReads() {
+  for (const auto &it : Reads)
+    Pending.FailedReads.push_back(it.Token);
+  Reads.clear();
+}
+
+void ConsensusNode::checkQuorum(TimePoint now) {
+  std::size_t heard = 0;
+  for (const auto &it : Voters.voters()) {
+    const auto other = Others.find(it.number());
+    heard += it.number() == Self.number() ||
+             (other != Others.end() &&
+              now - other->second.HeardAt < Options.AliveLimit);
+  }
+  if (heard >= majority()) {
+    LeaderContact = now;
+    return;
+  }
+  becomeFollower(now, Term);
+}
+
+void ConsensusNode::maintainVoters(TimePoint now) {
+  std::erase_if(Others, [&](const auto &it) {
+    return !isVoter(it.first) &&
+           now - it.second.JoinedAt > Options.SpareLifetime;
+  });
+  if (!canServe() || VotersIndex > Commit)
+    return;
+  const int count = Voters.voters_size();
+  const wire::Member *lost = nullptr;
+  int alive = 0;
+  for (const auto &it : Voters.voters()) {
+    if (it.number() == Self.number()) {
+      ++alive;
+      continue;
+    }
+    const auto &progress = Others[it.number()];
+    alive += now - progress.HeardAt < Options.AliveLimit;
+    // NOTE: another number at the same address means that the disk is gone.
+    const bool isWiped =
+        std::any_of(Others.begin(), Others.end(), [&](const auto &other) {
+          return other.first != it.number() &&
+                 other.second.Member.ip() == it.ip();
+        });
+    if (isWiped || (!lost && now - progress.HeardAt > Options.ReplaceAfter))
+      lost = &it;
+  }
+  wire::Membership voters = Voters;
+  if (lost && count > Options.TargetVoters) {
+    const MemberNumber number = lost->number();
+    voters.clear_voters();
+    for (const auto &it : Voters.voters())
+      if (it.number() != number)
+        *voters.add_voters() = it;
+    return proposeVoters(std::move(voters));
+  }
+  const bool isWanted =
+      count < Options.TargetVoters || (lost && count == Options.TargetVoters);
+  const auto *spare = isWanted ? bestSpare(now) : nullptr;
+  const int needed = (count + 1) / 2 + 1;
+  if (!spare || alive + 1 < needed)
+    return;
+  *voters.add_voters() = spare->Member;
+  proposeVoters(std::move(voters));
+}
+
+void ConsensusNode::proposeVoters(wire::Membership voters) {
+  wire::Entry entry;
+  *entry.mutable_membership() = std::move(voters);
+  append(std::move(entry));
+}
+
+const ConsensusNode::Progress *ConsensusNode::bestSpare(TimePoint now) const {
+  const auto votersIn = [&](const std::string &hall) {
+    return std::count_if(Voters.voters().begin(), Voters.voters().end(),
+                         [&](const auto &it) { return it.hall() == hall; });
+  };
+  const Progress *best = nullptr;
+  for (const auto &[number, it] : Others) {
+    const bool isFit = !isVoter(number) && it.Match >= Commit &&
+                       now - it.HeardAt < Options.AliveLimit;
+    if (!isFit)
+      continue;
+    if (!best || votersIn(it.Member.hall()) < votersIn(best->Member.hall()))
+      best = &it;
+  }
+  return best;
+}
+
+} // namespace stepledge::consensus
--- /dev/null
+++ b/src/consensus/types/ConsensusOptions.h
@@ -0,0 +1,44 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The timing and sizes of the control group's log.
+
+#ifndef STEPLEDGE_CONSENSUS_TYPES_CONSENSUSOPTIONS_H
+#define STEPLEDGE_CONSENSUS_TYPES_CONSENSUSOPTIONS_H
+
+#include "base/types/Time.h"
+
+#include <cstdint>
+
+namespace stepledge::consensus {
+
+struct ConsensusOptions {
+  /// The leader's heartbeat; some ten round trips between halls.
+  Duration HeartbeatInterval = milliseconds(100);
+  /// The least silence after which a follower stands for election; a draw of
+  /// up to as much again is added. Five heartbeats, so that one slow turn of
+  /// a small processor doesn't depose a leader.
+  Duration ElectionTimeout = milliseconds(500);
+  /// A voter that is silent for longer may be replaced by a caught-up spare.
+  Duration ReplaceAfter = milliseconds(3000);
+  /// A member that answered within this time counts as alive.
+  Duration AliveLimit = milliseconds(1000);
+  /// A spare that stopped asking is forgotten.
+  Duration SpareLifetime = milliseconds(3000);
+  /// How many voters the group should have: 2f + 1.
+  int TargetVoters = 3;
+  /// Entries kept behind a snapshot, so that a member that was away for a
+  /// moment needs no whole state.
+  std::uint64_t EntriesKept = 64;
+  /// A snapshot is taken when this many entries or bytes have been applied.
+  std::uint64_t SnapshotEntries = 128;
+  std::uint64_t SnapshotBytes = 1 << 20;
+  /// Bytes of entries in one message; larger ones go alone.
+  std::uint64_t BatchBytes = 256 << 10;
+  /// An unanswered batch is sent again after this time.
+  Duration ResendAfter = milliseconds(400);
+};
+
+} // namespace stepledge::consensus
+
+#endif // STEPLEDGE_CONSENSUS_TYPES_CONSENSUSOPTIONS_H
--- /dev/null
+++ b/src/control/ClusterState.cpp
@@ -0,0 +1,87 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "control/ClusterState.h"
+
+#include <algorithm>
+
+namespace stepledge::control {
+
+namespace {
+
+/// Marks of the instances that left longest ago are dropped beyond these: a
+/// heartbeat is never late by as many replacements.
+constexpr std::size_t MostMarks = 2000;
+
+} // namespace
+
+void ClusterState::apply(std::uint64_t index, const wire::Command &command) {
+  AppliedIndex = index;
+  switch (command.body_case()) {
+  case wire::Command::kPutConfiguration:
+    if (command.put_configuration().version() > Newest.version())
+      Newest = command.put_configuration();
+    break;
+  case wire::Command::kMarkInstance:
+    mark(command.mark_instance());
+    break;
+  case wire::Command::kRecordPromotion: {
+    const auto &promotion = command.record_promotion();
+    auto &it = Promotions[promotion.service()];
+    if (promotion.fence() > it.fence())
+      it = promotion;
+    break;
+  }
+  case wire::Command::kTakeFence:
+  case wire::Command::BODY_NOT_SET:
+    // NOTE: a fence is its entry's index; there is nothing to keep.
+    break;
+  }
+}
+
+void ClusterState::mark(const wire::MarkInstance &mark) {
+  const auto [it, isNew] = Marks.try_emplace(mark.instance(), mark.state());
+  it->second = std::max(it->second, mark.state());
+  if (!isNew)
+    return;
+  MarkOrder.push_back(mark.instance());
+  if (MarkOrder.size() <= MostMarks)
+    return;
+  Marks.erase(MarkOrder.front());
+  MarkOrder.pop_front();
+}
+
+wire::Lifecycle ClusterState::lifecycleOf(const std::string &instance) const {
+  const auto it = Marks.find(instance);
+  return it == Marks.end() ? wire::READY : it->second;
+}
+
+std::string ClusterState::serialize() const {
+  wire::State state;
+  state.set_index(AppliedIndex);
+  *state.mutable_configuration() = Newest;
+  for (const auto &it : MarkOrder) {
+    auto &entry = *state.add_marks();
+    entry.set_instance(it);
+    entry.set_state(Marks.at(it));
+  }
+  for (const auto &[service, it] : Promotions)
+    *state.add_promotions() = it;
+  return state.SerializeAsString();
+}
+
+bool ClusterState::restore(const std::string &bytes) {
+  wire::State state;
+  if (!state.ParseFromString(bytes))
+    return false;
+  *this = ClusterState();
+  AppliedIndex = state.index();
+  Newest = state.configuration();
+  for (const auto &it : state.marks())
+    mark(it);
+  for (const auto &it : state.promotions())
+    Promotions[it.service()] = it;
+  return true;
+}
+
+} // namespace stepledge::control
--- /dev/null
+++ b/src/control/ClusterState.h
@@ -0,0 +1,48 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The state that the control group's log builds: the configuration, the
+/// instances that leave, and who was made primary.
+
+#ifndef STEPLEDGE_CONTROL_CLUSTERSTATE_H
+#define STEPLEDGE_CONTROL_CLUSTERSTATE_H
+
+#include "control/generated/Control.pb.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+namespace stepledge::control {
+
+class ClusterState {
+public:
+  /// Applies the log's entry at \p index; all members get the same result.
+  void apply(std::uint64_t index, const wire::Command &command);
+  std::string serialize() const;
+  /// False where \p bytes are no state; then nothing changes.
+  bool restore(const std::string &bytes);
+
+  std::uint64_t appliedIndex() const { return AppliedIndex; }
+  std::uint64_t configurationVersion() const { return Newest.version(); }
+  const std::string &document() const { return Newest.document(); }
+  wire::Lifecycle lifecycleOf(const std::string &instance) const;
+  /// The newest promotion of each service.
+  const std::map<std::string, wire::RecordPromotion> &promotions() const {
+    return Promotions;
+  }
+
+private:
+  void mark(const wire::MarkInstance &mark);
+
+  std::uint64_t AppliedIndex = 0;
+  wire::PutConfiguration Newest;
+  std::map<std::string, wire::Lifecycle> Marks;
+  std::deque<std::string> MarkOrder;
+  std::map<std::string, wire::RecordPromotion> Promotions;
+};
+
+} // namespace stepledge::control
+
+#endif // STEPLEDGE_CONTROL_CLUSTERSTATE_H
--- /dev/null
+++ b/src/control/ControlNode.cpp
@@ -0,0 +1,440 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "control/ControlNode.h"
+
+#include "control/internal/Replacement.h"
+#include "peer/InstanceCodec.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace stepledge::control {
+
+using membership::Change;
+using membership::InstanceRole;
+using membership::InstanceState;
+
+ControlNode::ControlNode(ControlOptions options, consensus::ConsensusNode &node,
+                         ILogWriter &writer, peer::IPeerSender &peers,
+                         IPromoter &promoter, IInstanceProbe &probe,
+                         IControlLog &log)
+    : Options(std::move(options)), Node(node), Writer(writer), Peers(peers),
+      Probe(probe), Log(log),
+      Replacer(std::make_unique<Replacement>(*this, promoter, probe, log)) {
+  updatePeers();
+}
+
+ControlNode::~ControlNode() = default;
+
+void ControlNode::putConfiguration(TimePoint now, std::uint64_t version,
+                                   std::string document, OnDone onDone) {
+  wire::Command command;
+  command.mutable_put_configuration()->set_version(version);
+  command.mutable_put_configuration()->set_document(std::move(document));
+  startCall(now, std::move(command), false, std::move(onDone));
+}
+
+void ControlNode::confirmNewest(TimePoint now, OnDone onDone) {
+  startCall(now, {}, true, std::move(onDone));
+}
+
+void ControlNode::instanceSaid(TimePoint now, membership::InstanceRecord record,
+                               OnDone onDone) {
+  const auto lifecycle = State.lifecycleOf(record.Id.str());
+  record.State = std::max(record.State, static_cast<InstanceState>(lifecycle));
+  learn(now, record, false);
+  const bool isMarked = lifecycle != wire::READY;
+  if (record.State == InstanceState::Ready || isMarked)
+    return onDone(true);
+  wire::Command command;
+  command.mutable_mark_instance()->set_instance(record.Id.str());
+  command.mutable_mark_instance()->set_state(wire::LEAVING);
+  startCall(now, std::move(command), false, std::move(onDone));
+}
+
+void ControlNode::instanceLeft(TimePoint now, const InstanceId &id,
+                               OnDone onDone) {
+  wire::Command command;
+  command.mutable_mark_instance()->set_instance(id.str());
+  command.mutable_mark_instance()->set_state(wire::GONE);
+  startCall(now, std::move(command), false, std::move(onDone));
+}
+
+std::uint64_t ControlNode::startCall(TimePoint now, wire::Command command,
+                                     bool isRead, OnDone onDone) {
+  const std::uint64_t number = ++LastCall;
+  auto &call = Calls[number];
+  call.Command = std::move(command);
+  call.Command.set_proposer(Node.self().number());
+  call.Command.set_number(number);
+  call.IsRead = isRead;
+  call.Deadline = now + Options.CallLimit;
+  call.Done = std::move(onDone);
+  tryCall(now, number, call);
+  runEffects(now);
+  return number;
+}
+
+void ControlNode::tryCall(TimePoint now, std::uint64_t number,
+                          PendingCall &call) {
+  call.RetryAt = now + Options.CallRetry;
+  if (Node.canServe()) {
+    if (call.IsRead)
+      Node.requestRead(now, number);
+    else
+      Node.propose(now, call.Command.SerializeAsString());
+    // NOTE: a proposal is not repeated while this member leads.
+    call.RetryAt = call.Deadline;
+    return;
+  }
+  const auto leader = Node.leader();
+  if (!leader || Node.isLeader())
+    return;
+  peer::wire::Message message;
+  auto &out = *message.mutable_call();
+  out.set_number(number);
+  out.set_is_read(call.IsRead);
+  if (!call.IsRead)
+    out.set_command(call.Command.SerializeAsString());
+  if (Peers.send(leader->ip(), message))
+    call.RetryAt = now + Options.CallRetry * 5;
+}
+
+void ControlNode::finishCall(std::uint64_t number, bool done) {
+  const auto it = Calls.find(number);
+  if (it == Calls.end())
+    return;
+  auto onDone = std::move(it->second.Done);
+  Calls.erase(it);
+  onDone(done);
+}
+
+void ControlNode::finishReads() {
+  std::vector<std::uint64_t> reached;
+  for (const auto &[number, it] : Calls)
+    if (it.Index && State.appliedIndex() >= *it.Index)
+      reached.push_back(number);
+  for (const auto it : reached)
+    finishCall(it, true);
+}
+
+void ControlNode::onCall(const std::string &ip, const peer::wire::Call &call) {
+  if (!Node.canServe())
+    return reply({ip, call.number()}, false, 0);
+  if (call.is_read()) {
+    // NOTE: numbers of remote reads must not meet those of the own calls.
+    const std::uint64_t number = ++LastCall;
+    RemoteReads[number] = {ip, call.number()};
+    Node.requestRead(Now, number);
+    return;
+  }
+  Node.propose(Now, call.command());
+}
+
+void ControlNode::reply(const RemoteCall &call, bool done,
+                        std::uint64_t index) {
+  peer::wire::Message message;
+  auto &out = *message.mutable_reply();
+  out.set_number(call.Number);
+  out.set_done(done);
+  out.set_index(index);
+  Peers.send(call.Ip, message);
+}
+
+void ControlNode::onReply(const peer::wire::CallReply &reply) {
+  const auto it = Calls.find(reply.number());
+  if (it == Calls.end())
+    return;
+  if (!reply.done()) {
+    it->second.RetryAt = Now + Options.CallRetry;
+    return;
+  }
+  if (!it->second.IsRead)
+    return finishCall(reply.number(), true);
+  it->second.Index = reply.index();
+  finishReads();
+}
+
+void ControlNode::tick(TimePoint now) {
+  Now = now;
+  Node.tick(now);
+  runEffects(now);
+  std::vector<std::uint64_t> late;
+  for (auto &[number, it] : Calls) {
+    if (now >= it.Deadline)
+      late.push_back(number);
+    else if (!it.Index && now >= it.RetryAt)
+      tryCall(now, number, it);
+  }
+  for (const auto it : late)
+    finishCall(it, false);
+  if (!Node.isVoter() && now >= JoinAt) {
+    JoinAt = now + Options.JoinInterval;
+    peer::wire::Message message;
+    consensus::wire::Message join;
+    join.set_from(Node.self().number());
+    *join.mutable_join_request()->mutable_member() = Node.self();
+    message.set_consensus(join.SerializeAsString());
+    tellControls(message);
+  }
+  if (IsNoticeDue || now >= NoticeAt) {
+    IsNoticeDue = false;
+    NoticeAt = now + Options.NoticeInterval;
+    tellEntries(notice());
+    Directory.expire(now, Options.InstanceSilence);
+    updatePeers();
+  }
+  if (std::exchange(WasLeader, Node.isLeader()) != Node.isLeader()) {
+    Log.decision(absl::StrCat("event=leadership leads=", Node.isLeader(),
+                              " term=", Node.term(),
+                              " commit=", Node.commitIndex()));
+    Watch.clear();
+    PingMissedSince.clear();
+    PingSentAt.clear();
+    Replacer->reset();
+  }
+  if (Node.canServe()) {
+    pingPrimaries(now);
+    Replacer->tick(now);
+  }
+  runEffects(now);
+}
+
+void ControlNode::persisted(TimePoint now, std::uint64_t ticket) {
+  Now = now;
+  Node.persisted(now, ticket);
+  runEffects(now);
+}
+
+void ControlNode::runEffects(TimePoint now) {
+  // NOTE: what is finished here may start the next call.
+  if (std::exchange(IsRunning, true))
+    return;
+  while (true) {
+    auto effects = Node.takeEffects();
+    const bool isEmpty = effects.Ticket == 0 && effects.Messages.empty() &&
+                         !effects.Restored && effects.Committed.empty() &&
+                         effects.ConfirmedReads.empty() &&
+                         effects.FailedReads.empty();
+    if (isEmpty)
+      break;
+    if (effects.MustRewrite)
+      Writer.rewrite(effects.Ticket, Node.allRecords());
+    else if (effects.Ticket != 0)
+      Writer.append(effects.Ticket, std::move(effects.Records));
+    for (const auto &it : effects.Messages) {
+      peer::wire::Message message;
+      message.set_consensus(it.Message.SerializeAsString());
+      Peers.send(it.Ip, message);
+    }
+    if (effects.Restored && !State.restore(effects.Restored->state()))
+      Log.decision("event=snapshot_unreadable");
+    if (effects.Restored)
+      IsNoticeDue = true;
+    for (const auto &it : effects.Committed)
+      apply(now, it);
+    for (const auto it : effects.ConfirmedReads) {
+      const auto remote = RemoteReads.find(it);
+      if (remote == RemoteReads.end()) {
+        finishCall(it, true);
+        continue;
+      }
+      reply(remote->second, true, State.appliedIndex());
+      RemoteReads.erase(remote);
+    }
+    for (const auto it : effects.FailedReads) {
+      RemoteReads.erase(it);
+      if (const auto own = Calls.find(it); own != Calls.end())
+        own->second.RetryAt = now;
+    }
+    finishReads();
+    if (Node.wantsSnapshot())
+      Node.takeSnapshot(State.appliedIndex(), State.serialize());
+  }
+  IsRunning = false;
+}
+
+void ControlNode::apply(TimePoint now, const consensus::wire::Entry &entry) {
+  wire::Command command;
+  if (!entry.command().empty() && !command.ParseFromString(entry.command()))
+    Log.decision(absl::StrCat("event=entry_unreadable index=", entry.index()));
+  const auto oldVersion = State.configurationVersion();
+  State.apply(entry.index(), command);
+  if (State.configurationVersion() != oldVersion) {
+    IsNoticeDue = true;
+    Log.decision(absl::StrCat(
+        "event=configuration version=", State.configurationVersion(),
+        " index=", entry.index()));
+  }
+  if (command.has_record_promotion())
+    IsNoticeDue = true;
+  if (command.has_mark_instance()) {
+    const InstanceId id(command.mark_instance().instance());
+    const auto state =
+        static_cast<InstanceState>(command.mark_instance().state());
+    Log.decision(absl::StrCat("event=instance_marked instance=", id.str(),
+                              " state=", static_cast<int>(state)));
+    if (Directory.raise(id, state)) {
+      peer::wire::Message message;
+      *message.mutable_instances()->add_instances() =
+          peer::encode(*Directory.find(id));
+      tellEntries(message);
+    }
+  }
+  if (command.has_take_fence())
+    Replacer->fenceTaken(now, command, entry.index());
+  if (IsNoticeDue) {
+    IsNoticeDue = false;
+    tellEntries(notice());
+  }
+  if (command.proposer() == Node.self().number())
+    return finishCall(command.number(), true);
+  // Whoever passed the call on to this leader waits for its end.
+  if (!Node.isLeader() || command.proposer() == 0)
+    return;
+  for (const auto &it : Node.membership().voters())
+    if (it.number() == command.proposer())
+      return reply({it.ip(), command.number()}, true, entry.index());
+  // NOTE: a process that isn't a voter yet applies the entry itself.
+}
+
+void ControlNode::learn(TimePoint now, const membership::InstanceRecord &record,
+                        bool isFromPeer) {
+  auto known = record;
+  known.State =
+      std::max(known.State,
+               static_cast<InstanceState>(State.lifecycleOf(known.Id.str())));
+  const Change change = Directory.merge(now, known);
+  if (change == Change::None)
+    return;
+  peer::wire::Message message;
+  *message.mutable_instances()->add_instances() =
+      peer::encode(*Directory.find(record.Id));
+  if (change == Change::Changed)
+    tellEntries(message);
+  auto &told = ToldAlive[record.Id];
+  const bool isDue =
+      change == Change::Changed || now - told > Options.AliveInterval;
+  if (isFromPeer || !isDue)
+    return;
+  told = now;
+  tellControls(message);
+}
+
+void ControlNode::tellEntries(const peer::wire::Message &message) {
+  for (const auto &it : EntryIps)
+    Peers.send(it, message);
+}
+
+void ControlNode::tellControls(const peer::wire::Message &message) {
+  for (const auto &it : KnownControls)
+    if (it != Options.Ip)
+      Peers.send(it, message);
+}
+
+peer::wire::Message ControlNode::notice() const {
+  peer::wire::Message message;
+  auto &out = *message.mutable_notice();
+  out.set_configuration_version(State.configurationVersion());
+  for (const auto &it : Node.membership().voters())
+    out.add_control_ips(it.ip());
+  out.set_entry_count(static_cast<std::uint32_t>(EntryIps.size()));
+  for (const auto &[service, it] : State.promotions()) {
+    auto &promotion = *out.add_promotions();
+    promotion.set_service(service);
+    promotion.set_instance(it.instance());
+    promotion.set_fence(it.fence());
+  }
+  return message;
+}
+
+peer::wire::Message ControlNode::allInstances() const {
+  peer::wire::Message message;
+  for (const auto &it : Directory.all())
+    *message.mutable_instances()->add_instances() = peer::encode(it);
+  return message;
+}
+
+void ControlNode::updatePeers() {
+  KnownControls.clear();
+  for (const auto &it : Node.membership().voters())
+    KnownControls.insert(it.ip());
+  // NOTE: a process that isn't a voter can't tell whether it knows them all.
+  if (!Node.isVoter())
+    KnownControls.insert(Options.SeedIps.begin(), Options.SeedIps.end());
+  KnownControls.erase(Options.Ip);
+  Peers.keepConnected(KnownControls);
+}
+
+void ControlNode::peerConnected(const std::string &ip,
+                                const peer::wire::Hello &hello) {
+  const bool isEntry = !hello.ip().empty() && hello.kind() == peer::wire::ENTRY;
+  if (isEntry)
+    EntryIps.insert(ip);
+  Peers.send(ip, allInstances());
+  if (isEntry)
+    Peers.send(ip, notice());
+}
+
+void ControlNode::peerLost(const std::string &ip) { EntryIps.erase(ip); }
+
+void ControlNode::peerSaid(const std::string &ip,
+                           const peer::wire::Message &message) {
+  if (message.has_consensus()) {
+    consensus::wire::Message inner;
+    if (inner.ParseFromString(message.consensus()))
+      Node.receive(Now, inner);
+  } else if (message.has_instances()) {
+    for (const auto &it : message.instances().instances())
+      learn(Now, peer::decode(it), true);
+  } else if (message.has_configuration_request()) {
+    if (State.configurationVersion() >
+        message.configuration_request().above_version()) {
+      peer::wire::Message out;
+      out.mutable_configuration()->set_version(State.configurationVersion());
+      out.mutable_configuration()->set_document(State.document());
+      Peers.send(ip, out);
+    }
+  } else if (message.has_sights()) {
+    for (const auto &it : message.sights().sights())
+      Watch.report(Now, ip, it.service(), InstanceId(it.instance()),
+                   milliseconds(static_cast<std::int64_t>(it.silent_ms())));
+  } else if (message.has_call()) {
+    onCall(ip, message.call());
+  } else if (message.has_reply()) {
+    onReply(message.reply());
+  }
+  runEffects(Now);
+}
+
+void ControlNode::pingPrimaries(TimePoint now) {
+  if (now < PingAt)
+    return;
+  PingAt = now + Options.PingInterval;
+  std::vector<InstanceId> primaries;
+  for (const auto &it : Directory.all()) {
+    if (it.Role != InstanceRole::Primary || it.State == InstanceState::Gone)
+      continue;
+    const InstanceId id = it.Id;
+    primaries.push_back(id);
+    const auto missed = PingMissedSince.find(id);
+    Watch.report(now, Options.Ip, it.Service, id,
+                 missed == PingMissedSince.end() ? Duration{}
+                                                 : now - missed->second);
+    if (!PingSentAt.try_emplace(id, now).second)
+      continue;
+    Probe.ping(it, [this, id](bool isAlive) {
+      const auto sent = PingSentAt.extract(id);
+      if (isAlive)
+        PingMissedSince.erase(id);
+      else if (!sent.empty())
+        PingMissedSince.try_emplace(id, sent.mapped());
+    });
+  }
+  Probe.keepOnly(primaries);
+}
+
+} // namespace stepledge::control
--- /dev/null
+++ b/src/control/ControlNode.h
@@ -0,0 +1,168 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file A control VM: the replicated state, the instances' heartbeats, what
+/// entry VMs are told, and the replacement of primaries.
+
+#ifndef STEPLEDGE_CONTROL_CONTROLNODE_H
+#define STEPLEDGE_CONTROL_CONTROLNODE_H
+
+#include "consensus/ConsensusNode.h"
+#include "control/ClusterState.h"
+#include "control/IPromoter.h"
+#include "control/PrimaryWatch.h"
+#include "membership/InstanceDirectory.h"
+#include "peer/IPeerListener.h"
+#include "peer/IPeerSender.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace stepledge::control {
+
+/// Where the records of the log are made durable; it answers by persisted().
+class ILogWriter {
+public:
+  virtual ~ILogWriter() = default;
+  virtual void append(std::uint64_t ticket,
+                      std::vector<consensus::wire::Record> records) = 0;
+  virtual void rewrite(std::uint64_t ticket,
+                       std::vector<consensus::wire::Record> records) = 0;
+};
+
+class IControlLog {
+public:
+  virtual ~IControlLog() = default;
+  virtual void decision(const std::string &line) = 0;
+};
+
+struct ControlOptions {
+  std::string NodeName;
+  std::string Ip;
+  std::string Hall;
+  /// Where the control VMs may be found at first.
+  std::set<std::string> SeedIps;
+  /// A call gives up after this time, before its caller turns elsewhere.
+  Duration CallLimit = milliseconds(850);
+  /// How often a call is tried again while no leader is known.
+  Duration CallRetry = milliseconds(60);
+  /// Heartbeats to entry VMs.
+  Duration NoticeInterval = milliseconds(1000);
+  /// An instance silent for this long is dropped: many heartbeats.
+  Duration InstanceSilence = milliseconds(20000);
+  /// How often other control VMs hear of an unchanged instance.
+  Duration AliveInterval = milliseconds(4000);
+  /// How often the leader asks the primaries whether they answer.
+  Duration PingInterval = milliseconds(250);
+  /// How often a process that is no voter asks to be one.
+  Duration JoinInterval = milliseconds(500);
+};
+
+class Replacement;
+
+class ControlNode : public peer::IPeerListener {
+public:
+  /// Whether the call took effect; false means that nobody knows.
+  using OnDone = std::function<void(bool)>;
+
+  ControlNode(ControlOptions options, consensus::ConsensusNode &node,
+              ILogWriter &writer, peer::IPeerSender &peers, IPromoter &promoter,
+              IInstanceProbe &probe, IControlLog &log);
+  ~ControlNode() override;
+
+  /// Keeps \p document as the configuration, if its version is the highest.
+  void putConfiguration(TimePoint now, std::uint64_t version,
+                        std::string document, OnDone onDone);
+  /// After true, document() is the newest acknowledged one or newer.
+  void confirmNewest(TimePoint now, OnDone onDone);
+  const std::string &document() const { return State.document(); }
+  std::uint64_t configurationVersion() const {
+    return State.configurationVersion();
+  }
+  void instanceSaid(TimePoint now, membership::InstanceRecord record,
+                    OnDone onDone);
+  void instanceLeft(TimePoint now, const InstanceId &id, OnDone onDone);
+
+  void tick(TimePoint now);
+  void persisted(TimePoint now, std::uint64_t ticket);
+  /// The present time for what peers say; set before each event.
+  void setTime(TimePoint now) { Now = now; }
+
+  void peerConnected(const std::string &ip,
+                     const peer::wire::Hello &hello) override;
+  void peerLost(const std::string &ip) override;
+  void peerSaid(const std::string &ip,
+                const peer::wire::Message &message) override;
+
+private:
+  friend class Replacement;
+
+  struct PendingCall {
+    wire::Command Command;
+    bool IsRead = false;
+    TimePoint Deadline{};
+    TimePoint RetryAt{};
+    /// For a read: the state that must be reached.
+    std::optional<std::uint64_t> Index;
+    OnDone Done;
+  };
+  /// A call that another control VM has passed on to this leader.
+  struct RemoteCall {
+    std::string Ip;
+    std::uint64_t Number = 0;
+  };
+
+  std::uint64_t startCall(TimePoint now, wire::Command command, bool isRead,
+                          OnDone onDone);
+  void tryCall(TimePoint now, std::uint64_t number, PendingCall &call);
+  void finishCall(std::uint64_t number, bool done);
+  void finishReads();
+  void onCall(const std::string &ip, const peer::wire::Call &call);
+  void onReply(const peer::wire::CallReply &reply);
+  void reply(const RemoteCall &call, bool done, std::uint64_t index);
+
+  void runEffects(TimePoint now);
+  void apply(TimePoint now, const consensus::wire::Entry &entry);
+  void learn(TimePoint now, const membership::InstanceRecord &record,
+             bool isFromPeer);
+  void tellEntries(const peer::wire::Message &message);
+  void tellControls(const peer::wire::Message &message);
+  peer::wire::Message notice() const;
+  peer::wire::Message allInstances() const;
+  void updatePeers();
+  void pingPrimaries(TimePoint now);
+
+  ControlOptions Options;
+  consensus::ConsensusNode &Node;
+  ILogWriter &Writer;
+  peer::IPeerSender &Peers;
+  IInstanceProbe &Probe;
+  IControlLog &Log;
+  ClusterState State;
+  membership::InstanceDirectory Directory;
+  PrimaryWatch Watch{WatchOptions{}};
+  std::unique_ptr<Replacement> Replacer;
+
+  std::set<std::string> EntryIps;
+  std::set<std::string> KnownControls;
+  std::map<std::uint64_t, PendingCall> Calls;
+  std::map<std::uint64_t, RemoteCall> RemoteReads;
+  std::uint64_t LastCall = 0;
+  std::map<InstanceId, TimePoint> ToldAlive;
+  std::map<InstanceId, TimePoint> PingSentAt;
+  std::map<InstanceId, TimePoint> PingMissedSince;
+  TimePoint NoticeAt{};
+  TimePoint JoinAt{};
+  TimePoint PingAt{};
+  TimePoint Now{};
+  bool IsNoticeDue = false;
+  bool WasLeader = false;
+  bool IsRunning = false;
+};
+
+} // namespace stepledge::control
+
+#endif // STEPLEDGE_CONTROL_CONTROLNODE_H
--- /dev/null
+++ b/src/control/IPromoter.h
@@ -0,0 +1,67 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Naming a new primary, and asking instances how far they are, as the
+/// control VM's decisions see it.
+
+#ifndef STEPLEDGE_CONTROL_IPROMOTER_H
+#define STEPLEDGE_CONTROL_IPROMOTER_H
+
+#include "base/types/LogPosition.h"
+#include "membership/types/InstanceRecord.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace stepledge::control {
+
+struct PromotionOrder {
+  std::string Service;
+  InstanceId Instance;
+  /// The VM that gives the order.
+  std::string Holder;
+  /// Higher than that of every earlier order.
+  std::uint64_t Fence = 0;
+};
+
+enum class PromotionResult {
+  Accepted,
+  /// A higher fence was seen, or the instance isn't running.
+  Rejected,
+  /// It may still be carried out later.
+  NoAnswer,
+};
+
+class IPromoter {
+public:
+  virtual ~IPromoter() = default;
+  virtual void promote(const PromotionOrder &order,
+                       std::function<void(PromotionResult)> onDone) = 0;
+};
+
+struct InstanceStatus {
+  membership::InstanceRole Role = membership::InstanceRole::Replica;
+  /// The end of what it has received.
+  Mark Received;
+};
+
+class IInstanceProbe {
+public:
+  virtual ~IInstanceProbe() = default;
+  /// Nothing comes back within the limit: the callback gets no value.
+  virtual void
+  askStatus(const membership::InstanceRecord &instance,
+            std::function<void(std::optional<InstanceStatus>)> onDone) = 0;
+  /// Whether it answers at all; takes none of its slots.
+  virtual void ping(const membership::InstanceRecord &instance,
+                    std::function<void(bool)> onDone) = 0;
+  /// Connections to instances other than these may be closed.
+  virtual void keepOnly(const std::vector<InstanceId> &instances) = 0;
+};
+
+} // namespace stepledge::control
+
+#endif // STEPLEDGE_CONTROL_IPROMOTER_H
--- /dev/null
+++ b/src/control/PrimaryWatch.h
@@ -0,0 +1,60 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Whether a primary is lost, from what several VMs see of it.
+
+#ifndef STEPLEDGE_CONTROL_PRIMARYWATCH_H
+#define STEPLEDGE_CONTROL_PRIMARYWATCH_H
+
+#include "base/types/Ids.h"
+#include "base/types/Time.h"
+
+#include <map>
+#include <string>
+
+namespace stepledge::control {
+
+struct WatchOptions {
+  /// Silence seen by one VM counts from here on: above the answer time of an
+  /// instance whose queue is full.
+  Duration SilenceLimit = milliseconds(600);
+  /// A VM's report is used for this long.
+  Duration ReportLifetime = milliseconds(1500);
+  /// The share of the reporting VMs that must miss the primary.
+  double LostShare = 0.6;
+  /// No second replacement of a service for this time after one.
+  Duration RestAfter = milliseconds(1500);
+};
+
+class PrimaryWatch {
+public:
+  explicit PrimaryWatch(WatchOptions options) : Options(options) {}
+
+  /// A VM says how long questions to \p primary have stayed unanswered.
+  void report(TimePoint now, const std::string &observer,
+              const std::string &service, const InstanceId &primary,
+              Duration silentFor);
+  void noteReplaced(TimePoint now, const std::string &service);
+  /// Whether enough of the VMs that report on \p primary miss it.
+  bool isLost(TimePoint now, const std::string &service,
+              const InstanceId &primary) const;
+  void clear() { Services.clear(); }
+
+private:
+  struct Report {
+    InstanceId Primary;
+    Duration SilentFor{};
+    TimePoint At{};
+  };
+  struct Service {
+    std::map<std::string, Report> Reports;
+    TimePoint ReplacedAt{};
+  };
+
+  WatchOptions Options;
+  std::map<std::string, Service> Services;
+};
+
+} // namespace stepledge::control
+
+#endif // STEPLEDGE_CONTROL_PRIMARYWATCH_H
--- /dev/null
+++ b/src/control/internal/Replacement.cpp
@@ -0,0 +1,192 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "control/internal/Replacement.h"
+
+#include "control/ControlNode.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace stepledge::control {
+
+using membership::InstanceRecord;
+using membership::InstanceRole;
+using membership::InstanceState;
+
+namespace {
+
+/// Replicas that answer later are left out: two round trips and a queue.
+constexpr Duration StatusLimit = milliseconds(250);
+/// A run that isn't through by then is given up and begun anew.
+constexpr Duration RunLimit = milliseconds(3000);
+
+} // namespace
+
+std::vector<std::string> Replacement::services() const {
+  std::set<std::string> names;
+  for (const auto &it : Node.Directory.all())
+    names.insert(it.Service);
+  return {names.begin(), names.end()};
+}
+
+bool Replacement::needsReplacement(TimePoint now, const std::string &service,
+                                   bool &isPlanned) const {
+  const InstanceRecord *primary = nullptr;
+  const auto records = Node.Directory.ofService(service);
+  for (const auto &it : records) {
+    const bool isPrimary =
+        it.Role == InstanceRole::Primary && it.State != InstanceState::Gone;
+    // NOTE: one that was replaced may still call itself primary.
+    if (isPrimary && (!primary || it.State < primary->State))
+      primary = &it;
+  }
+  const auto promotion = Node.State.promotions().find(service);
+  if (promotion != Node.State.promotions().end())
+    for (const auto &it : records)
+      if (it.Id.str() == promotion->second.instance() &&
+          it.State != InstanceState::Gone)
+        primary = &it;
+  if (!primary)
+    return false;
+  isPlanned = primary->State == InstanceState::Leaving;
+  return isPlanned || Node.Watch.isLost(now, service, primary->Id);
+}
+
+void Replacement::tick(TimePoint now) {
+  for (const auto &service : services()) {
+    const auto it = Running.find(service);
+    if (it == Running.end()) {
+      bool isPlanned = false;
+      if (needsReplacement(now, service, isPlanned))
+        start(now, service, isPlanned);
+      continue;
+    }
+    auto &run = it->second;
+    if (now - run.StartedAt > RunLimit) {
+      Log.decision(absl::StrCat("event=replacement_given_up service=", service,
+                                " fence=", run.Fence));
+      finish(now, service);
+      continue;
+    }
+    const bool isLate = now - run.StepAt > StatusLimit;
+    if (run.Step == Stage::AskingStatus && (run.AwaitedAnswers == 0 || isLate))
+      order(now, service, run);
+  }
+}
+
+void Replacement::start(TimePoint now, const std::string &service,
+                        bool isPlanned) {
+  auto &run = Running[service];
+  run.Number = ++LastNumber;
+  run.IsPlanned = isPlanned;
+  run.StartedAt = now;
+  run.StepAt = now;
+  Log.decision(absl::StrCat("event=replacement_begins service=", service,
+                            " planned=", isPlanned));
+  wire::Command command;
+  command.mutable_take_fence()->set_service(service);
+  command.mutable_take_fence()->set_holder(Node.Options.NodeName);
+  Node.startCall(now, std::move(command), false, [](bool) {});
+}
+
+void Replacement::fenceTaken(TimePoint now, const wire::Command &command,
+                             std::uint64_t index) {
+  const std::string &service = command.take_fence().service();
+  const auto it = Running.find(service);
+  if (it == Running.end() || it->second.Step != Stage::TakingFence ||
+      command.proposer() != Node.Node.self().number())
+    return;
+  it->second.Fence = index;
+  askReplicas(now, service, it->second);
+}
+
+void Replacement::askReplicas(TimePoint now, const std::string &service,
+                              Run &run) {
+  run.Step = Stage::AskingStatus;
+  run.StepAt = now;
+  const std::uint64_t number = run.Number;
+  for (const auto &it : Node.Directory.ofService(service)) {
+    if (it.State != InstanceState::Ready)
+      continue;
+    ++run.AwaitedAnswers;
+    Probe.askStatus(it, [this, service, number,
+                         id = it.Id](std::optional<InstanceStatus> status) {
+      const auto found = Running.find(service);
+      if (found == Running.end() || found->second.Number != number)
+        return;
+      --found->second.AwaitedAnswers;
+      if (status)
+        found->second.Answers[id] = *status;
+    });
+  }
+}
+
+void Replacement::order(TimePoint now, const std::string &service, Run &run) {
+  const std::pair<const InstanceId, InstanceStatus> *best = nullptr;
+  for (const auto &it : run.Answers) {
+    const bool isPrimary = it.second.Role == InstanceRole::Primary;
+    // NOTE: a primary that answers and isn't leaving needs no successor.
+    if (isPrimary && !run.IsPlanned) {
+      Log.decision(absl::StrCat("event=replacement_unneeded service=", service,
+                                " primary=", it.first.str()));
+      return finish(now, service);
+    }
+    if (!isPrimary && (!best || it.second.Received > best->second.Received))
+      best = &it;
+  }
+  if (!best) {
+    Log.decision(
+        absl::StrCat("event=replacement_without_candidate service=", service));
+    return finish(now, service);
+  }
+  run.Step = Stage::Ordering;
+  run.StepAt = now;
+  const PromotionOrder order{service, best->first, Node.Options.NodeName,
+                             run.Fence};
+  Log.decision(absl::StrCat("event=promotion_ordered service=", service,
+                            " instance=", best->first.str(),
+                            " fence=", run.Fence,
+                            " term=", best->second.Received.WrittenIn.Number,
+                            " position=", best->second.Received.Position.Offset,
+                            " answers=", run.Answers.size()));
+  const std::uint64_t number = run.Number;
+  Promoter.promote(
+      order, [this, service, number, id = best->first](PromotionResult result) {
+        ordered(service, number, id, result);
+      });
+}
+
+void Replacement::ordered(const std::string &service, std::uint64_t number,
+                          const InstanceId &instance, PromotionResult result) {
+  const TimePoint now = Node.Now;
+  const auto it = Running.find(service);
+  if (it == Running.end() || it->second.Number != number)
+    return;
+  Log.decision(absl::StrCat("event=promotion_answered service=", service,
+                            " instance=", instance.str(),
+                            " fence=", it->second.Fence,
+                            " result=", static_cast<int>(result)));
+  // NOTE: an order without an answer may still be carried out, so the entry
+  // VMs hear of it too; they go by what the instance itself says.
+  if (result == PromotionResult::Rejected)
+    return finish(now, service);
+  wire::Command command;
+  auto &promotion = *command.mutable_record_promotion();
+  promotion.set_service(service);
+  promotion.set_instance(instance.str());
+  promotion.set_fence(it->second.Fence);
+  it->second.Step = Stage::Recording;
+  Node.startCall(now, std::move(command), false,
+                 [this, service](bool) { finish(Node.Now, service); });
+}
+
+void Replacement::finish(TimePoint now, const std::string &service) {
+  Node.Watch.noteReplaced(now, service);
+  Running.erase(service);
+}
+
+} // namespace stepledge::control
--- /dev/null
+++ b/src/control/internal/Replacement.h
@@ -0,0 +1,73 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The replacement of primaries, by the control group's leader: take a
+/// fence, ask the replicas how far they are, name the furthest one, and record
+/// it.
+
+#ifndef STEPLEDGE_CONTROL_INTERNAL_REPLACEMENT_H
+#define STEPLEDGE_CONTROL_INTERNAL_REPLACEMENT_H
+
+#include "control/IPromoter.h"
+#include "control/generated/Control.pb.h"
+
+#include "base/types/Time.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace stepledge::control {
+
+class ControlNode;
+class IControlLog;
+
+class Replacement {
+public:
+  Replacement(ControlNode &node, IPromoter &promoter, IInstanceProbe &probe,
+              IControlLog &log)
+      : Node(node), Promoter(promoter), Probe(probe), Log(log) {}
+
+  void tick(TimePoint now);
+  /// An entry that takes a fence was committed at \p index.
+  void fenceTaken(TimePoint now, const wire::Command &command,
+                  std::uint64_t index);
+  /// This member leads no longer, or anew.
+  void reset() { Running.clear(); }
+
+private:
+  enum class Stage { TakingFence, AskingStatus, Ordering, Recording };
+
+  struct Run {
+    Stage Step = Stage::TakingFence;
+    /// Tells the answers to this run from late ones to an earlier run.
+    std::uint64_t Number = 0;
+    std::uint64_t Fence = 0;
+    bool IsPlanned = false;
+    TimePoint StartedAt{};
+    TimePoint StepAt{};
+    int AwaitedAnswers = 0;
+    std::map<InstanceId, InstanceStatus> Answers;
+  };
+
+  std::vector<std::string> services() const;
+  bool needsReplacement(TimePoint now, const std::string &service,
+                        bool &isPlanned) const;
+  void start(TimePoint now, const std::string &service, bool isPlanned);
+  void askReplicas(TimePoint now, const std::string &service, Run &run);
+  void order(TimePoint now, const std::string &service, Run &run);
+  void ordered(const std::string &service, std::uint64_t number,
+               const InstanceId &instance, PromotionResult result);
+  void finish(TimePoint now, const std::string &service);
+
+  ControlNode &Node;
+  IPromoter &Promoter;
+  IInstanceProbe &Probe;
+  IControlLog &Log;
+  std::map<std::string, Run> Running;
+  std::uint64_t LastNumber = 0;
+};
+
+} // namespace stepledge::control
+
+#endif // STEPLEDGE_CONTROL_INTERNAL_REPLACEMENT_H
--- a/src/daemon/DaemonModule.cpp
+++ b/src/daemon/DaemonModule.cpp
@@ -120,7 +120,7 @@
   std::unique_ptr<observe::ITracer> Tracer;
   std::unique_ptr<observe::IDecisionJournal> Journal;
   std::unique_ptr<session::ITokenCodec> Tokens;
-  std::unique_ptr<api::ICallHandler> Handler;
+  std::unique_ptr<http::ICallHandler> Handler;
   Supervisor Root;
   RequestService *Requests = nullptr;
   asio::signal_set Signals;
--- a/src/daemon/internal/Parts.h
+++ b/src/daemon/internal/Parts.h
@@ -41,7 +41,7 @@
 class ApiPart : public ISupervised {
 public:
   ApiPart(asio::io_context &context, const settings::Settings &settings,
-          api::ICallHandler &handler)
+          http::ICallHandler &handler)
       : Context(context), Config(settings), Handler(handler) {}
 
   std::string name() const override { return "api"; }
@@ -53,8 +53,8 @@
 private:
   asio::io_context &Context;
   const settings::Settings &Config;
-  api::ICallHandler &Handler;
-  std::unique_ptr<api::IHttpServer> Server;
+  http::ICallHandler &Handler;
+  std::unique_ptr<http::IHttpServer> Server;
 };
 
 } // namespace stepledge::daemon
--- /dev/null
+++ b/src/entry/EntryNode.cpp
@@ -0,0 +1,127 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "entry/EntryNode.h"
+
+#include "peer/InstanceCodec.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace stepledge::entry {
+
+EntryNode::EntryNode(EntryOptions options, proxy::Proxy &proxy,
+                     peer::IPeerSender &peers, proxy::IProxyLog &log,
+                     Decode decode)
+    : Options(std::move(options)), Proxy(proxy), Peers(peers), Log(log),
+      DecodeDocument(std::move(decode)) {
+  Peers.keepConnected(Options.SeedIps);
+}
+
+void EntryNode::tick(TimePoint now) {
+  if (Now != TimePoint{} && now - Now > Options.StandstillLimit) {
+    Log.decision(
+        absl::StrCat("event=stood_still for_ms=", toMilliseconds(now - Now)));
+    Proxy.forgetProofs();
+  }
+  Now = now;
+  Proxy.tick(now);
+  const auto sights = Proxy.primarySights(now);
+  const bool isAlarmed =
+      std::any_of(sights.begin(), sights.end(),
+                  [](const auto &it) { return it.SilentFor > Duration{}; });
+  const Duration interval =
+      isAlarmed ? Options.AlarmInterval : Options.SightInterval;
+  if (now - SightsAt >= interval) {
+    SightsAt = now;
+    tellSights();
+  }
+}
+
+void EntryNode::tellSights() {
+  peer::wire::Message message;
+  message.mutable_sights();
+  for (const auto &it : Proxy.primarySights(Now)) {
+    auto &sight = *message.mutable_sights()->add_sights();
+    sight.set_service(it.Service);
+    sight.set_instance(it.Primary.str());
+    sight.set_silent_ms(
+        static_cast<std::uint64_t>(toMilliseconds(it.SilentFor)));
+  }
+  for (const auto &it : Connected)
+    Peers.send(it, message);
+}
+
+void EntryNode::peerConnected(const std::string &ip,
+                              const peer::wire::Hello &hello) {
+  (void)hello;
+  Connected.insert(ip);
+  Log.decision(absl::StrCat("event=control_connected ip=", ip));
+}
+
+void EntryNode::peerLost(const std::string &ip) {
+  Connected.erase(ip);
+  Log.decision(absl::StrCat("event=control_lost ip=", ip));
+}
+
+void EntryNode::peerSaid(const std::string &ip,
+                         const peer::wire::Message &message) {
+  if (message.has_notice())
+    onNotice(ip, message.notice());
+  else if (message.has_configuration())
+    onConfiguration(message.configuration());
+  else if (message.has_instances())
+    for (const auto &it : message.instances().instances())
+      Proxy.applyInstance(Now, peer::decode(it));
+}
+
+void EntryNode::onNotice(const std::string &ip,
+                         const peer::wire::Notice &notice) {
+  if (notice.entry_count() > 0)
+    Proxy.setEntryCount(static_cast<int>(notice.entry_count()));
+  for (const auto &it : notice.promotions())
+    Proxy.applyPromotion(Now, it.service(), InstanceId(it.instance()),
+                         it.fence());
+  if (notice.control_ips_size() > 0) {
+    std::set<std::string> ips(notice.control_ips().begin(),
+                              notice.control_ips().end());
+    // NOTE: the one that says so stays connected until it goes by itself: the
+    // voters it names may be those of an older state.
+    ips.insert(Options.SeedIps.begin(), Options.SeedIps.end());
+    ips.insert(Connected.begin(), Connected.end());
+    Peers.keepConnected(ips);
+  }
+  if (notice.configuration_version() > Proxy.configurationVersion())
+    fetch(ip);
+}
+
+void EntryNode::fetch(const std::string &ip) {
+  if (Now - FetchedAt < Options.FetchLimit && FetchedAt != TimePoint{})
+    return;
+  FetchedAt = Now;
+  peer::wire::Message message;
+  message.mutable_configuration_request()->set_above_version(
+      Proxy.configurationVersion());
+  Peers.send(ip, message);
+}
+
+void EntryNode::onConfiguration(
+    const peer::wire::Configuration &configuration) {
+  FetchedAt = {};
+  if (configuration.version() <= Proxy.configurationVersion())
+    return;
+  auto decoded = DecodeDocument(configuration.document());
+  if (!decoded.ok()) {
+    Log.decision(absl::StrCat(
+        "event=configuration_unreadable version=", configuration.version(),
+        " reason=\"", std::string(decoded.status().message()), "\""));
+    return;
+  }
+  Log.decision(
+      absl::StrCat("event=configuration version=", configuration.version()));
+  Proxy.applyConfiguration(Now, *std::move(decoded));
+}
+
+} // namespace stepledge::entry
--- /dev/null
+++ b/src/entry/EntryNode.h
@@ -0,0 +1,73 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file An entry VM: keeps the proxy told of configuration, instances and
+/// promotions, and tells the control VMs how it sees the primaries.
+
+#ifndef STEPLEDGE_ENTRY_ENTRYNODE_H
+#define STEPLEDGE_ENTRY_ENTRYNODE_H
+
+#include "peer/IPeerListener.h"
+#include "peer/IPeerSender.h"
+#include "proxy/Proxy.h"
+
+#include "absl/status/statusor.h"
+
+#include <functional>
+#include <set>
+#include <string>
+
+namespace stepledge::entry {
+
+struct EntryOptions {
+  std::string Hall;
+  std::set<std::string> SeedIps;
+  /// How often the control VMs hear of primaries that answer.
+  Duration SightInterval = milliseconds(1000);
+  /// And of one that doesn't.
+  Duration AlarmInterval = milliseconds(200);
+  /// A configuration that was asked for and didn't come is asked for again.
+  Duration FetchLimit = milliseconds(300);
+  /// A jump of the clock by more than this means that the VM stood still.
+  Duration StandstillLimit = milliseconds(400);
+};
+
+class EntryNode : public peer::IPeerListener {
+public:
+  using Decode = std::function<absl::StatusOr<control::Configuration>(
+      const std::string &document)>;
+
+  EntryNode(EntryOptions options, proxy::Proxy &proxy, peer::IPeerSender &peers,
+            proxy::IProxyLog &log, Decode decode);
+
+  void tick(TimePoint now);
+  void setTime(TimePoint now) { Now = now; }
+  void setSeeds(std::set<std::string> ips) { Options.SeedIps = std::move(ips); }
+  bool isReady() const { return Proxy.canServe(); }
+
+  void peerConnected(const std::string &ip,
+                     const peer::wire::Hello &hello) override;
+  void peerLost(const std::string &ip) override;
+  void peerSaid(const std::string &ip,
+                const peer::wire::Message &message) override;
+
+private:
+  void onNotice(const std::string &ip, const peer::wire::Notice &notice);
+  void onConfiguration(const peer::wire::Configuration &configuration);
+  void fetch(const std::string &ip);
+  void tellSights();
+
+  EntryOptions Options;
+  proxy::Proxy &Proxy;
+  peer::IPeerSender &Peers;
+  proxy::IProxyLog &Log;
+  Decode DecodeDocument;
+  TimePoint Now{};
+  TimePoint SightsAt{};
+  TimePoint FetchedAt{};
+  std::set<std::string> Connected;
+};
+
+} // namespace stepledge::entry
+
+#endif // STEPLEDGE_ENTRY_ENTRYNODE_H
--- /dev/null
+++ b/src/entry/StopPlan.h
@@ -0,0 +1,39 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The steps of a planned stop of an entry VM.
+
+#ifndef STEPLEDGE_ENTRY_STOPPLAN_H
+#define STEPLEDGE_ENTRY_STOPPLAN_H
+
+#include "base/types/Time.h"
+
+#include <algorithm>
+
+namespace stepledge::entry {
+
+struct StopPlan {
+  TimePoint StartedAt{};
+  Duration Limit{};
+
+  /// The balancer has asked twice by then and sends no new connections.
+  static constexpr Duration BalancerTime = milliseconds(2200);
+  /// Left for the last answers' way to the clients.
+  static constexpr Duration Margin = milliseconds(400);
+
+  /// Resting sessions may be closed: clients come back elsewhere.
+  bool mayCloseSessions(TimePoint now) const {
+    return now - StartedAt >= std::min(BalancerTime, Limit / 2);
+  }
+  /// Open transactions have had the first half of the time.
+  bool mayAbortTransactions(TimePoint now) const {
+    return now - StartedAt >= Limit / 2;
+  }
+  bool mustEnd(TimePoint now) const {
+    return now - StartedAt >= Limit - Margin;
+  }
+};
+
+} // namespace stepledge::entry
+
+#endif // STEPLEDGE_ENTRY_STOPPLAN_H
--- a/src/api/HttpMessage.cpp
+++ b/src/http/HttpMessage.cpp
@@ -1,11 +1,11 @@
 // Part of stepledge, under the Apache License v2.0. See LICENSE.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "api/types/HttpMessage.h"
+#include "http/types/HttpMessage.h"
 
 #include "absl/strings/match.h"
 
-namespace stepledge::api {
+namespace stepledge::http {
 
 std::vector<std::string> HttpCall::all(const std::string &name) const {
   std::vector<std::string> out;
@@ -20,4 +20,4 @@
   return values.empty() ? std::string() : values.front();
 }
 
-} // namespace stepledge::api
+} // namespace stepledge::http
--- a/src/api/internal/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,26 +1,21 @@
 // Part of stepledge, under the Apache License v2.0. See LICENSE.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "api/internal/HttpServer.h"
+#include "http/HttpServer.h"
 
 #include <restinio/all.hpp>
 
 #include <exception>
 #include <utility>
 
-namespace stepledge::api {
+namespace stepledge::http {
 
 namespace {
 
 constexpr std::size_t PipelinedRequests = 16;
 constexpr std::chrono::seconds IdleLimit{60};
-/// Beyond the longest deadline, for a reply on its way.
-constexpr std::chrono::seconds ReplyMargin{15};
 constexpr std::size_t LongestUrl = 2048;
 constexpr std::size_t LongestHeaderValue = 16384;
-/// What the handler refuses with a code is let through this far; beyond it
-/// the connection is closed.
-constexpr std::size_t HardFactor = 4;
 
 struct Traits : public restinio::default_single_thread_traits_t {
   using request_handler_t = std::function<restinio::request_handling_status_t(
@@ -54,21 +49,21 @@
 }
 
 restinio::incoming_http_msg_limits_t
-messageLimits(const settings::LimitSettings &limits) {
+messageLimits(const HttpServerOptions &options) {
   return restinio::incoming_http_msg_limits_t()
       .max_url_size(LongestUrl)
       .max_field_name_size(LongestUrl)
       .max_field_value_size(LongestHeaderValue)
-      .max_field_count(HardFactor * limits.Headers)
-      .max_body_size(HardFactor * limits.BodyBytes);
+      .max_field_count(options.MostHeaders)
+      .max_body_size(options.MostBodyBytes);
 }
 
 class HttpServer : public IHttpServer {
 public:
-  HttpServer(asio::io_context &context, const settings::Settings &settings,
+  HttpServer(asio::io_context &context, const HttpServerOptions &options,
              ICallHandler &handler)
       : Listener(restinio::external_io_context(context),
-                 [&](auto &it) { configure(it, settings, handler); }) {
+                 [&](auto &it) { configure(it, options, handler); }) {
     Listener.open_sync();
   }
 
@@ -79,17 +74,14 @@
 
 private:
   template <typename Config>
-  static void configure(Config &it, const settings::Settings &settings,
+  static void configure(Config &it, const HttpServerOptions &options,
                         ICallHandler &handler) {
-    it.address(settings.Callers.Address)
-        .port(settings.Callers.Port)
+    it.address(options.Address)
+        .port(options.Port)
         .max_pipelined_requests(PipelinedRequests)
         .read_next_http_message_timelimit(IdleLimit)
-        .handle_request_timeout(
-            std::chrono::duration_cast<std::chrono::seconds>(
-                settings.Timing.LongestDeadline) +
-            ReplyMargin)
-        .incoming_http_msg_limits(messageLimits(settings.Limits))
+        .handle_request_timeout(options.ReplyLimit)
+        .incoming_http_msg_limits(messageLimits(options))
         .request_handler([&handler](const restinio::request_handle_t &request) {
           handler.handle(readCall(request), [request](HttpReply reply) {
             writeReply(request, std::move(reply));
@@ -105,9 +97,9 @@
 } // namespace
 
 std::unique_ptr<IHttpServer> startHttpServer(asio::io_context &context,
-                                             const settings::Settings &settings,
+                                             const HttpServerOptions &options,
                                              ICallHandler &handler) {
-  return std::make_unique<HttpServer>(context, settings, handler);
+  return std::make_unique<HttpServer>(context, options, handler);
 }
 
-} // namespace stepledge::api
+} // namespace stepledge::http
--- a/src/api/internal/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -4,22 +4,22 @@
 /// \file The RESTinio server. Only HttpServer.cpp includes RESTinio, since
 /// its headers take long to compile.
 
-#ifndef STEPLEDGE_API_INTERNAL_HTTPSERVER_H
-#define STEPLEDGE_API_INTERNAL_HTTPSERVER_H
+#ifndef STEPLEDGE_HTTP_HTTPSERVER_H
+#define STEPLEDGE_HTTP_HTTPSERVER_H
 
-#include "api/IHttpServer.h"
-#include "settings/types/Settings.h"
+#include "http/IHttpServer.h"
+#include "http/types/HttpServerOptions.h"
 
 #include <asio/io_context.hpp>
 
 #include <memory>
 
-namespace stepledge::api {
+namespace stepledge::http {
 
 std::unique_ptr<IHttpServer> startHttpServer(asio::io_context &context,
-                                             const settings::Settings &settings,
+                                             const HttpServerOptions &options,
                                              ICallHandler &handler);
 
-} // namespace stepledge::api
+} // namespace stepledge::http
 
-#endif // STEPLEDGE_API_INTERNAL_HTTPSERVER_H
+#endif // STEPLEDGE_HTTP_HTTPSERVER_H
--- a/src/api/IHttpServer.h
+++ b/src/http/IHttpServer.h
@@ -3,14 +3,14 @@
 
 /// \file The HTTP server, and what answers its calls.
 
-#ifndef STEPLEDGE_API_IHTTPSERVER_H
-#define STEPLEDGE_API_IHTTPSERVER_H
+#ifndef STEPLEDGE_HTTP_IHTTPSERVER_H
+#define STEPLEDGE_HTTP_IHTTPSERVER_H
 
-#include "api/types/HttpMessage.h"
+#include "http/types/HttpMessage.h"
 
 #include <functional>
 
-namespace stepledge::api {
+namespace stepledge::http {
 
 using Reply = std::function<void(HttpReply reply)>;
 
@@ -30,6 +30,6 @@
   virtual void stopListening() = 0;
 };
 
-} // namespace stepledge::api
+} // namespace stepledge::http
 
-#endif // STEPLEDGE_API_IHTTPSERVER_H
+#endif // STEPLEDGE_HTTP_IHTTPSERVER_H
--- a/src/api/types/HttpMessage.h
+++ b/src/http/types/HttpMessage.h
@@ -3,14 +3,14 @@
 
 /// \file A call and its reply, without the HTTP library.
 
-#ifndef STEPLEDGE_API_TYPES_HTTPMESSAGE_H
-#define STEPLEDGE_API_TYPES_HTTPMESSAGE_H
+#ifndef STEPLEDGE_HTTP_TYPES_HTTPMESSAGE_H
+#define STEPLEDGE_HTTP_TYPES_HTTPMESSAGE_H
 
 #include <cstddef>
 #include <string>
 #include <vector>
 
-namespace stepledge::api {
+namespace stepledge::http {
 
 struct HttpHeader {
   std::string Name;
@@ -37,6 +37,6 @@
   std::string Body;
 };
 
-} // namespace stepledge::api
+} // namespace stepledge::http
 
-#endif // STEPLEDGE_API_TYPES_HTTPMESSAGE_H
+#endif // STEPLEDGE_HTTP_TYPES_HTTPMESSAGE_H
--- /dev/null
+++ b/src/peer/InstanceCodec.cpp
@@ -0,0 +1,42 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "peer/InstanceCodec.h"
+
+#include <algorithm>
+
+namespace stepledge::peer {
+
+using membership::InstanceRecord;
+using membership::InstanceRole;
+using membership::InstanceState;
+
+wire::Instance encode(const InstanceRecord &record) {
+  wire::Instance instance;
+  instance.set_id(record.Id.str());
+  instance.set_service(record.Service);
+  instance.set_address(record.Address);
+  instance.set_hall(record.Hall.str());
+  instance.set_is_primary(record.Role == InstanceRole::Primary);
+  instance.set_state(static_cast<std::uint32_t>(record.State));
+  instance.set_slots(static_cast<std::uint32_t>(record.Slots));
+  instance.set_sequence(record.Sequence);
+  return instance;
+}
+
+InstanceRecord decode(const wire::Instance &instance) {
+  InstanceRecord record;
+  record.Id = InstanceId(instance.id());
+  record.Service = instance.service();
+  record.Address = instance.address();
+  record.Hall = HallId(instance.hall());
+  record.Role =
+      instance.is_primary() ? InstanceRole::Primary : InstanceRole::Replica;
+  constexpr auto Last = static_cast<std::uint32_t>(InstanceState::Gone);
+  record.State = static_cast<InstanceState>(std::min(instance.state(), Last));
+  record.Slots = static_cast<int>(instance.slots());
+  record.Sequence = instance.sequence();
+  return record;
+}
+
+} // namespace stepledge::peer
--- /dev/null
+++ b/src/peer/PeerHub.cpp
@@ -0,0 +1,192 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "peer/PeerHub.h"
+
+#include "peer/internal/PeerLink.h"
+
+#include <utility>
+#include <vector>
+
+namespace stepledge::peer {
+
+namespace {
+
+/// A connection that isn't open by then is tried anew.
+constexpr Duration ConnectLimit = milliseconds(900);
+/// The pause between two tries to connect to one VM.
+constexpr Duration ConnectPause = milliseconds(250);
+/// A peer that says nothing for this long is connected to anew; each sends
+/// a heartbeat at least once a second.
+constexpr Duration SilenceLimit = milliseconds(3000);
+
+} // namespace
+
+PeerHub::PeerHub(asio::io_context &context, wire::Hello self,
+                 std::uint16_t port, IPeerListener &listener)
+    : Context(context), Self(std::move(self)), Port(port), Listener(listener),
+      Acceptor(context) {}
+
+PeerHub::~PeerHub() = default;
+
+std::error_code PeerHub::listen() {
+  std::error_code ec;
+  const auto address = asio::ip::make_address(Self.ip(), ec);
+  if (ec)
+    return ec;
+  const asio::ip::tcp::endpoint endpoint(address, Port);
+  Acceptor.open(endpoint.protocol(), ec);
+  if (!ec)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+  if (!ec)
+    Acceptor.bind(endpoint, ec);
+  if (!ec)
+    Acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  if (!ec)
+    accept();
+  return ec;
+}
+
+void PeerHub::accept() {
+  Acceptor.async_accept(
+      [this](std::error_code ec, asio::ip::tcp::socket socket) {
+        if (ec == asio::error::operation_aborted)
+          return;
+        if (!ec)
+          take(std::move(socket));
+        accept();
+      });
+}
+
+void PeerHub::take(asio::ip::tcp::socket socket) {
+  auto ip = std::make_shared<std::string>();
+  const std::uint64_t number = ++LastNumber;
+  auto holder = std::make_shared<std::weak_ptr<PeerLink>>();
+  auto link = std::make_shared<PeerLink>(
+      std::move(socket),
+      [this, ip, number, holder](const wire::Message &message) {
+        if (!ip->empty())
+          return Listener.peerSaid(*ip, message);
+        auto self = holder->lock();
+        if (!message.has_hello() || !self)
+          return;
+        *ip = message.hello().ip();
+        Unnamed.erase(self);
+        auto old = std::exchange(IncomingLinks[*ip], Incoming{self, number});
+        if (old.Link)
+          old.Link->close();
+        Listener.peerConnected(*ip, message.hello());
+      },
+      [this, ip, number, holder] {
+        Unnamed.erase(holder->lock());
+        const auto it = IncomingLinks.find(*ip);
+        if (it == IncomingLinks.end() || it->second.Number != number)
+          return;
+        IncomingLinks.erase(it);
+        Listener.peerLost(*ip);
+      });
+  *holder = link;
+  Unnamed.insert(link);
+  link->start();
+}
+
+void PeerHub::keepConnected(const std::set<std::string> &ips) {
+  std::vector<std::shared_ptr<PeerLink>> unwanted;
+  for (auto it = OutgoingLinks.begin(); it != OutgoingLinks.end();) {
+    if (ips.contains(it->first)) {
+      ++it;
+      continue;
+    }
+    if (it->second.Link)
+      unwanted.push_back(it->second.Link);
+    it = OutgoingLinks.erase(it);
+  }
+  for (const auto &it : unwanted)
+    it->close();
+  for (const auto &it : ips)
+    if (it != Self.ip())
+      OutgoingLinks.try_emplace(it);
+}
+
+void PeerHub::tick(TimePoint now) {
+  Now = now;
+  std::vector<std::shared_ptr<PeerLink>> silent;
+  for (auto &[ip, it] : OutgoingLinks) {
+    const bool expectsWord = Self.kind() == wire::ENTRY;
+    if (expectsWord && it.Link && now - it.HeardAt > SilenceLimit)
+      silent.push_back(it.Link);
+    const bool isLate = it.Connecting && now - it.StartedAt > ConnectLimit;
+    if (isLate)
+      it.Connecting.reset();
+    if (!it.Link && !it.Connecting && now - it.StartedAt > ConnectPause)
+      open(now, ip, it);
+  }
+  for (const auto &it : silent)
+    it->close();
+}
+
+void PeerHub::open(TimePoint now, const std::string &ip, Outgoing &outgoing) {
+  outgoing.StartedAt = now;
+  std::error_code ec;
+  const auto address = asio::ip::make_address(ip, ec);
+  if (ec)
+    return;
+  auto socket = std::make_shared<asio::ip::tcp::socket>(Context);
+  outgoing.Connecting = socket;
+  // NOTE: the handler holds no share of the socket, so dropping it gives up.
+  const std::weak_ptr<asio::ip::tcp::socket> weak = socket;
+  socket->async_connect(asio::ip::tcp::endpoint(address, Port),
+                        [this, ip, weak](std::error_code failure) {
+                          const auto it = OutgoingLinks.find(ip);
+                          const auto opening = weak.lock();
+                          if (it == OutgoingLinks.end() || !opening ||
+                              it->second.Connecting != opening)
+                            return;
+                          it->second.Connecting.reset();
+                          if (!failure)
+                            opened(ip, std::move(*opening));
+                        });
+}
+
+void PeerHub::opened(const std::string &ip, asio::ip::tcp::socket socket) {
+  auto holder = std::make_shared<std::weak_ptr<PeerLink>>();
+  auto link = std::make_shared<PeerLink>(
+      std::move(socket),
+      [this, ip](const wire::Message &message) {
+        const auto it = OutgoingLinks.find(ip);
+        if (it != OutgoingLinks.end())
+          it->second.HeardAt = Now;
+        Listener.peerSaid(ip, message);
+      },
+      [this, ip, holder] {
+        const auto it = OutgoingLinks.find(ip);
+        if (it == OutgoingLinks.end() || it->second.Link != holder->lock())
+          return;
+        it->second.Link.reset();
+        Listener.peerLost(ip);
+      });
+  *holder = link;
+  auto &outgoing = OutgoingLinks[ip];
+  outgoing.Link = link;
+  outgoing.HeardAt = Now;
+  link->start();
+  wire::Message hello;
+  *hello.mutable_hello() = Self;
+  link->send(hello);
+  Listener.peerConnected(ip, {});
+}
+
+bool PeerHub::send(const std::string &ip, const wire::Message &message) {
+  const auto outgoing = OutgoingLinks.find(ip);
+  if (outgoing != OutgoingLinks.end() && outgoing->second.Link) {
+    outgoing->second.Link->send(message);
+    return true;
+  }
+  const auto incoming = IncomingLinks.find(ip);
+  if (incoming == IncomingLinks.end())
+    return false;
+  incoming->second.Link->send(message);
+  return true;
+}
+
+} // namespace stepledge::peer
--- /dev/null
+++ b/src/peer/PeerHub.h
@@ -0,0 +1,73 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The connections of one process to those on other VMs.
+
+#ifndef STEPLEDGE_PEER_PEERHUB_H
+#define STEPLEDGE_PEER_PEERHUB_H
+
+#include "base/types/Time.h"
+#include "peer/IPeerListener.h"
+#include "peer/IPeerSender.h"
+
+#include <asio.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace stepledge::peer {
+
+class PeerLink;
+
+class PeerHub : public IPeerSender {
+public:
+  PeerHub(asio::io_context &context, wire::Hello self, std::uint16_t port,
+          IPeerListener &listener);
+  ~PeerHub() override;
+  PeerHub(const PeerHub &) = delete;
+  PeerHub &operator=(const PeerHub &) = delete;
+
+  /// Takes connections on the own address.
+  std::error_code listen();
+  /// Keeps a connection open to each of \p ips, and to no others.
+  void keepConnected(const std::set<std::string> &ips) override;
+  /// Sends over the connection to \p ip that this side opened, else over the
+  /// one that the other side opened; drops the message where there is none.
+  bool send(const std::string &ip, const wire::Message &message) override;
+  /// Opens and drops connections; call it some times a second.
+  void tick(TimePoint now);
+
+private:
+  struct Outgoing {
+    std::shared_ptr<PeerLink> Link;
+    std::shared_ptr<asio::ip::tcp::socket> Connecting;
+    TimePoint StartedAt{};
+    TimePoint HeardAt{};
+  };
+  struct Incoming {
+    std::shared_ptr<PeerLink> Link;
+    std::uint64_t Number = 0;
+  };
+
+  void accept();
+  void take(asio::ip::tcp::socket socket);
+  void open(TimePoint now, const std::string &ip, Outgoing &outgoing);
+  void opened(const std::string &ip, asio::ip::tcp::socket socket);
+
+  asio::io_context &Context;
+  wire::Hello Self;
+  std::uint16_t Port;
+  IPeerListener &Listener;
+  asio::ip::tcp::acceptor Acceptor;
+  std::map<std::string, Outgoing> OutgoingLinks;
+  std::map<std::string, Incoming> IncomingLinks;
+  std::set<std::shared_ptr<PeerLink>> Unnamed;
+  std::uint64_t LastNumber = 0;
+  TimePoint Now{};
+};
+
+} // namespace stepledge::peer
+
+#endif // STEPLEDGE_PEER_PEERHUB_H
--- /dev/null
+++ b/src/peer/internal/PeerLink.h
@@ -0,0 +1,54 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file One TCP connection between two VMs, with a length before each message.
+
+#ifndef STEPLEDGE_PEER_INTERNAL_PEERLINK_H
+#define STEPLEDGE_PEER_INTERNAL_PEERLINK_H
+
+#include "peer/generated/Peer.pb.h"
+
+#include <asio.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace stepledge::peer {
+
+class PeerLink : public std::enable_shared_from_this<PeerLink> {
+public:
+  using OnMessage = std::function<void(const wire::Message &)>;
+  using OnClosed = std::function<void()>;
+
+  PeerLink(asio::ip::tcp::socket socket, OnMessage onMessage,
+           OnClosed onClosed);
+
+  void start();
+  /// Queues \p message. A peer that doesn't read is cut off, so that it comes
+  /// back and is told everything anew.
+  void send(const wire::Message &message);
+  void close();
+
+private:
+  void read();
+  void takeMessages();
+  void write();
+
+  asio::ip::tcp::socket Socket;
+  OnMessage MessageHandler;
+  OnClosed ClosedHandler;
+  std::array<char, 8192> Chunk{};
+  std::string Input;
+  std::string Waiting;
+  std::string Writing;
+  bool IsClosed = false;
+};
+
+/// Makes \p socket notice within seconds that its far end is gone.
+void watchForDeadPeer(asio::ip::tcp::socket &socket);
+
+} // namespace stepledge::peer
+
+#endif // STEPLEDGE_PEER_INTERNAL_PEERLINK_H
--- /dev/null
+++ b/src/proxy/IProxyIo.h
@@ -0,0 +1,50 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file What the proxy's decisions ask of the sockets around them.
+
+#ifndef STEPLEDGE_PROXY_IPROXYIO_H
+#define STEPLEDGE_PROXY_IPROXYIO_H
+
+#include "base/types/Ids.h"
+#include "proxy/types/InstanceCommand.h"
+#include "proxy/types/StatementReply.h"
+
+#include <string>
+#include <vector>
+
+namespace stepledge::proxy {
+
+using ClientId = NumberedId<struct ClientTag>;
+
+class IProxyIo {
+public:
+  virtual ~IProxyIo() = default;
+
+  virtual void acceptClient(ClientId client) = 0;
+  /// Tells the client why it is refused, and closes its connection.
+  virtual void rejectClient(ClientId client, const StatementReply &reply) = 0;
+  virtual void answerClient(ClientId client, const StatementReply &reply) = 0;
+  virtual void closeClient(ClientId client) = 0;
+
+  /// Connects to \p address and asks there for \p service at \p instance.
+  virtual void openConnection(ConnectionId connection,
+                              const std::string &address,
+                              const std::string &service,
+                              const InstanceId &instance) = 0;
+  /// Sends all of \p commands in one write.
+  virtual void send(ConnectionId connection,
+                    const std::vector<InstanceCommand> &commands) = 0;
+  virtual void closeConnection(ConnectionId connection) = 0;
+};
+
+/// Told of each decision that changes a request's way or its result.
+class IProxyLog {
+public:
+  virtual ~IProxyLog() = default;
+  virtual void decision(const std::string &line) = 0;
+};
+
+} // namespace stepledge::proxy
+
+#endif // STEPLEDGE_PROXY_IPROXYIO_H
--- /dev/null
+++ b/src/proxy/Proxy.cpp
@@ -0,0 +1,339 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "proxy/Proxy.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace stepledge::proxy {
+
+using control::ReadPolicy;
+using membership::InstanceState;
+
+namespace {
+
+/// A statement's limit where the route names none.
+constexpr Duration DefaultStatementTimeout = milliseconds(1000);
+
+StatementReply localSuccess(SessionState state) {
+  StatementReply reply;
+  reply.State = state;
+  return reply;
+}
+
+} // namespace
+
+Proxy::Proxy(ProxyOptions options, IProxyIo &io, IProxyLog &log)
+    : Options(std::move(options)), Io(io), Log(log), Pool(io) {}
+
+void Proxy::applyConfiguration(TimePoint now,
+                               control::Configuration configuration) {
+  if (configuration.Version <= Configuration.Version)
+    return;
+  Configuration = std::move(configuration);
+  for (const auto &[name, service] : Configuration.Services)
+    tracker(name);
+  for (const auto &[name, service] : Configuration.Services)
+    pump(now, name);
+}
+
+void Proxy::applyInstance(TimePoint now,
+                          const membership::InstanceRecord &record) {
+  tracker(record.Service).update(record);
+  if (record.State == InstanceState::Gone) {
+    std::vector<ConnectionId> unused;
+    for (const auto &[id, it] : Pool.all())
+      if (it.Instance == record.Id && it.isFree())
+        unused.push_back(id);
+    for (const auto id : unused)
+      Pool.close(id);
+  }
+  pump(now, record.Service);
+}
+
+void Proxy::applyPromotion(TimePoint now, const std::string &service,
+                           const InstanceId &primary, std::uint64_t fence) {
+  tracker(service).notePromotion(primary, fence);
+  pump(now, service);
+}
+
+void Proxy::clientConnected(TimePoint now, ClientId client,
+                            const DatabaseId &database) {
+  if (!Configuration.Routes.contains(database)) {
+    StatementReply reply;
+    reply.Code = ReplyCode::UnknownDatabase;
+    reply.Detail = absl::StrCat("no route for database ", database.str());
+    Log.decision(absl::StrCat("event=connect_refused client=", client.Number,
+                              " database=", database.str(),
+                              " config=", Configuration.Version));
+    Io.rejectClient(client, reply);
+    return;
+  }
+  auto &it = Sessions[client];
+  it.Id = client;
+  it.Database = database;
+  it.LastActive = now;
+  Io.acceptClient(client);
+}
+
+void Proxy::clientAsked(TimePoint now, ClientId client,
+                        ClientStatement statement) {
+  auto *it = session(client);
+  if (!it)
+    return;
+  it->LastActive = now;
+  it->Queue.push_back(std::move(statement));
+  handleNext(now, *it);
+}
+
+void Proxy::clientLeft(TimePoint now, ClientId client) {
+  auto *it = session(client);
+  if (!it)
+    return;
+  if (it->Current)
+    abandonStatement(now, *it);
+  releasePinned(now, *it);
+  Sessions.erase(client);
+}
+
+ClientSession *Proxy::session(ClientId client) {
+  const auto it = Sessions.find(client);
+  return it == Sessions.end() ? nullptr : &it->second;
+}
+
+InstanceTracker &Proxy::tracker(const std::string &service) {
+  auto &it = Trackers[service];
+  if (!it)
+    it = std::make_unique<InstanceTracker>(Options.OwnHall);
+  return *it;
+}
+
+const control::Route *Proxy::routeOf(const ClientSession &session) const {
+  // NOTE: an open transaction keeps the route that it began with.
+  if (session.State == SessionState::InTransaction)
+    return &session.Route;
+  const auto it = Configuration.Routes.find(session.Database);
+  return it == Configuration.Routes.end() ? nullptr : &it->second;
+}
+
+ConnectionShare Proxy::shareOf(const std::string &service) const {
+  const auto it = Configuration.Services.find(service);
+  const int limit =
+      it == Configuration.Services.end() ? 1 : it->second.MaxConnections;
+  const int usable = std::max(1, limit - Options.ReservedConnections);
+  ConnectionShare share;
+  share.Floor = std::max(1, usable / std::max(1, EntryCount));
+  // More may be borrowed: an instance that is full says so before it runs
+  // anything, and borrowed connections are given back when they rest.
+  share.Limit = std::max(share.Floor, usable / 2);
+  return share;
+}
+
+void Proxy::handleNext(TimePoint now, ClientSession &session) {
+  const ClientId id = session.Id;
+  auto *it = &session;
+  while (it && !it->Current && !it->Queue.empty()) {
+    ClientStatement statement = std::move(it->Queue.front());
+    it->Queue.pop_front();
+    handle(now, *it, std::move(statement));
+    it = this->session(id);
+  }
+}
+
+void Proxy::handle(TimePoint now, ClientSession &session,
+                   ClientStatement statement) {
+  const StatementKind kind = statement.Kind;
+  if (kind == StatementKind::Rollback)
+    return handleRollback(now, session);
+  if (session.State == SessionState::Failed) {
+    if (kind == StatementKind::Commit) {
+      session.State = SessionState::Idle;
+      session.Mode = TransactionMode::None;
+      return refuse(now, session, ReplyCode::Aborted,
+                    "the transaction had failed and is rolled back");
+    }
+    const bool untold = std::exchange(session.WasAbortedAtRest, false);
+    return refuse(now, session,
+                  untold ? ReplyCode::Aborted : ReplyCode::Malformed,
+                  untold ? "the transaction was rolled back while it rested"
+                         : "the transaction has failed; roll it back");
+  }
+  if (kind == StatementKind::Malformed)
+    return refuse(now, session, ReplyCode::Malformed, "not understood");
+  if (handleLocally(session, statement)) {
+    Io.answerClient(session.Id, localSuccess(session.State));
+    return;
+  }
+  startWork(now, session, std::move(statement));
+}
+
+bool Proxy::handleLocally(ClientSession &session,
+                          const ClientStatement &statement) {
+  switch (statement.Kind) {
+  case StatementKind::Begin:
+  case StatementKind::BeginRead: {
+    const auto *route = routeOf(session);
+    if (session.State != SessionState::Idle || !route)
+      return false;
+    session.Route = *route;
+    session.State = SessionState::InTransaction;
+    session.Mode = statement.Kind == StatementKind::Begin
+                       ? TransactionMode::ReadWrite
+                       : TransactionMode::ReadOnly;
+    session.HasRunInTransaction = false;
+    session.HasWritten = false;
+    return true;
+  }
+  case StatementKind::Set:
+    session.Values[statement.Name] = statement.Value;
+    return true;
+  case StatementKind::Prepare:
+    session.Prepared[statement.Name] = {statement.Mode, statement.Value};
+    return true;
+  case StatementKind::Deallocate:
+    return session.Prepared.erase(statement.Name) > 0;
+  default:
+    return false;
+  }
+}
+
+void Proxy::handleRollback(TimePoint now, ClientSession &session) {
+  if (session.State == SessionState::Idle)
+    return refuse(now, session, ReplyCode::Malformed, "no transaction is open");
+  releasePinned(now, session);
+  session.State = SessionState::Idle;
+  session.Mode = TransactionMode::None;
+  session.WasAbortedAtRest = false;
+  Io.answerClient(session.Id, localSuccess(SessionState::Idle));
+}
+
+void Proxy::startWork(TimePoint now, ClientSession &session,
+                      ClientStatement statement) {
+  const auto *route = routeOf(session);
+  if (!route)
+    return refuse(now, session, ReplyCode::UnknownDatabase,
+                  "the database has no route");
+  const bool isOpen = session.State == SessionState::InTransaction;
+  switch (statement.Kind) {
+  case StatementKind::Begin:
+  case StatementKind::BeginRead:
+    return refuse(now, session, ReplyCode::Malformed,
+                  "a transaction is open already");
+  case StatementKind::Commit:
+    if (!isOpen)
+      return refuse(now, session, ReplyCode::Malformed,
+                    "no transaction is open");
+    break;
+  case StatementKind::Deallocate:
+    return refuse(now, session, ReplyCode::UnknownStatement, statement.Name);
+  case StatementKind::Execute:
+    if (!session.Prepared.contains(statement.Name))
+      return refuse(now, session, ReplyCode::UnknownStatement, statement.Name);
+    statement.Mode = session.Prepared[statement.Name].Mode;
+    break;
+  case StatementKind::Write:
+    statement.Mode = AccessMode::Write;
+    break;
+  default:
+    break;
+  }
+  if (Waiting[route->Service].size() >= Options.QueueLength)
+    return refuse(now, session, ReplyCode::Busy, "the queue is full");
+  Work work;
+  work.Mode = statement.Mode;
+  work.ArrivedAt = now;
+  const bool hasTimeout = route->StatementTimeout > Duration{};
+  work.Deadline =
+      now + (hasTimeout ? route->StatementTimeout : DefaultStatementTimeout);
+  work.PrimaryOnly = route->Policy == ReadPolicy::Current ||
+                     work.Mode == AccessMode::Write ||
+                     session.Mode == TransactionMode::ReadWrite;
+  work.IsWrapped = !isOpen && work.PrimaryOnly && work.Mode == AccessMode::Read;
+  work.Statement = std::move(statement);
+  if (!isOpen)
+    session.Route = *route;
+  session.Current = std::move(work);
+  dispatch(now, session);
+}
+
+void Proxy::answer(TimePoint now, ClientSession &session,
+                   StatementReply reply) {
+  stopWaiting(session);
+  session.Current.reset();
+  session.LastActive = now;
+  reply.State = session.State;
+  Io.answerClient(session.Id, reply);
+  handleNext(now, session);
+}
+
+void Proxy::refuse(TimePoint now, ClientSession &session, ReplyCode code,
+                   const std::string &detail) {
+  if (session.State == SessionState::InTransaction) {
+    releasePinned(now, session);
+    session.State = SessionState::Failed;
+  }
+  StatementReply reply;
+  reply.Code = code;
+  reply.Detail = detail;
+  const auto id = session.Current ? session.Current->Statement.Id : "";
+  Log.decision(absl::StrCat("event=refused request=", id.empty() ? "-" : id,
+                            " client=", session.Id.Number,
+                            " database=", session.Database.str(),
+                            " code=", static_cast<int>(code), " reason=\"",
+                            detail, "\" config=", Configuration.Version));
+  answer(now, session, std::move(reply));
+}
+
+void Proxy::closeIdleSessions(TimePoint now) {
+  std::vector<ClientId> idle;
+  for (const auto &[id, it] : Sessions)
+    if (it.State == SessionState::Idle && !it.Current && it.Queue.empty())
+      idle.push_back(id);
+  for (const auto id : idle) {
+    clientLeft(now, id);
+    Io.closeClient(id);
+  }
+}
+
+void Proxy::abortTransactions(TimePoint now) {
+  for (auto &[id, it] : Sessions) {
+    if (it.State != SessionState::InTransaction || it.Current)
+      continue;
+    releasePinned(now, it);
+    it.State = SessionState::Failed;
+    it.WasAbortedAtRest = true;
+  }
+}
+
+bool Proxy::isBusy() const {
+  return std::any_of(Sessions.begin(), Sessions.end(), [](const auto &it) {
+    return it.second.Current.has_value();
+  });
+}
+
+bool Proxy::canServe() const {
+  if (!isConfigured())
+    return false;
+  return std::any_of(Trackers.begin(), Trackers.end(),
+                     [](const auto &it) { return !it.second->all().empty(); });
+}
+
+std::vector<PrimarySight> Proxy::primarySights(TimePoint now) const {
+  std::vector<PrimarySight> sights;
+  for (const auto &[service, it] : Trackers) {
+    const auto primary = it->primary(now);
+    if (!primary)
+      continue;
+    PrimarySight sight{service, *primary, {}};
+    const auto *instance = it->find(*primary);
+    if (instance && instance->SilentSince)
+      sight.SilentFor = now - *instance->SilentSince;
+    sights.push_back(std::move(sight));
+  }
+  return sights;
+}
+
+} // namespace stepledge::proxy
--- /dev/null
+++ b/src/proxy/Proxy.h
@@ -0,0 +1,161 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The decisions for connection sessions: which instance runs a client's
+/// statement, on which connection, and what the client is told.
+
+#ifndef STEPLEDGE_PROXY_PROXY_H
+#define STEPLEDGE_PROXY_PROXY_H
+
+#include "control/types/Configuration.h"
+#include "membership/types/InstanceRecord.h"
+#include "proxy/IProxyIo.h"
+#include "proxy/internal/ClientSession.h"
+#include "proxy/internal/ConnectionPool.h"
+#include "proxy/internal/InstanceTracker.h"
+#include "proxy/types/ProxyOptions.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace stepledge::proxy {
+
+/// How one VM sees the primary of a service.
+struct PrimarySight {
+  std::string Service;
+  InstanceId Primary;
+  /// How long questions to it have stayed without an answer; 0 if none has.
+  Duration SilentFor{};
+};
+
+/// A command and the reason it is sent for.
+struct OutgoingCommand {
+  InstanceCommand Command;
+  Purpose Reason = Purpose::Setup;
+};
+
+/// The order in which waiting statements get a free connection.
+struct WaitKey {
+  int Priority = 0;
+  TimePoint ArrivedAt{};
+  ClientId Client;
+  auto operator<=>(const WaitKey &) const = default;
+};
+
+class Proxy {
+public:
+  Proxy(ProxyOptions options, IProxyIo &io, IProxyLog &log);
+
+  void applyConfiguration(TimePoint now, control::Configuration configuration);
+  void applyInstance(TimePoint now, const membership::InstanceRecord &record);
+  void applyPromotion(TimePoint now, const std::string &service,
+                      const InstanceId &primary, std::uint64_t fence);
+  /// How many VMs share the instances' connections.
+  void setEntryCount(int count) { EntryCount = count; }
+
+  void clientConnected(TimePoint now, ClientId client,
+                       const DatabaseId &database);
+  void clientAsked(TimePoint now, ClientId client, ClientStatement statement);
+  void clientLeft(TimePoint now, ClientId client);
+
+  void connectionReady(TimePoint now, ConnectionId connection,
+                       const StatementReply &reply);
+  void connectionAnswered(TimePoint now, ConnectionId connection,
+                          StatementReply reply);
+  void connectionLost(TimePoint now, ConnectionId connection);
+
+  /// Timeouts, retries and probes; call it every few milliseconds.
+  void tick(TimePoint now);
+  /// After the clock jumped, what was known is too old to rely on.
+  void forgetProofs();
+
+  /// Closes sessions that rest outside a transaction.
+  void closeIdleSessions(TimePoint now);
+  /// Rolls back the open transactions that no statement is running in.
+  void abortTransactions(TimePoint now);
+  std::size_t sessionCount() const { return Sessions.size(); }
+  /// A client waits for an answer.
+  bool isBusy() const;
+  bool isConfigured() const { return Configuration.Version > 0; }
+  bool canServe() const;
+  std::uint64_t configurationVersion() const { return Configuration.Version; }
+  std::vector<PrimarySight> primarySights(TimePoint now) const;
+
+private:
+  ClientSession *session(ClientId client);
+  InstanceTracker &tracker(const std::string &service);
+  const control::Route *routeOf(const ClientSession &session) const;
+  ConnectionShare shareOf(const std::string &service) const;
+
+  void handleNext(TimePoint now, ClientSession &session);
+  void handle(TimePoint now, ClientSession &session, ClientStatement statement);
+  bool handleLocally(ClientSession &session, const ClientStatement &statement);
+  void handleRollback(TimePoint now, ClientSession &session);
+  void startWork(TimePoint now, ClientSession &session,
+                 ClientStatement statement);
+
+  void dispatch(TimePoint now, ClientSession &session);
+  bool dispatchToPrimary(TimePoint now, ClientSession &session);
+  bool dispatchRead(TimePoint now, ClientSession &session);
+  std::optional<Mark> minimumPosition(TimePoint now,
+                                      const ClientSession &session);
+  InstanceConnection *acquire(TimePoint now, const ClientSession &session,
+                              const InstanceId &instance);
+  void sendBegin(TimePoint now, ClientSession &session,
+                 InstanceConnection &connection,
+                 const std::optional<Mark> &minimum);
+  void sendStatement(TimePoint now, ClientSession &session,
+                     InstanceConnection &connection,
+                     const std::optional<Mark> &minimum);
+  void transmit(TimePoint now, InstanceConnection &connection,
+                const std::vector<OutgoingCommand> &batch);
+  void rollBack(TimePoint now, InstanceConnection &connection);
+
+  void statementAnswered(TimePoint now, ClientSession &session,
+                         InstanceConnection &connection, StatementReply reply);
+  void beginAnswered(TimePoint now, ClientSession &session,
+                     InstanceConnection &connection,
+                     const StatementReply &reply, TimePoint sentAt);
+  void singleAnswered(TimePoint now, ClientSession &session,
+                      const InstanceId &instance, StatementReply reply);
+  void transactionAnswered(TimePoint now, ClientSession &session,
+                           const InstanceId &instance, StatementReply reply);
+  void wait(ClientSession &session, TimePoint notBefore);
+  void stopWaiting(ClientSession &session);
+  void notRun(TimePoint now, ClientSession &session, ReplyCode code,
+              const InstanceId &instance);
+  void noteSuccess(TimePoint now, ClientSession &session,
+                   const StatementReply &reply, TimePoint sentAt);
+  void expireWork(TimePoint now, ClientSession &session);
+  void moveSlowRead(TimePoint now, ClientSession &session);
+  void lostWork(TimePoint now, ClientSession &session,
+                const InstanceId &instance);
+
+  void answer(TimePoint now, ClientSession &session, StatementReply reply);
+  void refuse(TimePoint now, ClientSession &session, ReplyCode code,
+              const std::string &detail);
+  void releasePinned(TimePoint now, ClientSession &session);
+  void abandonStatement(TimePoint now, ClientSession &session);
+  void freeConnection(TimePoint now, InstanceConnection &connection);
+  void pump(TimePoint now, const std::string &service);
+  void probePrimaries(TimePoint now);
+  void sweepConnections(TimePoint now);
+  void sweepSessions(TimePoint now);
+
+  ProxyOptions Options;
+  IProxyIo &Io;
+  IProxyLog &Log;
+  control::Configuration Configuration;
+  std::map<std::string, std::unique_ptr<InstanceTracker>> Trackers;
+  std::map<std::string, TimePoint> ProbedAt;
+  std::map<ClientId, ClientSession> Sessions;
+  /// By service, the statements that need a connection.
+  std::map<std::string, std::set<WaitKey>> Waiting;
+  ConnectionPool Pool;
+  int EntryCount = 1;
+};
+
+} // namespace stepledge::proxy
+
+#endif // STEPLEDGE_PROXY_PROXY_H
--- /dev/null
+++ b/src/proxy/internal/Answers.cpp
@@ -0,0 +1,264 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The part of Proxy that takes the instances' answers and losses.
+
+#include "proxy/Proxy.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace stepledge::proxy {
+
+namespace {
+
+/// A read that an instance failed is tried on this many in all.
+constexpr int MostReadTries = 2;
+/// A statement that a lost connection has rolled back is sent at most so often.
+constexpr int MostSendings = 3;
+/// The pause before the same instance is asked again grows up to this factor.
+constexpr int MostPauseFactor = 6;
+
+} // namespace
+
+void Proxy::connectionReady(TimePoint now, ConnectionId connection,
+                            const StatementReply &reply) {
+  auto *it = Pool.find(connection);
+  if (!it)
+    return;
+  const std::string service = it->Service;
+  const InstanceId instance = it->Instance;
+  if (reply.Code == ReplyCode::Success) {
+    it->IsReady = true;
+    it->LastUsed = now;
+    tracker(service).noteAnswer(now, instance, now - it->OpenedAt);
+    if (reply.Position)
+      tracker(service).notePosition(now, instance, *reply.Position);
+    pump(now, service);
+    return;
+  }
+  Log.decision(absl::StrCat(
+      "event=connection_refused instance=", instance.str(),
+      " service=", service, " code=", static_cast<int>(reply.Code)));
+  Pool.close(connection);
+  Pool.refuseUntil(instance, now + Options.FullPause);
+  if (reply.Code == ReplyCode::WrongInstance)
+    tracker(service).remove(instance);
+}
+
+void Proxy::connectionAnswered(TimePoint now, ConnectionId connection,
+                               StatementReply reply) {
+  auto *it = Pool.find(connection);
+  if (!it || it->Sent.empty())
+    return;
+  const SentCommand sent = it->Sent.front();
+  it->Sent.pop_front();
+  auto &instances = tracker(it->Service);
+  if (auto *instance = instances.find(it->Instance)) {
+    instance->InFlight = std::max(0, instance->InFlight - 1);
+    instance->SilentSince.reset();
+    instance->LastAnswerAt = now;
+  }
+  if (sent.Reason == Purpose::Statement)
+    instances.noteAnswer(now, it->Instance, now - sent.SentAt);
+  if (reply.Position)
+    instances.notePosition(now, it->Instance, *reply.Position);
+
+  const bool isProof = sent.Reason == Purpose::Probe &&
+                       reply.State == SessionState::InTransaction;
+  if (isProof && reply.Position)
+    instances.noteProof(sent.SentAt, *reply.Position);
+  if (sent.Reason == Purpose::Probe && reply.Code == ReplyCode::ReadOnly)
+    instances.noteDeniedLead(now, it->Instance);
+
+  auto *owner = it->Owner ? session(*it->Owner) : nullptr;
+  const bool isAwaited =
+      owner && owner->Current && owner->Current->Connection == connection;
+  if (isAwaited && sent.Reason == Purpose::Begin)
+    return beginAnswered(now, *owner, *it, reply, sent.SentAt);
+  if (isAwaited && sent.Reason == Purpose::Statement)
+    return statementAnswered(now, *owner, *it, std::move(reply));
+  if (!it->Sent.empty())
+    return;
+  if (it->IsAbandoned) {
+    it->IsAbandoned = false;
+    return freeConnection(now, *it);
+  }
+  if (!owner || !(owner->Pinned == connection))
+    freeConnection(now, *it);
+}
+
+void Proxy::beginAnswered(TimePoint now, ClientSession &session,
+                          InstanceConnection &connection,
+                          const StatementReply &reply, TimePoint sentAt) {
+  const InstanceId instance = connection.Instance;
+  if (reply.Code == ReplyCode::Success) {
+    const bool isProof = session.Current->PrimaryOnly;
+    if (isProof && reply.Position)
+      tracker(connection.Service).noteProof(sentAt, *reply.Position);
+    if (session.State == SessionState::InTransaction)
+      session.Pinned = connection.Id;
+    return sendStatement(now, session, connection, std::nullopt);
+  }
+  if (reply.State == SessionState::Idle) {
+    freeConnection(now, connection);
+  } else {
+    connection.Owner.reset();
+    connection.IsAbandoned = true;
+    rollBack(now, connection);
+  }
+  notRun(now, session, reply.Code, instance);
+}
+
+void Proxy::statementAnswered(TimePoint now, ClientSession &session,
+                              InstanceConnection &connection,
+                              StatementReply reply) {
+  const InstanceId instance = connection.Instance;
+  const TimePoint sentAt = session.Current->SentAt;
+  if (reply.Code == ReplyCode::Success)
+    noteSuccess(now, session, reply, sentAt);
+  if (session.State == SessionState::InTransaction)
+    return transactionAnswered(now, session, instance, std::move(reply));
+  connection.Owner.reset();
+  if (connection.Sent.empty())
+    freeConnection(now, connection);
+  else
+    connection.IsAbandoned = true;
+  singleAnswered(now, session, instance, std::move(reply));
+}
+
+void Proxy::singleAnswered(TimePoint now, ClientSession &session,
+                           const InstanceId &instance, StatementReply reply) {
+  auto &work = *session.Current;
+  if (reply.Code == ReplyCode::Success)
+    return answer(now, session, std::move(reply));
+  const bool failedRead = reply.Code == ReplyCode::Failed &&
+                          work.Mode == AccessMode::Read &&
+                          work.Sendings < MostReadTries;
+  if (isNotRun(reply.Code) || failedRead)
+    return notRun(now, session, reply.Code, instance);
+  refuse(now, session, reply.Code, reply.Detail);
+}
+
+void Proxy::transactionAnswered(TimePoint now, ClientSession &session,
+                                const InstanceId &instance,
+                                StatementReply reply) {
+  auto &work = *session.Current;
+  const bool isCommit = work.Statement.Kind == StatementKind::Commit;
+  if (reply.Code == ReplyCode::Success) {
+    session.HasRunInTransaction = true;
+    session.HasWritten |= work.Mode == AccessMode::Write;
+    if (isCommit) {
+      auto *connection = Pool.find(*session.Pinned);
+      session.Pinned.reset();
+      session.State = SessionState::Idle;
+      session.Mode = TransactionMode::None;
+      freeConnection(now, *connection);
+    }
+    return answer(now, session, std::move(reply));
+  }
+  const bool isStillOpen = reply.State == SessionState::InTransaction;
+  if (reply.Code == ReplyCode::Busy && isStillOpen)
+    return wait(session, now + Options.RetryPause);
+  if (isNotRun(reply.Code) && !session.HasRunInTransaction && !isCommit) {
+    releasePinned(now, session);
+    return notRun(now, session, reply.Code, instance);
+  }
+  if (isCommit) {
+    // Whatever the instance left open is rolled back with the connection's
+    // release, so the transaction is over for the client too.
+    releasePinned(now, session);
+    session.State = SessionState::Idle;
+    session.Mode = TransactionMode::None;
+  }
+  refuse(now, session, reply.Code, reply.Detail);
+}
+
+void Proxy::noteSuccess(TimePoint now, ClientSession &session,
+                        const StatementReply &reply, TimePoint sentAt) {
+  (void)now;
+  const auto &work = *session.Current;
+  const bool isCommit = work.Statement.Kind == StatementKind::Commit;
+  const bool isSingleWrite =
+      work.Mode == AccessMode::Write && session.State == SessionState::Idle;
+  const bool wrote = isSingleWrite || (isCommit && session.HasWritten);
+  if (!wrote || !reply.Position)
+    return;
+  session.LastCommit = reply.Position;
+  tracker(session.Route.Service).noteProof(sentAt, *reply.Position);
+}
+
+void Proxy::notRun(TimePoint now, ClientSession &session, ReplyCode code,
+                   const InstanceId &instance) {
+  auto &work = *session.Current;
+  work.Stage = WorkStage::Waiting;
+  work.Connection.reset();
+  work.Tried.insert(instance);
+  work.LastRefusal =
+      absl::StrCat("instance ", instance.str(), " refused with code ",
+                   static_cast<int>(code));
+  Log.decision(absl::StrCat(
+      "event=retry request=", work.Statement.Id, " instance=", instance.str(),
+      " code=", static_cast<int>(code), " sendings=", work.Sendings));
+  if (code == ReplyCode::ReadOnly)
+    tracker(session.Route.Service).noteDeniedLead(now, instance);
+  const int factor = std::min(work.Sendings, MostPauseFactor);
+  work.NotBefore = work.PrimaryOnly ? now + Options.RetryPause * factor : now;
+  dispatch(now, session);
+}
+
+void Proxy::connectionLost(TimePoint now, ConnectionId connection) {
+  auto *it = Pool.find(connection);
+  if (!it)
+    return;
+  const InstanceConnection lost = *it;
+  Pool.forget(connection);
+  auto &instances = tracker(lost.Service);
+  if (auto *instance = instances.find(lost.Instance))
+    instance->InFlight =
+        std::max(0, instance->InFlight - static_cast<int>(lost.Sent.size()));
+  instances.noteSilence(now, lost.Instance);
+  if (!lost.IsReady)
+    Pool.refuseUntil(lost.Instance, now + Options.FullPause);
+  auto *owner = lost.Owner ? session(*lost.Owner) : nullptr;
+  if (!owner)
+    return pump(now, lost.Service);
+  if (owner->Current && owner->Current->Connection == connection)
+    return lostWork(now, *owner, lost.Instance);
+  if (owner->Pinned == connection) {
+    owner->Pinned.reset();
+    owner->State = SessionState::Failed;
+    owner->WasAbortedAtRest = true;
+  }
+}
+
+void Proxy::lostWork(TimePoint now, ClientSession &session,
+                     const InstanceId &instance) {
+  auto &work = *session.Current;
+  const bool wasSent = work.Stage == WorkStage::Sent;
+  const bool isOpen = session.State == SessionState::InTransaction;
+  const bool isCommit = work.Statement.Kind == StatementKind::Commit;
+  session.Pinned.reset();
+  if (wasSent && isCommit && isOpen) {
+    const bool wrote = session.HasWritten;
+    session.State = SessionState::Idle;
+    session.Mode = TransactionMode::None;
+    return refuse(now, session,
+                  wrote ? ReplyCode::OutcomeUnknown : ReplyCode::Aborted,
+                  "the connection broke during the commit");
+  }
+  if (wasSent && isOpen && session.HasRunInTransaction)
+    return refuse(now, session, ReplyCode::Aborted,
+                  "the connection broke and rolled the transaction back");
+  if (wasSent && !isOpen && work.Mode == AccessMode::Write)
+    return refuse(now, session, ReplyCode::OutcomeUnknown,
+                  "the connection broke during the write");
+  if (work.Sendings >= MostSendings)
+    return refuse(now, session, ReplyCode::Aborted,
+                  "the connections to the instances broke");
+  notRun(now, session, ReplyCode::Aborted, instance);
+}
+
+} // namespace stepledge::proxy
--- /dev/null
+++ b/src/proxy/internal/ClientSession.h
@@ -0,0 +1,74 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The state of one client's connection.
+
+#ifndef STEPLEDGE_PROXY_INTERNAL_CLIENTSESSION_H
+#define STEPLEDGE_PROXY_INTERNAL_CLIENTSESSION_H
+
+#include "control/types/Configuration.h"
+#include "proxy/internal/InstanceConnection.h"
+
+#include <deque>
+#include <optional>
+#include <set>
+
+namespace stepledge::proxy {
+
+enum class TransactionMode { None, ReadWrite, ReadOnly };
+
+enum class WorkStage {
+  /// Needs a connection.
+  Waiting,
+  /// The transaction's start was sent, the statement not yet.
+  Beginning,
+  Sent,
+};
+
+/// A client's statement that an instance has to run.
+struct Work {
+  ClientStatement Statement;
+  AccessMode Mode = AccessMode::Read;
+  WorkStage Stage = WorkStage::Waiting;
+  TimePoint ArrivedAt{};
+  TimePoint Deadline{};
+  TimePoint NotBefore{};
+  TimePoint SentAt{};
+  /// Where it was sent.
+  std::optional<ConnectionId> Connection;
+  int Sendings = 0;
+  std::set<InstanceId> Tried;
+  /// Only the primary is asked from now on.
+  bool PrimaryOnly = false;
+  /// It runs in a transaction of the proxy's own, which proves the lead.
+  bool IsWrapped = false;
+  /// Why it was last not run, for the refusal.
+  std::string LastRefusal = "no instance could take it";
+};
+
+struct ClientSession {
+  ClientId Id;
+  DatabaseId Database;
+  SessionValues Values;
+  std::map<std::string, PreparedShape> Prepared;
+  SessionState State = SessionState::Idle;
+  TransactionMode Mode = TransactionMode::None;
+  /// The route that the open transaction began with.
+  control::Route Route;
+  /// The connection that holds the transaction.
+  std::optional<ConnectionId> Pinned;
+  /// An instance has run a statement of the open transaction.
+  bool HasRunInTransaction = false;
+  bool HasWritten = false;
+  /// Ended by the proxy while the client rested; told at its next statement.
+  bool WasAbortedAtRest = false;
+  /// The newest commit of this session.
+  std::optional<Mark> LastCommit;
+  std::optional<Work> Current;
+  std::deque<ClientStatement> Queue;
+  TimePoint LastActive{};
+};
+
+} // namespace stepledge::proxy
+
+#endif // STEPLEDGE_PROXY_INTERNAL_CLIENTSESSION_H
--- /dev/null
+++ b/src/proxy/internal/ConnectionPool.h
@@ -0,0 +1,64 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The connections of one VM to all instances, within its shares.
+
+#ifndef STEPLEDGE_PROXY_INTERNAL_CONNECTIONPOOL_H
+#define STEPLEDGE_PROXY_INTERNAL_CONNECTIONPOOL_H
+
+#include "membership/types/InstanceRecord.h"
+#include "proxy/internal/InstanceConnection.h"
+
+#include <functional>
+#include <map>
+
+namespace stepledge::proxy {
+
+/// How many connections to one instance a VM may hold.
+struct ConnectionShare {
+  /// Kept open also while idle.
+  int Floor = 1;
+  /// Never more than these.
+  int Limit = 1;
+};
+
+class ConnectionPool {
+public:
+  explicit ConnectionPool(IProxyIo &io) : Io(io) {}
+
+  InstanceConnection *find(ConnectionId id);
+  /// A free connection to \p instance; one with \p values already set is
+  /// preferred, since it needs no set-up.
+  InstanceConnection *findFree(const InstanceId &instance,
+                               const SessionValues &values);
+  /// Opens one more, unless the share or an earlier refusal forbids it.
+  bool openOne(TimePoint now, const membership::InstanceRecord &instance,
+               const ConnectionShare &share);
+  /// Whether one that was asked for is still on its way.
+  bool isOpening(const InstanceId &instance) const;
+  void close(ConnectionId id);
+  void forget(ConnectionId id);
+  /// The instance has no room: no new connection before \p until.
+  void refuseUntil(const InstanceId &instance, TimePoint until);
+  int countOf(const InstanceId &instance) const;
+  std::map<ConnectionId, InstanceConnection> &all() { return Connections; }
+
+private:
+  IProxyIo &Io;
+  std::map<ConnectionId, InstanceConnection> Connections;
+  std::map<InstanceId, TimePoint> RefusedUntil;
+  std::uint64_t LastId = 0;
+};
+
+/// The commands that give \p connection exactly \p values.
+std::vector<InstanceCommand> valueSetup(InstanceConnection &connection,
+                                        const SessionValues &values);
+
+/// The connection's name of \p shape; prepares it first if needed.
+std::string preparedName(InstanceConnection &connection,
+                         const PreparedShape &shape,
+                         std::vector<InstanceCommand> &setup);
+
+} // namespace stepledge::proxy
+
+#endif // STEPLEDGE_PROXY_INTERNAL_CONNECTIONPOOL_H
--- /dev/null
+++ b/src/proxy/internal/Dispatch.cpp
@@ -0,0 +1,237 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The part of Proxy that chooses where a statement runs, and sends it.
+
+#include "proxy/Proxy.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace stepledge::proxy {
+
+using control::ReadPolicy;
+
+namespace {
+
+InstanceCommand commandOf(CommandKind kind) {
+  InstanceCommand command;
+  command.Kind = kind;
+  return command;
+}
+
+} // namespace
+
+void Proxy::wait(ClientSession &session, TimePoint notBefore) {
+  auto &work = *session.Current;
+  work.Stage = WorkStage::Waiting;
+  work.Connection.reset();
+  work.NotBefore = notBefore;
+  Waiting[session.Route.Service].insert(
+      {session.Route.Priority, work.ArrivedAt, session.Id});
+}
+
+void Proxy::stopWaiting(ClientSession &session) {
+  if (!session.Current)
+    return;
+  Waiting[session.Route.Service].erase(
+      {session.Route.Priority, session.Current->ArrivedAt, session.Id});
+}
+
+void Proxy::dispatch(TimePoint now, ClientSession &session) {
+  auto &work = *session.Current;
+  if (work.NotBefore > now)
+    return wait(session, work.NotBefore);
+  if (session.Pinned) {
+    auto *connection = Pool.find(*session.Pinned);
+    sendStatement(now, session, *connection, std::nullopt);
+    return;
+  }
+  const bool isSent = work.PrimaryOnly ? dispatchToPrimary(now, session)
+                                       : dispatchRead(now, session);
+  if (!isSent)
+    wait(session, work.NotBefore);
+}
+
+bool Proxy::dispatchToPrimary(TimePoint now, ClientSession &session) {
+  auto &work = *session.Current;
+  const auto primary = tracker(session.Route.Service).primary(now);
+  if (!primary) {
+    work.LastRefusal = "no primary is known";
+    return false;
+  }
+  auto *connection = acquire(now, session, *primary);
+  if (!connection) {
+    work.LastRefusal = "no free connection to the primary";
+    return false;
+  }
+  const bool isOpen = session.State == SessionState::InTransaction;
+  if (isOpen || work.IsWrapped)
+    sendBegin(now, session, *connection, std::nullopt);
+  else
+    sendStatement(now, session, *connection, std::nullopt);
+  return true;
+}
+
+bool Proxy::dispatchRead(TimePoint now, ClientSession &session) {
+  auto &work = *session.Current;
+  auto &instances = tracker(session.Route.Service);
+  const bool isOpen = session.State == SessionState::InTransaction;
+  const auto minimum = minimumPosition(now, session);
+  const auto candidates =
+      minimum ? instances.readCandidates(now, *minimum, work.Tried)
+              : std::vector<InstanceId>{};
+  if (candidates.empty()) {
+    // Only the primary can prove that it is current enough.
+    work.PrimaryOnly = true;
+    work.IsWrapped = !isOpen;
+    return dispatchToPrimary(now, session);
+  }
+  for (const auto &it : candidates) {
+    auto *connection = acquire(now, session, it);
+    if (!connection)
+      continue;
+    if (isOpen)
+      sendBegin(now, session, *connection, minimum);
+    else
+      sendStatement(now, session, *connection, minimum);
+    return true;
+  }
+  work.LastRefusal = "no free connection to an instance that is current enough";
+  return false;
+}
+
+std::optional<Mark> Proxy::minimumPosition(TimePoint now,
+                                           const ClientSession &session) {
+  const auto &route = session.Route;
+  const TimePoint oldest = now - route.MaxStaleness + Options.StalenessMargin;
+  auto minimum = tracker(route.Service).coveringPosition(std::min(oldest, now));
+  if (!minimum || oldest > now)
+    return std::nullopt;
+  if (route.Policy == ReadPolicy::ReadYourWrites && session.LastCommit)
+    minimum = std::max(*minimum, *session.LastCommit);
+  return minimum;
+}
+
+InstanceConnection *Proxy::acquire(TimePoint now, const ClientSession &session,
+                                   const InstanceId &instance) {
+  if (auto *it = Pool.findFree(instance, session.Values))
+    return it;
+  const auto *known = tracker(session.Route.Service).find(instance);
+  const bool mayOpen = known && !Pool.isOpening(instance);
+  if (mayOpen)
+    Pool.openOne(now, known->Record, shareOf(session.Route.Service));
+  return nullptr;
+}
+
+void Proxy::sendBegin(TimePoint now, ClientSession &session,
+                      InstanceConnection &connection,
+                      const std::optional<Mark> &minimum) {
+  auto &work = *session.Current;
+  stopWaiting(session);
+  work.Stage = WorkStage::Beginning;
+  work.SentAt = now;
+  work.Connection = connection.Id;
+  ++work.Sendings;
+  connection.Owner = session.Id;
+  auto begin = commandOf(minimum ? CommandKind::BeginRead : CommandKind::Begin);
+  begin.MinimumPosition = minimum;
+  transmit(now, connection, {{std::move(begin), Purpose::Begin}});
+}
+
+void Proxy::sendStatement(TimePoint now, ClientSession &session,
+                          InstanceConnection &connection,
+                          const std::optional<Mark> &minimum) {
+  auto &work = *session.Current;
+  stopWaiting(session);
+  const auto &statement = work.Statement;
+  auto setup = valueSetup(connection, session.Values);
+  auto command = commandOf(CommandKind::ClientText);
+  if (statement.Kind == StatementKind::Execute) {
+    command.Kind = CommandKind::ClientExecute;
+    command.Name =
+        preparedName(connection, session.Prepared[statement.Name], setup);
+    command.Value = statement.Value;
+  }
+  command.Id = statement.Id;
+  command.Text = statement.Text;
+  command.MinimumPosition = minimum;
+  std::vector<OutgoingCommand> batch;
+  for (auto &it : setup)
+    batch.push_back({std::move(it), Purpose::Setup});
+  batch.push_back({std::move(command), Purpose::Statement});
+  if (work.IsWrapped)
+    batch.push_back({commandOf(CommandKind::Rollback), Purpose::End});
+  if (work.Stage != WorkStage::Beginning)
+    ++work.Sendings;
+  work.Stage = WorkStage::Sent;
+  work.SentAt = now;
+  work.Connection = connection.Id;
+  connection.Owner = session.Id;
+  transmit(now, connection, batch);
+}
+
+void Proxy::transmit(TimePoint now, InstanceConnection &connection,
+                     const std::vector<OutgoingCommand> &batch) {
+  std::vector<InstanceCommand> commands;
+  commands.reserve(batch.size());
+  for (const auto &it : batch) {
+    commands.push_back(it.Command);
+    connection.Sent.push_back({it.Reason, now});
+  }
+  connection.LastUsed = now;
+  if (auto *it = tracker(connection.Service).find(connection.Instance))
+    it->InFlight += static_cast<int>(batch.size());
+  Io.send(connection.Id, commands);
+}
+
+void Proxy::rollBack(TimePoint now, InstanceConnection &connection) {
+  transmit(now, connection, {{commandOf(CommandKind::Rollback), Purpose::End}});
+}
+
+void Proxy::releasePinned(TimePoint now, ClientSession &session) {
+  if (!session.Pinned)
+    return;
+  auto *connection = Pool.find(*session.Pinned);
+  session.Pinned.reset();
+  if (!connection)
+    return;
+  connection->Owner.reset();
+  connection->IsAbandoned = true;
+  rollBack(now, *connection);
+}
+
+void Proxy::abandonStatement(TimePoint now, ClientSession &session) {
+  auto &work = *session.Current;
+  stopWaiting(session);
+  if (!work.Connection || session.Pinned)
+    return;
+  auto *connection = Pool.find(*work.Connection);
+  if (!connection)
+    return;
+  connection->Owner.reset();
+  connection->IsAbandoned = true;
+  if (work.Stage == WorkStage::Beginning)
+    rollBack(now, *connection);
+}
+
+void Proxy::freeConnection(TimePoint now, InstanceConnection &connection) {
+  connection.Owner.reset();
+  connection.LastUsed = now;
+  if (connection.isFree())
+    pump(now, connection.Service);
+}
+
+void Proxy::pump(TimePoint now, const std::string &service) {
+  const auto waiting = Waiting[service];
+  for (const auto &it : waiting) {
+    auto *waiter = session(it.Client);
+    if (waiter && waiter->Current &&
+        waiter->Current->Stage == WorkStage::Waiting)
+      dispatch(now, *waiter);
+  }
+}
+
+} // namespace stepledge::proxy
--- /dev/null
+++ b/src/proxy/internal/InstanceConnection.h
@@ -0,0 +1,70 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file One connection to an instance: what it holds and what it was sent.
+
+#ifndef STEPLEDGE_PROXY_INTERNAL_INSTANCECONNECTION_H
+#define STEPLEDGE_PROXY_INTERNAL_INSTANCECONNECTION_H
+
+#include "base/types/Ids.h"
+#include "base/types/Time.h"
+#include "proxy/IProxyIo.h"
+
+#include <deque>
+#include <map>
+#include <string>
+
+namespace stepledge::proxy {
+
+/// Why a command was sent, which says what to do with its answer.
+enum class Purpose {
+  /// Brings the session's values and prepared statements along.
+  Setup,
+  /// Opens a transaction and proves the primary's lead.
+  Begin,
+  /// The client's own statement.
+  Statement,
+  /// Ends the transaction that Begin opened; nobody waits for it.
+  End,
+  /// Asks the primary for its position, outside any client's transaction.
+  Probe,
+};
+
+struct SentCommand {
+  Purpose Reason = Purpose::Setup;
+  TimePoint SentAt{};
+};
+
+/// A prepared statement as the instance knows it, whatever clients call it.
+struct PreparedShape {
+  AccessMode Mode = AccessMode::Read;
+  std::string Shape;
+  auto operator<=>(const PreparedShape &) const = default;
+};
+
+using SessionValues = std::map<std::string, std::string>;
+
+struct InstanceConnection {
+  ConnectionId Id;
+  std::string Service;
+  InstanceId Instance;
+  TimePoint OpenedAt{};
+  TimePoint LastUsed{};
+  /// The instance has accepted the connection.
+  bool IsReady = false;
+  /// The client whose statement or transaction it serves, if any.
+  std::optional<ClientId> Owner;
+  /// Nobody waits for what was sent; once answered, the connection is free.
+  bool IsAbandoned = false;
+  SessionValues Values;
+  std::map<PreparedShape, std::string> Prepared;
+  std::deque<SentCommand> Sent;
+
+  bool isFree() const {
+    return IsReady && !Owner && !IsAbandoned && Sent.empty();
+  }
+};
+
+} // namespace stepledge::proxy
+
+#endif // STEPLEDGE_PROXY_INTERNAL_INSTANCECONNECTION_H
--- /dev/null
+++ b/src/proxy/internal/InstanceTracker.cpp
@@ -0,0 +1,186 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "proxy/internal/InstanceTracker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace stepledge::proxy {
+
+using membership::InstanceRole;
+using membership::InstanceState;
+
+namespace {
+
+/// Weight of a new sample in the smoothed answer time.
+constexpr double SampleWeight = 0.1;
+/// Added to the cost of an instance in another hall, in ms: two hops of about
+/// 1.5 ms, and the price of the bytes, which keeps light load in its hall.
+constexpr double OtherHallCost = 12.0;
+/// Added where an instance may not have the position yet, in ms: an answer
+/// that says so costs a round trip and a second choice.
+constexpr double BehindCost = 40.0;
+/// Added for the primary, in ms, so that its slots are left to writes.
+constexpr double PrimaryCost = 25.0;
+/// A told position is trusted to have moved on after this time: the common
+/// replication delays are below it.
+constexpr Duration PositionLifetime = milliseconds(150);
+/// How long an instance that failed isn't chosen while others are there.
+constexpr Duration AvoidTime = milliseconds(1000);
+/// How long an instance that refused a write isn't asked for one, if another
+/// could be the primary.
+constexpr Duration DeniedLeadTime = milliseconds(300);
+/// Proofs are kept this long; the longest staleness of a route is below it.
+constexpr Duration ProofLifetime = milliseconds(20000);
+/// Two proofs closer than this are kept as one.
+constexpr Duration ProofSpacing = milliseconds(10);
+
+} // namespace
+
+void InstanceTracker::update(const membership::InstanceRecord &record) {
+  auto &it = Instances[record.Id];
+  it.Record = record;
+  if (record.State == InstanceState::Gone)
+    Instances.erase(record.Id);
+}
+
+void InstanceTracker::remove(const InstanceId &id) { Instances.erase(id); }
+
+void InstanceTracker::notePromotion(const InstanceId &id, std::uint64_t fence) {
+  if (fence <= PromotedFence)
+    return;
+  PromotedFence = fence;
+  Promoted = id;
+  if (auto *it = find(id))
+    it->DeniedLeadUntil = {};
+}
+
+TrackedInstance *InstanceTracker::find(const InstanceId &id) {
+  const auto it = Instances.find(id);
+  return it == Instances.end() ? nullptr : &it->second;
+}
+
+std::optional<InstanceId> InstanceTracker::primary(TimePoint now) const {
+  const TrackedInstance *best = nullptr;
+  for (const auto &[id, it] : Instances) {
+    if (it.DeniedLeadUntil > now)
+      continue;
+    if (Promoted == id)
+      return id;
+    if (it.Record.Role != InstanceRole::Primary)
+      continue;
+    if (!best || it.Position > best->Position)
+      best = &it;
+  }
+  if (best)
+    return best->Record.Id;
+  if (Promoted && Instances.contains(*Promoted))
+    return Promoted;
+  return std::nullopt;
+}
+
+double InstanceTracker::readCost(TimePoint now, const TrackedInstance &instance,
+                                 const Mark &minimum) const {
+  const int slots = std::max(1, instance.Record.Slots);
+  const double rounds = 1.0 + static_cast<double>(instance.InFlight) / slots;
+  double cost = toMilliseconds(instance.ServiceTime) * rounds;
+  if (instance.Record.Hall != OwnHall)
+    cost += OtherHallCost;
+  const bool known = instance.Position && *instance.Position >= minimum;
+  const bool fresh = now - instance.PositionAt < PositionLifetime;
+  if (!known && (fresh || !instance.Position))
+    cost += BehindCost;
+  if (primary(now) == instance.Record.Id)
+    cost += PrimaryCost;
+  return cost;
+}
+
+std::vector<InstanceId>
+InstanceTracker::readCandidates(TimePoint now, const Mark &minimum,
+                                const std::set<InstanceId> &tried) const {
+  std::vector<std::pair<double, InstanceId>> ranked;
+  // NOTE: one that failed lately is still better than none.
+  for (const bool avoided : {false, true}) {
+    for (const auto &[id, it] : Instances) {
+      const bool leaving = it.Record.State != InstanceState::Ready;
+      if (tried.contains(id) || leaving || (it.AvoidUntil > now) != avoided)
+        continue;
+      ranked.emplace_back(readCost(now, it, minimum), id);
+    }
+    if (!ranked.empty())
+      break;
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<InstanceId> ids;
+  ids.reserve(ranked.size());
+  for (auto &it : ranked)
+    ids.push_back(std::move(it.second));
+  return ids;
+}
+
+void InstanceTracker::notePosition(TimePoint now, const InstanceId &id,
+                                   const Mark &position) {
+  auto *it = find(id);
+  if (!it || (it->Position && *it->Position > position))
+    return;
+  it->Position = position;
+  it->PositionAt = now;
+}
+
+void InstanceTracker::noteProof(TimePoint sentAt, const Mark &position) {
+  // A newer term starts a new history: older proofs may name lost commits.
+  if (!Proofs.empty() && Proofs.back().Position.WrittenIn < position.WrittenIn)
+    Proofs.clear();
+  if (!Proofs.empty() && (position < Proofs.back().Position ||
+                          sentAt < Proofs.back().SentAt + ProofSpacing))
+    return;
+  Proofs.push_back({sentAt, position});
+  while (Proofs.front().SentAt + ProofLifetime < sentAt)
+    Proofs.pop_front();
+}
+
+std::optional<Mark> InstanceTracker::coveringPosition(TimePoint time) const {
+  const auto it = std::lower_bound(
+      Proofs.begin(), Proofs.end(), time,
+      [](const PositionProof &proof, TimePoint t) { return proof.SentAt < t; });
+  if (it == Proofs.end())
+    return std::nullopt;
+  return it->Position;
+}
+
+std::optional<TimePoint> InstanceTracker::newestProofAt() const {
+  if (Proofs.empty())
+    return std::nullopt;
+  return Proofs.back().SentAt;
+}
+
+void InstanceTracker::noteAnswer(TimePoint now, const InstanceId &id,
+                                 Duration took) {
+  auto *it = find(id);
+  if (!it)
+    return;
+  it->SilentSince.reset();
+  it->LastAnswerAt = now;
+  it->AvoidUntil = std::min(it->AvoidUntil, now);
+  const double smoothed =
+      static_cast<double>(it->ServiceTime.count()) * (1.0 - SampleWeight) +
+      static_cast<double>(took.count()) * SampleWeight;
+  it->ServiceTime = Duration(static_cast<std::int64_t>(smoothed));
+}
+
+void InstanceTracker::noteSilence(TimePoint now, const InstanceId &id) {
+  auto *it = find(id);
+  if (!it)
+    return;
+  it->AvoidUntil = now + AvoidTime;
+  if (!it->SilentSince)
+    it->SilentSince = now;
+}
+
+void InstanceTracker::noteDeniedLead(TimePoint now, const InstanceId &id) {
+  if (auto *it = find(id))
+    it->DeniedLeadUntil = now + DeniedLeadTime;
+}
+
+} // namespace stepledge::proxy
--- /dev/null
+++ b/src/proxy/internal/InstanceTracker.h
@@ -0,0 +1,91 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file What one VM knows of the instances of a service, and its choice of
+/// the instance for a statement.
+
+#ifndef STEPLEDGE_PROXY_INTERNAL_INSTANCETRACKER_H
+#define STEPLEDGE_PROXY_INTERNAL_INSTANCETRACKER_H
+
+#include "base/types/LogPosition.h"
+#include "base/types/Time.h"
+#include "membership/types/InstanceRecord.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace stepledge::proxy {
+
+/// At \p SentAt or later, the primary's log ended at \p Position or after it;
+/// so every commit acknowledged before SentAt is at Position or before it.
+struct PositionProof {
+  TimePoint SentAt;
+  Mark Position;
+};
+
+struct TrackedInstance {
+  membership::InstanceRecord Record;
+  /// The newest log end it told, and when.
+  std::optional<Mark> Position;
+  TimePoint PositionAt{};
+  /// Statements sent and not answered.
+  int InFlight = 0;
+  /// Smoothed time from sending to answer.
+  Duration ServiceTime = milliseconds(10);
+  /// Not chosen for reads before this time, after it failed to answer.
+  TimePoint AvoidUntil{};
+  /// Since when nothing came back although something was asked.
+  std::optional<TimePoint> SilentSince;
+  TimePoint LastAnswerAt{};
+  /// It said lately that it isn't the primary; asked again after this time.
+  TimePoint DeniedLeadUntil{};
+};
+
+class InstanceTracker {
+public:
+  explicit InstanceTracker(HallId ownHall) : OwnHall(std::move(ownHall)) {}
+
+  void update(const membership::InstanceRecord &record);
+  void remove(const InstanceId &id);
+  /// Control replaced the primary by \p id; \p fence orders such notices.
+  void notePromotion(const InstanceId &id, std::uint64_t fence);
+
+  TrackedInstance *find(const InstanceId &id);
+  std::map<InstanceId, TrackedInstance> &all() { return Instances; }
+
+  /// The instance to ask for writes and current reads, if one is known.
+  std::optional<InstanceId> primary(TimePoint now) const;
+  /// The best instance for a read that needs \p minimum, best first.
+  std::vector<InstanceId>
+  readCandidates(TimePoint now, const Mark &minimum,
+                 const std::set<InstanceId> &tried) const;
+
+  void notePosition(TimePoint now, const InstanceId &id, const Mark &position);
+  void noteProof(TimePoint sentAt, const Mark &position);
+  /// The least position that covers all acknowledged before \p time.
+  std::optional<Mark> coveringPosition(TimePoint time) const;
+  std::optional<TimePoint> newestProofAt() const;
+  void noteAnswer(TimePoint now, const InstanceId &id, Duration took);
+  void noteSilence(TimePoint now, const InstanceId &id);
+  void noteDeniedLead(TimePoint now, const InstanceId &id);
+  void forgetProofs() { Proofs.clear(); }
+
+private:
+  double readCost(TimePoint now, const TrackedInstance &instance,
+                  const Mark &minimum) const;
+
+  HallId OwnHall;
+  std::map<InstanceId, TrackedInstance> Instances;
+  std::optional<InstanceId> Promoted;
+  std::uint64_t PromotedFence = 0;
+  std::deque<PositionProof> Proofs;
+};
+
+} // namespace stepledge::proxy
+
+#endif // STEPLEDGE_PROXY_INTERNAL_INSTANCETRACKER_H
--- /dev/null
+++ b/src/proxy/internal/Upkeep.cpp
@@ -0,0 +1,182 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The part of Proxy that acts as time passes.
+
+#include "proxy/Proxy.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace stepledge::proxy {
+
+namespace {
+
+/// A question unanswered for this long counts as silence: above the time that
+/// a full queue of an instance takes.
+constexpr Duration SilenceLimit = milliseconds(300);
+
+} // namespace
+
+void Proxy::tick(TimePoint now) {
+  sweepConnections(now);
+  sweepSessions(now);
+  probePrimaries(now);
+}
+
+void Proxy::forgetProofs() {
+  for (auto &[service, it] : Trackers)
+    it->forgetProofs();
+}
+
+void Proxy::sweepSessions(TimePoint now) {
+  std::vector<ClientId> ids;
+  for (const auto &[id, it] : Sessions)
+    if (it.Current || it.Pinned)
+      ids.push_back(id);
+  for (const auto id : ids) {
+    auto *it = session(id);
+    if (it && it->Current)
+      expireWork(now, *it);
+    it = session(id);
+    if (it && it->Current && it->Current->Stage == WorkStage::Waiting)
+      dispatch(now, *it);
+    else if (it && it->Current)
+      moveSlowRead(now, *it);
+    const Duration limit = Configuration.TransactionIdleLimit;
+    const bool rests = it && it->Pinned && !it->Current;
+    if (rests && limit > Duration{} && now - it->LastActive > limit) {
+      Log.decision(
+          absl::StrCat("event=transaction_idle client=", it->Id.Number));
+      releasePinned(now, *it);
+      it->State = SessionState::Failed;
+      it->WasAbortedAtRest = true;
+    }
+  }
+}
+
+void Proxy::expireWork(TimePoint now, ClientSession &session) {
+  auto &work = *session.Current;
+  const bool wasSent = work.Stage == WorkStage::Sent;
+  const TimePoint limit =
+      wasSent ? work.Deadline
+              : std::min(work.Deadline, work.ArrivedAt + Options.QueueLimit);
+  if (now < limit)
+    return;
+  if (!wasSent) {
+    const std::string reason = work.LastRefusal;
+    abandonStatement(now, session);
+    return refuse(now, session, ReplyCode::Busy, reason);
+  }
+  const bool isOpen = session.State == SessionState::InTransaction;
+  const bool isCommit = work.Statement.Kind == StatementKind::Commit;
+  abandonStatement(now, session);
+  if (isOpen && isCommit) {
+    const bool wrote = session.HasWritten;
+    // NOTE: a commit is under way, so a rollback behind it would be wrong.
+    const auto pinned = std::exchange(session.Pinned, std::nullopt);
+    if (auto *connection = Pool.find(*pinned)) {
+      connection->Owner.reset();
+      connection->IsAbandoned = true;
+    }
+    session.State = SessionState::Idle;
+    session.Mode = TransactionMode::None;
+    return refuse(now, session,
+                  wrote ? ReplyCode::OutcomeUnknown : ReplyCode::TimedOut,
+                  "the commit took longer than its limit");
+  }
+  if (isOpen)
+    return refuse(now, session, ReplyCode::Aborted,
+                  "a statement took longer than its limit");
+  refuse(now, session,
+         work.Mode == AccessMode::Write ? ReplyCode::OutcomeUnknown
+                                        : ReplyCode::TimedOut,
+         "the statement took longer than its limit");
+}
+
+void Proxy::moveSlowRead(TimePoint now, ClientSession &session) {
+  auto &work = *session.Current;
+  const bool isOpen = session.State == SessionState::InTransaction;
+  const bool isMovable = !work.PrimaryOnly && work.Mode == AccessMode::Read &&
+                         !session.HasRunInTransaction;
+  if (!isMovable || work.Sendings >= 2)
+    return;
+  if (now - work.SentAt < Options.ReadRetryAfter || !work.Connection)
+    return;
+  auto *connection = Pool.find(*work.Connection);
+  if (!connection)
+    return;
+  const InstanceId slow = connection->Instance;
+  tracker(connection->Service).noteSilence(now, slow);
+  if (isOpen && session.Pinned)
+    releasePinned(now, session);
+  else
+    abandonStatement(now, session);
+  notRun(now, session, ReplyCode::TimedOut, slow);
+}
+
+void Proxy::probePrimaries(TimePoint now) {
+  for (auto &[service, it] : Trackers) {
+    const auto newest = it->newestProofAt();
+    if (newest && now - *newest < Options.ProofInterval)
+      continue;
+    auto &probedAt = ProbedAt[service];
+    if (now - probedAt < Options.ProofInterval / 2)
+      continue;
+    const auto primary = it->primary(now);
+    const auto *instance = primary ? it->find(*primary) : nullptr;
+    if (!instance)
+      continue;
+    auto *connection = Pool.findFree(*primary, {});
+    if (!connection) {
+      if (Pool.countOf(*primary) == 0)
+        Pool.openOne(now, instance->Record, shareOf(service));
+      continue;
+    }
+    probedAt = now;
+    InstanceCommand begin;
+    begin.Kind = CommandKind::Begin;
+    InstanceCommand end;
+    end.Kind = CommandKind::Rollback;
+    connection->IsAbandoned = true;
+    transmit(now, *connection, {{begin, Purpose::Probe}, {end, Purpose::End}});
+  }
+}
+
+void Proxy::sweepConnections(TimePoint now) {
+  std::vector<ConnectionId> dead;
+  std::vector<ConnectionId> spare;
+  for (auto &[id, it] : Pool.all()) {
+    auto *instance = tracker(it.Service).find(it.Instance);
+    if (!it.IsReady && now - it.OpenedAt > Options.ConnectLimit)
+      dead.push_back(id);
+    if (it.Sent.empty()) {
+      const int floor = instance ? shareOf(it.Service).Floor : 0;
+      const bool isIdle =
+          it.isFree() && now - it.LastUsed > Options.SpareConnectionLifetime;
+      if (isIdle && Pool.countOf(it.Instance) > floor)
+        spare.push_back(id);
+      continue;
+    }
+    const Duration waited = now - it.Sent.front().SentAt;
+    if (it.IsAbandoned && waited > Options.AbandonedLifetime)
+      dead.push_back(id);
+    const bool isSilent = instance && waited > SilenceLimit &&
+                          now - instance->LastAnswerAt > SilenceLimit &&
+                          !instance->SilentSince;
+    if (isSilent)
+      instance->SilentSince =
+          std::max(it.Sent.front().SentAt, instance->LastAnswerAt);
+  }
+  for (const auto id : dead) {
+    Io.closeConnection(id);
+    connectionLost(now, id);
+  }
+  // NOTE: one at a time, since each closing changes the count.
+  if (!spare.empty())
+    Pool.close(spare.front());
+}
+
+} // namespace stepledge::proxy
--- /dev/null
+++ b/src/proxy/types/ProxyOptions.h
@@ -0,0 +1,46 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file What the proxy's decisions can be tuned by.
+
+#ifndef STEPLEDGE_PROXY_TYPES_PROXYOPTIONS_H
+#define STEPLEDGE_PROXY_TYPES_PROXYOPTIONS_H
+
+#include "base/types/Ids.h"
+#include "base/types/Time.h"
+
+namespace stepledge::proxy {
+
+struct ProxyOptions {
+  HallId OwnHall;
+  /// A statement that could not be sent anywhere waits this long at most
+  /// before it is refused as not run: a replaced primary is back sooner, and
+  /// the client still has time for two more tries.
+  Duration QueueLimit = milliseconds(700);
+  /// A read that got no answer for this long is sent to another instance:
+  /// some five times the usual answer time.
+  Duration ReadRetryAfter = milliseconds(180);
+  /// The pause before the same instance is asked again.
+  Duration RetryPause = milliseconds(25);
+  /// How often the primary is asked for its position when no statement
+  /// brought one: bounded reads need one younger than their staleness.
+  Duration ProofInterval = milliseconds(450);
+  /// Taken off a route's staleness for the time a read waits in queues.
+  Duration StalenessMargin = milliseconds(250);
+  /// A connection beyond the kept share is closed after this idle time.
+  Duration SpareConnectionLifetime = milliseconds(2000);
+  /// A connection that nobody waits for is closed if not answered by then.
+  Duration AbandonedLifetime = milliseconds(2500);
+  /// An instance that takes longer to accept a connection isn't reachable.
+  Duration ConnectLimit = milliseconds(700);
+  /// No new connection for this long after an instance had no room.
+  Duration FullPause = milliseconds(250);
+  /// The most statements that wait for one service.
+  std::size_t QueueLength = 200;
+  /// Connections to an instance left to the control VMs.
+  int ReservedConnections = 4;
+};
+
+} // namespace stepledge::proxy
+
+#endif // STEPLEDGE_PROXY_TYPES_PROXYOPTIONS_H
--- /dev/null
+++ b/src/proxy/types/StatementReply.h
@@ -0,0 +1,76 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The whole answer to one statement, from an instance or to a client.
+
+#ifndef STEPLEDGE_PROXY_TYPES_STATEMENTREPLY_H
+#define STEPLEDGE_PROXY_TYPES_STATEMENTREPLY_H
+
+#include "base/types/LogPosition.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace stepledge::proxy {
+
+enum class SessionState { Idle, InTransaction, Failed };
+
+enum class ReplyCode {
+  Success,
+  /// Not run: a queue or limit is full.
+  Busy,
+  /// Rolled back, nothing is kept.
+  Aborted,
+  /// Not run: the instance's log is behind the position asked for.
+  Lagging,
+  /// Not run: the instance is no primary.
+  ReadOnly,
+  /// Not run: another instance lives at this address.
+  WrongInstance,
+  /// Not run: the instance's connections are used up.
+  TooManyConnections,
+  /// A commit or write was sent and its outcome isn't known.
+  OutcomeUnknown,
+  TimedOut,
+  /// Ran and failed.
+  Failed,
+  /// Not run: the prepared statement isn't known.
+  UnknownStatement,
+  UnknownDatabase,
+  Malformed,
+  /// A code that this version doesn't know; nothing is assumed of it.
+  Other,
+};
+
+/// Whether \p code says that the statement itself did not run.
+constexpr bool isNotRun(ReplyCode code) {
+  switch (code) {
+  case ReplyCode::Busy:
+  case ReplyCode::Lagging:
+  case ReplyCode::ReadOnly:
+  case ReplyCode::WrongInstance:
+  case ReplyCode::TooManyConnections:
+  case ReplyCode::UnknownStatement:
+    return true;
+  default:
+    return false;
+  }
+}
+
+struct StatementReply {
+  ReplyCode Code = ReplyCode::Success;
+  std::vector<std::string> Rows;
+  /// The instance's proof that it ran the statement; empty where the proxy
+  /// answered by itself.
+  std::string Signature;
+  /// The reason, for a refusal.
+  std::string Detail;
+  SessionState State = SessionState::Idle;
+  /// The end of the instance's log, where it told one.
+  std::optional<Mark> Position;
+};
+
+} // namespace stepledge::proxy
+
+#endif // STEPLEDGE_PROXY_TYPES_STATEMENTREPLY_H
