Number calls anew in each life; replace a wiped voter once

Ruled out: a lost log record (the replay reached version 38 right after), a stale leader (the read round was confirmed), torn files (the log opened whole).

Change: calls are numbered from a drawn start; only a newer number at the same address makes a voter count as wiped.

--- a/src/consensus/internal/Replication.cpp
+++ b/src/consensus/internal/Replication.cpp
@@ -281,11 +281,12 @@
     }
     const auto &progress = Others[it.number()];
     alive += now - progress.HeardAt < Options.AliveLimit;
-    // NOTE: another number at the same address means that the disk is gone.
+    // NOTE: a newer number at the same address means that the disk is gone.
     const bool isWiped =
         std::any_of(Others.begin(), Others.end(), [&](const auto &other) {
           return other.first != it.number() &&
-                 other.second.Member.ip() == it.ip();
+                 other.second.Member.ip() == it.ip() &&
+                 other.second.HeardAt > progress.HeardAt;
         });
     if (isWiped || (!lost && now - progress.HeardAt > Options.ReplaceAfter))
       lost = &it;
--- /dev/null
+++ b/src/consensus/tests/ConsensusScheduleTest.cpp
@@ -0,0 +1,150 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Seeded schedules of kills, cuts, wiped and stalled disks: no entry is
+/// lost or doubled, no read is stale, and the group comes back.
+
+#include "consensus/tests/SimulatedGroup.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <string>
+
+using namespace stepledge;
+using consensus::tests::SimulatedGroup;
+
+namespace {
+
+/// More with STEPLEDGE_SEEDS=N, from STEPLEDGE_FIRST_SEED on.
+std::uint64_t numberFrom(const char *variable, std::uint64_t otherwise) {
+  const char *text = std::getenv(variable);
+  return text ? std::strtoull(text, nullptr, 10) : otherwise;
+}
+
+struct Shape {
+  std::size_t Members;
+  std::size_t Bootstrapped;
+  int Target;
+  /// Disks that may be lost at once.
+  std::size_t Losses;
+};
+
+/// One random fault, or a pause.
+void disturb(SimulatedGroup &group, const Shape &shape) {
+  const std::size_t member = group.pick(group.size());
+  const std::size_t other = group.pick(group.size());
+  std::size_t down = 0;
+  for (std::size_t i = 0; i < group.size(); ++i)
+    down += !group.isRunning(i);
+  switch (group.pick(9)) {
+  case 0:
+    if (down < shape.Losses)
+      group.kill(member);
+    break;
+  case 1:
+    group.cut(member, other);
+    break;
+  case 2:
+    group.cut(member, other);
+    group.cut(other, member);
+    break;
+  case 3:
+    group.heal();
+    break;
+  case 4:
+    group.stallDisk(member, milliseconds(900));
+    break;
+  case 5:
+    group.setLoss(0.1);
+    break;
+  case 6:
+    group.setLoss(0.0);
+    break;
+  default:
+    for (std::size_t i = 0; i < group.size(); ++i)
+      group.start(i);
+    break;
+  }
+}
+
+/// Everything runs and is connected again: a new entry commits in time.
+void settle(SimulatedGroup &group, Duration limit) {
+  group.heal();
+  group.setLoss(0.0);
+  for (std::size_t i = 0; i < group.size(); ++i)
+    group.start(i);
+  group.run(limit);
+  const auto before = group.committed();
+  group.propose();
+  group.run(milliseconds(500));
+  CHECK_MESSAGE(group.committed() > before, "nothing commits any more");
+}
+
+void playSeed(std::uint64_t seed, const Shape &shape) {
+  CAPTURE(seed);
+  CAPTURE(shape.Members);
+  SimulatedGroup group(shape.Members, shape.Bootstrapped, shape.Target, seed);
+  group.run(milliseconds(2500));
+  for (int round = 0; round < 25; ++round) {
+    disturb(group, shape);
+    for (int i = 0; i < 3; ++i) {
+      group.propose();
+      group.read();
+      group.run(milliseconds(150));
+    }
+    // A disk is lost while all others are well, as the group promises to bear.
+    if (round % 8 == 7) {
+      settle(group, milliseconds(6000));
+      group.wipe(group.pick(group.size()));
+      group.run(milliseconds(300));
+      settle(group, milliseconds(6000));
+    }
+  }
+  settle(group, milliseconds(5000));
+  CHECK(group.fault() == "");
+}
+
+} // namespace
+
+TEST_CASE("Consensus_SchedulesLoseNothing") {
+  const Shape shapes[] = {{3, 3, 3, 1}, {4, 3, 3, 1}, {6, 3, 5, 2}};
+  const std::uint64_t first = numberFrom("STEPLEDGE_FIRST_SEED", 1);
+  const std::uint64_t count = numberFrom("STEPLEDGE_SEEDS", 60);
+  for (std::uint64_t seed = first; seed < first + count; ++seed)
+    for (const auto &it : shapes)
+      playSeed(seed, it);
+}
+
+TEST_CASE("Consensus_WipedMemberIsReplacedByItself") {
+  SimulatedGroup group(3, 3, 3, 7);
+  group.run(milliseconds(2500));
+  group.propose();
+  group.run(milliseconds(500));
+  group.wipe(2);
+  group.run(milliseconds(500));
+  group.start(2);
+  group.run(milliseconds(2500));
+  REQUIRE(group.leader());
+  const auto &voters = group.voters(*group.leader());
+  CHECK(voters.voters_size() == 3);
+  for (const auto &it : voters.voters())
+    CHECK(it.number() != 1002);
+}
+
+TEST_CASE("Consensus_WipedMemberAndPowerLossOfAll") {
+  SimulatedGroup group(3, 3, 3, 11);
+  group.run(milliseconds(2500));
+  for (int i = 0; i < 30; ++i) {
+    group.propose();
+    group.run(milliseconds(60));
+  }
+  group.wipe(2);
+  group.run(milliseconds(1000));
+  group.start(2);
+  group.run(milliseconds(5000));
+  for (std::size_t i = 0; i < 3; ++i)
+    group.kill(i);
+  settle(group, milliseconds(4000));
+  CHECK(group.fault() == "");
+}
--- /dev/null
+++ b/src/consensus/tests/SimulatedGroup.cpp
@@ -0,0 +1,266 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "consensus/tests/SimulatedGroup.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace stepledge::consensus::tests {
+
+namespace {
+
+constexpr Duration Step = milliseconds(10);
+
+std::uint64_t firstNumber(std::size_t member) { return 1000 + member; }
+
+wire::Member memberOf(std::uint64_t number, const std::string &ip) {
+  wire::Member member;
+  member.set_number(number);
+  member.set_ip(ip);
+  member.set_hall("hall-" + ip);
+  return member;
+}
+
+DurableState stateOf(const std::vector<wire::Record> &records,
+                     std::uint64_t &number) {
+  DurableState state;
+  for (const auto &it : records) {
+    if (it.identity() != 0)
+      number = it.identity();
+    if (it.has_vote()) {
+      state.Term = it.term();
+      state.VotedFor = it.voted_for();
+    }
+    if (it.has_snapshot())
+      state.Snapshot = it.snapshot();
+    if (!it.has_entry())
+      continue;
+    while (!state.Entries.empty() &&
+           state.Entries.back().index() >= it.entry().index())
+      state.Entries.pop_back();
+    state.Entries.push_back(it.entry());
+  }
+  std::erase_if(state.Entries, [&](const auto &it) {
+    return it.index() <= state.Snapshot.index();
+  });
+  return state;
+}
+
+} // namespace
+
+SimulatedGroup::SimulatedGroup(std::size_t size, std::size_t bootstrapped,
+                               int target, std::uint64_t seed)
+    : Members(size), Lives(size), DiskFreeAt(size), Bootstrapped(bootstrapped),
+      Random(seed) {
+  Options.TargetVoters = target;
+  Options.SnapshotEntries = 12;
+  Options.EntriesKept = 0;
+  for (std::size_t i = 0; i < size; ++i)
+    Members[i].Ip = "10.0.0." + std::to_string(i + 1);
+  wire::Snapshot first;
+  for (std::size_t i = 0; i < bootstrapped; ++i)
+    *first.mutable_membership()->add_voters() =
+        memberOf(firstNumber(i), Members[i].Ip);
+  for (std::size_t i = 0; i < bootstrapped; ++i) {
+    wire::Record identity;
+    identity.set_identity(firstNumber(i));
+    wire::Record base;
+    *base.mutable_snapshot() = first;
+    Members[i].Disk = {{identity, base}, false};
+  }
+  for (std::size_t i = 0; i < size; ++i)
+    start(i);
+}
+
+Duration SimulatedGroup::draw(Duration least, Duration most) {
+  std::uniform_int_distribution<std::int64_t> range(least.count(),
+                                                    most.count());
+  return Duration(range(Random));
+}
+
+void SimulatedGroup::start(std::size_t member) {
+  auto &it = Members[member];
+  if (it.Node)
+    return;
+  std::uint64_t number = Random() | 1U;
+  DurableState state = stateOf(it.Disk.Synced, number);
+  if (it.Disk.IsEmpty) {
+    wire::Record identity;
+    identity.set_identity(number);
+    it.Disk = {{identity}, false};
+  }
+  ++Lives[member];
+  it.Applied.clear();
+  it.AppliedIndex = 0;
+  it.Node = std::make_unique<ConsensusNode>(memberOf(number, it.Ip), Options,
+                                            std::move(state), Random(), Now);
+  runEffects(member);
+}
+
+void SimulatedGroup::kill(std::size_t member) {
+  // NOTE: what was not synced yet is gone with the events of this life.
+  Members[member].Node.reset();
+  ++Lives[member];
+}
+
+void SimulatedGroup::wipe(std::size_t member) {
+  kill(member);
+  Members[member].Disk = SimulatedDisk();
+}
+
+void SimulatedGroup::stallDisk(std::size_t member, Duration time) {
+  Members[member].DiskStalledUntil = Now + time;
+}
+
+void SimulatedGroup::run(Duration time) {
+  const TimePoint end = Now + time;
+  while (Now < end) {
+    Now += Step;
+    std::vector<Event> due;
+    std::erase_if(Events, [&](Event &it) {
+      if (it.At > Now)
+        return false;
+      due.push_back(std::move(it));
+      return true;
+    });
+    std::sort(due.begin(), due.end(), [](const auto &a, const auto &b) {
+      return std::pair(a.At, a.Order) < std::pair(b.At, b.Order);
+    });
+    for (auto &it : due)
+      deliver(std::move(it));
+    for (std::size_t i = 0; i < Members.size(); ++i) {
+      auto &it = Members[i];
+      if (!it.Node)
+        continue;
+      it.Node->tick(Now);
+      if (!it.Node->isVoter() && Now >= it.JoinAt) {
+        it.JoinAt = Now + milliseconds(500);
+        for (std::size_t to = 0; to < Members.size(); ++to) {
+          wire::Message join;
+          join.set_from(it.Node->self().number());
+          *join.mutable_join_request()->mutable_member() = it.Node->self();
+          if (to != i && !Cuts.contains({i, to}))
+            post({Now + milliseconds(2), 0, to, Lives[to], join, 0, {}, false});
+        }
+      }
+      runEffects(i);
+    }
+  }
+}
+
+void SimulatedGroup::post(Event event) {
+  event.Order = ++Order;
+  Events.push_back(std::move(event));
+}
+
+void SimulatedGroup::deliver(Event event) {
+  auto &it = Members[event.Member];
+  if (!it.Node || event.Life != Lives[event.Member])
+    return;
+  if (event.Message) {
+    it.Node->receive(Now, *event.Message);
+  } else {
+    if (event.IsRewrite)
+      it.Disk.Synced.clear();
+    std::move(event.Records.begin(), event.Records.end(),
+              std::back_inserter(it.Disk.Synced));
+    it.Node->persisted(Now, event.Ticket);
+  }
+  runEffects(event.Member);
+}
+
+std::optional<std::size_t>
+SimulatedGroup::memberAt(const std::string &ip) const {
+  for (std::size_t i = 0; i < Members.size(); ++i)
+    if (Members[i].Ip == ip)
+      return i;
+  return std::nullopt;
+}
+
+void SimulatedGroup::runEffects(std::size_t member) {
+  auto &it = Members[member];
+  while (true) {
+    auto effects = it.Node->takeEffects();
+    if (effects.Ticket != 0) {
+      auto records = effects.MustRewrite ? it.Node->allRecords()
+                                         : std::move(effects.Records);
+      // The disk works in turn.
+      auto &freeAt = DiskFreeAt[member];
+      freeAt = std::max({freeAt, Now, it.DiskStalledUntil}) +
+               draw(milliseconds(2), milliseconds(15));
+      post({freeAt, 0, member, Lives[member], std::nullopt, effects.Ticket,
+            std::move(records), effects.MustRewrite});
+    }
+    for (auto &out : effects.Messages) {
+      const auto to = memberAt(out.Ip);
+      std::bernoulli_distribution isLost(Loss);
+      if (!to || Cuts.contains({member, *to}) || isLost(Random))
+        continue;
+      post({Now + draw(milliseconds(1), milliseconds(20)),
+            0,
+            *to,
+            Lives[*to],
+            std::move(out.Message),
+            0,
+            {},
+            false});
+    }
+    if (effects.Restored) {
+      it.AppliedIndex = effects.Restored->index();
+      if (std::to_string(it.AppliedIndex) != effects.Restored->state())
+        Fault = "a snapshot holds another state than its index says";
+    }
+    for (const auto &entry : effects.Committed)
+      apply(member, entry);
+    for (const auto token : effects.ConfirmedReads)
+      if (it.AppliedIndex < Reads[token].LeastIndex)
+        Fault = "a read misses an entry that was committed before it";
+    if (it.Node->wantsSnapshot() && it.AppliedIndex > 0)
+      it.Node->takeSnapshot(it.AppliedIndex, std::to_string(it.AppliedIndex));
+    else if (effects.Ticket == 0 && effects.Messages.empty())
+      return;
+  }
+}
+
+void SimulatedGroup::apply(std::size_t member, const wire::Entry &entry) {
+  auto &it = Members[member];
+  if (entry.index() != it.AppliedIndex + 1)
+    Fault = "entries are applied out of turn";
+  it.AppliedIndex = entry.index();
+  const auto [known, isNew] =
+      Committed.try_emplace(entry.index(), entry.command());
+  if (!isNew && known->second != entry.command())
+    Fault = "two members applied different entries at index " +
+            std::to_string(entry.index());
+}
+
+std::optional<std::size_t> SimulatedGroup::leader() const {
+  for (std::size_t i = 0; i < Members.size(); ++i)
+    if (Members[i].Node && Members[i].Node->canServe())
+      return i;
+  return std::nullopt;
+}
+
+void SimulatedGroup::propose() {
+  for (std::size_t i = 0; i < Members.size(); ++i) {
+    if (!Members[i].Node || !Members[i].Node->canServe())
+      continue;
+    Members[i].Node->propose(Now, "c" + std::to_string(++LastCommand));
+    runEffects(i);
+  }
+}
+
+void SimulatedGroup::read() {
+  const std::uint64_t newest =
+      Committed.empty() ? 0 : Committed.rbegin()->first;
+  for (std::size_t i = 0; i < Members.size(); ++i) {
+    if (!Members[i].Node)
+      continue;
+    Reads[++LastRead] = {i, newest};
+    Members[i].Node->requestRead(Now, LastRead);
+    runEffects(i);
+  }
+}
+
+} // namespace stepledge::consensus::tests
--- /dev/null
+++ b/src/consensus/tests/SimulatedGroup.h
@@ -0,0 +1,116 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file A control group in one process: members, disks that lose what was not
+/// synced, and a network that delays, drops and cuts, all from one seed.
+
+#ifndef STEPLEDGE_CONSENSUS_TESTS_SIMULATEDGROUP_H
+#define STEPLEDGE_CONSENSUS_TESTS_SIMULATEDGROUP_H
+
+#include "consensus/ConsensusNode.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace stepledge::consensus::tests {
+
+/// The records that survive a loss of power, as those on a real disk.
+struct SimulatedDisk {
+  std::vector<wire::Record> Synced;
+  bool IsEmpty = true;
+};
+
+struct SimulatedMember {
+  std::string Ip;
+  SimulatedDisk Disk;
+  std::unique_ptr<ConsensusNode> Node;
+  /// What the applied entries have built: their commands, in order.
+  std::vector<std::string> Applied;
+  std::uint64_t AppliedIndex = 0;
+  TimePoint DiskStalledUntil{};
+  TimePoint JoinAt{};
+};
+
+struct ReadCheck {
+  std::size_t Member = 0;
+  std::uint64_t LeastIndex = 0;
+};
+
+class SimulatedGroup {
+public:
+  SimulatedGroup(std::size_t size, std::size_t bootstrapped, int target,
+                 std::uint64_t seed);
+
+  void run(Duration time);
+  void kill(std::size_t member);
+  void wipe(std::size_t member);
+  void start(std::size_t member);
+  void stallDisk(std::size_t member, Duration time);
+  /// Messages from \p from to \p to are dropped.
+  void cut(std::size_t from, std::size_t to) { Cuts.insert({from, to}); }
+  void heal() { Cuts.clear(); }
+  void setLoss(double share) { Loss = share; }
+
+  /// Proposes a new command at whoever leads.
+  void propose();
+  void read();
+  std::optional<std::size_t> leader() const;
+  bool isRunning(std::size_t member) const {
+    return Members[member].Node != nullptr;
+  }
+  std::size_t size() const { return Members.size(); }
+  std::size_t committed() const { return Committed.size(); }
+  const wire::Membership &voters(std::size_t member) const {
+    return Members[member].Node->membership();
+  }
+  /// The first thing that went wrong, if anything did.
+  const std::string &fault() const { return Fault; }
+  std::mt19937_64 &random() { return Random; }
+  std::size_t pick(std::size_t n) { return Random() % n; }
+
+private:
+  struct Event {
+    TimePoint At{};
+    std::uint64_t Order = 0;
+    std::size_t Member = 0;
+    std::uint64_t Life = 0;
+    std::optional<wire::Message> Message;
+    std::uint64_t Ticket = 0;
+    std::vector<wire::Record> Records;
+    bool IsRewrite = false;
+  };
+
+  void deliver(Event event);
+  void runEffects(std::size_t member);
+  void apply(std::size_t member, const wire::Entry &entry);
+  void post(Event event);
+  std::optional<std::size_t> memberAt(const std::string &ip) const;
+  Duration draw(Duration least, Duration most);
+
+  std::vector<SimulatedMember> Members;
+  std::vector<std::uint64_t> Lives;
+  std::vector<TimePoint> DiskFreeAt;
+  std::size_t Bootstrapped;
+  ConsensusOptions Options;
+  std::mt19937_64 Random;
+  TimePoint Now = TimePoint(std::chrono::seconds(1));
+  std::uint64_t Order = 0;
+  std::vector<Event> Events;
+  std::set<std::pair<std::size_t, std::size_t>> Cuts;
+  double Loss = 0.0;
+  /// By index, what some member has applied first.
+  std::map<std::uint64_t, std::string> Committed;
+  std::map<std::uint64_t, ReadCheck> Reads;
+  std::uint64_t LastRead = 0;
+  std::uint64_t LastCommand = 0;
+  std::string Fault;
+};
+
+} // namespace stepledge::consensus::tests
+
+#endif // STEPLEDGE_CONSENSUS_TESTS_SIMULATEDGROUP_H
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -23,7 +23,8 @@
                          IControlLog &log)
     : Options(std::move(options)), Node(node), Writer(writer), Peers(peers),
       Probe(probe), Log(log),
-      Replacer(std::make_unique<Replacement>(*this, promoter, probe, log)) {
+      Replacer(std::make_unique<Replacement>(*this, promoter, probe, log)),
+      LastCall(Options.FirstCall) {
   updatePeers();
 }
 
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -57,6 +57,9 @@
   Duration AliveInterval = milliseconds(4000);
   /// How often the leader asks the primaries whether they answer.
   Duration PingInterval = milliseconds(250);
+  /// Drawn anew at each start: the calls of an earlier life of this process
+  /// stand in the log, and must not be taken for those of this one.
+  std::uint64_t FirstCall = 0;
   /// How often a process that is no voter asks to be one.
   Duration JoinInterval = milliseconds(500);
 };
