Let a refused trial vote tell the newer term

Cause: seed 2214 of the schedules: the member with the newer term had the shorter log. Its trials were refused for the log, the other's for the term, and since a trial's reply never raised the term, nobody could win: no leader again.

Change: only a granted trial reply is exempt from raising the term. The seed is kept as a case that failed before.

--- a/src/consensus/ConsensusNode.cpp
+++ b/src/consensus/ConsensusNode.cpp
@@ -98,9 +98,12 @@
   }
   if (message.to() != Self.number())
     return;
+  // NOTE: a trial's term is none that anybody is in yet, but a refusal of one
+  // carries its sender's own, which may be the newer one.
   const bool isTrial =
       (message.has_vote_request() && message.vote_request().is_trial()) ||
-      (message.has_vote_reply() && message.vote_reply().is_trial());
+      (message.has_vote_reply() && message.vote_reply().is_trial() &&
+       message.vote_reply().granted());
   const bool hasLeader =
       (isLeader() || Leader) && now - LeaderContact < Options.ElectionTimeout;
   // NOTE: a member that hears its leader lets nobody depose it.
--- a/src/consensus/tests/ConsensusScheduleTest.cpp
+++ b/src/consensus/tests/ConsensusScheduleTest.cpp
@@ -116,6 +116,12 @@
       playSeed(seed, it);
 }
 
+TEST_CASE("Consensus_SeedsThatFailed") {
+  // 2214: the member with the newer term had the shorter log; neither could
+  // win a trial, since a refused one didn't tell the newer term.
+  playSeed(2214, {3, 3, 3, 1});
+}
+
 TEST_CASE("Consensus_WipedMemberIsReplacedByItself") {
   SimulatedGroup group(3, 3, 3, 7);
   group.run(milliseconds(2500));
