Estimate each replica's lag; let clients wait for the first configuration

Change: the lag is estimated between two proofs of the primary's position, smoothed, and decays without news; control VMs say whether their state is as new as a majority's, and only that is taken; clients that come before the first configuration wait for it; the first trial vote after a start comes early.

--- a/src/consensus/ConsensusNode.cpp
+++ b/src/consensus/ConsensusNode.cpp
@@ -20,7 +20,9 @@
   if (Base.index() > 0)
     Pending.Restored = Base;
   recomputeVoters();
-  resetElectionTimer(now);
+  // NOTE: after a start nobody is known to lead, and a trial vote disturbs no
+  // leader, so the first trial comes early.
+  resetElectionTimer(now - Options.ElectionTimeout * 4 / 5);
 }
 
 bool ConsensusNode::isVoter(MemberNumber number) const {
@@ -56,6 +58,14 @@
   return isLeader() && termAt(Commit) == Term;
 }
 
+bool ConsensusNode::isFresh(TimePoint now) const {
+  if (isLeader())
+    return canServe();
+  return Leader && now - LeaderContact < Options.AliveLimit &&
+         LeaderCommit > 0 && termAt(LeaderCommit) == Term &&
+         Commit >= LeaderCommit;
+}
+
 std::optional<wire::Member> ConsensusNode::leader() const {
   return isLeader() ? Self : Leader;
 }
--- a/src/consensus/ConsensusNode.h
+++ b/src/consensus/ConsensusNode.h
@@ -81,6 +81,8 @@
   bool isLeader() const { return Role == MemberRole::Leader; }
   /// It leads, and has committed an entry of its own term.
   bool canServe() const;
+  /// The applied state holds all that a majority held a moment ago.
+  bool isFresh(TimePoint now) const;
   bool isVoter() const { return isVoter(Self.number()); }
   std::optional<wire::Member> leader() const;
   /// The leader was heard, or heard a majority, at this time.
@@ -172,6 +174,8 @@
   MemberRole Role = MemberRole::Follower;
   std::optional<wire::Member> Leader;
   TimePoint LeaderContact{};
+  /// The leader's commit index when it was last heard.
+  std::uint64_t LeaderCommit = 0;
   TimePoint ElectionAt{};
   TimePoint HeartbeatAt{};
   std::set<MemberNumber> VotesFor;
--- a/src/consensus/internal/Replication.cpp
+++ b/src/consensus/internal/Replication.cpp
@@ -53,6 +53,7 @@
     record(std::move(entry));
   }
   MatchedIndex = std::max(matched, std::min(MatchedIndex, lastIndex()));
+  LeaderCommit = request.commit();
   setCommit(std::min(request.commit(), MatchedIndex));
   result.set_accepted(true);
   // NOTE: what is not on disk yet is reported by persisted().
@@ -63,6 +64,7 @@
 void ConsensusNode::followLeader(TimePoint now, const wire::Message &message) {
   if (!Leader || Leader->number() != message.from()) {
     MatchedIndex = Commit;
+    LeaderCommit = 0;
     wire::Member it;
     it.set_number(message.from());
     it.set_ip(message.sender_ip());
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -181,6 +181,10 @@
     message.set_consensus(join.SerializeAsString());
     tellControls(message);
   }
+  // NOTE: a log that is being replayed shows old states on the way.
+  const bool isFresh = Node.isFresh(now);
+  IsNoticeDue |= isFresh && !IsFresh;
+  IsFresh = isFresh;
   if (IsNoticeDue || now >= NoticeAt) {
     IsNoticeDue = false;
     NoticeAt = now + Options.NoticeInterval;
@@ -252,6 +256,10 @@
         own->second.RetryAt = now;
     }
     finishReads();
+    if (IsNoticeDue && IsFresh) {
+      IsNoticeDue = false;
+      tellEntries(notice());
+    }
     if (Node.wantsSnapshot())
       Node.takeSnapshot(State.appliedIndex(), State.serialize());
   }
@@ -287,10 +295,6 @@
   }
   if (command.has_take_fence())
     Replacer->fenceTaken(now, command, entry.index());
-  if (IsNoticeDue) {
-    IsNoticeDue = false;
-    tellEntries(notice());
-  }
   if (command.proposer() == Node.self().number())
     return finishCall(command.number(), true);
   // Whoever passed the call on to this leader waits for its end.
@@ -340,6 +344,9 @@
   peer::wire::Message message;
   auto &out = *message.mutable_notice();
   out.set_configuration_version(State.configurationVersion());
+  out.set_is_fresh(IsFresh);
+  for (const auto &it : EntryIps)
+    out.add_entry_ips(it);
   for (const auto &it : Node.membership().voters())
     out.add_control_ips(it.ip());
   out.set_entry_count(static_cast<std::uint32_t>(EntryIps.size()));
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -162,6 +162,7 @@
   TimePoint PingAt{};
   TimePoint Now{};
   bool IsNoticeDue = false;
+  bool IsFresh = false;
   bool WasLeader = false;
   bool IsRunning = false;
 };
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -27,6 +27,8 @@
     Proxy.forgetProofs();
   }
   Now = now;
+  if (StartedAt == TimePoint{})
+    StartedAt = now;
   Proxy.tick(now);
   const auto sights = Proxy.primarySights(now);
   const bool isAlarmed =
@@ -93,7 +95,11 @@
     ips.insert(Connected.begin(), Connected.end());
     Peers.keepConnected(ips);
   }
-  if (notice.configuration_version() > Proxy.configurationVersion())
+  // NOTE: while the control group has no leader, an older state is better than
+  // none, but only once there was time for a newer one.
+  const bool mayTake =
+      notice.is_fresh() || Now - StartedAt > Options.FreshLimit;
+  if (mayTake && notice.configuration_version() > Proxy.configurationVersion())
     fetch(ip);
 }
 
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -28,6 +28,9 @@
   Duration AlarmInterval = milliseconds(200);
   /// A configuration that was asked for and didn't come is asked for again.
   Duration FetchLimit = milliseconds(300);
+  /// How long after its start an entry VM waits for a configuration that a
+  /// majority stands behind, before it takes what it can get.
+  Duration FreshLimit = milliseconds(3000);
   /// A jump of the clock by more than this means that the VM stood still.
   Duration StandstillLimit = milliseconds(400);
 };
@@ -63,6 +66,7 @@
   proxy::IProxyLog &Log;
   Decode DecodeDocument;
   TimePoint Now{};
+  TimePoint StartedAt{};
   TimePoint SightsAt{};
   TimePoint FetchedAt{};
   std::set<std::string> Connected;
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -38,6 +38,8 @@
     tracker(name);
   for (const auto &[name, service] : Configuration.Services)
     pump(now, name);
+  for (const auto &it : std::exchange(Unconfigured, {}))
+    clientConnected(now, it.Client, it.Database);
 }
 
 void Proxy::applyInstance(TimePoint now,
@@ -62,6 +64,10 @@
 
 void Proxy::clientConnected(TimePoint now, ClientId client,
                             const DatabaseId &database) {
+  if (!isConfigured()) {
+    Unconfigured.push_back({client, database, now});
+    return;
+  }
   if (!Configuration.Routes.contains(database)) {
     StatementReply reply;
     reply.Code = ReplyCode::UnknownDatabase;
@@ -90,6 +96,8 @@
 }
 
 void Proxy::clientLeft(TimePoint now, ClientId client) {
+  std::erase_if(Unconfigured,
+                [&](const auto &it) { return it.Client == client; });
   auto *it = session(client);
   if (!it)
     return;
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -142,6 +142,7 @@
   void probePrimaries(TimePoint now);
   void sweepConnections(TimePoint now);
   void sweepSessions(TimePoint now);
+  void dropEarlyClients(TimePoint now);
 
   ProxyOptions Options;
   IProxyIo &Io;
@@ -150,6 +151,13 @@
   std::map<std::string, std::unique_ptr<InstanceTracker>> Trackers;
   std::map<std::string, TimePoint> ProbedAt;
   std::map<ClientId, ClientSession> Sessions;
+  /// Came before the first configuration, and wait for it.
+  struct EarlyClient {
+    ClientId Client;
+    DatabaseId Database;
+    TimePoint ConnectedAt{};
+  };
+  std::vector<EarlyClient> Unconfigured;
   /// By service, the statements that need a connection.
   std::map<std::string, std::set<WaitKey>> Waiting;
   ConnectionPool Pool;
--- a/src/proxy/internal/InstanceTracker.cpp
+++ b/src/proxy/internal/InstanceTracker.cpp
@@ -4,6 +4,8 @@
 #include "proxy/internal/InstanceTracker.h"
 
 #include <algorithm>
+#include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace stepledge::proxy {
@@ -23,9 +25,11 @@
 constexpr double BehindCost = 40.0;
 /// Added for the primary, in ms, so that its slots are left to writes.
 constexpr double PrimaryCost = 25.0;
-/// A told position is trusted to have moved on after this time: the common
-/// replication delays are below it.
-constexpr Duration PositionLifetime = milliseconds(150);
+/// An estimated lag counts half after this time without news, so that an
+/// instance that has caught up is found out.
+constexpr Duration LagHalfLife = milliseconds(1000);
+/// Weight of a new sample in the smoothed lag.
+constexpr double LagWeight = 0.3;
 /// How long an instance that failed isn't chosen while others are there.
 constexpr Duration AvoidTime = milliseconds(1000);
 /// How long an instance that refused a write isn't asked for one, if another
@@ -80,6 +84,40 @@
   return std::nullopt;
 }
 
+Duration InstanceTracker::lagOf(TimePoint now, const Mark &position) const {
+  // The log ended at or before the position when `reached` was sent, and
+  // behind it when `beyond` was: the truth lies between the two.
+  const auto beyond = std::upper_bound(
+      Proofs.begin(), Proofs.end(), position,
+      [](const Mark &mark, const PositionProof &it) {
+        return mark < it.Position;
+      });
+  const Duration least =
+      beyond == Proofs.end() ? Duration{} : now - beyond->SentAt;
+  const Duration most = beyond == Proofs.begin()
+                            ? ProofLifetime
+                            : now - std::prev(beyond)->SentAt;
+  return (least + most) / 2;
+}
+
+bool InstanceTracker::isExpectedAt(TimePoint now,
+                                   const TrackedInstance &instance,
+                                   const Mark &minimum) const {
+  if (!instance.Position)
+    return false;
+  if (*instance.Position >= minimum)
+    return true;
+  const auto age = static_cast<double>((now - instance.PositionAt).count());
+  const double decay =
+      std::exp2(-age / static_cast<double>(LagHalfLife.count()));
+  const Duration lag(static_cast<std::int64_t>(
+      static_cast<double>(instance.Lag.count()) * decay));
+  const auto proof = std::find_if(
+      Proofs.rbegin(), Proofs.rend(),
+      [&](const PositionProof &it) { return it.SentAt <= now - lag; });
+  return proof != Proofs.rend() && proof->Position >= minimum;
+}
+
 double InstanceTracker::readCost(TimePoint now, const TrackedInstance &instance,
                                  const Mark &minimum) const {
   const int slots = std::max(1, instance.Record.Slots);
@@ -87,9 +125,7 @@
   double cost = toMilliseconds(instance.ServiceTime) * rounds;
   if (instance.Record.Hall != OwnHall)
     cost += OtherHallCost;
-  const bool known = instance.Position && *instance.Position >= minimum;
-  const bool fresh = now - instance.PositionAt < PositionLifetime;
-  if (!known && (fresh || !instance.Position))
+  if (!isExpectedAt(now, instance, minimum))
     cost += BehindCost;
   if (primary(now) == instance.Record.Id)
     cost += PrimaryCost;
@@ -124,6 +160,11 @@
   auto *it = find(id);
   if (!it || (it->Position && *it->Position > position))
     return;
+  const bool isFirst = !it->Position;
+  const auto sample = static_cast<double>(lagOf(now, position).count());
+  const auto old = static_cast<double>(it->Lag.count());
+  it->Lag = Duration(static_cast<std::int64_t>(
+      isFirst ? sample : old + (sample - old) * LagWeight));
   it->Position = position;
   it->PositionAt = now;
 }
--- a/src/proxy/internal/InstanceTracker.h
+++ b/src/proxy/internal/InstanceTracker.h
@@ -33,6 +33,8 @@
   /// The newest log end it told, and when.
   std::optional<Mark> Position;
   TimePoint PositionAt{};
+  /// Smoothed estimate of how far its log is behind the primary's.
+  Duration Lag{};
   /// Statements sent and not answered.
   int InFlight = 0;
   /// Smoothed time from sending to answer.
@@ -76,6 +78,9 @@
   void forgetProofs() { Proofs.clear(); }
 
 private:
+  Duration lagOf(TimePoint now, const Mark &position) const;
+  bool isExpectedAt(TimePoint now, const TrackedInstance &instance,
+                    const Mark &minimum) const;
   double readCost(TimePoint now, const TrackedInstance &instance,
                   const Mark &minimum) const;
 
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -21,6 +21,7 @@
 } // namespace
 
 void Proxy::tick(TimePoint now) {
+  dropEarlyClients(now);
   sweepConnections(now);
   sweepSessions(now);
   probePrimaries(now);
@@ -31,6 +32,18 @@
     it->forgetProofs();
 }
 
+void Proxy::dropEarlyClients(TimePoint now) {
+  std::vector<ClientId> late;
+  std::erase_if(Unconfigured, [&](const EarlyClient &it) {
+    const bool isLate = now - it.ConnectedAt > Options.EarlyClientLimit;
+    if (isLate)
+      late.push_back(it.Client);
+    return isLate;
+  });
+  for (const auto it : late)
+    Io.closeClient(it);
+}
+
 void Proxy::sweepSessions(TimePoint now) {
   std::vector<ClientId> ids;
   for (const auto &[id, it] : Sessions)
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -35,6 +35,9 @@
   Duration ConnectLimit = milliseconds(700);
   /// No new connection for this long after an instance had no room.
   Duration FullPause = milliseconds(250);
+  /// A client that came before the first configuration is sent away after this
+  /// time, so that it can try another VM.
+  Duration EarlyClientLimit = milliseconds(900);
   /// The most statements that wait for one service.
   std::size_t QueueLength = 200;
   /// Connections to an instance left to the control VMs.
