Reach a primary by other VMs where the direct path is cut

Cause: with 45 to 65% of the entry VMs cut off from a primary, these refused all that needs it for the whole cut. Change: an entry VM passes bytes on to known instances (TunnelServer); a VM whose direct connections to an instance are silent opens new ones by another VM, and tries the direct path twice a second. A VM that hears no control VM and misses most primaries isn't ready and refuses at once.

--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -50,7 +50,7 @@
   /// How often a call is tried again while no leader is known.
   Duration CallRetry = milliseconds(60);
   /// Heartbeats to entry VMs.
-  Duration NoticeInterval = milliseconds(1000);
+  Duration NoticeInterval = milliseconds(500);
   /// An instance silent for this long is dropped: many heartbeats.
   Duration InstanceSilence = milliseconds(20000);
   /// How often other control VMs hear of an unchanged instance.
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -30,6 +30,7 @@
   if (StartedAt == TimePoint{})
     StartedAt = now;
   Proxy.tick(now);
+  checkIsolation();
   const auto sights = Proxy.primarySights(now);
   const bool isAlarmed =
       std::any_of(sights.begin(), sights.end(),
@@ -42,6 +43,24 @@
   }
 }
 
+void EntryNode::checkIsolation() {
+  int silent = 0;
+  const auto sights = Proxy.primarySights(Now);
+  for (const auto &it : sights)
+    silent += it.SilentFor > Duration{};
+  const bool isMostSilent = 2 * silent > static_cast<int>(sights.size());
+  const bool isIsolated =
+      Now - HeardAt > Options.IsolationLimit && isMostSilent;
+  if (isIsolated != IsolatedSince.has_value()) {
+    IsolatedSince = isIsolated ? std::optional(Now) : std::nullopt;
+    Proxy.setIsolated(isIsolated);
+    Log.decision(absl::StrCat("event=isolation isolated=", isIsolated,
+                              " silent_primaries=", silent));
+  }
+  if (IsolatedSince && Now - *IsolatedSince > Options.BalancerTime)
+    Proxy.closeIdleSessions(Now);
+}
+
 void EntryNode::tellSights() {
   peer::wire::Message message;
   message.mutable_sights();
@@ -70,6 +89,7 @@
 
 void EntryNode::peerSaid(const std::string &ip,
                          const peer::wire::Message &message) {
+  HeardAt = Now;
   if (message.has_notice())
     onNotice(ip, message.notice());
   else if (message.has_configuration())
@@ -83,6 +103,12 @@
                          const peer::wire::Notice &notice) {
   if (notice.entry_count() > 0)
     Proxy.setEntryCount(static_cast<int>(notice.entry_count()));
+  std::vector<std::string> relays;
+  for (const auto &it : notice.entry_ips())
+    if (it != Options.Ip)
+      relays.push_back(it);
+  if (!relays.empty())
+    Proxy.setRelays(std::move(relays));
   for (const auto &it : notice.promotions())
     Proxy.applyPromotion(Now, it.service(), InstanceId(it.instance()),
                          it.fence());
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -14,6 +14,7 @@
 #include "absl/status/statusor.h"
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -28,6 +29,14 @@
   Duration AlarmInterval = milliseconds(200);
   /// A configuration that was asked for and didn't come is asked for again.
   Duration FetchLimit = milliseconds(300);
+  /// The own address, which is no relay.
+  std::string Ip;
+  /// Without word from any control VM and from most primaries for this long,
+  /// a VM is cut off: two heartbeats and a half.
+  Duration IsolationLimit = milliseconds(1250);
+  /// A cut-off VM closes resting sessions once the balancer has had the time to
+  /// see that it isn't ready.
+  Duration BalancerTime = milliseconds(2200);
   /// How long after its start an entry VM waits for a configuration that a
   /// majority stands behind, before it takes what it can get.
   Duration FreshLimit = milliseconds(3000);
@@ -46,7 +55,7 @@
   void tick(TimePoint now);
   void setTime(TimePoint now) { Now = now; }
   void setSeeds(std::set<std::string> ips) { Options.SeedIps = std::move(ips); }
-  bool isReady() const { return Proxy.canServe(); }
+  bool isReady() const { return Proxy.canServe() && !IsolatedSince; }
 
   void peerConnected(const std::string &ip,
                      const peer::wire::Hello &hello) override;
@@ -59,6 +68,7 @@
   void onConfiguration(const peer::wire::Configuration &configuration);
   void fetch(const std::string &ip);
   void tellSights();
+  void checkIsolation();
 
   EntryOptions Options;
   proxy::Proxy &Proxy;
@@ -69,6 +79,8 @@
   TimePoint StartedAt{};
   TimePoint SightsAt{};
   TimePoint FetchedAt{};
+  TimePoint HeardAt{};
+  std::optional<TimePoint> IsolatedSince;
   std::set<std::string> Connected;
 };
 
--- a/src/proxy/IProxyIo.h
+++ b/src/proxy/IProxyIo.h
@@ -17,6 +17,15 @@
 
 using ClientId = NumberedId<struct ClientTag>;
 
+/// Where a connection goes.
+struct ConnectionTarget {
+  std::string Address;
+  std::string Service;
+  InstanceId Instance;
+  /// The VM that passes the bytes on; empty for a direct connection.
+  std::string RelayIp;
+};
+
 class IProxyIo {
 public:
   virtual ~IProxyIo() = default;
@@ -27,11 +36,8 @@
   virtual void answerClient(ClientId client, const StatementReply &reply) = 0;
   virtual void closeClient(ClientId client) = 0;
 
-  /// Connects to \p address and asks there for \p service at \p instance.
   virtual void openConnection(ConnectionId connection,
-                              const std::string &address,
-                              const std::string &service,
-                              const InstanceId &instance) = 0;
+                              const ConnectionTarget &target) = 0;
   /// Sends all of \p commands in one write.
   virtual void send(ConnectionId connection,
                     const std::vector<InstanceCommand> &commands) = 0;
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -51,6 +51,13 @@
   void applyInstance(TimePoint now, const membership::InstanceRecord &record);
   void applyPromotion(TimePoint now, const std::string &service,
                       const InstanceId &primary, std::uint64_t fence);
+  /// The VMs that may pass bytes on to instances.
+  void setRelays(std::vector<std::string> ips) { Relays = std::move(ips); }
+  /// Cut off from the others, it refuses at once what needs an instance that
+  /// it can't reach, so that the client can turn to another VM.
+  void setIsolated(bool isIsolated) { IsIsolated = isIsolated; }
+  /// Whether \p address is that of a known instance.
+  bool knowsAddress(const std::string &address) const;
   /// How many VMs share the instances' connections.
   void setEntryCount(int count) { EntryCount = count; }
 
@@ -102,6 +109,9 @@
                                       const ClientSession &session);
   InstanceConnection *acquire(TimePoint now, const ClientSession &session,
                               const InstanceId &instance);
+  bool openTo(TimePoint now, const membership::InstanceRecord &record);
+  std::optional<std::string> relayTo(TimePoint now, const InstanceId &instance);
+  void noteDirectBad(TimePoint now, TrackedInstance &instance);
   void sendBegin(TimePoint now, ClientSession &session,
                  InstanceConnection &connection,
                  const std::optional<Mark> &minimum);
@@ -141,6 +151,8 @@
   void pump(TimePoint now, const std::string &service);
   void probePrimaries(TimePoint now);
   void sweepConnections(TimePoint now);
+  void sendProbe(TimePoint now, InstanceConnection &connection);
+  void probeDirectPath(TimePoint now, TrackedInstance &instance);
   void sweepSessions(TimePoint now);
   void dropEarlyClients(TimePoint now);
 
@@ -162,6 +174,11 @@
   std::map<std::string, std::set<WaitKey>> Waiting;
   ConnectionPool Pool;
   int EntryCount = 1;
+  bool IsIsolated = false;
+  std::vector<std::string> Relays;
+  /// By instance, the relays that failed to reach it, and until when they are
+  /// not asked again.
+  std::map<InstanceId, std::map<std::string, TimePoint>> BadRelays;
 };
 
 } // namespace stepledge::proxy
--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -33,6 +33,9 @@
   if (reply.Code == ReplyCode::Success) {
     it->IsReady = true;
     it->LastUsed = now;
+    auto *known = tracker(service).find(instance);
+    if (known && it->RelayIp.empty())
+      known->IsDirectBad = false;
     tracker(service).noteAnswer(now, instance, now - it->OpenedAt);
     if (reply.Position)
       tracker(service).notePosition(now, instance, *reply.Position);
@@ -57,6 +60,8 @@
   it->Sent.pop_front();
   auto &instances = tracker(it->Service);
   if (auto *instance = instances.find(it->Instance)) {
+    if (it->RelayIp.empty())
+      instance->IsDirectBad = false;
     instance->InFlight = std::max(0, instance->InFlight - 1);
     instance->SilentSince.reset();
     instance->LastAnswerAt = now;
@@ -220,8 +225,10 @@
     instance->InFlight =
         std::max(0, instance->InFlight - static_cast<int>(lost.Sent.size()));
   instances.noteSilence(now, lost.Instance);
-  if (!lost.IsReady)
-    Pool.refuseUntil(lost.Instance, now + Options.FullPause);
+  if (!lost.RelayIp.empty())
+    BadRelays[lost.Instance][lost.RelayIp] = now + Options.BadRelayPause;
+  else if (auto *known = instances.find(lost.Instance); known && !lost.IsReady)
+    noteDirectBad(now, *known);
   auto *owner = lost.Owner ? session(*lost.Owner) : nullptr;
   if (!owner)
     return pump(now, lost.Service);
--- a/src/proxy/internal/ConnectionPool.cpp
+++ b/src/proxy/internal/ConnectionPool.cpp
@@ -15,11 +15,14 @@
 }
 
 InstanceConnection *ConnectionPool::findFree(const InstanceId &instance,
-                                             const SessionValues &values) {
+                                             const SessionValues &values,
+                                             bool usesDirect) {
   InstanceConnection *found = nullptr;
   for (auto &[id, it] : Connections) {
     if (it.Instance != instance || !it.isFree())
       continue;
+    if (!usesDirect && it.RelayIp.empty())
+      continue;
     if (it.Values == values)
       return &it;
     if (!found)
@@ -28,9 +31,17 @@
   return found;
 }
 
+InstanceConnection *ConnectionPool::findFreeDirect(const InstanceId &instance) {
+  for (auto &[id, it] : Connections)
+    if (it.Instance == instance && it.isFree() && it.RelayIp.empty())
+      return &it;
+  return nullptr;
+}
+
 bool ConnectionPool::openOne(TimePoint now,
                              const membership::InstanceRecord &instance,
-                             const ConnectionShare &share) {
+                             const ConnectionShare &share,
+                             const std::string &relayIp) {
   if (countOf(instance.Id) >= share.Limit)
     return false;
   const auto refused = RefusedUntil.find(instance.Id);
@@ -43,7 +54,9 @@
   it.Instance = instance.Id;
   it.OpenedAt = now;
   it.LastUsed = now;
-  Io.openConnection(id, instance.Address, instance.Service, instance.Id);
+  it.RelayIp = relayIp;
+  Io.openConnection(id,
+                    {instance.Address, instance.Service, instance.Id, relayIp});
   return true;
 }
 
--- a/src/proxy/internal/ConnectionPool.h
+++ b/src/proxy/internal/ConnectionPool.h
@@ -28,12 +28,15 @@
 
   InstanceConnection *find(ConnectionId id);
   /// A free connection to \p instance; one with \p values already set is
-  /// preferred, since it needs no set-up.
+  /// preferred, since it needs no set-up. Those that \p usesDirect rules out
+  /// go by no relay.
   InstanceConnection *findFree(const InstanceId &instance,
-                               const SessionValues &values);
+                               const SessionValues &values, bool usesDirect);
+  /// A free connection that goes by no relay.
+  InstanceConnection *findFreeDirect(const InstanceId &instance);
   /// Opens one more, unless the share or an earlier refusal forbids it.
   bool openOne(TimePoint now, const membership::InstanceRecord &instance,
-               const ConnectionShare &share);
+               const ConnectionShare &share, const std::string &relayIp);
   /// Whether one that was asked for is still on its way.
   bool isOpening(const InstanceId &instance) const;
   void close(ConnectionId id);
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -117,15 +117,47 @@
 
 InstanceConnection *Proxy::acquire(TimePoint now, const ClientSession &session,
                                    const InstanceId &instance) {
-  if (auto *it = Pool.findFree(instance, session.Values))
-    return it;
   const auto *known = tracker(session.Route.Service).find(instance);
-  const bool mayOpen = known && !Pool.isOpening(instance);
-  if (mayOpen)
-    Pool.openOne(now, known->Record, shareOf(session.Route.Service));
+  const bool usesDirect = !known || !known->IsDirectBad;
+  if (auto *it = Pool.findFree(instance, session.Values, usesDirect))
+    return it;
+  if (known && !Pool.isOpening(instance))
+    openTo(now, known->Record);
   return nullptr;
 }
 
+bool Proxy::openTo(TimePoint now, const membership::InstanceRecord &record) {
+  const auto *known = tracker(record.Service).find(record.Id);
+  std::string relay;
+  if (known && known->IsDirectBad) {
+    const auto found = relayTo(now, record.Id);
+    if (!found)
+      return false;
+    relay = *found;
+  }
+  return Pool.openOne(now, record, shareOf(record.Service), relay);
+}
+
+std::optional<std::string> Proxy::relayTo(TimePoint now,
+                                          const InstanceId &instance) {
+  const auto &bad = BadRelays[instance];
+  for (const auto &it : Relays) {
+    const auto failed = bad.find(it);
+    if (failed == bad.end() || failed->second <= now)
+      return it;
+  }
+  return std::nullopt;
+}
+
+void Proxy::noteDirectBad(TimePoint now, TrackedInstance &instance) {
+  if (std::exchange(instance.IsDirectBad, true))
+    return;
+  instance.DirectProbedAt = now;
+  Log.decision(
+      absl::StrCat("event=direct_path_lost instance=", instance.Record.Id.str(),
+                   " service=", instance.Record.Service));
+}
+
 void Proxy::sendBegin(TimePoint now, ClientSession &session,
                       InstanceConnection &connection,
                       const std::optional<Mark> &minimum) {
--- a/src/proxy/internal/InstanceConnection.h
+++ b/src/proxy/internal/InstanceConnection.h
@@ -48,6 +48,8 @@
   ConnectionId Id;
   std::string Service;
   InstanceId Instance;
+  /// The VM that passes its bytes on, if any.
+  std::string RelayIp;
   TimePoint OpenedAt{};
   TimePoint LastUsed{};
   /// The instance has accepted the connection.
--- a/src/proxy/internal/InstanceTracker.h
+++ b/src/proxy/internal/InstanceTracker.h
@@ -44,6 +44,9 @@
   /// Since when nothing came back although something was asked.
   std::optional<TimePoint> SilentSince;
   TimePoint LastAnswerAt{};
+  /// It didn't answer on its direct connections, and has not done so since.
+  bool IsDirectBad = false;
+  TimePoint DirectProbedAt{};
   /// It said lately that it isn't the primary; asked again after this time.
   TimePoint DeniedLeadUntil{};
 };
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -73,9 +73,11 @@
 void Proxy::expireWork(TimePoint now, ClientSession &session) {
   auto &work = *session.Current;
   const bool wasSent = work.Stage == WorkStage::Sent;
+  const Duration patience =
+      IsIsolated ? Options.IsolatedQueueLimit : Options.QueueLimit;
   const TimePoint limit =
       wasSent ? work.Deadline
-              : std::min(work.Deadline, work.ArrivedAt + Options.QueueLimit);
+              : std::min(work.Deadline, work.ArrivedAt + patience);
   if (now < limit)
     return;
   if (!wasSent) {
@@ -112,14 +114,22 @@
 void Proxy::moveSlowRead(TimePoint now, ClientSession &session) {
   auto &work = *session.Current;
   const bool isOpen = session.State == SessionState::InTransaction;
-  const bool isMovable = !work.PrimaryOnly && work.Mode == AccessMode::Read &&
-                         !session.HasRunInTransaction;
-  if (!isMovable || work.Sendings >= 2)
-    return;
-  if (now - work.SentAt < Options.ReadRetryAfter || !work.Connection)
+  if (!work.Connection || now - work.SentAt < Options.ReadRetryAfter)
     return;
   auto *connection = Pool.find(*work.Connection);
-  if (!connection)
+  const auto *instance =
+      connection ? tracker(connection->Service).find(connection->Instance)
+                 : nullptr;
+  if (!instance || session.HasRunInTransaction)
+    return;
+  // The primary is worth another try only by another path.
+  const bool isCutOff = instance->IsDirectBad && connection->RelayIp.empty();
+  const bool isRead = work.Mode == AccessMode::Read &&
+                      work.Statement.Kind != StatementKind::Commit;
+  const bool isUnsent = work.Stage == WorkStage::Beginning;
+  const bool isMovable =
+      work.PrimaryOnly ? isCutOff && (isRead || isUnsent) : isRead;
+  if (!isMovable || work.Sendings >= 2)
     return;
   const InstanceId slow = connection->Instance;
   tracker(connection->Service).noteSilence(now, slow);
@@ -142,20 +152,40 @@
     const auto *instance = primary ? it->find(*primary) : nullptr;
     if (!instance)
       continue;
-    auto *connection = Pool.findFree(*primary, {});
+    auto *connection = Pool.findFree(*primary, {}, !instance->IsDirectBad);
     if (!connection) {
-      if (Pool.countOf(*primary) == 0)
-        Pool.openOne(now, instance->Record, shareOf(service));
+      const bool isAlone = instance->IsDirectBad || Pool.countOf(*primary) == 0;
+      if (isAlone && !Pool.isOpening(*primary))
+        openTo(now, instance->Record);
       continue;
     }
     probedAt = now;
-    InstanceCommand begin;
-    begin.Kind = CommandKind::Begin;
-    InstanceCommand end;
-    end.Kind = CommandKind::Rollback;
-    connection->IsAbandoned = true;
-    transmit(now, *connection, {{begin, Purpose::Probe}, {end, Purpose::End}});
+    sendProbe(now, *connection);
   }
+  for (auto &[service, it] : Trackers)
+    for (auto &[id, instance] : it->all())
+      if (instance.IsDirectBad)
+        probeDirectPath(now, instance);
+}
+
+void Proxy::sendProbe(TimePoint now, InstanceConnection &connection) {
+  InstanceCommand begin;
+  begin.Kind = CommandKind::Begin;
+  InstanceCommand end;
+  end.Kind = CommandKind::Rollback;
+  connection.IsAbandoned = true;
+  transmit(now, connection, {{begin, Purpose::Probe}, {end, Purpose::End}});
+}
+
+void Proxy::probeDirectPath(TimePoint now, TrackedInstance &instance) {
+  if (now - instance.DirectProbedAt < Options.DirectProbeInterval)
+    return;
+  instance.DirectProbedAt = now;
+  const auto &record = instance.Record;
+  if (auto *connection = Pool.findFreeDirect(record.Id))
+    sendProbe(now, *connection);
+  else if (!Pool.isOpening(record.Id))
+    Pool.openOne(now, record, shareOf(record.Service), "");
 }
 
 void Proxy::sweepConnections(TimePoint now) {
@@ -179,9 +209,12 @@
     const bool isSilent = instance && waited > SilenceLimit &&
                           now - instance->LastAnswerAt > SilenceLimit &&
                           !instance->SilentSince;
-    if (isSilent)
-      instance->SilentSince =
-          std::max(it.Sent.front().SentAt, instance->LastAnswerAt);
+    if (!isSilent)
+      continue;
+    instance->SilentSince =
+        std::max(it.Sent.front().SentAt, instance->LastAnswerAt);
+    if (it.RelayIp.empty())
+      noteDirectBad(now, *instance);
   }
   for (const auto id : dead) {
     Io.closeConnection(id);
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -17,6 +17,8 @@
   /// before it is refused as not run: a replaced primary is back sooner, and
   /// the client still has time for two more tries.
   Duration QueueLimit = milliseconds(700);
+  /// The same while this VM is cut off: others may serve the client sooner.
+  Duration IsolatedQueueLimit = milliseconds(40);
   /// A read that got no answer for this long is sent to another instance:
   /// some five times the usual answer time.
   Duration ReadRetryAfter = milliseconds(180);
@@ -32,7 +34,11 @@
   /// A connection that nobody waits for is closed if not answered by then.
   Duration AbandonedLifetime = milliseconds(2500);
   /// An instance that takes longer to accept a connection isn't reachable.
-  Duration ConnectLimit = milliseconds(700);
+  Duration ConnectLimit = milliseconds(350);
+  /// A relay that didn't reach an instance isn't asked again before.
+  Duration BadRelayPause = milliseconds(2500);
+  /// How often an instance that is reached by relays is tried directly.
+  Duration DirectProbeInterval = milliseconds(500);
   /// No new connection for this long after an instance had no room.
   Duration FullPause = milliseconds(250);
   /// A client that came before the first configuration is sent away after this
