Keep the instances in the control group's log

Cause: after a loss of power all VMs had the configuration 0.3 s after their start, but knew no instance until its next heartbeat, up to 1.2 s later and longer where that met a control VM that wasn't up. Change: a changed instance record goes into the log; a restarted group tells entry VMs of it with its first words. Heartbeats to entry VMs come each 250 ms, short, so that a cut-off hall knows after 0.75 s instead of 1.25 s.

--- a/src/control/ClusterState.cpp
+++ b/src/control/ClusterState.cpp
@@ -32,6 +32,9 @@
       it = promotion;
     break;
   }
+  case wire::Command::kKeepInstance:
+    keep(command.keep_instance());
+    break;
   case wire::Command::kTakeFence:
   case wire::Command::BODY_NOT_SET:
     // NOTE: a fence is its entry's index; there is nothing to keep.
@@ -39,9 +42,19 @@
   }
 }
 
+void ClusterState::keep(const wire::KeepInstance &instance) {
+  const bool isGone = lifecycleOf(instance.instance()) == wire::GONE;
+  if (instance.record().empty() || isGone)
+    Instances.erase(instance.instance());
+  else
+    Instances[instance.instance()] = instance.record();
+}
+
 void ClusterState::mark(const wire::MarkInstance &mark) {
   const auto [it, isNew] = Marks.try_emplace(mark.instance(), mark.state());
   it->second = std::max(it->second, mark.state());
+  if (it->second == wire::GONE)
+    Instances.erase(mark.instance());
   if (!isNew)
     return;
   MarkOrder.push_back(mark.instance());
@@ -67,6 +80,11 @@
   }
   for (const auto &[service, it] : Promotions)
     *state.add_promotions() = it;
+  for (const auto &[instance, record] : Instances) {
+    auto &entry = *state.add_instances();
+    entry.set_instance(instance);
+    entry.set_record(record);
+  }
   return state.SerializeAsString();
 }
 
@@ -81,6 +99,8 @@
     mark(it);
   for (const auto &it : state.promotions())
     Promotions[it.service()] = it;
+  for (const auto &it : state.instances())
+    Instances[it.instance()] = it.record();
   return true;
 }
 
--- a/src/control/ClusterState.h
+++ b/src/control/ClusterState.h
@@ -33,14 +33,21 @@
     return Promotions;
   }
 
+  /// The kept records of instances, as they came.
+  const std::map<std::string, std::string> &instances() const {
+    return Instances;
+  }
+
 private:
   void mark(const wire::MarkInstance &mark);
+  void keep(const wire::KeepInstance &instance);
 
   std::uint64_t AppliedIndex = 0;
   wire::PutConfiguration Newest;
   std::map<std::string, wire::Lifecycle> Marks;
   std::deque<std::string> MarkOrder;
   std::map<std::string, wire::RecordPromotion> Promotions;
+  std::map<std::string, std::string> Instances;
 };
 
 } // namespace stepledge::control
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -186,10 +186,15 @@
   IsNoticeDue |= isFresh && !IsFresh;
   IsFresh = isFresh;
   if (IsNoticeDue || now >= NoticeAt) {
-    IsNoticeDue = false;
+    if (std::exchange(IsNoticeDue, false))
+      FullNoticeAt = now;
     NoticeAt = now + Options.NoticeInterval;
-    tellEntries(notice());
-    Directory.expire(now, Options.InstanceSilence);
+    tellEntries(notice(FullNoticeAt <= now));
+    if (FullNoticeAt <= now)
+      FullNoticeAt = now + Options.FullNoticeInterval;
+    for (const auto &it : Directory.expire(now, Options.InstanceSilence))
+      if (Node.canServe())
+        keepInstance(now, it);
     updatePeers();
   }
   if (std::exchange(WasLeader, Node.isLeader()) != Node.isLeader()) {
@@ -256,9 +261,11 @@
         own->second.RetryAt = now;
     }
     finishReads();
+    if (effects.Restored || !effects.Committed.empty())
+      learnKept(now);
     if (IsNoticeDue && IsFresh) {
       IsNoticeDue = false;
-      tellEntries(notice());
+      tellEntries(notice(true));
     }
     if (Node.wantsSnapshot())
       Node.takeSnapshot(State.appliedIndex(), State.serialize());
@@ -327,6 +334,26 @@
     return;
   told = now;
   tellControls(message);
+  if (change == Change::Changed)
+    keepInstance(now, record.Id);
+}
+
+void ControlNode::keepInstance(TimePoint now, const InstanceId &id) {
+  wire::Command command;
+  auto &keep = *command.mutable_keep_instance();
+  keep.set_instance(id.str());
+  if (const auto *known = Directory.find(id))
+    keep.set_record(peer::encode(*known).SerializeAsString());
+  // NOTE: nobody waits for it: the next heartbeats say the same again.
+  startCall(now, std::move(command), false, [](bool) {});
+}
+
+void ControlNode::learnKept(TimePoint now) {
+  for (const auto &[id, bytes] : State.instances()) {
+    peer::wire::Instance instance;
+    if (!Directory.find(InstanceId(id)) && instance.ParseFromString(bytes))
+      learn(now, peer::decode(instance), true);
+  }
 }
 
 void ControlNode::tellEntries(const peer::wire::Message &message) {
@@ -340,11 +367,13 @@
       Peers.send(it, message);
 }
 
-peer::wire::Message ControlNode::notice() const {
+peer::wire::Message ControlNode::notice(bool isFull) const {
   peer::wire::Message message;
   auto &out = *message.mutable_notice();
   out.set_configuration_version(State.configurationVersion());
   out.set_is_fresh(IsFresh);
+  if (!isFull)
+    return message;
   for (const auto &it : EntryIps)
     out.add_entry_ips(it);
   for (const auto &it : Node.membership().voters())
@@ -384,7 +413,7 @@
     EntryIps.insert(ip);
   Peers.send(ip, allInstances());
   if (isEntry)
-    Peers.send(ip, notice());
+    Peers.send(ip, notice(true));
 }
 
 void ControlNode::peerLost(const std::string &ip) { EntryIps.erase(ip); }
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -50,7 +50,9 @@
   /// How often a call is tried again while no leader is known.
   Duration CallRetry = milliseconds(60);
   /// Heartbeats to entry VMs.
-  Duration NoticeInterval = milliseconds(500);
+  Duration NoticeInterval = milliseconds(250);
+  /// The longer form of these, which repeats what was told at its change.
+  Duration FullNoticeInterval = milliseconds(2000);
   /// An instance silent for this long is dropped: many heartbeats.
   Duration InstanceSilence = milliseconds(20000);
   /// How often other control VMs hear of an unchanged instance.
@@ -131,9 +133,14 @@
   void apply(TimePoint now, const consensus::wire::Entry &entry);
   void learn(TimePoint now, const membership::InstanceRecord &record,
              bool isFromPeer);
+  /// Has the log keep what is known of the instance, or forget it.
+  void keepInstance(TimePoint now, const InstanceId &id);
+  /// Takes in the instances that only the log knows, as after a restart.
+  void learnKept(TimePoint now);
   void tellEntries(const peer::wire::Message &message);
   void tellControls(const peer::wire::Message &message);
-  peer::wire::Message notice() const;
+  /// A full one also names the VMs and the promotions.
+  peer::wire::Message notice(bool isFull) const;
   peer::wire::Message allInstances() const;
   void updatePeers();
   void pingPrimaries(TimePoint now);
@@ -158,6 +165,7 @@
   std::map<InstanceId, TimePoint> PingSentAt;
   std::map<InstanceId, TimePoint> PingMissedSince;
   TimePoint NoticeAt{};
+  TimePoint FullNoticeAt{};
   TimePoint JoinAt{};
   TimePoint PingAt{};
   TimePoint Now{};
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -32,8 +32,8 @@
   /// The own address, which is no relay.
   std::string Ip;
   /// Without word from a control VM that hears a majority, and from most
-  /// primaries for this long, a VM is cut off: two heartbeats and a half.
-  Duration IsolationLimit = milliseconds(1250);
+  /// primaries for this long, a VM is cut off: three heartbeats.
+  Duration IsolationLimit = milliseconds(750);
   /// A cut-off VM closes resting sessions once the balancer has had the time to
   /// see that it isn't ready.
   Duration BalancerTime = milliseconds(2200);
--- a/src/membership/InstanceDirectory.cpp
+++ b/src/membership/InstanceDirectory.cpp
@@ -58,10 +58,15 @@
   return records;
 }
 
-void InstanceDirectory::expire(TimePoint now, Duration silence) {
-  std::erase_if(Instances, [&](const auto &it) {
-    return now - it.second.HeardAt > silence;
-  });
+std::vector<InstanceId> InstanceDirectory::expire(TimePoint now,
+                                                  Duration silence) {
+  std::vector<InstanceId> dropped;
+  for (const auto &[id, it] : Instances)
+    if (now - it.HeardAt > silence)
+      dropped.push_back(id);
+  for (const auto &it : dropped)
+    Instances.erase(it);
+  return dropped;
 }
 
 } // namespace stepledge::membership
--- a/src/membership/InstanceDirectory.h
+++ b/src/membership/InstanceDirectory.h
@@ -33,8 +33,8 @@
   const InstanceRecord *find(const InstanceId &id) const;
   std::vector<InstanceRecord> all() const;
   std::vector<InstanceRecord> ofService(const std::string &service) const;
-  /// Drops instances that are gone or have long been silent.
-  void expire(TimePoint now, Duration silence);
+  /// Drops instances that have long been silent, and tells which.
+  std::vector<InstanceId> expire(TimePoint now, Duration silence);
 
 private:
   struct Known {
