Leave room for the connections after a loss of power

Cause: instances count a dark VM's connections for 3 s. Change: a VM keeps half of its fair share while idle, borrows up to twice the share, gives back after 3 s, and asks again after 120 ms if it has none at all. The refusal's line tells what it knew: open, busy and allowed connections.

--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -132,11 +132,14 @@
   const int limit =
       it == Configuration.Services.end() ? 1 : it->second.MaxConnections;
   const int usable = std::max(1, limit - Options.ReservedConnections);
+  const int fair = std::max(1, usable / std::max(1, EntryCount));
   ConnectionShare share;
-  share.Floor = std::max(1, usable / std::max(1, EntryCount));
+  // NOTE: after a loss of power the instances count the lost connections for
+  // some seconds, so half of the room is left free while nobody needs it.
+  share.Floor = std::max(1, fair / 2);
   // More may be borrowed: an instance that is full says so before it runs
   // anything, and borrowed connections are given back when they rest.
-  share.Limit = std::min(usable, 2 * share.Floor + 1);
+  share.Limit = std::min(usable, 2 * fair + 1);
   return share;
 }
 
--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -46,7 +46,9 @@
       "event=connection_refused instance=", instance.str(),
       " service=", service, " code=", static_cast<int>(reply.Code)));
   Pool.close(connection);
-  Pool.refuseUntil(instance, now + Options.FullPause);
+  const bool isAlone = Pool.countOf(instance) == 0;
+  Pool.refuseUntil(instance, now + (isAlone ? Options.FullPauseAlone
+                                            : Options.FullPause));
   if (reply.Code == ReplyCode::WrongInstance)
     tracker(service).remove(instance);
 }
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -64,7 +64,12 @@
   }
   auto *connection = acquire(now, session, *primary);
   if (!connection) {
-    work.LastRefusal = "no free connection to the primary";
+    const auto *known = tracker(session.Route.Service).find(*primary);
+    work.LastRefusal = absl::StrCat(
+        "no free connection to the primary ", primary->str(), "; open ",
+        Pool.countOf(*primary), " busy ", Pool.busyAt(*primary), " allowed ",
+        known ? known->Running.limit() : 0, " cut ",
+        known && known->IsDirectBad);
     return false;
   }
   const bool isOpen = session.State == SessionState::InTransaction;
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -33,7 +33,7 @@
   /// Taken off a route's staleness for the time a read waits in queues.
   Duration StalenessMargin = milliseconds(250);
   /// A connection beyond the kept share is closed after this idle time.
-  Duration SpareConnectionLifetime = milliseconds(8000);
+  Duration SpareConnectionLifetime = milliseconds(3000);
   /// A connection that nobody waits for is closed if not answered by then.
   Duration AbandonedLifetime = milliseconds(2500);
   /// An instance that takes longer to accept a connection isn't reachable.
@@ -44,6 +44,8 @@
   Duration DirectProbeInterval = milliseconds(500);
   /// No new connection for this long after an instance had no room.
   Duration FullPause = milliseconds(1000);
+  /// The same for a VM that has no connection to that instance at all.
+  Duration FullPauseAlone = milliseconds(120);
   /// A client that came before the first configuration is sent away after this
   /// time, so that it can try another VM.
   Duration EarlyClientLimit = milliseconds(900);
