Under overload serve the tightest objectives first, late ones last

Change: waiting statements that can still be answered within their latency objective go first, by priority, objective and newest arrival.

--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -148,6 +148,8 @@
   void releasePinned(TimePoint now, ClientSession &session);
   void abandonStatement(TimePoint now, ClientSession &session);
   void freeConnection(TimePoint now, InstanceConnection &connection);
+  std::vector<ClientId> waitingInOrder(TimePoint now,
+                                       const std::string &service) const;
   void pump(TimePoint now, const std::string &service);
   void probePrimaries(TimePoint now);
   void sweepConnections(TimePoint now);
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace stepledge::proxy {
@@ -263,23 +264,50 @@
     pump(now, connection.Service);
 }
 
-void Proxy::pump(TimePoint now, const std::string &service) {
-  const auto &queue = Waiting[service];
-  std::vector<WaitKey> waiting(queue.begin(), queue.end());
-  const bool isOverloaded =
-      std::any_of(waiting.begin(), waiting.end(), [&](const WaitKey &it) {
-        return now - it.ArrivedAt > Options.OverloadAge;
-      });
-  // NOTE: under overload somebody has to wait too long; newest first, the
-  // others at least are answered in time.
+std::vector<ClientId> Proxy::waitingInOrder(TimePoint now,
+                                            const std::string &service) const {
+  struct Waiter {
+    bool IsLate = false;
+    int Priority = 0;
+    Duration Objective{};
+    TimePoint ArrivedAt{};
+    ClientId Client;
+  };
+  const auto queue = Waiting.find(service);
+  if (queue == Waiting.end())
+    return {};
+  std::vector<Waiter> waiters;
+  bool isOverloaded = false;
+  for (const auto &it : queue->second) {
+    const auto found = Sessions.find(it.Client);
+    if (found == Sessions.end() || !found->second.Current)
+      continue;
+    const Duration objective = found->second.Route.LatencyObjective;
+    const Duration age = now - it.ArrivedAt;
+    isOverloaded |= age > Options.OverloadAge;
+    waiters.push_back(
+        {age > objective, it.Priority, objective, it.ArrivedAt, it.Client});
+  }
+  // NOTE: under overload somebody has to wait too long. Those that can still
+  // be answered in time go first, the tightest objectives before the others
+  // and the newest before the older; first come, first served made all late.
   if (isOverloaded)
-    std::sort(waiting.begin(), waiting.end(),
-              [](const WaitKey &a, const WaitKey &b) {
-                return std::pair(a.Priority, b.ArrivedAt) <
-                       std::pair(b.Priority, a.ArrivedAt);
+    std::sort(waiters.begin(), waiters.end(),
+              [](const Waiter &a, const Waiter &b) {
+                return std::tie(a.IsLate, a.Priority, a.Objective,
+                                b.ArrivedAt) <
+                       std::tie(b.IsLate, b.Priority, b.Objective,
+                                a.ArrivedAt);
               });
-  for (const auto &it : waiting) {
-    auto *waiter = session(it.Client);
+  std::vector<ClientId> clients;
+  for (const auto &it : waiters)
+    clients.push_back(it.Client);
+  return clients;
+}
+
+void Proxy::pump(TimePoint now, const std::string &service) {
+  for (const auto it : waitingInOrder(now, service)) {
+    auto *waiter = session(it);
     if (waiter && waiter->Current &&
         waiter->Current->Stage == WorkStage::Waiting)
       dispatch(now, *waiter);
