--- /dev/null
+++ b/src/consensus/tests/LogStoreTest.cpp
@@ -0,0 +1,217 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The log file after losses of power: what was synced is there, a torn
+/// end is cut off, and a file whose writing was cut off isn't taken.
+
+#include "consensus/LogStore.h"
+
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <string>
+
+using namespace stepledge::consensus;
+
+namespace {
+
+namespace fs = std::filesystem;
+
+/// A folder that goes with the test.
+class TemporaryFolder {
+public:
+  TemporaryFolder() {
+    std::string name = (fs::temp_directory_path() / "stepledge-XXXXXX");
+    Path = ::mkdtemp(name.data());
+  }
+  ~TemporaryFolder() { fs::remove_all(Path); }
+  TemporaryFolder(const TemporaryFolder &) = delete;
+  TemporaryFolder &operator=(const TemporaryFolder &) = delete;
+
+  fs::path Path;
+};
+
+std::vector<wire::Record> beginning(MemberNumber number) {
+  wire::Record identity;
+  identity.set_identity(number);
+  wire::Record base;
+  base.mutable_snapshot()->set_index(3);
+  base.mutable_snapshot()->set_state("state");
+  return {identity, base};
+}
+
+wire::Record entryAt(std::uint64_t index, std::uint64_t term = 1) {
+  wire::Record record;
+  record.mutable_entry()->set_index(index);
+  record.mutable_entry()->set_term(term);
+  record.mutable_entry()->set_command("command " + std::to_string(index));
+  return record;
+}
+
+fs::path newestFile(const fs::path &folder) {
+  fs::path newest;
+  for (const auto &it : fs::directory_iterator(folder))
+    if (newest.empty() || it.path() > newest)
+      newest = it.path();
+  return newest;
+}
+
+std::string bytesOf(const fs::path &path) {
+  std::ifstream in(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+void writeBytes(const fs::path &path, const std::string &bytes) {
+  std::ofstream(path, std::ios::binary | std::ios::trunc) << bytes;
+}
+
+LoadedLog loadFrom(const fs::path &folder) {
+  LogStore store(folder);
+  auto loaded = store.load();
+  REQUIRE(loaded.ok());
+  REQUIRE(loaded->has_value());
+  return **loaded;
+}
+
+} // namespace
+
+TEST_CASE("LogStore_EmptyFolderHoldsNothing") {
+  const TemporaryFolder folder;
+  LogStore store(folder.Path / "data");
+  const auto loaded = store.load();
+  REQUIRE(loaded.ok());
+  CHECK(!loaded->has_value());
+}
+
+TEST_CASE("LogStore_WhatWasAppendedIsThere") {
+  const TemporaryFolder folder;
+  {
+    LogStore store(folder.Path);
+    REQUIRE(store.load().ok());
+    REQUIRE(store.rewrite(beginning(7)).ok());
+    REQUIRE(store.append({entryAt(4), entryAt(5)}).ok());
+  }
+  const auto log = loadFrom(folder.Path);
+  CHECK(log.Identity == 7);
+  CHECK(log.State.Snapshot.state() == "state");
+  REQUIRE(log.State.Entries.size() == 2);
+  CHECK(log.State.Entries[1].command() == "command 5");
+}
+
+TEST_CASE("LogStore_LaterEntryReplacesThoseFromItsIndexOn") {
+  const TemporaryFolder folder;
+  {
+    LogStore store(folder.Path);
+    REQUIRE(store.load().ok());
+    REQUIRE(store.rewrite(beginning(7)).ok());
+    REQUIRE(store.append({entryAt(4), entryAt(5), entryAt(6)}).ok());
+    REQUIRE(store.append({entryAt(5, 2)}).ok());
+  }
+  const auto log = loadFrom(folder.Path);
+  REQUIRE(log.State.Entries.size() == 2);
+  CHECK(log.State.Entries[1].term() == 2);
+}
+
+TEST_CASE("LogStore_TornEndIsCutAtEveryByte") {
+  const TemporaryFolder folder;
+  {
+    LogStore store(folder.Path);
+    REQUIRE(store.load().ok());
+    REQUIRE(store.rewrite(beginning(7)).ok());
+    REQUIRE(store.append({entryAt(4)}).ok());
+  }
+  const fs::path file = newestFile(folder.Path);
+  const std::string synced = bytesOf(file);
+  {
+    LogStore store(folder.Path);
+    REQUIRE(store.load().ok());
+    REQUIRE(store.append({entryAt(5)}).ok());
+  }
+  const std::string whole = bytesOf(file);
+  for (std::size_t n = synced.size(); n < whole.size(); ++n) {
+    writeBytes(file, whole.substr(0, n));
+    const auto log = loadFrom(folder.Path);
+    CHECK(log.State.Entries.size() == 1);
+    CHECK(bytesOf(file).size() == synced.size());
+  }
+}
+
+TEST_CASE("LogStore_MissingWriteHidesTheLaterOnes") {
+  const TemporaryFolder folder;
+  std::size_t before = 0;
+  std::size_t behind = 0;
+  {
+    LogStore store(folder.Path);
+    REQUIRE(store.load().ok());
+    REQUIRE(store.rewrite(beginning(7)).ok());
+    before = bytesOf(newestFile(folder.Path)).size();
+    REQUIRE(store.append({entryAt(4)}).ok());
+    behind = bytesOf(newestFile(folder.Path)).size();
+    REQUIRE(store.append({entryAt(5)}).ok());
+  }
+  const fs::path file = newestFile(folder.Path);
+  std::string bytes = bytesOf(file);
+  std::fill(bytes.begin() + static_cast<std::ptrdiff_t>(before),
+            bytes.begin() + static_cast<std::ptrdiff_t>(behind), '\0');
+  writeBytes(file, bytes);
+  CHECK(loadFrom(folder.Path).State.Entries.empty());
+}
+
+TEST_CASE("LogStore_FileThatIsNotWholeIsPassedOver") {
+  const TemporaryFolder folder;
+  {
+    LogStore store(folder.Path);
+    REQUIRE(store.load().ok());
+    REQUIRE(store.rewrite(beginning(7)).ok());
+    REQUIRE(store.append({entryAt(4)}).ok());
+  }
+  const fs::path old = newestFile(folder.Path);
+  const std::string kept = bytesOf(old);
+  {
+    LogStore store(folder.Path);
+    REQUIRE(store.load().ok());
+    auto records = beginning(7);
+    records[1].mutable_snapshot()->set_index(4);
+    REQUIRE(store.rewrite(records).ok());
+  }
+  // Power was lost before the new file was whole: the old one is still there.
+  const fs::path file = newestFile(folder.Path);
+  const std::string whole = bytesOf(file);
+  writeBytes(old, kept);
+  for (std::size_t n = 0; n < whole.size(); n += 3) {
+    writeBytes(file, whole.substr(0, n));
+    const auto log = loadFrom(folder.Path);
+    CHECK(log.State.Entries.size() == 1);
+    CHECK(log.State.Snapshot.index() == 3);
+  }
+  writeBytes(file, whole);
+  CHECK(loadFrom(folder.Path).State.Snapshot.index() == 4);
+}
+
+TEST_CASE("LogStore_DamagedBytesNeverMakeAnEntry") {
+  const TemporaryFolder folder;
+  {
+    LogStore store(folder.Path);
+    REQUIRE(store.load().ok());
+    REQUIRE(store.rewrite(beginning(7)).ok());
+    REQUIRE(store.append({entryAt(4), entryAt(5), entryAt(6)}).ok());
+  }
+  const fs::path file = newestFile(folder.Path);
+  const std::string whole = bytesOf(file);
+  std::mt19937_64 random(3);
+  for (int i = 0; i < 300; ++i) {
+    std::string bytes = whole;
+    bytes[random() % bytes.size()] ^= static_cast<char>(1 + random() % 255);
+    writeBytes(file, bytes);
+    LogStore store(folder.Path);
+    const auto loaded = store.load();
+    REQUIRE(loaded.ok());
+    if (!loaded->has_value())
+      continue;
+    std::uint64_t index = 4;
+    for (const auto &it : (*loaded)->State.Entries)
+      CHECK(it.command() == "command " + std::to_string(index++));
+  }
+}
