Abort a transaction whose connection breaks while a statement waits

Cause: a statement of an open transaction that an instance refused as busy waits to be repeated on the same connection. When that connection broke meanwhile, the session lost its transaction but the statement was then sent to another connection: a COMMIT outside a transaction, or a write of its own that was kept although the client was told ABORTED. Ruled out on the way: the simulation lost and reordered bytes of live connections, which TCP does not; it now holds them up in turn. Change: such a statement is refused as aborted.

--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -238,6 +238,10 @@
     return lostWork(now, *owner, lost.Instance);
   if (owner->Pinned == connection) {
     owner->Pinned.reset();
+    // NOTE: a statement that waits to be repeated there must not run elsewhere.
+    if (owner->Current)
+      return refuse(now, *owner, ReplyCode::Aborted,
+                    "the connection broke and rolled the transaction back");
     owner->State = SessionState::Failed;
     owner->WasAbortedAtRest = true;
   }
--- /dev/null
+++ b/src/proxy/tests/SimulatedInstances.h
@@ -0,0 +1,148 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file A group of instances in one process that checks what is sent to it:
+/// replication with a lag, transactions, session values, promotions, crashes
+/// and lost connections, all from one seed.
+
+#ifndef STEPLEDGE_PROXY_TESTS_SIMULATEDINSTANCES_H
+#define STEPLEDGE_PROXY_TESTS_SIMULATEDINSTANCES_H
+
+#include "proxy/Proxy.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace stepledge::proxy::tests {
+
+/// A write that was committed, by the text that the client sent.
+struct Commit {
+  Mark Position;
+  std::vector<std::string> Writes;
+  TimePoint At{};
+};
+
+class SimulatedInstances : public IProxyIo, public IProxyLog {
+public:
+  SimulatedInstances(std::uint64_t seed, std::size_t count);
+
+  void setProxy(Proxy &proxy) { Core = &proxy; }
+  /// Moves time on; what is due is delivered.
+  void advance(TimePoint now);
+  void announceAll();
+
+  void resetConnections();
+  void crash(std::size_t instance);
+  void restart(std::size_t instance);
+  /// Makes \p instance the primary; commits that it lacks are rolled back.
+  void promote(std::size_t instance);
+  void setLag(std::size_t instance, Duration lag);
+  /// Messages to and from it are held up, and nobody is told.
+  void silence(std::size_t instance, bool isSilent);
+  void setBusyShare(double share) { BusyShare = share; }
+
+  std::size_t primary() const { return Lead; }
+  std::size_t size() const { return Instances.size(); }
+  bool isUp(std::size_t instance) const { return Instances[instance].IsUp; }
+  /// The commits that no promotion has rolled back.
+  const std::vector<Commit> &history() const { return History; }
+  const std::string &fault() const { return Fault; }
+  std::mt19937_64 &random() { return Random; }
+
+  /// What the client of a statement holds, told by the test before it asks.
+  struct ClientView {
+    SessionValues Values;
+    std::map<std::string, PreparedShape> Prepared;
+    std::uint64_t Client = 0;
+  };
+  std::map<std::string, ClientView> Views;
+  /// By statement id: the commits that its read must see.
+  std::map<std::string, std::set<std::string>> MustSee;
+  std::map<ClientId, std::deque<StatementReply>> Answers;
+  std::set<ClientId> Accepted;
+
+  void acceptClient(ClientId client) override { Accepted.insert(client); }
+  void rejectClient(ClientId client, const StatementReply &reply) override {
+    Answers[client].push_back(reply);
+  }
+  void answerClient(ClientId client, const StatementReply &reply) override {
+    Answers[client].push_back(reply);
+  }
+  void closeClient(ClientId client) override { (void)client; }
+  void openConnection(ConnectionId connection,
+                      const ConnectionTarget &target) override;
+  void send(ConnectionId connection,
+            const std::vector<InstanceCommand> &commands) override;
+  void closeConnection(ConnectionId connection) override;
+  void decision(const std::string &line) override { (void)line; }
+
+private:
+  struct Instance {
+    bool IsUp = true;
+    bool IsSilent = false;
+    Duration Lag = milliseconds(30);
+    /// How much of the history it holds.
+    std::size_t Held = 0;
+    std::uint64_t Term = 1;
+    std::uint64_t Sequence = 0;
+  };
+  struct Connection {
+    std::size_t Instance = 0;
+    TimePoint FreeAt{};
+    /// Replies come in turn.
+    TimePoint RepliedAt{};
+    SessionValues Values;
+    std::map<std::string, PreparedShape> Prepared;
+    bool IsOpen = false;
+    bool IsReadOnly = false;
+    bool HasFailed = false;
+    std::optional<std::uint64_t> Owner;
+    std::vector<std::string> Writes;
+    std::uint64_t BegunInTerm = 0;
+  };
+  struct Event {
+    TimePoint At{};
+    std::uint64_t Order = 0;
+    ConnectionId Target;
+    std::optional<InstanceCommand> Command;
+    std::optional<StatementReply> Reply;
+    bool IsConnect = false;
+    bool IsLoss = false;
+  };
+
+  void post(Event event);
+  bool isHeldUp(const Event &event) const;
+  void deliver(Event event);
+  StatementReply run(Connection &connection, const InstanceCommand &command);
+  StatementReply runClient(Connection &connection,
+                           const InstanceCommand &command);
+  void checkView(const Connection &connection, const InstanceCommand &command);
+  void checkRead(const Instance &instance, const InstanceCommand &command);
+  Mark positionOf(const Instance &instance) const;
+  void commit(std::size_t instance, std::vector<std::string> writes);
+  void replicate();
+  void lose(ConnectionId connection);
+  Duration draw(int least, int most);
+
+  Proxy *Core = nullptr;
+  std::vector<Instance> Instances;
+  std::size_t Lead = 0;
+  std::uint64_t Term = 1;
+  std::vector<Commit> History;
+  std::map<ConnectionId, Connection> Connections;
+  std::vector<Event> Events;
+  std::uint64_t Order = 0;
+  TimePoint Now{};
+  double BusyShare = 0.0;
+  std::mt19937_64 Random;
+  std::string Fault;
+};
+
+} // namespace stepledge::proxy::tests
+
+#endif // STEPLEDGE_PROXY_TESTS_SIMULATEDINSTANCES_H
