Pause the replicas of a synced service before one is promoted; tell metrics

Cause: where commits wait for a replica, the furthest replica that answers may lack what another one let be acknowledged; none of today's sites has such a service, but unseen ones may. Change: PAUSE under a new term, then the choice, only if enough replicas answer that one of them must hold every acknowledged commit; RESUME when given up.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -261,8 +261,10 @@
         own->second.RetryAt = now;
     }
     finishReads();
-    if (effects.Restored || !effects.Committed.empty())
+    if (effects.Restored || !effects.Committed.empty()) {
       learnKept(now);
+      takeConfiguration();
+    }
     if (IsNoticeDue && IsFresh) {
       IsNoticeDue = false;
       tellEntries(notice(true));
@@ -273,6 +275,23 @@
   IsRunning = false;
 }
 
+void ControlNode::takeConfiguration() {
+  if (!Options.Decode || State.configurationVersion() == Decoded.Version)
+    return;
+  auto decoded = Options.Decode(State.document());
+  if (!decoded.ok()) {
+    Log.decision(absl::StrCat("event=configuration_unreadable version=",
+                              State.configurationVersion()));
+    return;
+  }
+  Decoded = *std::move(decoded);
+}
+
+int ControlNode::syncReplicasOf(const std::string &service) const {
+  const auto it = Decoded.Services.find(service);
+  return it == Decoded.Services.end() ? 0 : it->second.SyncReplicas;
+}
+
 void ControlNode::apply(TimePoint now, const consensus::wire::Entry &entry) {
   wire::Command command;
   if (!entry.command().empty() && !command.ParseFromString(entry.command()))
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -11,10 +11,13 @@
 #include "control/ClusterState.h"
 #include "control/IPromoter.h"
 #include "control/PrimaryWatch.h"
+#include "control/types/Configuration.h"
 #include "membership/InstanceDirectory.h"
 #include "peer/IPeerListener.h"
 #include "peer/IPeerSender.h"
 
+#include "absl/status/statusor.h"
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -61,6 +64,8 @@
   Duration PingInterval = milliseconds(250);
   /// And the replicas, whose connections are only kept warm.
   Duration IdlePingInterval = milliseconds(2000);
+  /// Reads the operators' document; its service settings are needed here.
+  std::function<absl::StatusOr<Configuration>(const std::string &)> Decode;
   /// Drawn anew at each start: the calls of an earlier life of this process
   /// stand in the log, and must not be taken for those of this one.
   std::uint64_t FirstCall = 0;
@@ -131,6 +136,10 @@
   void onReply(const peer::wire::CallReply &reply);
   void reply(const RemoteCall &call, bool done, std::uint64_t index);
 
+  void takeConfiguration();
+  /// The replicas that must hold a commit of \p service before it is
+  /// acknowledged.
+  int syncReplicasOf(const std::string &service) const;
   void runEffects(TimePoint now);
   void apply(TimePoint now, const consensus::wire::Entry &entry);
   void learn(TimePoint now, const membership::InstanceRecord &record,
@@ -154,6 +163,7 @@
   IInstanceProbe &Probe;
   IControlLog &Log;
   ClusterState State;
+  Configuration Decoded;
   membership::InstanceDirectory Directory;
   PrimaryWatch Watch{WatchOptions{}};
   std::unique_ptr<Replacement> Replacer;
--- a/src/control/IPromoter.h
+++ b/src/control/IPromoter.h
@@ -46,6 +46,8 @@
   membership::InstanceRole Role = membership::InstanceRole::Replica;
   /// The end of what it has received.
   Mark Received;
+  /// The newest term that it knows of.
+  Term Known{};
 };
 
 class IInstanceProbe {
@@ -55,6 +57,12 @@
   virtual void
   askStatus(const membership::InstanceRecord &instance,
             std::function<void(std::optional<InstanceStatus>)> onDone) = 0;
+  /// Has a replica receive nothing more, under a term above all known ones,
+  /// until it is promoted or resumed; tells where it stopped.
+  virtual void
+  pause(const membership::InstanceRecord &instance, Term term,
+        std::function<void(std::optional<InstanceStatus>)> onDone) = 0;
+  virtual void resume(const membership::InstanceRecord &instance) = 0;
   /// Whether it answers at all; takes none of its slots.
   virtual void ping(const membership::InstanceRecord &instance,
                     std::function<void(bool)> onDone) = 0;
--- a/src/control/internal/Replacement.cpp
+++ b/src/control/internal/Replacement.cpp
@@ -77,8 +77,8 @@
     if (it == Running.end()) {
       bool isPlanned = false;
       const auto finishedAt = FinishedAt.find(service);
-      const bool rests = finishedAt != FinishedAt.end() &&
-                         now - finishedAt->second < RunPause;
+      const bool rests =
+          finishedAt != FinishedAt.end() && now - finishedAt->second < RunPause;
       if (!rests && needsReplacement(now, service, isPlanned))
         start(now, service, isPlanned);
       continue;
@@ -90,8 +90,14 @@
       finish(now, service);
       continue;
     }
-    const bool isLate = now - run.StepAt > StatusLimit;
-    if (run.Step == Stage::AskingStatus && (run.AwaitedAnswers == 0 || isLate))
+    const bool isDone =
+        run.AwaitedAnswers == 0 || now - run.StepAt > StatusLimit;
+    const bool mustPause = Node.syncReplicasOf(service) > 0;
+    if (run.Step == Stage::AskingStatus && isDone && mustPause)
+      pauseReplicas(now, service, run);
+    else if (run.Step == Stage::AskingStatus && isDone)
+      order(now, service, run);
+    else if (run.Step == Stage::Pausing && isDone)
       order(now, service, run);
   }
 }
@@ -133,16 +139,73 @@
     ++run.AwaitedAnswers;
     Probe.askStatus(*it, [this, service, number,
                           id = it->Id](std::optional<InstanceStatus> status) {
-      const auto found = Running.find(service);
-      if (found == Running.end() || found->second.Number != number)
-        return;
-      --found->second.AwaitedAnswers;
-      if (status)
-        found->second.Answers[id] = *status;
+      take(service, number, id, status);
     });
   }
 }
 
+void Replacement::take(const std::string &service, std::uint64_t number,
+                       const InstanceId &instance,
+                       const std::optional<InstanceStatus> &status) {
+  const auto found = Running.find(service);
+  if (found == Running.end() || found->second.Number != number)
+    return;
+  --found->second.AwaitedAnswers;
+  if (status)
+    found->second.Answers[instance] = *status;
+}
+
+void Replacement::pauseReplicas(TimePoint now, const std::string &service,
+                                Run &run) {
+  Term newest;
+  for (const auto &[id, it] : run.Answers)
+    newest = std::max({newest, it.Known, it.Received.WrittenIn});
+  const Term next{newest.Number + 1};
+  const auto answers = std::exchange(run.Answers, {});
+  run.Step = Stage::Pausing;
+  run.StepAt = now;
+  run.AwaitedAnswers = 0;
+  const std::uint64_t number = run.Number;
+  for (const auto &[id, status] : answers) {
+    const auto *record = Node.Directory.find(id);
+    const bool isPrimary = status.Role == InstanceRole::Primary;
+    if (isPrimary)
+      run.Answers[id] = status;
+    if (!record || isPrimary)
+      continue;
+    ++run.AwaitedAnswers;
+    Probe.pause(
+        *record, next,
+        [this, service, number, it = id](std::optional<InstanceStatus> paused) {
+          take(service, number, it, paused);
+        });
+  }
+}
+
+void Replacement::resumeReplicas(const std::string &service) {
+  for (const auto *it : Node.Directory.ofService(service))
+    if (it->State == InstanceState::Ready && it->Role == InstanceRole::Replica)
+      Probe.resume(*it);
+}
+
+bool Replacement::hasEnoughAnswers(const std::string &service,
+                                   const Run &run) const {
+  const int sync = Node.syncReplicasOf(service);
+  if (sync <= 0)
+    return true;
+  int replicas = 0;
+  int answered = 0;
+  const auto *primary = presentPrimary(Node.Now, service);
+  for (const auto *it : Node.Directory.ofService(service)) {
+    if (it == primary || it->State == InstanceState::Gone)
+      continue;
+    ++replicas;
+    answered += run.Answers.contains(it->Id);
+  }
+  // Any `sync` replicas may hold the newest acknowledged commit alone.
+  return answered >= replicas - sync + 1;
+}
+
 void Replacement::order(TimePoint now, const std::string &service, Run &run) {
   const std::pair<const InstanceId, InstanceStatus> *best = nullptr;
   for (const auto &it : run.Answers) {
@@ -161,6 +224,12 @@
         absl::StrCat("event=replacement_without_candidate service=", service));
     return finish(now, service);
   }
+  if (!hasEnoughAnswers(service, run)) {
+    Log.decision(absl::StrCat("event=replacement_unsure service=", service,
+                              " answers=", run.Answers.size(),
+                              " sync=", Node.syncReplicasOf(service)));
+    return finish(now, service);
+  }
   run.Step = Stage::Ordering;
   OrderedAt[service] = now;
   run.StepAt = now;
@@ -204,6 +273,9 @@
 }
 
 void Replacement::finish(TimePoint now, const std::string &service) {
+  // NOTE: resuming one that was promoted or never paused does nothing.
+  if (Node.syncReplicasOf(service) > 0)
+    resumeReplicas(service);
   Node.Watch.noteReplaced(now, service);
   Running.erase(service);
   FinishedAt[service] = now;
--- a/src/control/internal/Replacement.h
+++ b/src/control/internal/Replacement.h
@@ -39,7 +39,7 @@
   }
 
 private:
-  enum class Stage { TakingFence, AskingStatus, Ordering, Recording };
+  enum class Stage { TakingFence, AskingStatus, Pausing, Ordering, Recording };
 
   struct Run {
     Stage Step = Stage::TakingFence;
@@ -60,6 +60,14 @@
   presentPrimary(TimePoint now, const std::string &service) const;
   void start(TimePoint now, const std::string &service, bool isPlanned);
   void askReplicas(TimePoint now, const std::string &service, Run &run);
+  /// Where commits wait for replicas, none of these may receive more while one
+  /// is chosen, or it could miss what another one has let be acknowledged.
+  void pauseReplicas(TimePoint now, const std::string &service, Run &run);
+  void resumeReplicas(const std::string &service);
+  bool hasEnoughAnswers(const std::string &service, const Run &run) const;
+  void take(const std::string &service, std::uint64_t number,
+            const InstanceId &instance,
+            const std::optional<InstanceStatus> &status);
   void order(TimePoint now, const std::string &service, Run &run);
   void ordered(const std::string &service, std::uint64_t number,
                const InstanceId &instance, PromotionResult result);
--- a/src/control/tests/ControlNodeTest.cpp
+++ b/src/control/tests/ControlNodeTest.cpp
@@ -187,9 +187,9 @@
   group.run(milliseconds(1500));
   sayAll(group, 1);
   group.Platform.Statuses[InstanceId("r1")] = {
-      membership::InstanceRole::Replica, {{3}, {100}}};
+      membership::InstanceRole::Replica, {{3}, {100}}, {3}};
   group.Platform.Statuses[InstanceId("r2")] = {
-      membership::InstanceRole::Replica, {{3}, {140}}};
+      membership::InstanceRole::Replica, {{3}, {140}}, {3}};
   group.Platform.Silent.insert(InstanceId("p"));
   for (int i = 0; i < 15; ++i) {
     reportSight(group, "10.5.0.1", static_cast<std::uint64_t>(i) * 100);
@@ -215,6 +215,32 @@
   CHECK(group.Platform.Orders.empty());
 }
 
+TEST_CASE("Control_SyncedServiceIsPausedBeforeAPromotion") {
+  FakeControls group;
+  group.run(milliseconds(1500));
+  CHECK(put(group, 0, 1, "sync") == true);
+  sayAll(group, 1);
+  group.Platform.Statuses[InstanceId("r1")] = {
+      membership::InstanceRole::Replica, {{3}, {100}}, {3}};
+  group.Platform.Silent.insert(InstanceId("p"));
+  const auto miss = [&group] {
+    for (int i = 0; i < 20; ++i) {
+      reportSight(group, "10.5.0.1", 900);
+      reportSight(group, "10.5.0.2", 900);
+      group.run(milliseconds(100));
+    }
+  };
+  // One replica alone may lack what the other let be acknowledged.
+  miss();
+  CHECK(group.Platform.Orders.empty());
+  CHECK(group.Platform.Paused.empty());
+  group.Platform.Statuses[InstanceId("r2")] = {
+      membership::InstanceRole::Replica, {{3}, {120}}, {3}};
+  miss();
+  REQUIRE(!group.Platform.Orders.empty());
+  CHECK(group.Platform.Orders.front().Instance == InstanceId("r2"));
+}
+
 TEST_CASE("Control_FencesRiseOverLeaders") {
   FakeControls group;
   group.run(milliseconds(1500));
@@ -223,7 +249,7 @@
   for (int round = 0; round < 3; ++round) {
     sayAll(group, static_cast<std::uint64_t>(round) + 1);
     group.Platform.Statuses[InstanceId("r1")] = {
-        membership::InstanceRole::Replica, {{3}, {100}}};
+        membership::InstanceRole::Replica, {{3}, {100}}, {3}};
     group.Platform.Silent.insert(InstanceId("p"));
     group.Platform.Orders.clear();
     for (int i = 0; i < 25; ++i) {
--- a/src/control/tests/FakeControls.cpp
+++ b/src/control/tests/FakeControls.cpp
@@ -57,6 +57,13 @@
   options.NodeName = "control-" + std::to_string(vm);
   options.Ip = ipOf(vm);
   options.FirstCall = it.Life * 1000;
+  options.Decode = [](const std::string &document) {
+    Configuration configuration;
+    configuration.Version = 1;
+    configuration.Services["db"].SyncReplicas =
+        document.starts_with("sync") ? 1 : 0;
+    return absl::StatusOr<Configuration>(configuration);
+  };
   it.Node = std::make_unique<ControlNode>(options, *it.Consensus, it, it,
                                           Platform, Platform, it);
 }
--- a/src/control/tests/FakeControls.h
+++ b/src/control/tests/FakeControls.h
@@ -34,6 +34,15 @@
     const auto it = Statuses.find(instance.Id);
     onDone(it == Statuses.end() ? std::nullopt : std::optional(it->second));
   }
+  void
+  pause(const membership::InstanceRecord &instance, Term term,
+        std::function<void(std::optional<InstanceStatus>)> onDone) override {
+    Paused[instance.Id] = term;
+    askStatus(instance, std::move(onDone));
+  }
+  void resume(const membership::InstanceRecord &instance) override {
+    Paused.erase(instance.Id);
+  }
   void ping(const membership::InstanceRecord &instance,
             std::function<void(bool)> onDone) override {
     onDone(!Silent.contains(instance.Id));
@@ -44,6 +53,7 @@
 
   std::vector<PromotionOrder> Orders;
   std::map<InstanceId, InstanceStatus> Statuses;
+  std::map<InstanceId, Term> Paused;
   std::set<InstanceId> Silent;
   bool Answers = true;
 };
--- /dev/null
+++ b/src/entry/tests/EntryTest.cpp
@@ -0,0 +1,186 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The stop of an entry VM, what it takes from control VMs, and how it
+/// finds out that it is cut off.
+
+#include "entry/EntryNode.h"
+#include "entry/StopPlan.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+using namespace stepledge;
+using namespace stepledge::entry;
+
+namespace {
+
+class FakeParts : public proxy::IProxyIo,
+                  public proxy::IProxyLog,
+                  public peer::IPeerSender {
+public:
+  void acceptClient(proxy::ClientId client) override { (void)client; }
+  void rejectClient(proxy::ClientId client,
+                    const proxy::StatementReply &reply) override {
+    (void)client;
+    (void)reply;
+  }
+  void answerClient(proxy::ClientId client,
+                    const proxy::StatementReply &reply) override {
+    (void)client;
+    (void)reply;
+  }
+  void closeClient(proxy::ClientId client) override {
+    Closed.push_back(client);
+  }
+  void openConnection(ConnectionId connection,
+                      const proxy::ConnectionTarget &target) override {
+    (void)connection;
+    (void)target;
+  }
+  void send(ConnectionId connection,
+            const std::vector<proxy::InstanceCommand> &commands) override {
+    (void)connection;
+    (void)commands;
+  }
+  void closeConnection(ConnectionId connection) override { (void)connection; }
+  void decision(const std::string &line) override { (void)line; }
+  bool send(const std::string &ip,
+            const peer::wire::Message &message) override {
+    Sent.emplace_back(ip, message);
+    return true;
+  }
+  void keepConnected(const std::set<std::string> &ips) override { Ips = ips; }
+
+  std::vector<proxy::ClientId> Closed;
+  std::vector<std::pair<std::string, peer::wire::Message>> Sent;
+  std::set<std::string> Ips;
+};
+
+struct Fixture {
+  Fixture()
+      : Core({}, Parts, Parts),
+        Node(options(), Core, Parts, Parts, [](const std::string &document) {
+          control::Configuration configuration;
+          configuration.Version = std::stoull(document);
+          configuration.Services["db"] = {"db", 23, 0};
+          return absl::StatusOr<control::Configuration>(configuration);
+        }) {
+    Node.tick(Now);
+  }
+
+  static EntryOptions options() {
+    EntryOptions options;
+    options.Ip = "10.1.0.1";
+    options.SeedIps = {"10.0.0.1", "10.0.0.2"};
+    return options;
+  }
+
+  void notice(std::uint64_t version, bool isFresh) {
+    peer::wire::Message message;
+    message.mutable_notice()->set_configuration_version(version);
+    message.mutable_notice()->set_is_fresh(isFresh);
+    Node.peerSaid("10.0.0.1", message);
+  }
+
+  void give(std::uint64_t version) {
+    peer::wire::Message message;
+    message.mutable_configuration()->set_version(version);
+    message.mutable_configuration()->set_document(std::to_string(version));
+    Node.peerSaid("10.0.0.1", message);
+  }
+
+  bool hasAsked() {
+    bool asked = false;
+    for (const auto &[ip, message] : Parts.Sent)
+      asked |= message.has_configuration_request();
+    Parts.Sent.clear();
+    return asked;
+  }
+
+  void addPrimary() {
+    peer::wire::Message message;
+    auto &it = *message.mutable_instances()->add_instances();
+    it.set_id("p");
+    it.set_service("db");
+    it.set_address("10.2.0.1:1");
+    it.set_is_primary(true);
+    it.set_sequence(1);
+    Node.peerSaid("10.0.0.1", message);
+  }
+
+  void advance(Duration time) {
+    Now += time;
+    Node.tick(Now);
+  }
+
+  FakeParts Parts;
+  TimePoint Now = TimePoint(std::chrono::seconds(5));
+  proxy::Proxy Core;
+  EntryNode Node;
+};
+
+} // namespace
+
+TEST_CASE("StopPlan_GivesTransactionsHalfOfTheTime") {
+  const TimePoint start(std::chrono::seconds(3));
+  const StopPlan plan{start, milliseconds(6000)};
+  CHECK(!plan.mayCloseSessions(start + milliseconds(2000)));
+  CHECK(plan.mayCloseSessions(start + milliseconds(2300)));
+  CHECK(!plan.mayAbortTransactions(start + milliseconds(2900)));
+  CHECK(plan.mayAbortTransactions(start + milliseconds(3000)));
+  CHECK(!plan.mustEnd(start + milliseconds(5500)));
+  CHECK(plan.mustEnd(start + milliseconds(5600)));
+}
+
+TEST_CASE("Entry_TakesOnlyWhatAMajorityStandsBehind") {
+  Fixture it;
+  it.notice(3, false);
+  CHECK(!it.hasAsked());
+  it.notice(7, true);
+  CHECK(it.hasAsked());
+  it.give(7);
+  CHECK(it.Core.configurationVersion() == 7);
+  it.give(5);
+  CHECK(it.Core.configurationVersion() == 7);
+}
+
+TEST_CASE("Entry_TakesAnOlderStateOnceItHasWaited") {
+  Fixture it;
+  for (int i = 0; i < 40; ++i)
+    it.advance(milliseconds(100));
+  it.notice(3, false);
+  CHECK(it.hasAsked());
+}
+
+TEST_CASE("Entry_CutOffVmIsNotReady") {
+  Fixture it;
+  it.notice(7, true);
+  it.give(7);
+  it.addPrimary();
+  CHECK(it.Node.isReady());
+  // Its own hall's control VM still speaks, but no majority is behind it, and
+  // no connection to the primary comes about.
+  for (int i = 0; i < 30; ++i) {
+    it.advance(milliseconds(100));
+    it.notice(7, false);
+  }
+  CHECK(!it.Node.isReady());
+  it.notice(7, true);
+  it.advance(milliseconds(50));
+  CHECK(it.Node.isReady());
+}
+
+TEST_CASE("Entry_StaysReadyWhileOnlyThePrimaryIsSilent") {
+  Fixture it;
+  it.notice(7, true);
+  it.give(7);
+  it.addPrimary();
+  for (int i = 0; i < 30; ++i) {
+    it.advance(milliseconds(100));
+    it.notice(7, true);
+  }
+  CHECK(it.Node.isReady());
+}
--- a/src/proxy/IProxyIo.h
+++ b/src/proxy/IProxyIo.h
@@ -7,6 +7,7 @@
 #define STEPLEDGE_PROXY_IPROXYIO_H
 
 #include "base/types/Ids.h"
+#include "base/types/Time.h"
 #include "proxy/types/InstanceCommand.h"
 #include "proxy/types/StatementReply.h"
 
@@ -49,6 +50,13 @@
 public:
   virtual ~IProxyLog() = default;
   virtual void decision(const std::string &line) = 0;
+  /// A statement that an instance had to run is answered.
+  virtual void answered(ReplyCode code, Duration took) {
+    (void)code;
+    (void)took;
+  }
+  /// A statement that was not run is on its way to another instance.
+  virtual void retried(ReplyCode code) { (void)code; }
 };
 
 } // namespace stepledge::proxy
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -273,6 +273,8 @@
 void Proxy::answer(TimePoint now, ClientSession &session,
                    StatementReply reply) {
   stopWaiting(session);
+  if (session.Current)
+    Log.answered(reply.Code, now - session.Current->ArrivedAt);
   session.Current.reset();
   session.LastActive = now;
   reply.State = session.State;
--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -47,8 +47,8 @@
       " service=", service, " code=", static_cast<int>(reply.Code)));
   Pool.close(connection);
   const bool isAlone = Pool.countOf(instance) == 0;
-  Pool.refuseUntil(instance, now + (isAlone ? Options.FullPauseAlone
-                                            : Options.FullPause));
+  Pool.refuseUntil(
+      instance, now + (isAlone ? Options.FullPauseAlone : Options.FullPause));
   if (reply.Code == ReplyCode::WrongInstance)
     tracker(service).remove(instance);
 }
@@ -208,7 +208,7 @@
                    static_cast<int>(code));
   Log.decision(absl::StrCat(
       "event=retry request=", work.Statement.Id, " instance=", instance.str(),
-      " code=", static_cast<int>(code), " sendings=", work.Sendings));
+      " code=", std::string(nameOf(code)), " sendings=", work.Sendings));
   if (code == ReplyCode::ReadOnly)
     tracker(session.Route.Service).noteDeniedLead(now, instance);
   const int factor = std::min(work.Sendings, MostPauseFactor);
--- a/src/proxy/types/StatementReply.h
+++ b/src/proxy/types/StatementReply.h
@@ -6,8 +6,10 @@
 #ifndef STEPLEDGE_PROXY_TYPES_STATEMENTREPLY_H
 #define STEPLEDGE_PROXY_TYPES_STATEMENTREPLY_H
 
+#include "base/NameTable.h"
 #include "base/types/LogPosition.h"
 
+#include <array>
 #include <optional>
 #include <string>
 #include <vector>
@@ -43,6 +45,28 @@
   Other,
 };
 
+/// For logs and metrics.
+constexpr auto ReplyNames = std::to_array<NameEntry<ReplyCode>>({
+    {ReplyCode::Success, "success"},
+    {ReplyCode::Busy, "busy"},
+    {ReplyCode::Aborted, "aborted"},
+    {ReplyCode::Lagging, "lagging"},
+    {ReplyCode::ReadOnly, "read_only"},
+    {ReplyCode::WrongInstance, "wrong_instance"},
+    {ReplyCode::TooManyConnections, "too_many_connections"},
+    {ReplyCode::OutcomeUnknown, "outcome_unknown"},
+    {ReplyCode::TimedOut, "timed_out"},
+    {ReplyCode::Failed, "failed"},
+    {ReplyCode::UnknownStatement, "unknown_statement"},
+    {ReplyCode::UnknownDatabase, "unknown_database"},
+    {ReplyCode::Malformed, "malformed"},
+    {ReplyCode::Other, "other"},
+});
+
+constexpr std::string_view nameOf(ReplyCode code) {
+  return nameIn(ReplyNames, code);
+}
+
 /// Whether \p code says that the statement itself did not run.
 constexpr bool isNotRun(ReplyCode code) {
   switch (code) {
