Wait a little before a connection is borrowed

A statement that met a busy connection borrowed another at once. Change: beyond the kept share a connection is opened only for a statement that has waited 20 ms, or where open transactions hold all.

--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -105,8 +105,10 @@
     const bool isProof = session.Current->PrimaryOnly;
     if (isProof && reply.Position)
       tracker(connection.Service).noteProof(sentAt, *reply.Position);
-    if (session.State == SessionState::InTransaction)
+    if (session.State == SessionState::InTransaction) {
       session.Pinned = connection.Id;
+      connection.IsPinned = true;
+    }
     return sendStatement(now, session, connection, std::nullopt);
   }
   if (reply.State == SessionState::Idle) {
--- a/src/proxy/internal/ConnectionPool.h
+++ b/src/proxy/internal/ConnectionPool.h
@@ -44,6 +44,8 @@
   /// The instance has no room: no new connection before \p until.
   void refuseUntil(const InstanceId &instance, TimePoint until);
   int countOf(const InstanceId &instance) const;
+  /// Connections that open transactions hold.
+  int pinnedAt(const InstanceId &instance) const;
   /// Connections on which \p instance owes an answer.
   int busyAt(const InstanceId &instance) const;
   std::map<ConnectionId, InstanceConnection> &all() { return Connections; }
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -134,7 +134,14 @@
   const bool usesDirect = !known || !known->IsDirectBad;
   if (auto *it = Pool.findFree(instance, session.Values, usesDirect))
     return it;
-  if (known && !Pool.isOpening(instance))
+  // NOTE: one that serves a single statement is free again about as soon as a
+  // new one would be open, so it is worth a short wait.
+  const int open = Pool.countOf(instance);
+  const bool isShort = open < shareOf(session.Route.Service).Floor ||
+                       Pool.pinnedAt(instance) == open;
+  const bool hasWaited = session.Current && now - session.Current->ArrivedAt >=
+                                                Options.BorrowDelay;
+  if (known && !Pool.isOpening(instance) && (isShort || hasWaited))
     openTo(now, known->Record);
   return nullptr;
 }
@@ -245,6 +252,7 @@
   if (!connection)
     return;
   connection->Owner.reset();
+  connection->IsPinned = false;
   connection->IsAbandoned = true;
   rollBack(now, *connection);
 }
@@ -265,6 +273,7 @@
 
 void Proxy::freeConnection(TimePoint now, InstanceConnection &connection) {
   connection.Owner.reset();
+  connection.IsPinned = false;
   connection.LastUsed = now;
   if (connection.isFree())
     pump(now, connection.Service);
--- a/src/proxy/internal/InstanceConnection.h
+++ b/src/proxy/internal/InstanceConnection.h
@@ -56,6 +56,8 @@
   bool IsReady = false;
   /// The client whose statement or transaction it serves, if any.
   std::optional<ClientId> Owner;
+  /// It holds the owner's open transaction.
+  bool IsPinned = false;
   /// Nobody waits for what was sent; once answered, the connection is free.
   bool IsAbandoned = false;
   SessionValues Values;
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -95,6 +95,7 @@
     const auto pinned = std::exchange(session.Pinned, std::nullopt);
     if (auto *connection = Pool.find(*pinned)) {
       connection->Owner.reset();
+      connection->IsPinned = false;
       connection->IsAbandoned = true;
     }
     session.State = SessionState::Idle;
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -32,6 +32,9 @@
   Duration ProofInterval = milliseconds(450);
   /// Taken off a route's staleness for the time a read waits in queues.
   Duration StalenessMargin = milliseconds(250);
+  /// A statement waits this long before a connection beyond the kept share is
+  /// opened for it: about the usual answer time.
+  Duration BorrowDelay = milliseconds(20);
   /// A connection beyond the kept share is closed after this idle time.
   Duration SpareConnectionLifetime = milliseconds(3000);
   /// A connection that nobody waits for is closed if not answered by then.
