Find a new primary without control, and tell a bad direct path from a slow read

A read that was moved away from a silent instance hid that its direct path was bad, so no relay was tried. Change: any instance that runs the start of a plain transaction has proved its lead and is used; while none is known all instances are asked each 100 ms, by relays too. Where neither control nor a primary is in reach, refused at once.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -49,8 +49,9 @@
   for (const auto &it : sights)
     silent += it.SilentFor > Duration{};
   const bool isMostSilent = 2 * silent > static_cast<int>(sights.size());
-  const bool isIsolated =
-      Now - HeardAt > Options.IsolationLimit && isMostSilent;
+  const bool isControlLost = Now - HeardAt > Options.IsolationLimit;
+  const bool isIsolated = isControlLost && isMostSilent;
+  Proxy.setControlLost(isControlLost);
   if (isIsolated != IsolatedSince.has_value()) {
     IsolatedSince = isIsolated ? std::optional(Now) : std::nullopt;
     Proxy.setIsolated(isIsolated);
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -56,6 +56,8 @@
   /// Cut off from the others, it refuses at once what needs an instance that
   /// it can't reach, so that the client can turn to another VM.
   void setIsolated(bool isIsolated) { IsIsolated = isIsolated; }
+  /// No control VM with a majority behind it is heard.
+  void setControlLost(bool isLost) { IsControlLost = isLost; }
   /// Whether \p address is that of a known instance.
   bool knowsAddress(const std::string &address) const;
   /// How many VMs share the instances' connections.
@@ -135,7 +137,7 @@
   void stopWaiting(ClientSession &session);
   void notRun(TimePoint now, ClientSession &session, ReplyCode code,
               const InstanceId &instance);
-  void noteSuccess(TimePoint now, ClientSession &session,
+  void noteSuccess(ClientSession &session, const InstanceId &instance,
                    const StatementReply &reply, TimePoint sentAt);
   void expireWork(TimePoint now, ClientSession &session);
   void moveSlowRead(TimePoint now, ClientSession &session);
@@ -152,6 +154,9 @@
                                        const std::string &service) const;
   void pump(TimePoint now, const std::string &service);
   void probePrimaries(TimePoint now);
+  /// Asks every instance of the service whether it leads.
+  void searchPrimary(TimePoint now, const std::string &service,
+                     InstanceTracker &instances);
   void sweepConnections(TimePoint now);
   void sendProbe(TimePoint now, InstanceConnection &connection);
   void probeDirectPath(TimePoint now, TrackedInstance &instance);
@@ -177,6 +182,7 @@
   ConnectionPool Pool;
   int EntryCount = 1;
   bool IsIsolated = false;
+  bool IsControlLost = false;
   std::vector<std::string> Relays;
   /// By instance, the relays that failed to reach it, and until when they are
   /// not asked again.
--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -76,7 +76,7 @@
   const bool isProof = sent.Reason == Purpose::Probe &&
                        reply.State == SessionState::InTransaction;
   if (isProof && reply.Position)
-    instances.noteProof(sent.SentAt, *reply.Position);
+    instances.noteProof(sent.SentAt, it->Instance, *reply.Position);
   if (sent.Reason == Purpose::Probe && reply.Code == ReplyCode::ReadOnly)
     instances.noteDeniedLead(now, it->Instance);
 
@@ -104,7 +104,8 @@
   if (reply.Code == ReplyCode::Success) {
     const bool isProof = session.Current->PrimaryOnly;
     if (isProof && reply.Position)
-      tracker(connection.Service).noteProof(sentAt, *reply.Position);
+      tracker(connection.Service)
+          .noteProof(sentAt, connection.Instance, *reply.Position);
     if (session.State == SessionState::InTransaction) {
       session.Pinned = connection.Id;
       connection.IsPinned = true;
@@ -127,7 +128,7 @@
   const InstanceId instance = connection.Instance;
   const TimePoint sentAt = session.Current->SentAt;
   if (reply.Code == ReplyCode::Success)
-    noteSuccess(now, session, reply, sentAt);
+    noteSuccess(session, instance, reply, sentAt);
   if (session.State == SessionState::InTransaction)
     return transactionAnswered(now, session, instance, std::move(reply));
   connection.Owner.reset();
@@ -185,9 +186,8 @@
   refuse(now, session, reply.Code, reply.Detail);
 }
 
-void Proxy::noteSuccess(TimePoint now, ClientSession &session,
+void Proxy::noteSuccess(ClientSession &session, const InstanceId &instance,
                         const StatementReply &reply, TimePoint sentAt) {
-  (void)now;
   const auto &work = *session.Current;
   const bool isCommit = work.Statement.Kind == StatementKind::Commit;
   const bool isSingleWrite =
@@ -196,7 +196,7 @@
   if (!wrote || !reply.Position)
     return;
   session.LastCommit = reply.Position;
-  tracker(session.Route.Service).noteProof(sentAt, *reply.Position);
+  tracker(session.Route.Service).noteProof(sentAt, instance, *reply.Position);
 }
 
 void Proxy::notRun(TimePoint now, ClientSession &session, ReplyCode code,
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -307,13 +307,11 @@
   // be answered in time go first, the tightest objectives before the others
   // and the newest before the older; first come, first served made all late.
   if (isOverloaded)
-    std::sort(waiters.begin(), waiters.end(),
-              [](const Waiter &a, const Waiter &b) {
-                return std::tie(a.IsLate, a.Priority, a.Objective,
-                                b.ArrivedAt) <
-                       std::tie(b.IsLate, b.Priority, b.Objective,
-                                a.ArrivedAt);
-              });
+    std::sort(
+        waiters.begin(), waiters.end(), [](const Waiter &a, const Waiter &b) {
+          return std::tie(a.IsLate, a.Priority, a.Objective, b.ArrivedAt) <
+                 std::tie(b.IsLate, b.Priority, b.Objective, a.ArrivedAt);
+        });
   std::vector<ClientId> clients;
   clients.reserve(waiters.size());
   for (const auto &it : waiters)
--- a/src/proxy/internal/InstanceTracker.cpp
+++ b/src/proxy/internal/InstanceTracker.cpp
@@ -68,6 +68,7 @@
     return;
   PromotedFence = fence;
   Promoted = id;
+  ProvenLead.reset();
   if (auto *it = find(id))
     it->DeniedLeadUntil = {};
 }
@@ -78,6 +79,11 @@
 }
 
 std::optional<InstanceId> InstanceTracker::primary(TimePoint now) const {
+  if (ProvenLead) {
+    const auto it = Instances.find(*ProvenLead);
+    if (it != Instances.end() && it->second.DeniedLeadUntil <= now)
+      return ProvenLead;
+  }
   const TrackedInstance *best = nullptr;
   for (const auto &[id, it] : Instances) {
     if (it.DeniedLeadUntil > now)
@@ -96,6 +102,13 @@
   return std::nullopt;
 }
 
+bool InstanceTracker::isLeadDenied(TimePoint now) const {
+  return !ProvenLead &&
+         std::any_of(Instances.begin(), Instances.end(), [&](const auto &it) {
+           return it.second.DeniedLeadUntil > now;
+         });
+}
+
 Duration InstanceTracker::lagOf(TimePoint now, const Mark &position) const {
   // The log ended at or before the position when `reached` was sent, and
   // behind it when `beyond` was: the truth lies between the two.
@@ -180,7 +193,9 @@
   it->PositionAt = now;
 }
 
-void InstanceTracker::noteProof(TimePoint sentAt, const Mark &position) {
+void InstanceTracker::noteProof(TimePoint sentAt, const InstanceId &id,
+                                const Mark &position) {
+  ProvenLead = id;
   // A newer term starts a new history: older proofs may name lost commits.
   if (!Proofs.empty() && Proofs.back().Position.WrittenIn < position.WrittenIn)
     Proofs.clear();
@@ -232,6 +247,8 @@
 }
 
 void InstanceTracker::noteDeniedLead(TimePoint now, const InstanceId &id) {
+  if (ProvenLead == id)
+    ProvenLead.reset();
   if (auto *it = find(id))
     it->DeniedLeadUntil = now + DeniedLeadTime;
 }
--- a/src/proxy/internal/InstanceTracker.h
+++ b/src/proxy/internal/InstanceTracker.h
@@ -75,13 +75,17 @@
 
   /// The instance to ask for writes and current reads, if one is known.
   std::optional<InstanceId> primary(TimePoint now) const;
+  /// The one that should lead said lately that it doesn't, and no other has
+  /// proved to.
+  bool isLeadDenied(TimePoint now) const;
   /// The best instance for a read that needs \p minimum, best first.
   std::vector<InstanceId>
   readCandidates(TimePoint now, const Mark &minimum,
                  const std::set<InstanceId> &tried) const;
 
   void notePosition(TimePoint now, const InstanceId &id, const Mark &position);
-  void noteProof(TimePoint sentAt, const Mark &position);
+  /// \p id ran the start of a plain transaction, which only a primary does.
+  void noteProof(TimePoint sentAt, const InstanceId &id, const Mark &position);
   /// The least position that covers all acknowledged before \p time.
   std::optional<Mark> coveringPosition(TimePoint time) const;
   std::optional<TimePoint> newestProofAt() const;
@@ -99,6 +103,8 @@
 
   HallId OwnHall;
   std::map<InstanceId, TrackedInstance> Instances;
+  /// The last one that proved its lead, unless control named another since.
+  std::optional<InstanceId> ProvenLead;
   std::optional<InstanceId> Promoted;
   std::uint64_t PromotedFence = 0;
   std::deque<PositionProof> Proofs;
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -74,8 +74,13 @@
 void Proxy::expireWork(TimePoint now, ClientSession &session) {
   auto &work = *session.Current;
   const bool wasSent = work.Stage == WorkStage::Sent;
+  // NOTE: without control nobody may tell this VM of a new primary, but others
+  // may know it.
+  const bool isHopeless =
+      IsIsolated || (IsControlLost && work.PrimaryOnly &&
+                     !tracker(session.Route.Service).primary(now));
   const Duration patience =
-      IsIsolated ? Options.IsolatedQueueLimit : Options.QueueLimit;
+      isHopeless ? Options.IsolatedQueueLimit : Options.QueueLimit;
   const TimePoint limit =
       wasSent ? work.Deadline
               : std::min(work.Deadline, work.ArrivedAt + patience);
@@ -144,6 +149,10 @@
 
 void Proxy::probePrimaries(TimePoint now) {
   for (auto &[service, it] : Trackers) {
+    if (!it->primary(now) || it->isLeadDenied(now)) {
+      searchPrimary(now, service, *it);
+      continue;
+    }
     const auto newest = it->newestProofAt();
     if (newest && now - *newest < Options.ProofInterval)
       continue;
@@ -170,6 +179,21 @@
         probeDirectPath(now, instance);
 }
 
+void Proxy::searchPrimary(TimePoint now, const std::string &service,
+                          InstanceTracker &instances) {
+  auto &probedAt = ProbedAt[service];
+  if (now - probedAt < Options.SearchInterval)
+    return;
+  probedAt = now;
+  for (auto &[id, it] : instances.all()) {
+    auto *connection = Pool.findFree(id, {}, !it.IsDirectBad);
+    if (connection)
+      sendProbe(now, *connection);
+    else if (!Pool.isOpening(id) && (it.IsDirectBad || Pool.countOf(id) == 0))
+      openTo(now, it.Record);
+  }
+}
+
 void Proxy::sendProbe(TimePoint now, InstanceConnection &connection) {
   InstanceCommand begin;
   begin.Kind = CommandKind::Begin;
@@ -209,12 +233,13 @@
     if (it.IsAbandoned && waited > Options.AbandonedLifetime)
       dead.push_back(id);
     const bool isSilent = instance && waited > SilenceLimit &&
-                          now - instance->LastAnswerAt > SilenceLimit &&
-                          !instance->SilentSince;
+                          now - instance->LastAnswerAt > SilenceLimit;
     if (!isSilent)
       continue;
-    instance->SilentSince =
-        std::max(it.Sent.front().SentAt, instance->LastAnswerAt);
+    // NOTE: a read that was moved away may have noted the silence before.
+    if (!instance->SilentSince)
+      instance->SilentSince =
+          std::max(it.Sent.front().SentAt, instance->LastAnswerAt);
     if (it.RelayIp.empty())
       noteDirectBad(now, *instance);
   }
--- a/src/proxy/tests/ProxyTest.cpp
+++ b/src/proxy/tests/ProxyTest.cpp
@@ -484,6 +484,35 @@
   CHECK(usesRelay);
 }
 
+TEST_CASE("Proxy_NewPrimaryIsFoundWithoutControl") {
+  Fixture it;
+  it.warmUp();
+  // The old primary refuses, and nobody tells of a successor.
+  const auto client = it.connect("current");
+  it.ask(client, StatementKind::Write, "WRITE x 1");
+  const auto old = it.carrierOf("WRITE x 1");
+  REQUIRE(old);
+  it.answer(*old, Fixture::refusal(ReplyCode::ReadOnly));
+  std::optional<ConnectionId> found;
+  for (int i = 0; i < 12 && !found; ++i) {
+    it.advance(milliseconds(30));
+    for (auto &[id, commands] : std::map(it.Io.Sent)) {
+      if (commands.empty() || commands.front().Kind != CommandKind::Begin)
+        continue;
+      const bool leads = it.instanceOf(id) == "r1";
+      it.answer(id, leads ? Fixture::replyAt(markOf(4, 101),
+                                             SessionState::InTransaction)
+                          : Fixture::refusal(ReplyCode::ReadOnly));
+      if (!it.Io.Sent[id].empty())
+        it.answer(id, Fixture::replyAt(markOf(4, 101)));
+    }
+    const auto carrier = it.carrierOf("WRITE x 1");
+    if (carrier && it.instanceOf(*carrier) == "r1")
+      found = carrier;
+  }
+  CHECK(found);
+}
+
 TEST_CASE("Proxy_LeavingPrimaryGetsNoNewWorkAfterItsTime") {
   Fixture it;
   it.warmUp();
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -30,6 +30,9 @@
   /// How often the primary is asked for its position when no statement
   /// brought one: bounded reads need one younger than their staleness.
   Duration ProofInterval = milliseconds(450);
+  /// How often all instances of a service are asked whether they lead, while
+  /// none is known to: some answer times.
+  Duration SearchInterval = milliseconds(100);
   /// Taken off a route's staleness for the time a read waits in queues.
   Duration StalenessMargin = milliseconds(250);
   /// A statement waits this long before a connection beyond the kept share is
