Leave a primary alone that most VMs may still reach

Change: more than half of the VMs heard in the last 20 s have to miss it, or all that still report for 8 s.

--- a/src/control/PrimaryWatch.cpp
+++ b/src/control/PrimaryWatch.cpp
@@ -3,11 +3,14 @@
 
 #include "control/PrimaryWatch.h"
 
+#include <algorithm>
+
 namespace stepledge::control {
 
 void PrimaryWatch::report(TimePoint now, const std::string &observer,
                           const std::string &service, const InstanceId &primary,
                           Duration silentFor) {
+  HeardAt[observer] = now;
   Services[service].Reports[observer] = {primary, silentFor, now};
 }
 
@@ -25,15 +28,24 @@
   if (it->second.ReplacedAt != TimePoint{} &&
       now - it->second.ReplacedAt < Options.RestAfter)
     return false;
-  int observers = 0;
+  int reporting = 0;
   int missing = 0;
+  Duration longest{};
   for (const auto &[observer, report] : it->second.Reports) {
     if (report.Primary != primary || now - report.At > Options.ReportLifetime)
       continue;
-    ++observers;
+    ++reporting;
     missing += report.SilentFor >= Options.SilenceLimit;
+    longest = std::max(longest, report.SilentFor);
   }
-  return missing >= 2 && missing >= Options.LostShare * observers;
+  const auto known =
+      std::count_if(HeardAt.begin(), HeardAt.end(), [&](const auto &heard) {
+        return now - heard.second < Options.KnownLifetime;
+      });
+  const bool isMajority =
+      missing > Options.LostShare * static_cast<double>(known);
+  const bool isLong = missing == reporting && longest >= Options.LongSilence;
+  return missing >= 2 && (isMajority || isLong);
 }
 
 } // namespace stepledge::control
--- a/src/control/PrimaryWatch.h
+++ b/src/control/PrimaryWatch.h
@@ -20,8 +20,14 @@
   Duration SilenceLimit = milliseconds(600);
   /// A VM's report is used for this long.
   Duration ReportLifetime = milliseconds(1500);
-  /// The share of the reporting VMs that must miss the primary.
-  double LostShare = 0.6;
+  /// VMs that reported within this time count as known; those of them that are
+  /// silent now may be cut off together with a primary that they still reach.
+  Duration KnownLifetime = milliseconds(20000);
+  /// The share of the known VMs that must miss the primary.
+  double LostShare = 0.5;
+  /// With this much silence all that still report are enough: a cut that lasts
+  /// so long is no passing one.
+  Duration LongSilence = milliseconds(8000);
   /// No second replacement of a service for this time after one.
   Duration RestAfter = milliseconds(1500);
 };
@@ -38,7 +44,10 @@
   /// Whether enough of the VMs that report on \p primary miss it.
   bool isLost(TimePoint now, const std::string &service,
               const InstanceId &primary) const;
-  void clear() { Services.clear(); }
+  void clear() {
+    Services.clear();
+    HeardAt.clear();
+  }
 
 private:
   struct Report {
@@ -52,6 +61,8 @@
   };
 
   WatchOptions Options;
+  /// When each VM was last heard, whatever it reported.
+  std::map<std::string, TimePoint> HeardAt;
   std::map<std::string, Service> Services;
 };
 
--- a/src/control/tests/ControlNodeTest.cpp
+++ b/src/control/tests/ControlNodeTest.cpp
@@ -215,6 +215,34 @@
   CHECK(group.Platform.Orders.empty());
 }
 
+TEST_CASE("Control_PrimaryOnTheOtherSideOfACutIsLeftAlone") {
+  FakeControls group;
+  group.run(milliseconds(1500));
+  sayAll(group, 1);
+  const auto report = [&group](const char *ip, std::uint64_t silentMs) {
+    reportSight(group, std::string("10.5.0.") + ip, silentMs);
+  };
+  for (const char *ip : {"1", "2", "3", "4", "5", "6"})
+    report(ip, 0);
+  // Four VMs fall silent together with the primary; two and control miss it.
+  group.Platform.Statuses[InstanceId("r1")] = {
+      membership::InstanceRole::Replica, {{3}, {100}}, {3}};
+  group.Platform.Silent.insert(InstanceId("p"));
+  for (std::uint64_t i = 0; i < 50; ++i) {
+    report("1", i * 100);
+    report("2", i * 100);
+    group.run(milliseconds(100));
+  }
+  CHECK(group.Platform.Orders.empty());
+  // It doesn't come back, so it is replaced after all.
+  for (std::uint64_t i = 50; i < 100; ++i) {
+    report("1", i * 100);
+    report("2", i * 100);
+    group.run(milliseconds(100));
+  }
+  CHECK(!group.Platform.Orders.empty());
+}
+
 TEST_CASE("Control_SyncedServiceIsPausedBeforeAPromotion") {
   FakeControls group;
   group.run(milliseconds(1500));
--- a/src/proxy/tests/SimulatedInstances.cpp
+++ b/src/proxy/tests/SimulatedInstances.cpp
@@ -76,8 +76,8 @@
     for (auto it = Events.begin(); it != Events.end(); ++it) {
       if (it->At > now || isHeldUp(*it))
         continue;
-      if (next == Events.end() || std::pair(it->At, it->Order) <
-                                      std::pair(next->At, next->Order))
+      if (next == Events.end() ||
+          std::pair(it->At, it->Order) < std::pair(next->At, next->Order))
         next = it;
     }
     if (next == Events.end())
