--- a/src/consensus/tests/LogStoreTest.cpp
+++ b/src/consensus/tests/LogStoreTest.cpp
@@ -203,7 +203,9 @@
   std::mt19937_64 random(3);
   for (int i = 0; i < 300; ++i) {
     std::string bytes = whole;
-    bytes[random() % bytes.size()] ^= static_cast<char>(1 + random() % 255);
+    auto &damaged = bytes[random() % bytes.size()];
+    damaged =
+        static_cast<char>(damaged ^ static_cast<char>(1 + random() % 255));
     writeBytes(file, bytes);
     LogStore store(folder.Path);
     const auto loaded = store.load();
--- /dev/null
+++ b/src/control/internal/Calls.cpp
@@ -0,0 +1,107 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The part of ControlNode that brings calls to the leader and back.
+
+#include "control/ControlNode.h"
+
+#include <utility>
+
+namespace stepledge::control {
+
+std::uint64_t ControlNode::startCall(TimePoint now, wire::Command command,
+                                     bool isRead, OnDone onDone) {
+  const std::uint64_t number = ++LastCall;
+  auto &call = Calls[number];
+  call.Command = std::move(command);
+  call.Command.set_proposer(Node.self().number());
+  call.Command.set_number(number);
+  call.IsRead = isRead;
+  call.Deadline = now + Options.CallLimit;
+  call.Done = std::move(onDone);
+  tryCall(now, number, call);
+  runEffects(now);
+  return number;
+}
+
+void ControlNode::tryCall(TimePoint now, std::uint64_t number,
+                          PendingCall &call) {
+  call.RetryAt = now + Options.CallRetry;
+  if (Node.canServe()) {
+    if (call.IsRead)
+      Node.requestRead(now, number);
+    else
+      Node.propose(now, call.Command.SerializeAsString());
+    // NOTE: a proposal is not repeated while this member leads.
+    call.RetryAt = call.Deadline;
+    return;
+  }
+  const auto leader = Node.leader();
+  if (!leader || Node.isLeader())
+    return;
+  peer::wire::Message message;
+  auto &out = *message.mutable_call();
+  out.set_number(number);
+  out.set_is_read(call.IsRead);
+  if (!call.IsRead)
+    out.set_command(call.Command.SerializeAsString());
+  if (Peers.send(leader->ip(), message))
+    call.RetryAt = now + Options.CallRetry * 5;
+}
+
+void ControlNode::finishCall(std::uint64_t number, bool done) {
+  const auto it = Calls.find(number);
+  if (it == Calls.end())
+    return;
+  auto onDone = std::move(it->second.Done);
+  Calls.erase(it);
+  onDone(done);
+}
+
+void ControlNode::finishReads() {
+  std::vector<std::uint64_t> reached;
+  for (const auto &[number, it] : Calls)
+    if (it.Index && State.appliedIndex() >= *it.Index)
+      reached.push_back(number);
+  for (const auto it : reached)
+    finishCall(it, true);
+}
+
+void ControlNode::onCall(const std::string &ip, const peer::wire::Call &call) {
+  if (!Node.canServe())
+    return reply({ip, call.number()}, false, 0);
+  if (call.is_read()) {
+    // NOTE: numbers of remote reads must not meet those of the own calls.
+    const std::uint64_t number = ++LastCall;
+    RemoteReads[number] = {ip, call.number()};
+    Node.requestRead(Now, number);
+    return;
+  }
+  Node.propose(Now, call.command());
+}
+
+void ControlNode::reply(const RemoteCall &call, bool done,
+                        std::uint64_t index) {
+  peer::wire::Message message;
+  auto &out = *message.mutable_reply();
+  out.set_number(call.Number);
+  out.set_done(done);
+  out.set_index(index);
+  Peers.send(call.Ip, message);
+}
+
+void ControlNode::onReply(const peer::wire::CallReply &reply) {
+  const auto it = Calls.find(reply.number());
+  if (it == Calls.end())
+    return;
+  if (!reply.done()) {
+    it->second.RetryAt = Now + Options.CallRetry;
+    return;
+  }
+  if (!it->second.IsRead)
+    return finishCall(reply.number(), true);
+  it->second.Index = reply.index();
+  finishReads();
+}
+
+} // namespace stepledge::control
--- a/src/control/internal/Replacement.cpp
+++ b/src/control/internal/Replacement.cpp
@@ -92,12 +92,13 @@
     }
     const bool isDone =
         run.AwaitedAnswers == 0 || now - run.StepAt > StatusLimit;
-    const bool mustPause = Node.syncReplicasOf(service) > 0;
-    if (run.Step == Stage::AskingStatus && isDone && mustPause)
+    const bool mustPause =
+        run.Step == Stage::AskingStatus && Node.syncReplicasOf(service) > 0;
+    const bool isAsking =
+        run.Step == Stage::AskingStatus || run.Step == Stage::Pausing;
+    if (isAsking && isDone && mustPause)
       pauseReplicas(now, service, run);
-    else if (run.Step == Stage::AskingStatus && isDone)
-      order(now, service, run);
-    else if (run.Step == Stage::Pausing && isDone)
+    else if (isAsking && isDone)
       order(now, service, run);
   }
 }
--- /dev/null
+++ b/src/entry/EntryModule.h
@@ -0,0 +1,68 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Wires an entry VM: the proxy, the connections to other VMs, tunnels
+/// for them, and the steps of a planned stop.
+
+#ifndef STEPLEDGE_ENTRY_ENTRYMODULE_H
+#define STEPLEDGE_ENTRY_ENTRYMODULE_H
+
+#include "entry/EntryNode.h"
+#include "entry/StopPlan.h"
+#include "peer/PeerHub.h"
+#include "peer/TunnelServer.h"
+
+#include <asio.hpp>
+
+#include <functional>
+#include <optional>
+
+namespace stepledge::entry {
+
+struct EntryModuleOptions {
+  EntryOptions Node;
+  std::uint16_t PeerPort = 0;
+  std::uint16_t TunnelPort = 0;
+  /// From the stop signal to the kill.
+  Duration StopLimit{};
+};
+
+class EntryModule : public peer::IPeerListener {
+public:
+  using ReadClock = std::function<TimePoint()>;
+
+  EntryModule(asio::io_context &context, EntryModuleOptions options,
+              proxy::IProxyIo &io, proxy::IProxyLog &log,
+              EntryNode::Decode decode, ReadClock clock);
+
+  void start();
+  /// Call it each few milliseconds; true once a planned stop is through.
+  bool tick();
+  void stop();
+  bool isReady() const { return Node.isReady() && !Stop; }
+  proxy::Proxy &proxy() { return Core; }
+  void setSeeds(std::set<std::string> ips) { Node.setSeeds(std::move(ips)); }
+
+  void peerConnected(const std::string &ip,
+                     const peer::wire::Hello &hello) override;
+  void peerLost(const std::string &ip) override;
+  void peerSaid(const std::string &ip,
+                const peer::wire::Message &message) override;
+
+private:
+  bool continueStop(TimePoint now);
+
+  EntryModuleOptions Options;
+  proxy::IProxyLog &Log;
+  ReadClock Clock;
+  proxy::Proxy Core;
+  peer::PeerHub Hub;
+  EntryNode Node;
+  peer::TunnelServer Tunnels;
+  std::optional<StopPlan> Stop;
+  TimePoint LastBusy{};
+};
+
+} // namespace stepledge::entry
+
+#endif // STEPLEDGE_ENTRY_ENTRYMODULE_H
--- a/platform/LineSocket.cpp
+++ b/src/lines/LineSocket.cpp
@@ -1,11 +1,11 @@
 // Part of stepledge, under the Apache License v2.0. See LICENSE.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "LineSocket.h"
+#include "lines/LineSocket.h"
 
 #include <utility>
 
-namespace stepledge::platform {
+namespace stepledge::lines {
 
 namespace {
 
@@ -84,4 +84,4 @@
   state.OnBytes = {};
 }
 
-} // namespace stepledge::platform
+} // namespace stepledge::lines
--- a/platform/LineSocket.h
+++ b/src/lines/LineSocket.h
@@ -3,18 +3,19 @@
 
 /// \file A TCP socket that reads lines and writes without being waited for.
 
-#ifndef STEPLEDGE_PLATFORM_LINESOCKET_H
-#define STEPLEDGE_PLATFORM_LINESOCKET_H
+#ifndef STEPLEDGE_LINES_LINESOCKET_H
+#define STEPLEDGE_LINES_LINESOCKET_H
 
-#include "LineCodec.h"
+#include "lines/LineReader.h"
 
 #include <asio.hpp>
 
 #include <array>
+#include <functional>
 #include <memory>
 #include <string>
 
-namespace stepledge::platform {
+namespace stepledge::lines {
 
 class LineSocket {
 public:
@@ -54,6 +55,6 @@
   std::shared_ptr<State> Shared;
 };
 
-} // namespace stepledge::platform
+} // namespace stepledge::lines
 
-#endif // STEPLEDGE_PLATFORM_LINESOCKET_H
+#endif // STEPLEDGE_LINES_LINESOCKET_H
--- a/platform/SystemClock.h
+++ b/src/observe/SystemClock.h
@@ -3,18 +3,18 @@
 
 /// \file The machine's steady clock, in the product's time.
 
-#ifndef STEPLEDGE_PLATFORM_SYSTEMCLOCK_H
-#define STEPLEDGE_PLATFORM_SYSTEMCLOCK_H
+#ifndef STEPLEDGE_OBSERVE_SYSTEMCLOCK_H
+#define STEPLEDGE_OBSERVE_SYSTEMCLOCK_H
 
 #include "base/types/Time.h"
 
-namespace stepledge::platform {
+namespace stepledge::observe {
 
 inline TimePoint readClock() {
   const auto now = std::chrono::steady_clock::now().time_since_epoch();
   return TimePoint(std::chrono::duration_cast<Duration>(now));
 }
 
-} // namespace stepledge::platform
+} // namespace stepledge::observe
 
-#endif // STEPLEDGE_PLATFORM_SYSTEMCLOCK_H
+#endif // STEPLEDGE_OBSERVE_SYSTEMCLOCK_H
--- /dev/null
+++ b/src/request/internal/WriteAcknowledgement.cpp
@@ -0,0 +1,90 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The part of WriteFlow that waits until a majority holds a write.
+
+#include "request/internal/WriteFlow.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+
+namespace stepledge::request {
+
+void WriteFlow::awaitMajority(ActiveRequest &request, Mark mark,
+                              CallerAnswer answer, TimePoint now) {
+  const auto id = request.Request.Id;
+  answer.Marks = request.Request.Marks;
+  const auto kept = Context.View.history().includesAll(
+      mark, answer.Marks.of(Context.Database.Id));
+  if (kept == session::Inclusion::Included)
+    answer.Marks.replace(Context.Database.Id, mark);
+  else
+    answer.Marks.add(Context.Database.Id, mark);
+  using settings::AcknowledgeMode;
+  if (Context.Database.Acknowledge == AcknowledgeMode::Primary)
+    return Context.finish(id, std::move(answer), now);
+  request.Now = Phase::AwaitingMajority;
+  request.Awaited = mark;
+  request.Pending = std::move(answer);
+  Context.note(
+      request,
+      {NoteKind::AwaitingMajority, request.Pending.AnsweredBy, mark, ""}, now);
+}
+
+bool WriteFlow::hasWaiters() const {
+  return std::any_of(
+      Context.Requests.begin(), Context.Requests.end(),
+      [](const auto &it) { return it.second.Now == Phase::AwaitingMajority; });
+}
+
+void WriteFlow::settle(TimePoint now) {
+  std::vector<RequestId> waiting;
+  for (const auto &[id, it] : Context.Requests)
+    if (it.Now == Phase::AwaitingMajority)
+      waiting.push_back(id);
+  std::sort(waiting.begin(), waiting.end());
+  for (const auto id : waiting) {
+    auto &request = *Context.find(id);
+    if (Context.View.isHeldByMajority(request.Awaited)) {
+      Context.note(request, {NoteKind::MajorityHolds, {}, request.Awaited, ""},
+                   now);
+      Context.finish(id, std::move(request.Pending), now);
+    } else if (Context.View.isDiscarded(request.Awaited)) {
+      discarded(request, now);
+    }
+  }
+}
+
+// The log was cut somewhere before Awaited. The write itself may stand before
+// the cut, since Awaited is only known to be not before it.
+void WriteFlow::discarded(ActiveRequest &request, TimePoint now) {
+  const auto id = request.Request.Id;
+  Context.note(request, {NoteKind::Discarded, {}, request.Awaited, ""}, now);
+  const auto *write = std::get_if<WriteCall>(&request.Request.Asked);
+  if (write != nullptr && !write->Key.empty())
+    return outcomeOpen(request, now);
+  const bool isGone =
+      request.AtLeast && Context.View.isDiscarded(*request.AtLeast);
+  Context.refuse(id,
+                 isGone ? ResultCode::WriteDiscarded
+                        : ResultCode::ReplacedWhileWriting,
+                 "", now);
+}
+
+void WriteFlow::expire(ActiveRequest &request, TimePoint now) {
+  const auto id = request.Request.Id;
+  Context.note(request, {NoteKind::DeadlinePassed, {}, {}, ""}, now);
+  switch (request.Now) {
+  case Phase::Inserting:
+    // NOTE: No commit was sent, so the database rolls back what it has.
+    Context.close(request.On, now);
+    return Context.refuse(id, ResultCode::DeadlinePassed, "", now);
+  case Phase::AwaitingMajority:
+    return Context.refuse(id, ResultCode::AcknowledgementMissing, "", now);
+  default:
+    return Context.refuse(id, ResultCode::WriteOutcomeUnknown, "", now);
+  }
+}
+
+} // namespace stepledge::request
