--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -295,7 +295,7 @@
   Log.decision(absl::StrCat("event=refused request=", id.empty() ? "-" : id,
                             " client=", session.Id.Number,
                             " database=", session.Database.str(),
-                            " code=", static_cast<int>(code), " reason=\"",
+                            " code=", std::string(nameOf(code)), " reason=\"",
                             detail, "\" config=", Configuration.Version));
   answer(now, session, std::move(reply));
 }
--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -44,7 +44,7 @@
   }
   Log.decision(absl::StrCat(
       "event=connection_refused instance=", instance.str(),
-      " service=", service, " code=", static_cast<int>(reply.Code)));
+      " service=", service, " code=", std::string(nameOf(reply.Code))));
   Pool.close(connection);
   const bool isAlone = Pool.countOf(instance) == 0;
   Pool.refuseUntil(
@@ -207,7 +207,7 @@
   work.Tried.insert(instance);
   work.LastRefusal =
       absl::StrCat("instance ", instance.str(), " refused with code ",
-                   static_cast<int>(code));
+                   std::string(nameOf(code)));
   Log.decision(absl::StrCat(
       "event=retry request=", work.Statement.Id, " instance=", instance.str(),
       " code=", std::string(nameOf(code)), " sendings=", work.Sendings));
