--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -33,6 +33,8 @@
                                control::Configuration configuration) {
   if (configuration.Version <= Configuration.Version)
     return;
+  if (!isConfigured())
+    StartedAt = now;
   Configuration = std::move(configuration);
   for (const auto &[name, service] : Configuration.Services)
     tracker(name);
@@ -127,7 +129,8 @@
   return it == Configuration.Routes.end() ? nullptr : &it->second;
 }
 
-ConnectionShare Proxy::shareOf(const std::string &service) const {
+ConnectionShare Proxy::shareOf(TimePoint now,
+                               const std::string &service) const {
   const auto it = Configuration.Services.find(service);
   const int limit =
       it == Configuration.Services.end() ? 1 : it->second.MaxConnections;
@@ -140,6 +143,10 @@
   // More may be borrowed: an instance that is full says so before it runs
   // anything, and borrowed connections are given back when they rest.
   share.Limit = std::min(usable, 2 * fair + 1);
+  // NOTE: if all VMs have lost their power together, each should get one of the
+  // connections that are left, before any gets two.
+  if (now - StartedAt < Options.CautiousStart)
+    share = ConnectionShare{1, 1};
   return share;
 }
 
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -95,7 +95,7 @@
   ClientSession *session(ClientId client);
   InstanceTracker &tracker(const std::string &service);
   const control::Route *routeOf(const ClientSession &session) const;
-  ConnectionShare shareOf(const std::string &service) const;
+  ConnectionShare shareOf(TimePoint now, const std::string &service) const;
 
   void handleNext(TimePoint now, ClientSession &session);
   void handle(TimePoint now, ClientSession &session, ClientStatement statement);
@@ -181,6 +181,8 @@
   std::map<std::string, std::set<WaitKey>> Waiting;
   ConnectionPool Pool;
   int EntryCount = 1;
+  /// When the first configuration came.
+  TimePoint StartedAt{};
   bool IsIsolated = false;
   bool IsControlLost = false;
   std::vector<std::string> Relays;
--- a/src/proxy/internal/ConnectionPool.cpp
+++ b/src/proxy/internal/ConnectionPool.cpp
@@ -84,6 +84,13 @@
       [&](const auto &it) { return it.second.Instance == instance; }));
 }
 
+int ConnectionPool::directAt(const InstanceId &instance) const {
+  return static_cast<int>(std::count_if(
+      Connections.begin(), Connections.end(), [&](const auto &it) {
+        return it.second.Instance == instance && it.second.RelayIp.empty();
+      }));
+}
+
 int ConnectionPool::pinnedAt(const InstanceId &instance) const {
   return static_cast<int>(std::count_if(
       Connections.begin(), Connections.end(), [&](const auto &it) {
--- a/src/proxy/internal/ConnectionPool.h
+++ b/src/proxy/internal/ConnectionPool.h
@@ -44,6 +44,8 @@
   /// The instance has no room: no new connection before \p until.
   void refuseUntil(const InstanceId &instance, TimePoint until);
   int countOf(const InstanceId &instance) const;
+  /// Connections that go by no relay.
+  int directAt(const InstanceId &instance) const;
   /// Connections that open transactions hold.
   int pinnedAt(const InstanceId &instance) const;
   /// Connections on which \p instance owes an answer.
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -137,7 +137,7 @@
   // NOTE: one that serves a single statement is free again about as soon as a
   // new one would be open, so it is worth a short wait.
   const int open = Pool.countOf(instance);
-  const bool isShort = open < shareOf(session.Route.Service).Floor ||
+  const bool isShort = open < shareOf(now, session.Route.Service).Floor ||
                        Pool.pinnedAt(instance) == open;
   const bool hasWaited = session.Current && now - session.Current->ArrivedAt >=
                                                 Options.BorrowDelay;
@@ -148,14 +148,17 @@
 
 bool Proxy::openTo(TimePoint now, const membership::InstanceRecord &record) {
   const auto *known = tracker(record.Service).find(record.Id);
+  auto share = shareOf(now, record.Service);
   std::string relay;
   if (known && known->IsDirectBad) {
     const auto found = relayTo(now, record.Id);
     if (!found)
       return false;
     relay = *found;
+    // NOTE: the direct connections serve nobody while their path is cut.
+    share.Limit += Pool.directAt(record.Id);
   }
-  return Pool.openOne(now, record, shareOf(record.Service), relay);
+  return Pool.openOne(now, record, share, relay);
 }
 
 std::optional<std::string> Proxy::relayTo(TimePoint now,
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -211,7 +211,7 @@
   if (auto *connection = Pool.findFreeDirect(record.Id))
     sendProbe(now, *connection);
   else if (!Pool.isOpening(record.Id))
-    Pool.openOne(now, record, shareOf(record.Service), "");
+    Pool.openOne(now, record, shareOf(now, record.Service), "");
 }
 
 void Proxy::sweepConnections(TimePoint now) {
@@ -222,7 +222,7 @@
     if (!it.IsReady && now - it.OpenedAt > Options.ConnectLimit)
       dead.push_back(id);
     if (it.Sent.empty()) {
-      const int floor = instance ? shareOf(it.Service).Floor : 0;
+      const int floor = instance ? shareOf(now, it.Service).Floor : 0;
       const bool isIdle =
           it.isFree() && now - it.LastUsed > Options.SpareConnectionLifetime;
       if (isIdle && Pool.countOf(it.Instance) > floor)
