Try a write again whose commit met a replaced primary

The database answered the commit with state 40001, rolled back, and the caller got 'statement failed' although the successor could have run the write. Ruled out: a cut request (class 'not run', truly so), the stand-in (it refuses the commit by its role). Change: a commit of a plain write that is refused with a rollback class by an instance that no longer is primary is tried again like any write that was not run.

--- a/src/request/internal/WriteFlow.cpp
+++ b/src/request/internal/WriteFlow.cpp
@@ -54,6 +54,8 @@
 
 constexpr std::string_view UniqueViolation = "23505";
 constexpr std::string_view ReadOnlyViolation = "25006";
+/// The class of the states that say that a transaction was rolled back.
+constexpr std::string_view RollbackClass = "40";
 constexpr Duration ProbeSpacing = milliseconds(20);
 
 bool isSteadyPrimary(const std::optional<routing::Observation> &before,
@@ -288,6 +290,13 @@
   if (change.Outcome != StepOutcome::Ok)
     return notRun(request, change, before, now);
   const auto &commit = result.Steps[PlainCommit];
+  // NOTE: replaced between the change and its commit: the database says that it
+  // kept nothing, so the successor may run the write.
+  const bool isReplaced =
+      after && after->Role != routing::InstanceRole::Primary;
+  if (commit.Outcome == StepOutcome::Failed && isReplaced &&
+      commit.SqlState.starts_with(RollbackClass))
+    return Context.retryOrRefuse(request, ResultCode::NoPrimary, now);
   if (commit.Outcome != StepOutcome::Ok)
     return Context.refuse(request.Request.Id, ResultCode::StatementFailed,
                           failureText(commit), now);
