--- a/src/peer/PeerHub.cpp
+++ b/src/peer/PeerHub.cpp
@@ -3,6 +3,7 @@
 
 #include "peer/PeerHub.h"
 
+#include "lines/ListenAt.h"
 #include "peer/internal/PeerLink.h"
 
 #include <utility>
@@ -30,18 +31,7 @@
 PeerHub::~PeerHub() = default;
 
 std::error_code PeerHub::listen() {
-  std::error_code ec;
-  const auto address = asio::ip::make_address(Self.ip(), ec);
-  if (ec)
-    return ec;
-  const asio::ip::tcp::endpoint endpoint(address, Port);
-  Acceptor.open(endpoint.protocol(), ec);
-  if (!ec)
-    Acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-  if (!ec)
-    Acceptor.bind(endpoint, ec);
-  if (!ec)
-    Acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  const auto ec = lines::listenAt(Acceptor, Self.ip(), Port);
   if (!ec)
     accept();
   return ec;
--- a/src/peer/TunnelServer.cpp
+++ b/src/peer/TunnelServer.cpp
@@ -3,6 +3,7 @@
 
 #include "peer/TunnelServer.h"
 
+#include "lines/ListenAt.h"
 #include "peer/internal/PeerLink.h"
 
 #include <array>
@@ -103,16 +104,7 @@
 
 std::error_code TunnelServer::listen(const std::string &ip,
                                      std::uint16_t port) {
-  std::error_code ec;
-  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(ip, ec), port);
-  if (!ec)
-    Acceptor.open(endpoint.protocol(), ec);
-  if (!ec)
-    Acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-  if (!ec)
-    Acceptor.bind(endpoint, ec);
-  if (!ec)
-    Acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  const auto ec = lines::listenAt(Acceptor, ip, port);
   if (!ec)
     accept();
   return ec;
