Roll back a transaction whose given-up commit comes back as not run

Change: an abandoned connection that answers with an open or failed transaction is rolled back before it is free. Seed 77 is kept as a case; it failed before. Ruled out: relays and reads that move, which roll back already.

--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -90,6 +90,10 @@
   if (!it->Sent.empty())
     return;
   if (it->IsAbandoned) {
+    // NOTE: a commit that was given up on may come back as not run, with its
+    // transaction still open.
+    if (reply.State != SessionState::Idle && sent.Reason != Purpose::End)
+      return rollBack(now, *it);
     it->IsAbandoned = false;
     return freeConnection(now, *it);
   }
--- a/src/proxy/tests/ProxyScheduleTest.cpp
+++ b/src/proxy/tests/ProxyScheduleTest.cpp
@@ -322,3 +322,9 @@
     Play(seed).run(1500);
   }
 }
+
+TEST_CASE("Proxy_SeedsThatFailed") {
+  // 77: a commit was given up on and then refused as busy; its connection was
+  // used again with the transaction still open.
+  Play(77).run(1500);
+}
