--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -281,8 +281,8 @@
 }
 
 void ControlNode::tellEntries(const peer::wire::Message &message) {
-  for (const auto &it : EntryIps)
-    Peers.send(it, message);
+  for (const auto &[ip, hall] : Entries)
+    Peers.send(ip, message);
 }
 
 void ControlNode::tellControls(const peer::wire::Message &message) {
@@ -298,11 +298,13 @@
   out.set_is_fresh(IsFresh);
   if (!isFull)
     return message;
-  for (const auto &it : EntryIps)
-    out.add_entry_ips(it);
+  for (const auto &[ip, hall] : Entries) {
+    auto &entry = *out.add_entries();
+    entry.set_ip(ip);
+    entry.set_hall(hall);
+  }
   for (const auto &it : Node.membership().voters())
     out.add_control_ips(it.ip());
-  out.set_entry_count(static_cast<std::uint32_t>(EntryIps.size()));
   for (const auto &[service, it] : State.promotions()) {
     auto &promotion = *out.add_promotions();
     promotion.set_service(service);
@@ -334,13 +336,13 @@
                                 const peer::wire::Hello &hello) {
   const bool isEntry = !hello.ip().empty() && hello.kind() == peer::wire::ENTRY;
   if (isEntry)
-    EntryIps.insert(ip);
+    Entries[ip] = hello.hall();
   Peers.send(ip, allInstances());
   if (isEntry)
     Peers.send(ip, notice(true));
 }
 
-void ControlNode::peerLost(const std::string &ip) { EntryIps.erase(ip); }
+void ControlNode::peerLost(const std::string &ip) { Entries.erase(ip); }
 
 void ControlNode::peerSaid(const std::string &ip,
                            const peer::wire::Message &message) {
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -168,7 +168,8 @@
   PrimaryWatch Watch{WatchOptions{}};
   std::unique_ptr<Replacement> Replacer;
 
-  std::set<std::string> EntryIps;
+  /// The connected entry VMs and their halls.
+  std::map<std::string, std::string> Entries;
   std::set<std::string> KnownControls;
   std::map<std::uint64_t, PendingCall> Calls;
   std::map<std::uint64_t, RemoteCall> RemoteReads;
--- /dev/null
+++ b/src/entry/BorrowedConnections.cpp
@@ -0,0 +1,190 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "entry/BorrowedConnections.h"
+
+#include "entry/internal/BorrowCodec.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace stepledge::entry {
+
+void BorrowedConnections::openConnection(
+    ConnectionId connection, const proxy::ConnectionTarget &target) {
+  if (!target.IsBorrowed)
+    return Sockets.openConnection(connection, target);
+  auto &it = Connections[connection];
+  it.LenderIp = target.RelayIp;
+  it.Service = target.Service;
+  it.Instance = target.Instance;
+  // NOTE: it is ready at the next tick, or once its lender is connected: the
+  // proxy doesn't expect that within this call.
+  if (States.try_emplace(target.RelayIp).second)
+    keepLenders();
+}
+
+void BorrowedConnections::sendBorrowed(
+    ConnectionId connection,
+    const std::vector<proxy::InstanceCommand> &commands,
+    const proxy::SessionValues &values) {
+  const auto found = Connections.find(connection);
+  if (found == Connections.end())
+    return;
+  auto &it = found->second;
+  peer::wire::Message message;
+  auto &call = *message.mutable_borrow_call();
+  call.set_use(connection.Number);
+  call.set_is_first(!it.isInUse());
+  if (call.is_first()) {
+    call.set_service(it.Service);
+    call.set_instance(it.Instance.str());
+  }
+  for (const auto &command : commands)
+    encodeCommand(command, *call.add_commands());
+  for (const auto &[name, value] : values) {
+    auto &out = *call.add_values();
+    out.set_name(name);
+    out.set_value(value);
+  }
+  if (it.Outstanding == 0)
+    it.AskedAt = Now;
+  it.Outstanding += static_cast<int>(commands.size());
+  States[it.LenderIp].ToldAt = Now;
+  Lenders.send(it.LenderIp, message);
+}
+
+void BorrowedConnections::closeConnection(ConnectionId connection) {
+  const auto found = Connections.extract(connection);
+  if (found.empty())
+    return Sockets.closeConnection(connection);
+  if (found.mapped().isInUse())
+    sendEnd(found.mapped(), connection);
+}
+
+void BorrowedConnections::sendEnd(const Borrowed &borrowed,
+                                  ConnectionId connection) {
+  peer::wire::Message message;
+  message.mutable_borrow_end()->set_use(connection.Number);
+  Lenders.send(borrowed.LenderIp, message);
+}
+
+void BorrowedConnections::lenderConnected(const std::string &ip) {
+  auto &state = States[ip];
+  state.IsConnected = true;
+  state.HeardAt = Now;
+}
+
+void BorrowedConnections::lenderLost(const std::string &ip) {
+  States[ip].IsConnected = false;
+  std::vector<ConnectionId> lost;
+  for (const auto &[id, it] : Connections)
+    if (it.LenderIp == ip)
+      lost.push_back(id);
+  if (!lost.empty())
+    Log.decision(absl::StrCat("event=lender_lost ip=", ip,
+                              " connections=", lost.size()));
+  for (const auto id : lost) {
+    const auto found = Connections.extract(id);
+    if (found.empty())
+      continue;
+    if (found.mapped().isInUse())
+      sendEnd(found.mapped(), id);
+    Proxy->connectionLost(Now, id);
+  }
+}
+
+void BorrowedConnections::lenderSaid(const std::string &ip,
+                                     const peer::wire::Message &message) {
+  States[ip].HeardAt = Now;
+  if (message.has_borrow_replies())
+    takeReplies(message.borrow_replies());
+  else if (message.has_borrow_end())
+    takeEnd(message.borrow_end());
+}
+
+void BorrowedConnections::takeReplies(
+    const peer::wire::BorrowReplies &replies) {
+  const ConnectionId id{replies.use()};
+  for (const auto &reply : replies.replies()) {
+    // NOTE: each answer may end the connection.
+    const auto found = Connections.find(id);
+    if (found == Connections.end() || found->second.Outstanding == 0)
+      return;
+    auto decoded = decodeReply(reply);
+    --found->second.Outstanding;
+    found->second.State = decoded.State;
+    found->second.AskedAt = Now;
+    Proxy->connectionAnswered(Now, id, std::move(decoded));
+  }
+}
+
+void BorrowedConnections::takeEnd(const peer::wire::BorrowEnd &end) {
+  const ConnectionId id{end.use()};
+  Proxy->lenderRefused(Now, id, static_cast<proxy::LendingEnd>(end.reason()));
+  if (Connections.erase(id) > 0)
+    Proxy->connectionLost(Now, id);
+}
+
+void BorrowedConnections::keepLenders() {
+  std::set<std::string> ips;
+  for (const auto &[ip, state] : States)
+    ips.insert(ip);
+  Lenders.keepConnected(ips);
+}
+
+void BorrowedConnections::dropUnusedLenders() {
+  std::set<std::string> needed;
+  for (const auto &[id, it] : Connections)
+    needed.insert(it.LenderIp);
+  const auto n = std::erase_if(States, [&](const auto &it) {
+    return !it.second.IsConnected && !needed.contains(it.first);
+  });
+  if (n > 0)
+    keepLenders();
+}
+
+void BorrowedConnections::tick(TimePoint now) {
+  Now = now;
+  std::vector<ConnectionId> ready;
+  std::set<std::string> silent;
+  std::set<std::string> inUse;
+  for (auto &[id, it] : Connections) {
+    const auto &state = States[it.LenderIp];
+    if (!it.IsReady && state.IsConnected) {
+      it.IsReady = true;
+      ready.push_back(id);
+    }
+    if (it.isInUse())
+      inUse.insert(it.LenderIp);
+    const TimePoint since = std::max(it.AskedAt, state.HeardAt);
+    if (it.Outstanding > 0 && now - since > Options.SilenceLimit)
+      silent.insert(it.LenderIp);
+  }
+  for (const auto &it : silent) {
+    Log.decision(absl::StrCat("event=lender_silent ip=", it));
+    lenderLost(it);
+    // Connected to anew, so that late words of the old uses are never taken
+    // for those of new ones.
+    States.erase(it);
+    keepLenders();
+  }
+  dropUnusedLenders();
+  for (const auto &it : inUse) {
+    auto &state = States[it];
+    if (silent.contains(it) || now - state.ToldAt < Options.AliveInterval)
+      continue;
+    state.ToldAt = now;
+    peer::wire::Message message;
+    message.mutable_still_here();
+    Lenders.send(it, message);
+  }
+  for (const auto id : ready)
+    if (Connections.contains(id))
+      Proxy->connectionReady(now, id, {});
+}
+
+} // namespace stepledge::entry
--- /dev/null
+++ b/src/entry/BorrowedConnections.h
@@ -0,0 +1,110 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The borrower's side of connections that other VMs lend: passes the
+/// proxy's commands on to the lenders and their replies back, and finds out
+/// when a lender has gone. All else goes to the sockets of this VM.
+
+#ifndef STEPLEDGE_ENTRY_BORROWEDCONNECTIONS_H
+#define STEPLEDGE_ENTRY_BORROWEDCONNECTIONS_H
+
+#include "base/types/Time.h"
+#include "peer/IPeerListener.h"
+#include "peer/IPeerSender.h"
+#include "proxy/Proxy.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace stepledge::entry {
+
+struct BorrowOptions {
+  /// A lender that says nothing for this long while it owes an answer is taken
+  /// for gone; it says that it is there each 100 ms.
+  Duration SilenceLimit = milliseconds(400);
+  /// How often each side of an open use says that it is there.
+  Duration AliveInterval = milliseconds(100);
+  /// A borrower that says nothing for this long has gone.
+  Duration BorrowerLimit = milliseconds(1500);
+};
+
+class BorrowedConnections : public proxy::IProxyIo {
+public:
+  BorrowedConnections(proxy::IProxyIo &sockets, peer::IPeerSender &lenders,
+                      proxy::IProxyLog &log, BorrowOptions options = {})
+      : Sockets(sockets), Lenders(lenders), Log(log), Options(options) {}
+
+  void setProxy(proxy::Proxy &proxy) { Proxy = &proxy; }
+  void tick(TimePoint now);
+  void lenderConnected(const std::string &ip);
+  void lenderLost(const std::string &ip);
+  void lenderSaid(const std::string &ip, const peer::wire::Message &message);
+  /// The present time for what lenders say; set before each event.
+  void setTime(TimePoint now) { Now = now; }
+
+  void acceptClient(proxy::ClientId client) override {
+    Sockets.acceptClient(client);
+  }
+  void rejectClient(proxy::ClientId client,
+                    const proxy::StatementReply &reply) override {
+    Sockets.rejectClient(client, reply);
+  }
+  void answerClient(proxy::ClientId client,
+                    const proxy::StatementReply &reply) override {
+    Sockets.answerClient(client, reply);
+  }
+  void closeClient(proxy::ClientId client) override {
+    Sockets.closeClient(client);
+  }
+  void openConnection(ConnectionId connection,
+                      const proxy::ConnectionTarget &target) override;
+  void send(ConnectionId connection,
+            const std::vector<proxy::InstanceCommand> &commands) override {
+    Sockets.send(connection, commands);
+  }
+  void sendBorrowed(ConnectionId connection,
+                    const std::vector<proxy::InstanceCommand> &commands,
+                    const proxy::SessionValues &values) override;
+  void closeConnection(ConnectionId connection) override;
+
+private:
+  struct Borrowed {
+    std::string LenderIp;
+    std::string Service;
+    InstanceId Instance;
+    bool IsReady = false;
+    /// Commands without a reply.
+    int Outstanding = 0;
+    proxy::SessionState State = proxy::SessionState::Idle;
+    TimePoint AskedAt{};
+    bool isInUse() const {
+      return Outstanding > 0 || State != proxy::SessionState::Idle;
+    }
+  };
+  struct LenderState {
+    bool IsConnected = false;
+    TimePoint HeardAt{};
+    TimePoint ToldAt{};
+  };
+
+  void takeReplies(const peer::wire::BorrowReplies &replies);
+  void takeEnd(const peer::wire::BorrowEnd &end);
+  void sendEnd(const Borrowed &borrowed, ConnectionId connection);
+  void keepLenders();
+  /// Forgets lenders that can't be reached and that nothing needs any more.
+  void dropUnusedLenders();
+
+  proxy::IProxyIo &Sockets;
+  peer::IPeerSender &Lenders;
+  proxy::IProxyLog &Log;
+  BorrowOptions Options;
+  proxy::Proxy *Proxy = nullptr;
+  std::map<ConnectionId, Borrowed> Connections;
+  std::map<std::string, LenderState> States;
+  TimePoint Now{};
+};
+
+} // namespace stepledge::entry
+
+#endif // STEPLEDGE_ENTRY_BORROWEDCONNECTIONS_H
--- a/src/entry/EntryModule.h
+++ b/src/entry/EntryModule.h
@@ -7,7 +7,9 @@
 #ifndef STEPLEDGE_ENTRY_ENTRYMODULE_H
 #define STEPLEDGE_ENTRY_ENTRYMODULE_H
 
+#include "entry/BorrowedConnections.h"
 #include "entry/EntryNode.h"
+#include "entry/LendingService.h"
 #include "entry/StopPlan.h"
 #include "peer/PeerHub.h"
 #include "peer/TunnelServer.h"
@@ -23,6 +25,8 @@
   EntryOptions Node;
   std::uint16_t PeerPort = 0;
   std::uint16_t TunnelPort = 0;
+  /// Where other entry VMs ask for connections to instances.
+  std::uint16_t LendingPort = 0;
   /// From the stop signal to the kill.
   Duration StopLimit{};
 };
@@ -50,11 +54,46 @@
                 const peer::wire::Message &message) override;
 
 private:
+  /// The connections that this VM opened to lenders.
+  class LenderPeers : public peer::IPeerListener {
+  public:
+    explicit LenderPeers(EntryModule &module) : Module(module) {}
+    void peerConnected(const std::string &ip,
+                       const peer::wire::Hello &hello) override;
+    void peerLost(const std::string &ip) override;
+    void peerSaid(const std::string &ip,
+                  const peer::wire::Message &message) override;
+
+  private:
+    EntryModule &Module;
+  };
+  /// The connections that borrowers opened to this VM.
+  class BorrowerPeers : public peer::IPeerListener {
+  public:
+    explicit BorrowerPeers(EntryModule &module) : Module(module) {}
+    void peerConnected(const std::string &ip,
+                       const peer::wire::Hello &hello) override;
+    void peerLost(const std::string &ip) override;
+    void peerSaid(const std::string &ip,
+                  const peer::wire::Message &message) override;
+
+  private:
+    EntryModule &Module;
+  };
+
   bool continueStop(TimePoint now);
 
   EntryModuleOptions Options;
   proxy::IProxyLog &Log;
   ReadClock Clock;
+  LenderPeers LenderEvents{*this};
+  BorrowerPeers BorrowerEvents{*this};
+  // NOTE: two hubs, so that the replies to one VM's calls all come by the
+  // connection that it opened, in their order.
+  peer::PeerHub LenderHub;
+  peer::PeerHub BorrowerHub;
+  BorrowedConnections Borrowed;
+  LendingService Lending;
   proxy::Proxy Core;
   peer::PeerHub Hub;
   EntryNode Node;
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -85,6 +85,9 @@
 
 void EntryNode::peerLost(const std::string &ip) {
   Connected.erase(ip);
+  // NOTE: the last word is better than none.
+  if (EntriesBy.size() > 1)
+    EntriesBy.erase(ip);
   Log.decision(absl::StrCat("event=control_lost ip=", ip));
 }
 
@@ -104,14 +107,8 @@
   // NOTE: the control VM of a hall that is cut off goes on speaking.
   if (notice.is_fresh())
     HeardAt = Now;
-  if (notice.entry_count() > 0)
-    Proxy.setEntryCount(static_cast<int>(notice.entry_count()));
-  std::vector<std::string> relays;
-  for (const auto &it : notice.entry_ips())
-    if (it != Options.Ip)
-      relays.push_back(it);
-  if (!relays.empty())
-    Proxy.setRelays(std::move(relays));
+  if (notice.entries_size() > 0)
+    takeEntries(ip, notice);
   for (const auto &it : notice.promotions())
     Proxy.applyPromotion(Now, it.service(), InstanceId(it.instance()),
                          it.fence());
@@ -132,6 +129,19 @@
     fetch(ip);
 }
 
+void EntryNode::takeEntries(const std::string &ip,
+                            const peer::wire::Notice &notice) {
+  auto &own = EntriesBy[ip];
+  own.clear();
+  for (const auto &it : notice.entries())
+    own.push_back({it.ip(), HallId(it.hall())});
+  // NOTE: a VM that some control VM hears is there, whoever else is cut off.
+  std::set<membership::EntryVm> all{{Options.Ip, HallId(Options.Hall)}};
+  for (const auto &[control, entries] : EntriesBy)
+    all.insert(entries.begin(), entries.end());
+  Proxy.setEntries({all.begin(), all.end()});
+}
+
 void EntryNode::fetch(const std::string &ip) {
   if (Now - FetchedAt < Options.FetchLimit && FetchedAt != TimePoint{})
     return;
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -14,9 +14,11 @@
 #include "absl/status/statusor.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace stepledge::entry {
 
@@ -69,6 +71,7 @@
   void fetch(const std::string &ip);
   void tellSights();
   void checkIsolation();
+  void takeEntries(const std::string &ip, const peer::wire::Notice &notice);
 
   EntryOptions Options;
   proxy::Proxy &Proxy;
@@ -82,6 +85,8 @@
   TimePoint HeardAt{};
   std::optional<TimePoint> IsolatedSince;
   std::set<std::string> Connected;
+  /// By control VM, the entry VMs that are connected to it.
+  std::map<std::string, std::vector<membership::EntryVm>> EntriesBy;
 };
 
 } // namespace stepledge::entry
--- /dev/null
+++ b/src/entry/LendingService.cpp
@@ -0,0 +1,78 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "entry/LendingService.h"
+
+#include "entry/internal/BorrowCodec.h"
+
+#include "absl/strings/str_cat.h"
+
+namespace stepledge::entry {
+
+void LendingService::borrowerConnected(const std::string &ip) {
+  borrowerLost(ip);
+  Known[ip].HeardAt = Now;
+}
+
+void LendingService::borrowerLost(const std::string &ip) {
+  Known.erase(ip);
+  Proxy->lender().endAll(Now, ip);
+}
+
+void LendingService::borrowerSaid(const std::string &ip,
+                                  const peer::wire::Message &message) {
+  Known[ip].HeardAt = Now;
+  if (message.has_borrow_call())
+    Proxy->lender().ask(Now, {ip, message.borrow_call().use()},
+                        decodeCall(message.borrow_call()));
+  else if (message.has_borrow_end())
+    Proxy->lender().end(Now, {ip, message.borrow_end().use()});
+}
+
+void LendingService::tell(const std::string &ip,
+                          const peer::wire::Message &message) {
+  const auto found = Known.find(ip);
+  if (found != Known.end())
+    found->second.ToldAt = Now;
+  Borrowers.send(ip, message);
+}
+
+void LendingService::answerBorrower(
+    const proxy::BorrowKey &key,
+    const std::vector<proxy::StatementReply> &replies) {
+  peer::wire::Message message;
+  auto &out = *message.mutable_borrow_replies();
+  out.set_use(key.Use);
+  for (const auto &it : replies)
+    encodeReply(it, *out.add_replies());
+  tell(key.Ip, message);
+}
+
+void LendingService::endBorrower(const proxy::BorrowKey &key,
+                                 proxy::LendingEnd reason) {
+  peer::wire::Message message;
+  message.mutable_borrow_end()->set_use(key.Use);
+  message.mutable_borrow_end()->set_reason(static_cast<std::uint32_t>(reason));
+  tell(key.Ip, message);
+}
+
+void LendingService::tick(TimePoint now) {
+  Now = now;
+  std::vector<std::string> gone;
+  for (const auto &ip : Proxy->lender().borrowers()) {
+    auto &it = Known[ip];
+    if (now - it.HeardAt > Options.BorrowerLimit) {
+      gone.push_back(ip);
+    } else if (now - it.ToldAt >= Options.AliveInterval) {
+      peer::wire::Message message;
+      message.mutable_still_here();
+      tell(ip, message);
+    }
+  }
+  for (const auto &it : gone) {
+    Log.decision(absl::StrCat("event=borrower_silent ip=", it));
+    borrowerLost(it);
+  }
+}
+
+} // namespace stepledge::entry
--- /dev/null
+++ b/src/entry/LendingService.h
@@ -0,0 +1,61 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The lender's side: takes other VMs' calls to the proxy's lender, and
+/// ends what a borrower leaves behind when it goes.
+
+#ifndef STEPLEDGE_ENTRY_LENDINGSERVICE_H
+#define STEPLEDGE_ENTRY_LENDINGSERVICE_H
+
+#include "base/types/Time.h"
+#include "entry/BorrowedConnections.h"
+#include "peer/IPeerListener.h"
+#include "peer/IPeerSender.h"
+#include "proxy/IBorrowerIo.h"
+#include "proxy/Proxy.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace stepledge::entry {
+
+class LendingService : public proxy::IBorrowerIo {
+public:
+  LendingService(peer::IPeerSender &borrowers, proxy::IProxyLog &log,
+                 BorrowOptions options = {})
+      : Borrowers(borrowers), Log(log), Options(options) {}
+
+  void setProxy(proxy::Proxy &proxy) { Proxy = &proxy; }
+  void tick(TimePoint now);
+  /// A new connection of \p ip: what it asked for on an older one is over.
+  void borrowerConnected(const std::string &ip);
+  void borrowerLost(const std::string &ip);
+  void borrowerSaid(const std::string &ip, const peer::wire::Message &message);
+  void setTime(TimePoint now) { Now = now; }
+
+  void
+  answerBorrower(const proxy::BorrowKey &key,
+                 const std::vector<proxy::StatementReply> &replies) override;
+  void endBorrower(const proxy::BorrowKey &key,
+                   proxy::LendingEnd reason) override;
+
+private:
+  struct Borrower {
+    TimePoint HeardAt{};
+    TimePoint ToldAt{};
+  };
+
+  void tell(const std::string &ip, const peer::wire::Message &message);
+
+  peer::IPeerSender &Borrowers;
+  proxy::IProxyLog &Log;
+  BorrowOptions Options;
+  proxy::Proxy *Proxy = nullptr;
+  std::map<std::string, Borrower> Known;
+  TimePoint Now{};
+};
+
+} // namespace stepledge::entry
+
+#endif // STEPLEDGE_ENTRY_LENDINGSERVICE_H
--- a/src/entry/tests/EntryTest.cpp
+++ b/src/entry/tests/EntryTest.cpp
@@ -19,6 +19,7 @@
 
 class FakeParts : public proxy::IProxyIo,
                   public proxy::IProxyLog,
+                  public proxy::IBorrowerIo,
                   public peer::IPeerSender {
 public:
   void acceptClient(proxy::ClientId client) override { (void)client; }
@@ -47,6 +48,17 @@
   }
   void closeConnection(ConnectionId connection) override { (void)connection; }
   void decision(const std::string &line) override { (void)line; }
+  void
+  answerBorrower(const proxy::BorrowKey &key,
+                 const std::vector<proxy::StatementReply> &replies) override {
+    (void)key;
+    (void)replies;
+  }
+  void endBorrower(const proxy::BorrowKey &key,
+                   proxy::LendingEnd reason) override {
+    (void)key;
+    (void)reason;
+  }
   bool send(const std::string &ip,
             const peer::wire::Message &message) override {
     Sent.emplace_back(ip, message);
@@ -61,7 +73,7 @@
 
 struct Fixture {
   Fixture()
-      : Core({}, Parts, Parts),
+      : Core({}, Parts, Parts, Parts),
         Node(options(), Core, Parts, Parts, [](const std::string &document) {
           control::Configuration configuration;
           configuration.Version = std::stoull(document);
--- /dev/null
+++ b/src/membership/HomeTable.h
@@ -0,0 +1,72 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Which VMs hold the connections to an instance where there are too few
+/// for every VM to have its own: rendezvous hashing over the live VMs, so that
+/// all VMs with the same list agree without a word, and a VM that comes or goes
+/// moves only its own part.
+
+#ifndef STEPLEDGE_MEMBERSHIP_HOMETABLE_H
+#define STEPLEDGE_MEMBERSHIP_HOMETABLE_H
+
+#include "membership/types/EntryVm.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace stepledge::membership {
+
+struct HomeOptions {
+  /// The most VMs that hold connections to one instance: enough that the loss
+  /// of one is no loss of service, few enough that each keeps some connections.
+  int MostHomes = 6;
+  /// The fewest connections that a home should have for that number of homes.
+  int FewestConnections = 4;
+  /// The part of an instance's connections (one in so many) left to VMs that
+  /// are no homes, or that have another list of the VMs for a moment.
+  int SpareShare = 6;
+};
+
+/// How the connections to one instance are shared out.
+struct HomeShare {
+  int Homes = 1;
+  /// For each home. Homes times this is below the instance's limit.
+  int Connections = 1;
+};
+
+class HomeTable {
+public:
+  explicit HomeTable(std::string ownIp, HomeOptions options = {})
+      : OwnIp(std::move(ownIp)), Options(options) {}
+
+  void setEntries(std::vector<EntryVm> entries);
+  const std::vector<EntryVm> &entries() const { return Entries; }
+
+  /// True where \p usable connections don't go round for all VMs.
+  bool isNeeded(int usable) const;
+  HomeShare share(int usable) const;
+  bool isHome(const InstanceId &instance, const HallId &hall, int homes);
+  /// The VMs to ask for a connection to \p instance in \p hall, best first,
+  /// without this one: the homes in this VM's own order, then all others.
+  const std::vector<std::string> &lenders(const InstanceId &instance,
+                                          const HallId &hall, int homes);
+
+private:
+  struct Ranking {
+    bool IsHome = false;
+    std::vector<std::string> Lenders;
+  };
+  const Ranking &ranking(const InstanceId &instance, const HallId &hall,
+                         int homes);
+
+  std::string OwnIp;
+  HomeOptions Options;
+  std::vector<EntryVm> Entries;
+  /// Worked out when first asked for, forgotten when the VMs change.
+  std::map<InstanceId, Ranking> Rankings;
+};
+
+} // namespace stepledge::membership
+
+#endif // STEPLEDGE_MEMBERSHIP_HOMETABLE_H
--- /dev/null
+++ b/src/membership/tests/HomeTableTest.cpp
@@ -0,0 +1,115 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Homes of instances: all VMs agree, the limit holds, work is spread,
+/// and a VM that goes moves little.
+
+#include "membership/HomeTable.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <string>
+
+using namespace stepledge;
+using namespace stepledge::membership;
+
+namespace {
+
+std::vector<EntryVm> vms(int count, int halls) {
+  std::vector<EntryVm> entries;
+  for (int i = 0; i < count; ++i)
+    entries.push_back(
+        {"10.1." + std::to_string(i / 250) + "." + std::to_string(i % 250 + 1),
+         HallId("hall" + std::to_string(i % halls))});
+  return entries;
+}
+
+/// The VMs that take themselves for a home of \p instance.
+std::vector<std::string> homesOf(const std::vector<EntryVm> &entries,
+                                 const std::string &instance,
+                                 const std::string &hall, int usable) {
+  std::vector<std::string> homes;
+  for (const auto &it : entries) {
+    HomeTable table(it.Ip);
+    table.setEntries(entries);
+    const auto share = table.share(usable);
+    if (table.isHome(InstanceId(instance), HallId(hall), share.Homes))
+      homes.push_back(it.Ip);
+  }
+  return homes;
+}
+
+} // namespace
+
+TEST_CASE("HomeTable_SharesNeverPassTheLimit") {
+  std::mt19937_64 random(7);
+  for (int i = 0; i < 60; ++i) {
+    const int usable = 1 + static_cast<int>(random() % 120);
+    const auto entries = vms(1 + static_cast<int>(random() % 90),
+                             1 + static_cast<int>(random() % 4));
+    const auto homes = homesOf(entries, "i-" + std::to_string(random()),
+                               entries.front().Hall.str(), usable);
+    HomeTable table(entries.front().Ip);
+    const auto share = table.share(usable);
+    CHECK(!homes.empty());
+    CHECK(static_cast<int>(homes.size()) <= share.Homes);
+    CHECK(static_cast<int>(homes.size()) * share.Connections <= usable);
+  }
+}
+
+TEST_CASE("HomeTable_HomesAreInTheInstancesHall") {
+  const auto entries = vms(70, 3);
+  const auto homes = homesOf(entries, "i-1", "hall1", 49);
+  CHECK(homes.size() == 6);
+  for (const auto &it : entries)
+    if (std::find(homes.begin(), homes.end(), it.Ip) != homes.end())
+      CHECK(it.Hall == HallId("hall1"));
+}
+
+TEST_CASE("HomeTable_BorrowersAskHomesFirstAndShareThem") {
+  const auto entries = vms(70, 3);
+  const auto homes = homesOf(entries, "i-1", "hall1", 49);
+  std::map<std::string, int> firstChoices;
+  for (const auto &it : entries) {
+    HomeTable table(it.Ip);
+    table.setEntries(entries);
+    const auto &lenders = table.lenders(InstanceId("i-1"), HallId("hall1"), 6);
+    CHECK(std::find(lenders.begin(), lenders.end(), it.Ip) == lenders.end());
+    CHECK(lenders.size() == 69);
+    CHECK(std::find(homes.begin(), homes.end(), lenders.front()) !=
+          homes.end());
+    ++firstChoices[lenders.front()];
+  }
+  CHECK(firstChoices.size() == 6);
+  for (const auto &[ip, n] : firstChoices)
+    CHECK(n < 30);
+}
+
+TEST_CASE("HomeTable_ALostVmMovesOnlyItsOwnPart") {
+  const auto before = vms(70, 3);
+  int moved = 0;
+  for (int i = 0; i < 24; ++i) {
+    const std::string instance = "i-" + std::to_string(i);
+    const auto old = homesOf(before, instance, "hall0", 49);
+    auto after = before;
+    std::erase_if(after, [&](const auto &it) { return it.Ip == before[3].Ip; });
+    const auto now = homesOf(after, instance, "hall0", 49);
+    const bool wasHome =
+        std::find(old.begin(), old.end(), before[3].Ip) != old.end();
+    for (const auto &it : now)
+      moved += std::find(old.begin(), old.end(), it) == old.end() && !wasHome;
+  }
+  CHECK(moved == 0);
+}
+
+TEST_CASE("HomeTable_IsNeededWhereConnectionsAreFewerThanVms") {
+  HomeTable table("10.1.0.1");
+  table.setEntries(vms(9, 3));
+  CHECK(!table.isNeeded(19));
+  table.setEntries(vms(70, 3));
+  CHECK(table.isNeeded(49));
+  CHECK(!table.isNeeded(263));
+}
--- a/src/proxy/IProxyIo.h
+++ b/src/proxy/IProxyIo.h
@@ -11,12 +11,14 @@
 #include "proxy/types/InstanceCommand.h"
 #include "proxy/types/StatementReply.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
 namespace stepledge::proxy {
 
 using ClientId = NumberedId<struct ClientTag>;
+using SessionValues = std::map<std::string, std::string>;
 
 /// Where a connection goes.
 struct ConnectionTarget {
@@ -25,6 +27,8 @@
   InstanceId Instance;
   /// The VM that passes the bytes on; empty for a direct connection.
   std::string RelayIp;
+  /// That VM lends a connection of its own for each use instead.
+  bool IsBorrowed = false;
 };
 
 class IProxyIo {
@@ -42,6 +46,14 @@
   /// Sends all of \p commands in one write.
   virtual void send(ConnectionId connection,
                     const std::vector<InstanceCommand> &commands) = 0;
+  /// The same for a borrowed connection, which the lender gives \p values
+  /// before a client's statement.
+  virtual void sendBorrowed(ConnectionId connection,
+                            const std::vector<InstanceCommand> &commands,
+                            const SessionValues &values) {
+    (void)values;
+    send(connection, commands);
+  }
   virtual void closeConnection(ConnectionId connection) = 0;
 };
 
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -26,8 +26,10 @@
 
 } // namespace
 
-Proxy::Proxy(ProxyOptions options, IProxyIo &io, IProxyLog &log)
-    : Options(std::move(options)), Io(io), Log(log), Pool(io) {}
+Proxy::Proxy(ProxyOptions options, IProxyIo &io, IProxyLog &log,
+             IBorrowerIo &borrowers)
+    : Options(std::move(options)), Io(io), Log(log), Pool(io),
+      Homes(Options.OwnIp), Lending(*this, borrowers, log) {}
 
 void Proxy::applyConfiguration(TimePoint now,
                                control::Configuration configuration) {
@@ -129,27 +131,6 @@
   return it == Configuration.Routes.end() ? nullptr : &it->second;
 }
 
-ConnectionShare Proxy::shareOf(TimePoint now,
-                               const std::string &service) const {
-  const auto it = Configuration.Services.find(service);
-  const int limit =
-      it == Configuration.Services.end() ? 1 : it->second.MaxConnections;
-  const int usable = std::max(1, limit - Options.ReservedConnections);
-  const int fair = std::max(1, usable / std::max(1, EntryCount));
-  ConnectionShare share;
-  // NOTE: after a loss of power the instances count the lost connections for
-  // some seconds, so half of the room is left free while nobody needs it.
-  share.Floor = std::max(1, fair / 2);
-  // More may be borrowed: an instance that is full says so before it runs
-  // anything, and borrowed connections are given back when they rest.
-  share.Limit = std::min(usable, 2 * fair + 1);
-  // NOTE: if all VMs have lost their power together, each should get one of the
-  // connections that are left, before any gets two.
-  if (now - StartedAt < Options.CautiousStart)
-    share = ConnectionShare{1, 1};
-  return share;
-}
-
 void Proxy::handleNext(TimePoint now, ClientSession &session) {
   const ClientId id = session.Id;
   auto *it = &session;
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -8,11 +8,14 @@
 #define STEPLEDGE_PROXY_PROXY_H
 
 #include "control/types/Configuration.h"
+#include "membership/HomeTable.h"
 #include "membership/types/InstanceRecord.h"
+#include "proxy/IBorrowerIo.h"
 #include "proxy/IProxyIo.h"
 #include "proxy/internal/ClientSession.h"
 #include "proxy/internal/ConnectionPool.h"
 #include "proxy/internal/InstanceTracker.h"
+#include "proxy/internal/Lender.h"
 #include "proxy/types/ProxyOptions.h"
 
 #include <map>
@@ -29,12 +32,6 @@
   Duration SilentFor{};
 };
 
-/// A command and the reason it is sent for.
-struct OutgoingCommand {
-  InstanceCommand Command;
-  Purpose Reason = Purpose::Setup;
-};
-
 /// The order in which waiting statements get a free connection.
 struct WaitKey {
   int Priority = 0;
@@ -43,16 +40,19 @@
   auto operator<=>(const WaitKey &) const = default;
 };
 
-class Proxy {
+class Proxy : private ILendablePool {
 public:
-  Proxy(ProxyOptions options, IProxyIo &io, IProxyLog &log);
+  /// Other VMs that borrow connections are answered by \p borrowers.
+  Proxy(ProxyOptions options, IProxyIo &io, IProxyLog &log,
+        IBorrowerIo &borrowers);
 
   void applyConfiguration(TimePoint now, control::Configuration configuration);
   void applyInstance(TimePoint now, const membership::InstanceRecord &record);
   void applyPromotion(TimePoint now, const std::string &service,
                       const InstanceId &primary, std::uint64_t fence);
-  /// The VMs that may pass bytes on to instances.
-  void setRelays(std::vector<std::string> ips) { Relays = std::move(ips); }
+  /// The VMs that share the instances' connections; each may pass bytes on to
+  /// an instance, or lend.
+  void setEntries(std::vector<membership::EntryVm> entries);
   /// Cut off from the others, it refuses at once what needs an instance that
   /// it can't reach, so that the client can turn to another VM.
   void setIsolated(bool isIsolated) { IsIsolated = isIsolated; }
@@ -60,8 +60,10 @@
   void setControlLost(bool isLost) { IsControlLost = isLost; }
   /// Whether \p address is that of a known instance.
   bool knowsAddress(const std::string &address) const;
-  /// How many VMs share the instances' connections.
-  void setEntryCount(int count) { EntryCount = count; }
+  /// Another VM that borrows connections of this one, or no longer does.
+  Lender &lender() { return Lending; }
+  /// The VM that \p connection is borrowed from can't lend for now.
+  void lenderRefused(TimePoint now, ConnectionId connection, LendingEnd reason);
 
   void clientConnected(TimePoint now, ClientId client,
                        const DatabaseId &database);
@@ -95,7 +97,28 @@
   ClientSession *session(ClientId client);
   InstanceTracker &tracker(const std::string &service);
   const control::Route *routeOf(const ClientSession &session) const;
-  ConnectionShare shareOf(TimePoint now, const std::string &service) const;
+  int usableConnections(const std::string &service) const;
+  /// The service's instances have too few connections for all VMs.
+  bool usesHomes(const std::string &service) const;
+  bool isHomeOf(const membership::InstanceRecord &record);
+  ConnectionShare shareOf(TimePoint now,
+                          const membership::InstanceRecord &record);
+  /// Gives up a use of a borrowed connection.
+  void endBorrowed(InstanceConnection &connection);
+  InstanceConnection *findLendable(TimePoint now, const std::string &service,
+                                   const InstanceId &instance) override;
+  bool reaches(const std::string &service, const InstanceId &instance) override;
+  InstanceConnection *connection(ConnectionId id) override {
+    return Pool.find(id);
+  }
+  void transmitLent(TimePoint now, InstanceConnection &connection,
+                    const std::vector<OutgoingCommand> &batch) override {
+    transmit(now, connection, batch);
+  }
+  void takeBack(TimePoint now, InstanceConnection &connection) override {
+    freeConnection(now, connection);
+  }
+  void abandonLent(TimePoint now, InstanceConnection &connection) override;
 
   void handleNext(TimePoint now, ClientSession &session);
   void handle(TimePoint now, ClientSession &session, ClientStatement statement);
@@ -112,7 +135,9 @@
   InstanceConnection *acquire(TimePoint now, const ClientSession &session,
                               const InstanceId &instance);
   bool openTo(TimePoint now, const membership::InstanceRecord &record);
-  std::optional<std::string> relayTo(TimePoint now, const InstanceId &instance);
+  /// The VM to reach the instance by, if a path by another one is needed.
+  std::optional<std::string> relayTo(TimePoint now,
+                                     const membership::InstanceRecord &record);
   void noteDirectBad(TimePoint now, TrackedInstance &instance);
   void sendBegin(TimePoint now, ClientSession &session,
                  InstanceConnection &connection,
@@ -121,7 +146,8 @@
                      InstanceConnection &connection,
                      const std::optional<Mark> &minimum);
   void transmit(TimePoint now, InstanceConnection &connection,
-                const std::vector<OutgoingCommand> &batch);
+                const std::vector<OutgoingCommand> &batch,
+                const SessionValues &values = {});
   void rollBack(TimePoint now, InstanceConnection &connection);
 
   void statementAnswered(TimePoint now, ClientSession &session,
@@ -180,12 +206,12 @@
   /// By service, the statements that need a connection.
   std::map<std::string, std::set<WaitKey>> Waiting;
   ConnectionPool Pool;
-  int EntryCount = 1;
   /// When the first configuration came.
   TimePoint StartedAt{};
   bool IsIsolated = false;
   bool IsControlLost = false;
-  std::vector<std::string> Relays;
+  membership::HomeTable Homes;
+  Lender Lending;
   /// By instance, the relays that failed to reach it, and until when they are
   /// not asked again.
   std::map<InstanceId, std::map<std::string, TimePoint>> BadRelays;
--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -36,9 +36,13 @@
     auto *known = tracker(service).find(instance);
     if (known && it->RelayIp.empty())
       known->IsDirectBad = false;
-    tracker(service).noteAnswer(now, instance, now - it->OpenedAt);
+    // NOTE: a borrowed connection is ready once its lender is reached; the
+    // instance has said nothing yet.
+    if (!it->IsBorrowed)
+      tracker(service).noteAnswer(now, instance, now - it->OpenedAt);
     if (reply.Position)
       tracker(service).notePosition(now, instance, *reply.Position);
+    Lending.pump(now, service, instance);
     pump(now, service);
     return;
   }
@@ -80,6 +84,8 @@
   if (sent.Reason == Purpose::Probe && reply.Code == ReplyCode::ReadOnly)
     instances.noteDeniedLead(now, it->Instance);
 
+  if (it->Borrower)
+    return Lending.answered(now, *it, sent.Reason, reply);
   auto *owner = it->Owner ? session(*it->Owner) : nullptr;
   const bool isAwaited =
       owner && owner->Current && owner->Current->Connection == connection;
@@ -232,7 +238,11 @@
   if (auto *instance = instances.find(lost.Instance))
     instance->InFlight =
         std::max(0, instance->InFlight - static_cast<int>(lost.Sent.size()));
-  instances.noteSilence(now, lost.Instance);
+  // NOTE: the loss of a lender says nothing of the instance.
+  if (!lost.IsBorrowed)
+    instances.noteSilence(now, lost.Instance);
+  if (lost.Borrower)
+    Lending.lost(*lost.Borrower);
   if (!lost.RelayIp.empty())
     BadRelays[lost.Instance][lost.RelayIp] = now + Options.BadRelayPause;
   else if (auto *known = instances.find(lost.Instance); known && !lost.IsReady)
--- a/src/proxy/internal/ConnectionPool.cpp
+++ b/src/proxy/internal/ConnectionPool.cpp
@@ -18,10 +18,12 @@
                                              const SessionValues &values,
                                              bool usesDirect) {
   InstanceConnection *found = nullptr;
-  for (auto &[id, it] : Connections) {
-    if (it.Instance != instance || !it.isFree())
-      continue;
-    if (!usesDirect && it.RelayIp.empty())
+  const auto index = ByInstance.find(instance);
+  if (index == ByInstance.end())
+    return nullptr;
+  for (const auto id : index->second) {
+    auto &it = Connections[id];
+    if (!it.isFree() || (!usesDirect && it.RelayIp.empty()))
       continue;
     if (it.Values == values)
       return &it;
@@ -32,20 +34,26 @@
 }
 
 InstanceConnection *ConnectionPool::findFreeDirect(const InstanceId &instance) {
-  for (auto &[id, it] : Connections)
-    if (it.Instance == instance && it.isFree() && it.RelayIp.empty())
+  const auto index = ByInstance.find(instance);
+  if (index == ByInstance.end())
+    return nullptr;
+  for (const auto id : index->second) {
+    auto &it = Connections[id];
+    if (it.isFree() && it.RelayIp.empty())
       return &it;
+  }
   return nullptr;
 }
 
 bool ConnectionPool::openOne(TimePoint now,
                              const membership::InstanceRecord &instance,
                              const ConnectionShare &share,
-                             const std::string &relayIp) {
+                             const ConnectionPath &path) {
   if (countOf(instance.Id) >= share.Limit)
     return false;
   const auto refused = RefusedUntil.find(instance.Id);
-  if (refused != RefusedUntil.end() && refused->second > now)
+  const bool isRefused = refused != RefusedUntil.end() && refused->second > now;
+  if (isRefused && !path.IsBorrowed)
     return false;
   const ConnectionId id{++LastId};
   auto &it = Connections[id];
@@ -54,55 +62,81 @@
   it.Instance = instance.Id;
   it.OpenedAt = now;
   it.LastUsed = now;
-  it.RelayIp = relayIp;
-  Io.openConnection(id,
-                    {instance.Address, instance.Service, instance.Id, relayIp});
+  it.RelayIp = path.RelayIp;
+  it.IsBorrowed = path.IsBorrowed;
+  ByInstance[instance.Id].insert(id);
+  Io.openConnection(id, {instance.Address, instance.Service, instance.Id,
+                         path.RelayIp, path.IsBorrowed});
   return true;
 }
 
 bool ConnectionPool::isOpening(const InstanceId &instance) const {
-  return std::any_of(
-      Connections.begin(), Connections.end(), [&](const auto &it) {
-        return it.second.Instance == instance && !it.second.IsReady;
-      });
+  return countIf(instance, [](const auto &it) { return !it.IsReady; }) > 0;
 }
 
 void ConnectionPool::close(ConnectionId id) {
-  if (Connections.erase(id) > 0)
+  const bool isKnown = Connections.contains(id);
+  forget(id);
+  if (isKnown)
     Io.closeConnection(id);
 }
 
-void ConnectionPool::forget(ConnectionId id) { Connections.erase(id); }
+void ConnectionPool::forget(ConnectionId id) {
+  const auto it = Connections.find(id);
+  if (it == Connections.end())
+    return;
+  const auto index = ByInstance.find(it->second.Instance);
+  index->second.erase(id);
+  if (index->second.empty())
+    ByInstance.erase(index);
+  Connections.erase(it);
+}
 
 void ConnectionPool::refuseUntil(const InstanceId &instance, TimePoint until) {
   RefusedUntil[instance] = until;
 }
 
-int ConnectionPool::countOf(const InstanceId &instance) const {
+template <typename Predicate>
+int ConnectionPool::countIf(const InstanceId &instance,
+                            Predicate predicate) const {
+  const auto index = ByInstance.find(instance);
+  if (index == ByInstance.end())
+    return 0;
   return static_cast<int>(std::count_if(
-      Connections.begin(), Connections.end(),
-      [&](const auto &it) { return it.second.Instance == instance; }));
+      index->second.begin(), index->second.end(),
+      [&](ConnectionId id) { return predicate(Connections.at(id)); }));
+}
+
+int ConnectionPool::countOf(const InstanceId &instance) const {
+  const auto index = ByInstance.find(instance);
+  return index == ByInstance.end() ? 0 : static_cast<int>(index->second.size());
 }
 
 int ConnectionPool::directAt(const InstanceId &instance) const {
-  return static_cast<int>(std::count_if(
-      Connections.begin(), Connections.end(), [&](const auto &it) {
-        return it.second.Instance == instance && it.second.RelayIp.empty();
-      }));
+  return countIf(instance, [](const auto &it) { return it.RelayIp.empty(); });
 }
 
 int ConnectionPool::pinnedAt(const InstanceId &instance) const {
-  return static_cast<int>(std::count_if(
-      Connections.begin(), Connections.end(), [&](const auto &it) {
-        return it.second.Instance == instance && it.second.IsPinned;
-      }));
+  return countIf(instance, [](const auto &it) { return it.IsPinned; });
 }
 
 int ConnectionPool::busyAt(const InstanceId &instance) const {
-  return static_cast<int>(std::count_if(
-      Connections.begin(), Connections.end(), [&](const auto &it) {
-        return it.second.Instance == instance && !it.second.Sent.empty();
-      }));
+  return countIf(instance, [](const auto &it) { return !it.Sent.empty(); });
+}
+
+std::vector<ConnectionId>
+ConnectionPool::borrowedFrom(const std::string &lender,
+                             const InstanceId &instance) const {
+  std::vector<ConnectionId> ids;
+  const auto index = ByInstance.find(instance);
+  if (index == ByInstance.end())
+    return ids;
+  for (const auto id : index->second) {
+    const auto &it = Connections.at(id);
+    if (it.IsBorrowed && it.RelayIp == lender)
+      ids.push_back(id);
+  }
+  return ids;
 }
 
 std::vector<InstanceCommand> valueSetup(InstanceConnection &connection,
--- a/src/proxy/internal/ConnectionPool.h
+++ b/src/proxy/internal/ConnectionPool.h
@@ -9,8 +9,9 @@
 #include "membership/types/InstanceRecord.h"
 #include "proxy/internal/InstanceConnection.h"
 
-#include <functional>
 #include <map>
+#include <set>
+#include <string>
 
 namespace stepledge::proxy {
 
@@ -22,6 +23,13 @@
   int Limit = 1;
 };
 
+/// How a connection reaches its instance.
+struct ConnectionPath {
+  /// The VM that passes the bytes on, or lends; empty for a direct one.
+  std::string RelayIp;
+  bool IsBorrowed = false;
+};
+
 class ConnectionPool {
 public:
   explicit ConnectionPool(IProxyIo &io) : Io(io) {}
@@ -36,7 +44,7 @@
   InstanceConnection *findFreeDirect(const InstanceId &instance);
   /// Opens one more, unless the share or an earlier refusal forbids it.
   bool openOne(TimePoint now, const membership::InstanceRecord &instance,
-               const ConnectionShare &share, const std::string &relayIp);
+               const ConnectionShare &share, const ConnectionPath &path);
   /// Whether one that was asked for is still on its way.
   bool isOpening(const InstanceId &instance) const;
   void close(ConnectionId id);
@@ -50,11 +58,18 @@
   int pinnedAt(const InstanceId &instance) const;
   /// Connections on which \p instance owes an answer.
   int busyAt(const InstanceId &instance) const;
+  /// The connections that \p lender lends.
+  std::vector<ConnectionId> borrowedFrom(const std::string &lender,
+                                         const InstanceId &instance) const;
   std::map<ConnectionId, InstanceConnection> &all() { return Connections; }
 
 private:
   IProxyIo &Io;
+  template <typename Predicate>
+  int countIf(const InstanceId &instance, Predicate predicate) const;
+
   std::map<ConnectionId, InstanceConnection> Connections;
+  std::map<InstanceId, std::set<ConnectionId>> ByInstance;
   std::map<InstanceId, TimePoint> RefusedUntil;
   std::uint64_t LastId = 0;
 };
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -137,41 +137,17 @@
   // NOTE: one that serves a single statement is free again about as soon as a
   // new one would be open, so it is worth a short wait.
   const int open = Pool.countOf(instance);
-  const bool isShort = open < shareOf(now, session.Route.Service).Floor ||
+  if (!known || Pool.isOpening(instance))
+    return nullptr;
+  const bool isShort = open < shareOf(now, known->Record).Floor ||
                        Pool.pinnedAt(instance) == open;
   const bool hasWaited = session.Current && now - session.Current->ArrivedAt >=
                                                 Options.BorrowDelay;
-  if (known && !Pool.isOpening(instance) && (isShort || hasWaited))
+  if (isShort || hasWaited)
     openTo(now, known->Record);
   return nullptr;
 }
 
-bool Proxy::openTo(TimePoint now, const membership::InstanceRecord &record) {
-  const auto *known = tracker(record.Service).find(record.Id);
-  auto share = shareOf(now, record.Service);
-  std::string relay;
-  if (known && known->IsDirectBad) {
-    const auto found = relayTo(now, record.Id);
-    if (!found)
-      return false;
-    relay = *found;
-    // NOTE: the direct connections serve nobody while their path is cut.
-    share.Limit += Pool.directAt(record.Id);
-  }
-  return Pool.openOne(now, record, share, relay);
-}
-
-std::optional<std::string> Proxy::relayTo(TimePoint now,
-                                          const InstanceId &instance) {
-  const auto &bad = BadRelays[instance];
-  for (const auto &it : Relays) {
-    const auto failed = bad.find(it);
-    if (failed == bad.end() || failed->second <= now)
-      return it;
-  }
-  return std::nullopt;
-}
-
 void Proxy::noteDirectBad(TimePoint now, TrackedInstance &instance) {
   if (std::exchange(instance.IsDirectBad, true))
     return;
@@ -202,12 +178,18 @@
   auto &work = *session.Current;
   stopWaiting(session);
   const auto &statement = work.Statement;
-  auto setup = valueSetup(connection, session.Values);
+  // NOTE: the lender of a borrowed connection sets it up.
+  std::vector<InstanceCommand> setup;
+  if (!connection.IsBorrowed)
+    setup = valueSetup(connection, session.Values);
   auto command = commandOf(CommandKind::ClientText);
   if (statement.Kind == StatementKind::Execute) {
+    const auto &prepared = session.Prepared[statement.Name];
     command.Kind = CommandKind::ClientExecute;
-    command.Name =
-        preparedName(connection, session.Prepared[statement.Name], setup);
+    command.Mode = prepared.Mode;
+    command.Shape = prepared.Shape;
+    if (!connection.IsBorrowed)
+      command.Name = preparedName(connection, prepared, setup);
     command.Value = statement.Value;
   }
   command.Id = statement.Id;
@@ -226,11 +208,12 @@
   work.SentAt = now;
   work.Connection = connection.Id;
   connection.Owner = session.Id;
-  transmit(now, connection, batch);
+  transmit(now, connection, batch, session.Values);
 }
 
 void Proxy::transmit(TimePoint now, InstanceConnection &connection,
-                     const std::vector<OutgoingCommand> &batch) {
+                     const std::vector<OutgoingCommand> &batch,
+                     const SessionValues &values) {
   std::vector<InstanceCommand> commands;
   commands.reserve(batch.size());
   for (const auto &it : batch) {
@@ -240,7 +223,10 @@
   connection.LastUsed = now;
   if (auto *it = tracker(connection.Service).find(connection.Instance))
     it->InFlight += static_cast<int>(batch.size());
-  Io.send(connection.Id, commands);
+  if (connection.IsBorrowed)
+    Io.sendBorrowed(connection.Id, commands, values);
+  else
+    Io.send(connection.Id, commands);
 }
 
 void Proxy::rollBack(TimePoint now, InstanceConnection &connection) {
@@ -268,6 +254,10 @@
   auto *connection = Pool.find(*work.Connection);
   if (!connection)
     return;
+  // NOTE: a use that is given up ends at its lender too, and a new one costs
+  // nothing.
+  if (connection->IsBorrowed)
+    return endBorrowed(*connection);
   connection->Owner.reset();
   connection->IsAbandoned = true;
   if (work.Stage == WorkStage::Beginning)
@@ -278,8 +268,12 @@
   connection.Owner.reset();
   connection.IsPinned = false;
   connection.LastUsed = now;
-  if (connection.isFree())
-    pump(now, connection.Service);
+  if (!connection.isFree())
+    return;
+  const std::string service = connection.Service;
+  const InstanceId instance = connection.Instance;
+  Lending.pump(now, service, instance);
+  pump(now, service);
 }
 
 std::vector<ClientId> Proxy::waitingInOrder(TimePoint now,
--- a/src/proxy/internal/InstanceConnection.h
+++ b/src/proxy/internal/InstanceConnection.h
@@ -8,7 +8,7 @@
 
 #include "base/types/Ids.h"
 #include "base/types/Time.h"
-#include "proxy/IProxyIo.h"
+#include "proxy/IBorrowerIo.h"
 
 #include <deque>
 #include <map>
@@ -42,20 +42,22 @@
   auto operator<=>(const PreparedShape &) const = default;
 };
 
-using SessionValues = std::map<std::string, std::string>;
-
 struct InstanceConnection {
   ConnectionId Id;
   std::string Service;
   InstanceId Instance;
   /// The VM that passes its bytes on, if any.
   std::string RelayIp;
+  /// That VM lends one of its own; what it is set to is known there.
+  bool IsBorrowed = false;
   TimePoint OpenedAt{};
   TimePoint LastUsed{};
   /// The instance has accepted the connection.
   bool IsReady = false;
   /// The client whose statement or transaction it serves, if any.
   std::optional<ClientId> Owner;
+  /// The use of another VM that it is lent for.
+  std::optional<BorrowKey> Borrower;
   /// It holds the owner's open transaction.
   bool IsPinned = false;
   /// Nobody waits for what was sent; once answered, the connection is free.
@@ -65,7 +67,7 @@
   std::deque<SentCommand> Sent;
 
   bool isFree() const {
-    return IsReady && !Owner && !IsAbandoned && Sent.empty();
+    return IsReady && !Owner && !Borrower && !IsAbandoned && Sent.empty();
   }
 };
 
--- /dev/null
+++ b/src/proxy/internal/Lender.h
@@ -0,0 +1,111 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Lends this VM's connections to instances to other VMs: one connection
+/// for each statement or transaction, from its first command until the
+/// instance's session is idle again.
+
+#ifndef STEPLEDGE_PROXY_INTERNAL_LENDER_H
+#define STEPLEDGE_PROXY_INTERNAL_LENDER_H
+
+#include "proxy/IBorrowerIo.h"
+#include "proxy/internal/InstanceConnection.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace stepledge::proxy {
+
+/// A command and the reason it is sent for.
+struct OutgoingCommand {
+  InstanceCommand Command;
+  Purpose Reason = Purpose::Setup;
+};
+
+/// The connections that can be lent.
+class ILendablePool {
+public:
+  virtual ~ILendablePool() = default;
+
+  /// A free connection of this VM's own; opens one for later where there is
+  /// none and the share allows it.
+  virtual InstanceConnection *findLendable(TimePoint now,
+                                           const std::string &service,
+                                           const InstanceId &instance) = 0;
+  /// This VM has a path to the instance, as far as it knows.
+  virtual bool reaches(const std::string &service,
+                       const InstanceId &instance) = 0;
+  virtual InstanceConnection *connection(ConnectionId id) = 0;
+  virtual void transmitLent(TimePoint now, InstanceConnection &connection,
+                            const std::vector<OutgoingCommand> &batch) = 0;
+  /// The connection is idle and nobody's.
+  virtual void takeBack(TimePoint now, InstanceConnection &connection) = 0;
+  /// Its borrower has gone; what it left open is rolled back.
+  virtual void abandonLent(TimePoint now, InstanceConnection &connection) = 0;
+};
+
+struct LenderOptions {
+  /// A use that gets no connection within this time is refused as not run, so
+  /// that its borrower can ask another home in time: about the tightest
+  /// latency objective.
+  Duration QueueLimit = milliseconds(150);
+  /// The most uses that wait for one instance.
+  std::size_t QueueLength = 64;
+};
+
+class Lender {
+public:
+  Lender(ILendablePool &pool, IBorrowerIo &io, IProxyLog &log,
+         LenderOptions options = {})
+      : Pool(pool), Io(io), Log(log), Options(options) {}
+
+  void ask(TimePoint now, const BorrowKey &key, BorrowRequest request);
+  /// The borrower gives up the use.
+  void end(TimePoint now, const BorrowKey &key);
+  /// The borrower has gone, with all of its uses.
+  void endAll(TimePoint now, const std::string &ip);
+
+  /// An instance answered on a lent connection.
+  void answered(TimePoint now, InstanceConnection &connection, Purpose reason,
+                const StatementReply &reply);
+  /// A lent connection broke.
+  void lost(const BorrowKey &key);
+  /// A connection to the instance may be free.
+  void pump(TimePoint now, const std::string &service,
+            const InstanceId &instance);
+  void tick(TimePoint now);
+  /// From now on uses go on but none begins.
+  void stop() { IsStopping = true; }
+  /// The VMs with a use that hasn't ended.
+  std::set<std::string> borrowers() const;
+  bool isLending() const { return !Uses.empty(); }
+
+private:
+  struct Use {
+    std::string Service;
+    InstanceId Instance;
+    std::optional<ConnectionId> Bound;
+    /// Sent once there is a connection.
+    std::optional<BorrowRequest> Waiting;
+    TimePoint ArrivedAt{};
+  };
+
+  void send(TimePoint now, Use &use, const BorrowRequest &request);
+  void refuse(const BorrowKey &key, LendingEnd reason);
+
+  ILendablePool &Pool;
+  IBorrowerIo &Io;
+  IProxyLog &Log;
+  LenderOptions Options;
+  bool IsStopping = false;
+  std::map<BorrowKey, Use> Uses;
+  std::map<InstanceId, std::deque<BorrowKey>> Queues;
+};
+
+} // namespace stepledge::proxy
+
+#endif // STEPLEDGE_PROXY_INTERNAL_LENDER_H
--- /dev/null
+++ b/src/proxy/internal/Shares.cpp
@@ -0,0 +1,145 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The part of Proxy that shares the instances' connections with the
+/// other VMs: how many it may hold, by whom it reaches an instance, and what it
+/// lends.
+
+#include "proxy/Proxy.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace stepledge::proxy {
+
+void Proxy::setEntries(std::vector<membership::EntryVm> entries) {
+  Homes.setEntries(std::move(entries));
+}
+
+int Proxy::usableConnections(const std::string &service) const {
+  const auto it = Configuration.Services.find(service);
+  const int limit =
+      it == Configuration.Services.end() ? 1 : it->second.MaxConnections;
+  return std::max(1, limit - Options.ReservedConnections);
+}
+
+bool Proxy::usesHomes(const std::string &service) const {
+  return Homes.isNeeded(usableConnections(service));
+}
+
+bool Proxy::isHomeOf(const membership::InstanceRecord &record) {
+  const auto share = Homes.share(usableConnections(record.Service));
+  return Homes.isHome(record.Id, record.Hall, share.Homes);
+}
+
+ConnectionShare Proxy::shareOf(TimePoint now,
+                               const membership::InstanceRecord &record) {
+  const int usable = usableConnections(record.Service);
+  // NOTE: if all VMs have lost their power together, the instances count the
+  // lost connections for some seconds more.
+  const bool isCautious = now - StartedAt < Options.CautiousStart;
+  if (usesHomes(record.Service)) {
+    if (!isHomeOf(record))
+      return {Options.BorrowLimit, Options.BorrowLimit};
+    const int own = Homes.share(usable).Connections;
+    const int limit = isCautious ? std::max(1, own / 2) : own;
+    return {std::max(1, limit / 2), limit};
+  }
+  if (isCautious)
+    return {1, 1};
+  const int count = std::max(1, static_cast<int>(Homes.entries().size()));
+  const int fair = std::max(1, usable / count);
+  // NOTE: after a loss of power the instances count the lost connections for
+  // some seconds, so half of the room is left free while nobody needs it.
+  // More may be borrowed: an instance that is full says so before it runs
+  // anything, and borrowed connections are given back when they rest.
+  return {std::max(1, fair / 2), std::min(usable, 2 * fair + 1)};
+}
+
+bool Proxy::openTo(TimePoint now, const membership::InstanceRecord &record) {
+  const auto *known = tracker(record.Service).find(record.Id);
+  const bool isDirectBad = known && known->IsDirectBad;
+  const bool isHomes = usesHomes(record.Service);
+  const bool isDirect = !isDirectBad && (!isHomes || isHomeOf(record));
+  auto share = shareOf(now, record);
+  if (isDirect)
+    return Pool.openOne(now, record, share, {});
+  const auto relay = relayTo(now, record);
+  if (!relay)
+    return false;
+  // NOTE: the direct connections serve nobody while their path is cut.
+  if (isDirectBad)
+    share.Limit += Pool.directAt(record.Id);
+  return Pool.openOne(now, record, share, {*relay, isHomes});
+}
+
+std::optional<std::string>
+Proxy::relayTo(TimePoint now, const membership::InstanceRecord &record) {
+  const auto &bad = BadRelays[record.Id];
+  const auto share = Homes.share(usableConnections(record.Service));
+  for (const auto &it : Homes.lenders(record.Id, record.Hall, share.Homes)) {
+    const auto failed = bad.find(it);
+    if (failed == bad.end() || failed->second <= now)
+      return it;
+  }
+  return std::nullopt;
+}
+
+void Proxy::lenderRefused(TimePoint now, ConnectionId connection,
+                          LendingEnd reason) {
+  const auto *it = Pool.find(connection);
+  if (!it || reason == LendingEnd::Lost)
+    return;
+  const InstanceId instance = it->Instance;
+  const std::string lender = it->RelayIp;
+  BadRelays[instance][lender] =
+      now + (reason == LendingEnd::Full ? Options.FullLenderPause
+                                        : Options.BadRelayPause);
+  if (reason == LendingEnd::Unreachable)
+    tracker(it->Service).noteSilence(now, instance);
+  for (const auto id : Pool.borrowedFrom(lender, instance)) {
+    const auto *borrowed = Pool.find(id);
+    if (borrowed->isFree())
+      Pool.close(id);
+  }
+}
+
+void Proxy::endBorrowed(InstanceConnection &connection) {
+  if (auto *it = tracker(connection.Service).find(connection.Instance))
+    it->InFlight =
+        std::max(0, it->InFlight - static_cast<int>(connection.Sent.size()));
+  Pool.close(connection.Id);
+}
+
+InstanceConnection *Proxy::findLendable(TimePoint now,
+                                        const std::string &service,
+                                        const InstanceId &instance) {
+  auto *known = tracker(service).find(instance);
+  if (!known || Pool.busyAt(instance) >= known->Running.limit())
+    return nullptr;
+  if (auto *it = Pool.findFreeDirect(instance))
+    return it;
+  // NOTE: one that is no home lends all the same: its borrowers may know of a
+  // loss that this VM hasn't heard of, or reach the instance only by it.
+  const bool isHome = usesHomes(service) && isHomeOf(known->Record);
+  const ConnectionShare share =
+      isHome ? shareOf(now, known->Record) : ConnectionShare{0, 1};
+  if (!Pool.isOpening(instance) || Pool.countOf(instance) == 0)
+    Pool.openOne(now, known->Record, share, {});
+  return nullptr;
+}
+
+bool Proxy::reaches(const std::string &service, const InstanceId &instance) {
+  const auto *known = tracker(service).find(instance);
+  return known && !known->IsDirectBad;
+}
+
+void Proxy::abandonLent(TimePoint now, InstanceConnection &connection) {
+  connection.IsAbandoned = true;
+  if (connection.Sent.empty())
+    rollBack(now, connection);
+}
+
+} // namespace stepledge::proxy
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -24,6 +24,7 @@
   dropEarlyClients(now);
   sweepConnections(now);
   sweepSessions(now);
+  Lending.tick(now);
   probePrimaries(now);
   for (const auto &[service, it] : Trackers)
     if (!Waiting[service].empty())
@@ -211,7 +212,7 @@
   if (auto *connection = Pool.findFreeDirect(record.Id))
     sendProbe(now, *connection);
   else if (!Pool.isOpening(record.Id))
-    Pool.openOne(now, record, shareOf(now, record.Service), "");
+    Pool.openOne(now, record, shareOf(now, record), {});
 }
 
 void Proxy::sweepConnections(TimePoint now) {
@@ -222,10 +223,15 @@
     if (!it.IsReady && now - it.OpenedAt > Options.ConnectLimit)
       dead.push_back(id);
     if (it.Sent.empty()) {
-      const int floor = instance ? shareOf(now, it.Service).Floor : 0;
+      const int floor = instance ? shareOf(now, instance->Record).Floor : 0;
       const bool isIdle =
           it.isFree() && now - it.LastUsed > Options.SpareConnectionLifetime;
-      if (isIdle && Pool.countOf(it.Instance) > floor)
+      // NOTE: a VM that no longer is a home gives its connections up.
+      const bool isForeign = instance && it.isFree() && it.RelayIp.empty() &&
+                             usesHomes(it.Service) &&
+                             !isHomeOf(instance->Record) &&
+                             now - it.LastUsed > Options.ForeignLifetime;
+      if (isForeign || (isIdle && Pool.countOf(it.Instance) > floor))
         spare.push_back(id);
       continue;
     }
--- a/src/proxy/tests/FakeIo.h
+++ b/src/proxy/tests/FakeIo.h
@@ -16,7 +16,7 @@
 
 namespace stepledge::proxy::tests {
 
-class FakeIo : public IProxyIo, public IProxyLog {
+class FakeIo : public IProxyIo, public IProxyLog, public IBorrowerIo {
 public:
   void acceptClient(ClientId client) override { Accepted.insert(client); }
   void rejectClient(ClientId client, const StatementReply &reply) override {
@@ -39,6 +39,14 @@
     Opened.erase(connection);
   }
   void decision(const std::string &line) override { Lines.push_back(line); }
+  void answerBorrower(const BorrowKey &key,
+                      const std::vector<StatementReply> &replies) override {
+    for (const auto &it : replies)
+      Lent[key].push_back(it);
+  }
+  void endBorrower(const BorrowKey &key, LendingEnd reason) override {
+    Ended[key] = reason;
+  }
 
   std::set<ClientId> Accepted;
   std::map<ClientId, StatementReply> Rejected;
@@ -47,6 +55,9 @@
   std::map<ConnectionId, ConnectionTarget> Opened;
   std::map<ConnectionId, std::deque<InstanceCommand>> Sent;
   std::vector<std::string> Lines;
+  /// What borrowers were told.
+  std::map<BorrowKey, std::vector<StatementReply>> Lent;
+  std::map<BorrowKey, LendingEnd> Ended;
 };
 
 } // namespace stepledge::proxy::tests
--- /dev/null
+++ b/src/proxy/tests/LenderTest.cpp
@@ -0,0 +1,150 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Lending a connection to another VM: for one use, in its own order, and
+/// with an honest refusal where nothing was sent.
+
+#include "proxy/internal/Lender.h"
+#include "proxy/tests/FakeIo.h"
+
+#include <doctest/doctest.h>
+
+using namespace stepledge;
+using namespace stepledge::proxy;
+
+namespace {
+
+/// One connection to one instance.
+class OnePool : public ILendablePool {
+public:
+  InstanceConnection *findLendable(TimePoint now, const std::string &service,
+                                   const InstanceId &instance) override {
+    (void)now;
+    (void)service;
+    (void)instance;
+    return HasConnection && Connection.isFree() ? &Connection : nullptr;
+  }
+  bool reaches(const std::string &service,
+               const InstanceId &instance) override {
+    (void)service;
+    (void)instance;
+    return IsReached;
+  }
+  InstanceConnection *connection(ConnectionId id) override {
+    return id == Connection.Id ? &Connection : nullptr;
+  }
+  void transmitLent(TimePoint now, InstanceConnection &connection,
+                    const std::vector<OutgoingCommand> &batch) override {
+    for (const auto &it : batch) {
+      connection.Sent.push_back({it.Reason, now});
+      Sent.push_back(it.Command);
+    }
+  }
+  void takeBack(TimePoint now, InstanceConnection &connection) override {
+    (void)now;
+    (void)connection;
+    ++TakenBack;
+  }
+  void abandonLent(TimePoint now, InstanceConnection &connection) override {
+    (void)now;
+    connection.IsAbandoned = true;
+  }
+
+  InstanceConnection Connection;
+  std::vector<InstanceCommand> Sent;
+  int TakenBack = 0;
+  bool HasConnection = true;
+  bool IsReached = true;
+};
+
+struct Fixture {
+  Fixture() {
+    Pool.Connection.Id = ConnectionId{1};
+    Pool.Connection.IsReady = true;
+  }
+
+  void ask(std::uint64_t use, bool isFirst, const char *id,
+           CommandKind kind = CommandKind::ClientText) {
+    BorrowRequest request;
+    request.Service = isFirst ? "db" : "";
+    request.Instance = InstanceId(isFirst ? "i" : "");
+    request.IsFirst = isFirst;
+    InstanceCommand command;
+    command.Kind = kind;
+    command.Id = id;
+    request.Commands.push_back(command);
+    Lending.ask(Now, {"10.0.0.9", use}, request);
+  }
+
+  void answer(SessionState state) {
+    const Purpose reason = Pool.Connection.Sent.front().Reason;
+    Pool.Connection.Sent.pop_front();
+    StatementReply reply;
+    reply.State = state;
+    Lending.answered(Now, Pool.Connection, reason, reply);
+  }
+
+  tests::FakeIo Io;
+  OnePool Pool;
+  Lender Lending{Pool, Io, Io};
+  TimePoint Now = TimePoint(std::chrono::seconds(1));
+};
+
+} // namespace
+
+TEST_CASE("Lender_HoldsAConnectionUntilTheSessionIsIdle") {
+  Fixture it;
+  it.ask(1, true, "", CommandKind::Begin);
+  it.answer(SessionState::InTransaction);
+  it.ask(2, true, "b");
+  CHECK(it.Pool.Sent.size() == 1);
+  it.ask(1, false, "a");
+  it.answer(SessionState::InTransaction);
+  it.ask(1, false, "", CommandKind::Rollback);
+  CHECK(it.Pool.TakenBack == 0);
+  it.answer(SessionState::Idle);
+  CHECK(it.Pool.TakenBack == 1);
+  it.Lending.tick(it.Now);
+  REQUIRE(it.Pool.Sent.size() == 4);
+  CHECK(it.Pool.Sent.back().Id == "b");
+}
+
+TEST_CASE("Lender_CommandOfAnEndedUseNeverRuns") {
+  Fixture it;
+  it.ask(1, true, "", CommandKind::Begin);
+  it.answer(SessionState::InTransaction);
+  it.Pool.Connection.Borrower.reset();
+  it.Lending.lost({"10.0.0.9", 1});
+  // The commit was on its way when the connection broke.
+  it.ask(1, false, "commit");
+  CHECK(it.Pool.Sent.size() == 1);
+  CHECK(it.Io.Ended[{"10.0.0.9", 1}] == LendingEnd::Lost);
+}
+
+TEST_CASE("Lender_RefusesAsNotRunWhatItNeverSent") {
+  Fixture it;
+  it.Pool.HasConnection = false;
+  it.ask(1, true, "a");
+  it.Lending.tick(it.Now + milliseconds(100));
+  CHECK(it.Io.Lent.empty());
+  it.Lending.tick(it.Now + milliseconds(200));
+  REQUIRE(it.Io.Lent[{"10.0.0.9", 1}].size() == 1);
+  CHECK(it.Io.Lent[{"10.0.0.9", 1}].front().Code == ReplyCode::Busy);
+  CHECK(it.Io.Ended[{"10.0.0.9", 1}] == LendingEnd::Full);
+  it.Pool.IsReached = false;
+  it.ask(2, true, "b");
+  CHECK(it.Io.Ended[{"10.0.0.9", 2}] == LendingEnd::Unreachable);
+  it.Lending.stop();
+  it.ask(3, true, "c");
+  CHECK(it.Io.Ended[{"10.0.0.9", 3}] == LendingEnd::Stopping);
+  CHECK(it.Pool.Sent.empty());
+}
+
+TEST_CASE("Lender_BorrowerThatGoesLeavesNothingOpen") {
+  Fixture it;
+  it.ask(1, true, "", CommandKind::Begin);
+  it.Lending.endAll(it.Now, "10.0.0.9");
+  CHECK(it.Pool.Connection.IsAbandoned);
+  CHECK(!it.Pool.Connection.Borrower);
+  CHECK(!it.Lending.isLending());
+}
--- a/src/proxy/tests/ProxyTest.cpp
+++ b/src/proxy/tests/ProxyTest.cpp
@@ -23,7 +23,7 @@
 
 /// One service with a primary and two replicas, and a proxy before it.
 struct Fixture {
-  Fixture() : Core(options(), Io, Io) {
+  Fixture() : Core(options(), Io, Io, Io) {
     control::Configuration configuration;
     configuration.Version = 1;
     configuration.Services["db"] = {"db", 40, 0};
@@ -187,7 +187,7 @@
 
 TEST_CASE("Proxy_ClientBeforeTheFirstConfigurationWaits") {
   FakeIo io;
-  Proxy core(Fixture::options(), io, io);
+  Proxy core(Fixture::options(), io, io, io);
   const TimePoint now(std::chrono::seconds(10));
   core.clientConnected(now, ClientId{1}, DatabaseId("current"));
   CHECK(io.Rejected.empty());
@@ -201,7 +201,7 @@
 
 TEST_CASE("Proxy_ClientWithoutAConfigurationIsSentAwayInTime") {
   FakeIo io;
-  Proxy core(Fixture::options(), io, io);
+  Proxy core(Fixture::options(), io, io, io);
   const TimePoint now(std::chrono::seconds(10));
   core.clientConnected(now, ClientId{1}, DatabaseId("current"));
   core.tick(now + milliseconds(1000));
@@ -471,7 +471,7 @@
 TEST_CASE("Proxy_PrimaryIsReachedByARelayWhenTheDirectPathIsSilent") {
   Fixture it;
   it.warmUp();
-  it.Core.setRelays({"10.9.9.9"});
+  it.Core.setEntries({{"10.9.9.9", HallId("b")}});
   const auto client = it.connect("current");
   it.ask(client, StatementKind::Read, "READ x");
   // No answer comes on the direct connections.
--- /dev/null
+++ b/src/proxy/tests/ScheduledClients.cpp
@@ -0,0 +1,202 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "proxy/tests/ScheduledClients.h"
+
+#include <map>
+#include <utility>
+
+namespace stepledge::proxy::tests {
+
+using control::ReadPolicy;
+
+namespace {
+
+constexpr Duration Staleness = milliseconds(1500);
+
+constexpr std::pair<const char *, ReadPolicy> Policies[] = {
+    {"current", ReadPolicy::Current},
+    {"bounded", ReadPolicy::BoundedStaleness},
+    {"own", ReadPolicy::ReadYourWrites},
+};
+
+} // namespace
+
+control::Configuration scheduleConfiguration(int mostConnections) {
+  control::Configuration configuration;
+  configuration.Version = 1;
+  configuration.Services["db"] = {"db", mostConnections, 0};
+  configuration.TransactionIdleLimit = milliseconds(3000);
+  for (const auto &[name, policy] : Policies) {
+    control::Route route;
+    route.Database = DatabaseId(name);
+    route.Service = "db";
+    route.Policy = policy;
+    route.StatementTimeout = milliseconds(800);
+    route.LatencyObjective = milliseconds(200);
+    route.MaxStaleness = Staleness;
+    configuration.Routes[route.Database] = route;
+  }
+  return configuration;
+}
+
+void ScheduledClients::add(TimePoint now, Proxy &proxy) {
+  const std::uint64_t i = Clients.size();
+  const auto &[name, policy] = Policies[i % std::size(Policies)];
+  Client client;
+  client.Id = ClientId{i + 1};
+  client.Front = &proxy;
+  client.View.Client = i + 1;
+  client.Policy = policy;
+  proxy.clientConnected(now, client.Id, DatabaseId(name));
+  Clients.push_back(client);
+}
+
+void ScheduledClients::step(TimePoint now) {
+  Now = now;
+  for (auto &it : Clients) {
+    takeAnswers(it);
+    if (!it.IsAwaiting && IsAsking && pick(8) == 0)
+      ask(it);
+  }
+}
+
+std::string ScheduledClients::check() {
+  for (const auto &it : Clients)
+    if (it.IsAwaiting)
+      Fault = "no answer to " + it.AskedId;
+  checkHistory();
+  return Fault.empty() ? Group.fault() : Fault;
+}
+
+void ScheduledClients::ask(Client &client) {
+  ClientStatement statement;
+  statement.Id = "s" + std::to_string(++LastId);
+  const std::uint64_t choice = pick(12);
+  if (client.HasFailed) {
+    statement.Kind = StatementKind::Rollback;
+  } else if (client.IsOpen && choice < 3) {
+    statement.Kind =
+        choice == 0 ? StatementKind::Rollback : StatementKind::Commit;
+  } else if (!client.IsOpen && choice == 3) {
+    statement.Kind = StatementKind::Begin;
+  } else if (!client.IsOpen && choice == 4) {
+    statement.Kind = StatementKind::Set;
+    statement.Name = "v" + std::to_string(pick(2));
+    statement.Value = std::to_string(pick(3));
+    client.View.Values[statement.Name] = statement.Value;
+  } else if (!client.IsOpen && choice == 5) {
+    statement.Kind = StatementKind::Prepare;
+    statement.Name = "p" + std::to_string(pick(2));
+    statement.Value = "shape" + std::to_string(pick(4));
+    statement.Mode = pick(2) ? AccessMode::Write : AccessMode::Read;
+    client.View.Prepared[statement.Name] = {statement.Mode, statement.Value};
+  } else if (choice == 6 && !client.View.Prepared.empty()) {
+    statement.Kind = StatementKind::Execute;
+    statement.Name = client.View.Prepared.begin()->first;
+    statement.Value = "x";
+    statement.Mode = client.View.Prepared.begin()->second.Mode;
+  } else if (choice < 9) {
+    statement.Kind = StatementKind::Write;
+    statement.Mode = AccessMode::Write;
+  } else {
+    statement.Kind = StatementKind::Read;
+  }
+  statement.Text = textOf(statement);
+  client.IsAwaiting = true;
+  client.Asked = statement.Kind;
+  client.Mode = statement.Mode;
+  client.AskedId = statement.Id;
+  client.AskedAt = Now;
+  Group.Views[statement.Id] = client.View;
+  // NOTE: a transaction's reads are judged by its first statement.
+  if (!client.IsOpen)
+    Group.MustSee[statement.Id] = mustSee(client);
+  if (statement.Mode == AccessMode::Write &&
+      (statement.Kind == StatementKind::Write ||
+       statement.Kind == StatementKind::Execute))
+    client.Writes.push_back(statement.Id);
+  client.Front->clientAsked(Now, client.Id, statement);
+}
+
+std::string ScheduledClients::textOf(const ClientStatement &statement) {
+  switch (statement.Kind) {
+  case StatementKind::Commit:
+    return "COMMIT";
+  case StatementKind::Write:
+    return "WRITE x " + statement.Id;
+  default:
+    return "READ x";
+  }
+}
+
+std::set<std::string> ScheduledClients::mustSee(const Client &client) const {
+  std::set<std::string> writes;
+  for (const auto &it : Acks) {
+    const bool isOwn = it.Client == client.View.Client;
+    const bool isOld = it.At + Staleness <= Now;
+    if (client.Policy == ReadPolicy::Current || isOld ||
+        (client.Policy == ReadPolicy::ReadYourWrites && isOwn))
+      writes.insert(it.Write);
+  }
+  return writes;
+}
+
+void ScheduledClients::takeAnswers(Client &client) {
+  auto &answers = Group.Answers[client.Id];
+  while (!answers.empty()) {
+    const StatementReply reply = answers.front();
+    answers.pop_front();
+    if (!client.IsAwaiting) {
+      Fault = "an answer to nothing";
+      return;
+    }
+    take(client, reply);
+  }
+}
+
+void ScheduledClients::take(Client &client, const StatementReply &reply) {
+  client.IsAwaiting = false;
+  const bool isLocal = client.Asked == StatementKind::Begin ||
+                       client.Asked == StatementKind::Set ||
+                       client.Asked == StatementKind::Prepare ||
+                       client.Asked == StatementKind::Rollback;
+  const bool isSuccess = reply.Code == ReplyCode::Success;
+  Succeeded += isSuccess;
+  if (isSuccess && !isLocal && reply.Signature != "signed " + client.AskedId)
+    Fault = "a success without its signature: " + client.AskedId;
+  const bool wasOpen = client.IsOpen;
+  client.IsOpen = reply.State == SessionState::InTransaction;
+  client.HasFailed = reply.State == SessionState::Failed;
+  const bool ends = !client.IsOpen && !client.HasFailed;
+  const bool isKept = isSuccess && (client.Asked == StatementKind::Commit ||
+                                    (!wasOpen && !isLocal));
+  if (isKept)
+    for (const auto &it : client.Writes)
+      Acks.push_back({it, Now, client.View.Client});
+  // Every code but these says that nothing of the attempt is kept.
+  const bool isPromise =
+      !isSuccess && reply.Code != ReplyCode::OutcomeUnknown &&
+      reply.Code != ReplyCode::TimedOut && reply.Code != ReplyCode::Malformed;
+  const bool isRolledBack = client.Asked == StatementKind::Rollback;
+  if (isPromise || (isRolledBack && isSuccess))
+    for (const auto &it : client.Writes)
+      Promised.insert(it);
+  if (ends || isPromise)
+    client.Writes.clear();
+}
+
+void ScheduledClients::checkHistory() {
+  std::map<std::string, int> runs;
+  for (const auto &commit : Group.history())
+    for (const auto &it : commit.Writes)
+      ++runs[it];
+  for (const auto &[write, n] : runs) {
+    if (n > 1)
+      Fault = "a write was kept twice: " + write;
+    if (Promised.contains(write))
+      Fault = "a refused write was kept: " + write;
+  }
+}
+
+} // namespace stepledge::proxy::tests
--- a/src/proxy/tests/SimulatedInstances.cpp
+++ b/src/proxy/tests/SimulatedInstances.cpp
@@ -51,7 +51,8 @@
                             : membership::InstanceRole::Replica;
     record.Slots = 3;
     record.Sequence = ++it.Sequence;
-    Core->applyInstance(Now, record);
+    for (auto *proxy : Proxies)
+      proxy->applyInstance(Now, record);
   }
 }
 
@@ -142,15 +143,22 @@
 
 void SimulatedInstances::deliver(Event event) {
   if (event.IsLoss)
-    return Core->connectionLost(Now, event.Target);
+    return tellOwner(event.Target, [this](Proxy &proxy, ConnectionId id) {
+      proxy.connectionLost(Now, id);
+    });
   const auto it = Connections.find(event.Target);
   if (it == Connections.end())
     return;
   auto &instance = Instances[it->second.Instance];
   if (event.Reply) {
-    if (event.IsConnect)
-      return Core->connectionReady(Now, event.Target, *event.Reply);
-    return Core->connectionAnswered(Now, event.Target, *event.Reply);
+    if (event.IsConnect && event.Reply->Code != ReplyCode::Success)
+      Connections.erase(it);
+    return tellOwner(event.Target, [&](Proxy &proxy, ConnectionId id) {
+      if (event.IsConnect)
+        proxy.connectionReady(Now, id, *event.Reply);
+      else
+        proxy.connectionAnswered(Now, id, *event.Reply);
+    });
   }
   if (!instance.IsUp)
     return lose(event.Target);
@@ -160,7 +168,13 @@
   answer.At = repliedAt;
   answer.Target = event.Target;
   answer.IsConnect = event.IsConnect;
-  if (event.IsConnect) {
+  const auto open = std::count_if(
+      Connections.begin(), Connections.end(), [&](const auto &other) {
+        return other.second.Instance == it->second.Instance;
+      });
+  if (event.IsConnect && static_cast<std::size_t>(open) > MostConnections) {
+    answer.Reply = refusal(ReplyCode::TooManyConnections, SessionState::Idle);
+  } else if (event.IsConnect) {
     answer.Reply = StatementReply();
     answer.Reply->Position = positionOf(instance);
   } else {
@@ -329,7 +343,8 @@
   History.resize(Instances[instance].Held);
   for (auto &it : Instances)
     it.Held = std::min(it.Held, History.size());
-  Core->applyPromotion(Now, "db", InstanceId(idOf(instance)), Term);
+  for (auto *proxy : Proxies)
+    proxy->applyPromotion(Now, "db", InstanceId(idOf(instance)), Term);
 }
 
 void SimulatedInstances::resetConnections() {
--- a/src/proxy/tests/SimulatedInstances.h
+++ b/src/proxy/tests/SimulatedInstances.h
@@ -27,11 +27,20 @@
   TimePoint At{};
 };
 
-class SimulatedInstances : public IProxyIo, public IProxyLog {
+class SimulatedInstances : public IProxyIo,
+                           public IProxyLog,
+                           public IBorrowerIo {
 public:
   SimulatedInstances(std::uint64_t seed, std::size_t count);
 
-  void setProxy(Proxy &proxy) { Core = &proxy; }
+  void setProxy(Proxy &proxy) { Proxies = {&proxy}; }
+  /// One more proxy; its connections have numbers from idBase() on.
+  void addProxy(Proxy &proxy) { Proxies.push_back(&proxy); }
+  static ConnectionId idBase(std::size_t proxy) {
+    return ConnectionId{static_cast<std::uint64_t>(proxy) << ProxyShift};
+  }
+  /// Refuses connections to an instance beyond this number.
+  void setMostConnections(std::size_t n) { MostConnections = n; }
   /// Moves time on; what is due is delivered.
   void advance(TimePoint now);
   void announceAll();
@@ -80,6 +89,15 @@
             const std::vector<InstanceCommand> &commands) override;
   void closeConnection(ConnectionId connection) override;
   void decision(const std::string &line) override { (void)line; }
+  void answerBorrower(const BorrowKey &key,
+                      const std::vector<StatementReply> &replies) override {
+    (void)key;
+    (void)replies;
+  }
+  void endBorrower(const BorrowKey &key, LendingEnd reason) override {
+    (void)key;
+    (void)reason;
+  }
 
 private:
   struct Instance {
@@ -129,7 +147,15 @@
   void lose(ConnectionId connection);
   Duration draw(int least, int most);
 
-  Proxy *Core = nullptr;
+  static constexpr unsigned ProxyShift = 40;
+  /// Calls \p tell with the proxy that opened the connection, and its own id.
+  template <typename Tell> void tellOwner(ConnectionId id, Tell tell) {
+    const std::size_t owner = id.Number >> ProxyShift;
+    tell(*Proxies[owner], ConnectionId{id.Number - idBase(owner).Number});
+  }
+
+  std::vector<Proxy *> Proxies;
+  std::size_t MostConnections = 1000;
   std::vector<Instance> Instances;
   std::size_t Lead = 0;
   std::uint64_t Term = 1;
--- a/src/proxy/types/InstanceCommand.h
+++ b/src/proxy/types/InstanceCommand.h
@@ -37,6 +37,9 @@
   /// A value, a shape, or the arguments of an execution.
   std::string Value;
   AccessMode Mode = AccessMode::Read;
+  /// What a client's execution runs, for the VM that holds the connection and
+  /// so knows its names; Mode goes with it.
+  std::string Shape;
   std::string Text;
 };
 
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -9,10 +9,14 @@
 #include "base/types/Ids.h"
 #include "base/types/Time.h"
 
+#include <string>
+
 namespace stepledge::proxy {
 
 struct ProxyOptions {
   HallId OwnHall;
+  /// The address by which other VMs know this one.
+  std::string OwnIp;
   /// A statement that could not be sent anywhere waits this long at most
   /// before it is refused as not run: a replaced primary is back sooner, and
   /// the client still has time for two more tries.
@@ -40,12 +44,17 @@
   Duration BorrowDelay = milliseconds(20);
   /// A connection beyond the kept share is closed after this idle time.
   Duration SpareConnectionLifetime = milliseconds(3000);
+  /// The same for a connection of a VM that is no home of the instance.
+  Duration ForeignLifetime = milliseconds(1000);
   /// A connection that nobody waits for is closed if not answered by then.
   Duration AbandonedLifetime = milliseconds(2500);
   /// An instance that takes longer to accept a connection isn't reachable.
   Duration ConnectLimit = milliseconds(350);
   /// A relay that didn't reach an instance isn't asked again before.
   Duration BadRelayPause = milliseconds(2500);
+  /// The same for a lender whose connections were all in use: some answer
+  /// times.
+  Duration FullLenderPause = milliseconds(150);
   /// How often an instance that is reached by relays is tried directly.
   Duration DirectProbeInterval = milliseconds(500);
   /// One connection an instance for this long after the start: instances drop
@@ -60,6 +69,9 @@
   Duration EarlyClientLimit = milliseconds(900);
   /// The most statements that wait for one service.
   std::size_t QueueLength = 200;
+  /// Borrowed connections to one instance: as many as statements that one VM
+  /// has there at once, and as many open transactions again.
+  int BorrowLimit = 8;
   /// Connections to an instance left to the control VMs.
   int ReservedConnections = 4;
 };
