--- a/src/entry/tests/LendingScheduleTest.cpp
+++ b/src/entry/tests/LendingScheduleTest.cpp
@@ -247,8 +247,9 @@
 public:
   explicit Play(std::uint64_t seed) : Group(seed, 3), Net(Group.random()) {
     Net.setVms(&Vms);
-    // Eight connections for seven VMs, so that homes are needed.
-    Group.setMostConnections(12);
+    // From two to eight connections for seven VMs, so that homes are needed.
+    const int most = 6 + static_cast<int>(seed % 7);
+    Group.setMostConnections(static_cast<std::size_t>(most));
     std::vector<membership::EntryVm> entries;
     for (std::size_t i = 0; i < VmCount; ++i)
       entries.push_back({ipOf(i), HallId(i % 2 ? "a" : "b")});
@@ -260,7 +261,7 @@
       else
         Group.addProxy(core);
       core.setEntries(entries);
-      core.applyConfiguration(Now, proxy::tests::scheduleConfiguration(12));
+      core.applyConfiguration(Now, proxy::tests::scheduleConfiguration(most));
     }
     Group.announceAll();
     for (std::size_t i = 0; i < 2 * VmCount; ++i)
--- a/src/proxy/internal/Lender.cpp
+++ b/src/proxy/internal/Lender.cpp
@@ -135,13 +135,19 @@
     Io.endBorrower(key, LendingEnd::Lost);
 }
 
+bool Lender::isWaiting(const BorrowKey &key) const {
+  const auto use = Uses.find(key);
+  return use != Uses.end() && use->second.Waiting;
+}
+
 void Lender::pump(TimePoint now, const std::string &service,
                   const InstanceId &instance) {
   while (true) {
     const auto queue = Queues.find(instance);
     if (queue == Queues.end())
       return;
-    while (!queue->second.empty() && !Uses.contains(queue->second.front()))
+    // NOTE: a use may have ended, and its number may stand for a new one.
+    while (!queue->second.empty() && !isWaiting(queue->second.front()))
       queue->second.pop_front();
     if (queue->second.empty()) {
       Queues.erase(queue);
@@ -172,9 +178,9 @@
   std::vector<std::pair<std::string, InstanceId>> waiting;
   for (const auto &[instance, queue] : Queues) {
     for (const auto &key : queue) {
-      const auto use = Uses.find(key);
-      if (use == Uses.end())
+      if (!isWaiting(key))
         continue;
+      const auto use = Uses.find(key);
       const bool isReached = Pool.reaches(use->second.Service, instance);
       if (!isReached || now - use->second.ArrivedAt > Options.QueueLimit)
         refused.emplace_back(key, isReached ? LendingEnd::Full
--- a/src/proxy/internal/Lender.h
+++ b/src/proxy/internal/Lender.h
@@ -94,6 +94,8 @@
     TimePoint ArrivedAt{};
   };
 
+  /// The use has commands that aren't sent yet.
+  bool isWaiting(const BorrowKey &key) const;
   void send(TimePoint now, Use &use, const BorrowRequest &request);
   void refuse(const BorrowKey &key, LendingEnd reason);
 
--- a/src/proxy/tests/LenderTest.cpp
+++ b/src/proxy/tests/LenderTest.cpp
@@ -148,3 +148,20 @@
   CHECK(!it.Pool.Connection.Borrower);
   CHECK(!it.Lending.isLending());
 }
+
+TEST_CASE("Lender_AUseThatWaitedTwiceIsSentOnce") {
+  Fixture it;
+  it.Pool.HasConnection = false;
+  it.ask(1, true, "a");
+  it.Lending.end(it.Now, {"10.0.0.9", 1});
+  it.ask(1, true, "b");
+  it.Pool.HasConnection = true;
+  it.Lending.tick(it.Now);
+  REQUIRE(it.Pool.Sent.size() == 1);
+  CHECK(it.Pool.Sent.front().Id == "b");
+  // The connection is free again while the first wait still stands in line.
+  it.Pool.Connection.Borrower.reset();
+  it.Pool.Connection.Sent.clear();
+  it.Lending.pump(it.Now, "db", InstanceId("i"));
+  CHECK(it.Pool.Sent.size() == 1);
+}
