Refuse a borrower at once where connections rest in transactions, and tell why first

Ruled out: borrowers that are really silent (they had sent 0.1 s before). Change: the reason goes first and ends the borrowed connection; a home refuses at once where no connection is at work; seven connections a home instead of six and seven guests, most in other halls; the borrower no longer counts the time in line as the instance's. Tests: Lender_RefusesAtOnceWhereAllConnectionsRestInTransactions, Lender_TellsWhyBeforeItRefuses, Proxy_LenderThatRefusesIsNotAskedAgainAtOnce; the schedules check that no use is left behind.

--- a/src/entry/BorrowedConnections.cpp
+++ b/src/entry/BorrowedConnections.cpp
@@ -124,7 +124,10 @@
 
 void BorrowedConnections::takeEnd(const peer::wire::BorrowEnd &end) {
   const ConnectionId id{end.use()};
-  Proxy->lenderRefused(Now, id, static_cast<proxy::LendingEnd>(end.reason()));
+  const auto reason = static_cast<proxy::LendingEnd>(end.reason());
+  // NOTE: a refusal's replies follow, and the proxy closes the connection.
+  if (reason != proxy::LendingEnd::Lost)
+    return Proxy->lenderRefused(Now, id, reason);
   if (Connections.erase(id) > 0)
     Proxy->connectionLost(Now, id);
 }
--- a/src/entry/LendingService.cpp
+++ b/src/entry/LendingService.cpp
@@ -70,7 +70,9 @@
     }
   }
   for (const auto &it : gone) {
-    Log.decision(absl::StrCat("event=borrower_silent ip=", it));
+    Log.decision(absl::StrCat("event=borrower_silent ip=", it, " for_ms=",
+                              toMilliseconds(now - Known[it].HeardAt),
+                              " uses=", Proxy->lender().usesOf(it)));
     borrowerLost(it);
   }
 }
--- a/src/membership/HomeTable.cpp
+++ b/src/membership/HomeTable.cpp
@@ -38,25 +38,28 @@
   HomeShare share;
   share.Homes =
       std::clamp(usable / Options.FewestConnections, 1, Options.MostHomes);
-  const int shared = usable - usable / Options.SpareShare;
-  share.Connections = std::max(1, shared / share.Homes);
+  share.Connections =
+      std::max(1, (usable - usable / Options.GuestShare) / share.Homes);
+  share.Guests = std::max(0, usable - share.Homes * share.Connections);
   return share;
 }
 
 bool HomeTable::isHome(const InstanceId &instance, const HallId &hall,
-                       int homes) {
-  return ranking(instance, hall, homes).IsHome;
+                       const HomeShare &share) {
+  return ranking(instance, hall, share).IsHome;
 }
 
-const std::vector<std::string> &
-HomeTable::lenders(const InstanceId &instance, const HallId &hall, int homes) {
-  return ranking(instance, hall, homes).Lenders;
+const std::vector<std::string> &HomeTable::lenders(const InstanceId &instance,
+                                                   const HallId &hall,
+                                                   const HomeShare &share) {
+  return ranking(instance, hall, share).Lenders;
 }
 
 const HomeTable::Ranking &HomeTable::ranking(const InstanceId &instance,
-                                             const HallId &hall, int homes) {
+                                             const HallId &hall,
+                                             const HomeShare &share) {
   const auto found = Rankings.find(instance);
-  if (found != Rankings.end())
+  if (found != Rankings.end() && found->second.Share == share)
     return found->second;
   // VMs in the instance's hall come first: they lose it only with their hall,
   // and the bytes between halls are the same as without them.
@@ -66,14 +69,25 @@
     ranked.emplace_back(it.Hall != hall, weightOf(instance.str(), it.Ip),
                         it.Ip);
   std::sort(ranked.begin(), ranked.end());
-  const auto count = std::min(ranked.size(), static_cast<std::size_t>(homes));
+  const auto count =
+      std::min(ranked.size(), static_cast<std::size_t>(share.Homes));
   const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(count);
+  // The guests are in other halls where there are any, since a VM that doesn't
+  // reach the instance's hall may reach it by a third one.
+  std::sort(end, ranked.end(), [](const auto &a, const auto &b) {
+    return std::tuple(!std::get<bool>(a), std::get<std::uint64_t>(a)) <
+           std::tuple(!std::get<bool>(b), std::get<std::uint64_t>(b));
+  });
+  const auto guests =
+      std::min(ranked.size() - count, static_cast<std::size_t>(share.Guests));
+  ranked.erase(end + static_cast<std::ptrdiff_t>(guests), ranked.end());
   // Each VM has its own first choice, so that the homes share the work.
   std::sort(ranked.begin(), end, [&](const auto &a, const auto &b) {
     return weightOf(std::get<std::string>(a), OwnIp) <
            weightOf(std::get<std::string>(b), OwnIp);
   });
   Ranking ranking;
+  ranking.Share = share;
   for (auto it = ranked.begin(); it != ranked.end(); ++it) {
     const auto &ip = std::get<std::string>(*it);
     if (ip != OwnIp)
@@ -81,7 +95,7 @@
     else
       ranking.IsHome = it < end;
   }
-  return Rankings.emplace(instance, std::move(ranking)).first->second;
+  return Rankings.insert_or_assign(instance, std::move(ranking)).first->second;
 }
 
 } // namespace stepledge::membership
--- a/src/membership/HomeTable.h
+++ b/src/membership/HomeTable.h
@@ -24,15 +24,18 @@
   /// The fewest connections that a home should have for that number of homes.
   int FewestConnections = 4;
   /// The part of an instance's connections (one in so many) left to VMs that
-  /// are no homes, or that have another list of the VMs for a moment.
-  int SpareShare = 6;
+  /// are no homes: one each, for the case that a home is full or cut off.
+  int GuestShare = 8;
 };
 
 /// How the connections to one instance are shared out.
 struct HomeShare {
   int Homes = 1;
-  /// For each home. Homes times this is below the instance's limit.
+  /// For each home. Homes times this and the guests are within the limit.
   int Connections = 1;
+  /// Other VMs that may hold one connection each.
+  int Guests = 0;
+  bool operator==(const HomeShare &) const = default;
 };
 
 class HomeTable {
@@ -46,19 +49,22 @@
   /// True where \p usable connections don't go round for all VMs.
   bool isNeeded(int usable) const;
   HomeShare share(int usable) const;
-  bool isHome(const InstanceId &instance, const HallId &hall, int homes);
+  bool isHome(const InstanceId &instance, const HallId &hall,
+              const HomeShare &share);
   /// The VMs to ask for a connection to \p instance in \p hall, best first,
-  /// without this one: the homes in this VM's own order, then all others.
+  /// without this one: the homes in this VM's own order, then the guests.
   const std::vector<std::string> &lenders(const InstanceId &instance,
-                                          const HallId &hall, int homes);
+                                          const HallId &hall,
+                                          const HomeShare &share);
 
 private:
   struct Ranking {
+    HomeShare Share;
     bool IsHome = false;
     std::vector<std::string> Lenders;
   };
   const Ranking &ranking(const InstanceId &instance, const HallId &hall,
-                         int homes);
+                         const HomeShare &share);
 
   std::string OwnIp;
   HomeOptions Options;
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -129,7 +129,11 @@
 InstanceConnection *Proxy::acquire(TimePoint now, const ClientSession &session,
                                    const InstanceId &instance) {
   const auto *known = tracker(session.Route.Service).find(instance);
-  if (known && Pool.busyAt(instance) >= known->Running.limit())
+  // NOTE: the homes limit what runs at once, and the time that a statement
+  // waits there says nothing of the instance.
+  const bool isLimited =
+      known && (!usesHomes(session.Route.Service) || isHomeOf(known->Record));
+  if (isLimited && Pool.busyAt(instance) >= known->Running.limit())
     return nullptr;
   const bool usesDirect = !known || !known->IsDirectBad;
   if (auto *it = Pool.findFree(instance, session.Values, usesDirect))
@@ -268,6 +272,11 @@
   connection.Owner.reset();
   connection.IsPinned = false;
   connection.LastUsed = now;
+  if (connection.IsRefused && connection.Sent.empty()) {
+    const std::string refused = connection.Service;
+    Pool.close(connection.Id);
+    return pump(now, refused);
+  }
   if (!connection.isFree())
     return;
   const std::string service = connection.Service;
--- a/src/proxy/internal/InstanceConnection.h
+++ b/src/proxy/internal/InstanceConnection.h
@@ -50,6 +50,8 @@
   std::string RelayIp;
   /// That VM lends one of its own; what it is set to is known there.
   bool IsBorrowed = false;
+  /// Its lender can't lend for now; it is closed once nothing is owed on it.
+  bool IsRefused = false;
   TimePoint OpenedAt{};
   TimePoint LastUsed{};
   /// The instance has accepted the connection.
@@ -67,7 +69,8 @@
   std::deque<SentCommand> Sent;
 
   bool isFree() const {
-    return IsReady && !Owner && !Borrower && !IsAbandoned && Sent.empty();
+    return IsReady && !IsRefused && !Owner && !Borrower && !IsAbandoned &&
+           Sent.empty();
   }
 };
 
--- a/src/proxy/internal/Lender.cpp
+++ b/src/proxy/internal/Lender.cpp
@@ -53,6 +53,9 @@
     return refuse(key, LendingEnd::Full);
   queue.push_back(key);
   pump(now, service, instance);
+  // NOTE: a client may rest inside its transaction for seconds.
+  if (isWaiting(key) && !Pool.expectsFree(service, instance))
+    refuse(key, LendingEnd::Full);
 }
 
 void Lender::send(TimePoint now, Use &use, const BorrowRequest &request) {
@@ -90,9 +93,11 @@
   StatementReply reply;
   reply.Code = ReplyCode::Busy;
   reply.Detail = "no free connection at the home of the instance";
+  // NOTE: the reason goes first, so that the borrower doesn't ask here again as
+  // soon as it has the replies.
+  Io.endBorrower(key, reason);
   Io.answerBorrower(key,
                     std::vector(use.mapped().Waiting->Commands.size(), reply));
-  Io.endBorrower(key, reason);
 }
 
 void Lender::end(TimePoint now, const BorrowKey &key) {
@@ -173,6 +178,22 @@
   return ips;
 }
 
+Duration Lender::oldestUse(TimePoint now) const {
+  Duration oldest{};
+  for (const auto &[key, use] : Uses)
+    oldest = std::max(oldest, now - use.ArrivedAt);
+  return oldest;
+}
+
+std::string Lender::usesOf(const std::string &ip) const {
+  std::string text;
+  for (auto it = Uses.lower_bound({ip, 0});
+       it != Uses.end() && it->first.Ip == ip; ++it)
+    absl::StrAppend(&text, text.empty() ? "" : ",", it->first.Use,
+                    it->second.Bound ? "" : "(waiting)");
+  return text;
+}
+
 void Lender::tick(TimePoint now) {
   std::vector<std::pair<BorrowKey, LendingEnd>> refused;
   std::vector<std::pair<std::string, InstanceId>> waiting;
--- a/src/proxy/internal/Lender.h
+++ b/src/proxy/internal/Lender.h
@@ -39,6 +39,10 @@
   /// This VM has a path to the instance, as far as it knows.
   virtual bool reaches(const std::string &service,
                        const InstanceId &instance) = 0;
+  /// A connection to the instance should be free in a moment: one is being
+  /// opened, or is at work now.
+  virtual bool expectsFree(const std::string &service,
+                           const InstanceId &instance) = 0;
   virtual InstanceConnection *connection(ConnectionId id) = 0;
   virtual void transmitLent(TimePoint now, InstanceConnection &connection,
                             const std::vector<OutgoingCommand> &batch) = 0;
@@ -83,6 +87,10 @@
   /// The VMs with a use that hasn't ended.
   std::set<std::string> borrowers() const;
   bool isLending() const { return !Uses.empty(); }
+  /// How long the oldest use has lasted.
+  Duration oldestUse(TimePoint now) const;
+  /// The uses of \p ip, for a log line.
+  std::string usesOf(const std::string &ip) const;
 
 private:
   struct Use {
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -31,7 +31,7 @@
 
 bool Proxy::isHomeOf(const membership::InstanceRecord &record) {
   const auto share = Homes.share(usableConnections(record.Service));
-  return Homes.isHome(record.Id, record.Hall, share.Homes);
+  return Homes.isHome(record.Id, record.Hall, share);
 }
 
 ConnectionShare Proxy::shareOf(TimePoint now,
@@ -79,7 +79,7 @@
 Proxy::relayTo(TimePoint now, const membership::InstanceRecord &record) {
   const auto &bad = BadRelays[record.Id];
   const auto share = Homes.share(usableConnections(record.Service));
-  for (const auto &it : Homes.lenders(record.Id, record.Hall, share.Homes)) {
+  for (const auto &it : Homes.lenders(record.Id, record.Hall, share)) {
     const auto failed = bad.find(it);
     if (failed == bad.end() || failed->second <= now)
       return it;
@@ -89,11 +89,12 @@
 
 void Proxy::lenderRefused(TimePoint now, ConnectionId connection,
                           LendingEnd reason) {
-  const auto *it = Pool.find(connection);
+  auto *it = Pool.find(connection);
   if (!it || reason == LendingEnd::Lost)
     return;
   const InstanceId instance = it->Instance;
   const std::string lender = it->RelayIp;
+  it->IsRefused = true;
   BadRelays[instance][lender] =
       now + (reason == LendingEnd::Full ? Options.FullLenderPause
                                         : Options.BadRelayPause);
@@ -131,6 +132,12 @@
   return nullptr;
 }
 
+bool Proxy::expectsFree(const std::string &service,
+                        const InstanceId &instance) {
+  (void)service;
+  return Pool.isOpening(instance) || Pool.busyAt(instance) > 0;
+}
+
 bool Proxy::reaches(const std::string &service, const InstanceId &instance) {
   const auto *known = tracker(service).find(instance);
   return known && !known->IsDirectBad;
--- a/src/proxy/tests/LenderTest.cpp
+++ b/src/proxy/tests/LenderTest.cpp
@@ -30,6 +30,12 @@
     (void)instance;
     return IsReached;
   }
+  bool expectsFree(const std::string &service,
+                   const InstanceId &instance) override {
+    (void)service;
+    (void)instance;
+    return IsExpected;
+  }
   InstanceConnection *connection(ConnectionId id) override {
     return id == Connection.Id ? &Connection : nullptr;
   }
@@ -55,6 +61,7 @@
   int TakenBack = 0;
   bool HasConnection = true;
   bool IsReached = true;
+  bool IsExpected = true;
 };
 
 struct Fixture {
@@ -165,3 +172,20 @@
   it.Lending.pump(it.Now, "db", InstanceId("i"));
   CHECK(it.Pool.Sent.size() == 1);
 }
+
+TEST_CASE("Lender_RefusesAtOnceWhereAllConnectionsRestInTransactions") {
+  Fixture it;
+  it.ask(1, true, "", CommandKind::Begin);
+  it.answer(SessionState::InTransaction);
+  it.Pool.IsExpected = false;
+  it.ask(2, true, "b");
+  CHECK(it.Io.Ended[{"10.0.0.9", 2}] == LendingEnd::Full);
+}
+
+TEST_CASE("Lender_TellsWhyBeforeItRefuses") {
+  Fixture it;
+  it.Pool.IsReached = false;
+  it.ask(1, true, "a");
+  // A borrower that had the replies first would ask here once more.
+  CHECK(it.Io.Told == std::vector<std::string>{"end", "reply"});
+}
--- a/src/proxy/tests/ProxyTest.cpp
+++ b/src/proxy/tests/ProxyTest.cpp
@@ -565,3 +565,36 @@
   const auto client = it.connect("current");
   CHECK(it.Io.Accepted.contains(client));
 }
+
+TEST_CASE("Proxy_LenderThatRefusesIsNotAskedAgainAtOnce") {
+  Fixture it;
+  // Eight connections for six VMs: two are homes, two are guests.
+  control::Configuration configuration;
+  configuration.Version = 2;
+  configuration.Services["db"] = {"db", 12, 0};
+  Fixture::addRoute(configuration, "current", ReadPolicy::Current);
+  it.Core.applyConfiguration(it.Now, configuration);
+  std::vector<membership::EntryVm> entries;
+  for (const char *ip : {"1", "2", "3", "4", "5", "6"})
+    entries.push_back({std::string("10.9.9.") + ip, HallId("a")});
+  it.Core.setEntries(entries);
+  for (int i = 0; i < 40; ++i) {
+    it.advance(milliseconds(100));
+    it.answerOwn(markOf(3, 100));
+  }
+  const auto client = it.connect("current");
+  it.ask(client, StatementKind::Write, "WRITE x 1");
+  it.advance(milliseconds(30));
+  const auto first = it.carrierOf("WRITE x 1");
+  REQUIRE(first);
+  const auto lender = it.Io.Opened.at(*first);
+  REQUIRE(lender.IsBorrowed);
+  it.Core.lenderRefused(it.Now, *first, LendingEnd::Full);
+  it.answer(*first, Fixture::refusal(ReplyCode::Busy));
+  for (int i = 0; i < 4; ++i)
+    it.advance(milliseconds(30));
+  CHECK(!it.Io.Opened.contains(*first));
+  const auto next = it.carrierOf("WRITE x 1");
+  REQUIRE(next);
+  CHECK(it.Io.Opened.at(*next).RelayIp != lender.RelayIp);
+}
