Soak: real processes under random faults, judged by what callers and instances see

Ways weighed: the seeded schedules in one process (kept; they find decisions' faults, not those of sockets, processes and disks); network namespaces (need privileges). Chosen: each process is known to the others by the address of a loopback proxy and listens at its own (new setting listen_ip). Faults: processes killed, stopped, paused, disks of control VMs wiped, reloads; links delayed, silenced, cut one way, reset; replicas that lag. Not injected yet: full and slow disks, clock steps, planned leaving of instances. Tests: Judge_*: a planted breach of each promise is caught.

--- a/src/bench/internal/ChildProcess.cpp
+++ b/src/bench/ChildProcess.cpp
@@ -1,7 +1,7 @@
 // Part of stepledge, under the Apache License v2.0. See LICENSE.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "bench/internal/ChildProcess.h"
+#include "bench/ChildProcess.h"
 
 #include <fcntl.h>
 #include <spawn.h>
@@ -81,6 +81,17 @@
   return ExitCode;
 }
 
+bool ChildProcess::hasEnded() {
+  int status = 0;
+  if (Id > 0 && waitpid(Id, &status, WNOHANG) == Id) {
+    ExitCode = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    Id = -1;
+  }
+  return Id <= 0;
+}
+
+void ChildProcess::reload() const { signal(SIGHUP); }
+
 void ChildProcess::freeze() const { signal(SIGSTOP); }
 
 void ChildProcess::thaw() const { signal(SIGCONT); }
--- a/src/bench/internal/ChildProcess.h
+++ b/src/bench/ChildProcess.h
@@ -3,8 +3,8 @@
 
 /// \file A process that the trial started, ended with it.
 
-#ifndef STEPLEDGE_BENCH_INTERNAL_CHILDPROCESS_H
-#define STEPLEDGE_BENCH_INTERNAL_CHILDPROCESS_H
+#ifndef STEPLEDGE_BENCH_CHILDPROCESS_H
+#define STEPLEDGE_BENCH_CHILDPROCESS_H
 
 #include <sys/types.h>
 
@@ -32,6 +32,9 @@
   void sendTerm() const;
   /// Its exit code once it has ended; waits for that.
   int wait();
+  /// It has ended by itself, or was ended; doesn't wait.
+  bool hasEnded();
+  void reload() const;
   void freeze() const;
   void thaw() const;
   pid_t id() const { return Id; }
@@ -45,4 +48,4 @@
 
 } // namespace stepledge::bench
 
-#endif // STEPLEDGE_BENCH_INTERNAL_CHILDPROCESS_H
+#endif // STEPLEDGE_BENCH_CHILDPROCESS_H
--- a/src/bench/internal/Cluster.h
+++ b/src/bench/internal/Cluster.h
@@ -6,7 +6,7 @@
 #ifndef STEPLEDGE_BENCH_INTERNAL_CLUSTER_H
 #define STEPLEDGE_BENCH_INTERNAL_CLUSTER_H
 
-#include "bench/internal/ChildProcess.h"
+#include "bench/ChildProcess.h"
 #include "bench/types/ClusterPlan.h"
 
 #include <cstdint>
--- a/src/control/ControlModule.cpp
+++ b/src/control/ControlModule.cpp
@@ -58,7 +58,7 @@
   Options.Node.FirstCall = drawNumber();
   Node = std::make_unique<ControlNode>(Options.Node, *Consensus, *this, *Hub,
                                        Promoter, Probe, Log);
-  const auto ec = Hub->listen();
+  const auto ec = Hub->listen(Options.ListenIp);
   return ec ? absl::UnavailableError(
                   absl::StrCat("cannot listen for other VMs: ", ec.message()))
             : absl::OkStatus();
--- a/src/control/ControlModule.h
+++ b/src/control/ControlModule.h
@@ -26,6 +26,8 @@
   ControlOptions Node;
   std::string DataFolder;
   /// Where the other VMs connect.
+  /// Where this process listens; others may know it by another address.
+  std::string ListenIp;
   std::uint16_t PeerPort = 0;
   /// The whole system starts for the first time, on empty disks.
   bool IsFirstStart = false;
--- a/src/entry/EntryModule.cpp
+++ b/src/entry/EntryModule.cpp
@@ -52,10 +52,10 @@
 }
 
 void EntryModule::start() {
-  if (const auto ec = Tunnels.listen(Options.Node.Ip, Options.TunnelPort); ec)
+  if (const auto ec = Tunnels.listen(Options.ListenIp, Options.TunnelPort); ec)
     Log.decision(
         absl::StrCat("event=tunnels_off reason=\"", ec.message(), "\""));
-  if (const auto ec = BorrowerHub.listen(); ec)
+  if (const auto ec = BorrowerHub.listen(Options.ListenIp); ec)
     Log.decision(
         absl::StrCat("event=lending_off reason=\"", ec.message(), "\""));
 }
--- a/src/entry/EntryModule.h
+++ b/src/entry/EntryModule.h
@@ -23,6 +23,8 @@
 
 struct EntryModuleOptions {
   EntryOptions Node;
+  /// Where this process listens; others may know it by another address.
+  std::string ListenIp;
   std::uint16_t PeerPort = 0;
   std::uint16_t TunnelPort = 0;
   /// Where other entry VMs ask for connections to instances.
--- a/src/peer/PeerHub.cpp
+++ b/src/peer/PeerHub.cpp
@@ -30,8 +30,8 @@
 
 PeerHub::~PeerHub() = default;
 
-std::error_code PeerHub::listen() {
-  const auto ec = lines::listenAt(Acceptor, Self.ip(), Port);
+std::error_code PeerHub::listen(const std::string &ip) {
+  const auto ec = lines::listenAt(Acceptor, ip, Port);
   if (!ec)
     accept();
   return ec;
--- a/src/peer/PeerHub.h
+++ b/src/peer/PeerHub.h
@@ -29,8 +29,8 @@
   PeerHub(const PeerHub &) = delete;
   PeerHub &operator=(const PeerHub &) = delete;
 
-  /// Takes connections on the own address.
-  std::error_code listen();
+  /// Takes connections at \p ip.
+  std::error_code listen(const std::string &ip);
   /// Keeps a connection open to each of \p ips, and to no others.
   void keepConnected(const std::set<std::string> &ips) override;
   /// Sends over the connection to \p ip that this side opened, else over the
--- /dev/null
+++ b/src/soak/FaultPlan.h
@@ -0,0 +1,72 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The faults of a soak, in series and overlapping, all from one seed.
+
+#ifndef STEPLEDGE_SOAK_FAULTPLAN_H
+#define STEPLEDGE_SOAK_FAULTPLAN_H
+
+#include "base/NameTable.h"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+namespace stepledge::soak {
+
+enum class FaultKind {
+  KillEntry,
+  KillControl,
+  WipeControl,
+  StopEntry,
+  PauseEntry,
+  PauseControl,
+  ReloadAll,
+  DelayVm,
+  SilenceVm,
+  CutVmOneWay,
+  ResetVm,
+  SilenceInstance,
+  CutInstanceFromSome,
+  ResetInstance,
+  LagInstance,
+};
+
+constexpr auto FaultNames = std::to_array<NameEntry<FaultKind>>({
+    {FaultKind::KillEntry, "kill_entry"},
+    {FaultKind::KillControl, "kill_control"},
+    {FaultKind::WipeControl, "wipe_control"},
+    {FaultKind::StopEntry, "stop_entry"},
+    {FaultKind::PauseEntry, "pause_entry"},
+    {FaultKind::PauseControl, "pause_control"},
+    {FaultKind::ReloadAll, "reload_all"},
+    {FaultKind::DelayVm, "delay_vm"},
+    {FaultKind::SilenceVm, "silence_vm"},
+    {FaultKind::CutVmOneWay, "cut_vm_one_way"},
+    {FaultKind::ResetVm, "reset_vm"},
+    {FaultKind::SilenceInstance, "silence_instance"},
+    {FaultKind::CutInstanceFromSome, "cut_instance_from_some"},
+    {FaultKind::ResetInstance, "reset_instance"},
+    {FaultKind::LagInstance, "lag_instance"},
+});
+
+constexpr std::string_view nameOf(FaultKind kind) {
+  return nameIn(FaultNames, kind);
+}
+
+struct PlannedFault {
+  std::chrono::milliseconds At{};
+  std::chrono::milliseconds Lasts{};
+  FaultKind Kind = FaultKind::KillEntry;
+  /// Picks the VM or instance, modulo their number.
+  std::uint64_t Target = 0;
+};
+
+/// Faults from the second second until some time before \p length is over.
+std::vector<PlannedFault> planFaults(std::uint64_t seed,
+                                     std::chrono::milliseconds length);
+
+} // namespace stepledge::soak
+
+#endif // STEPLEDGE_SOAK_FAULTPLAN_H
--- /dev/null
+++ b/src/soak/LoopbackProxy.h
@@ -0,0 +1,58 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Passes TCP connections on to one address, and harms them on request:
+/// delays, silences either way, or resets.
+
+#ifndef STEPLEDGE_SOAK_LOOPBACKPROXY_H
+#define STEPLEDGE_SOAK_LOOPBACKPROXY_H
+
+#include <asio.hpp>
+
+#include <chrono>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace stepledge::soak {
+
+/// What is done to the connections of one proxy.
+struct LinkHarm {
+  std::chrono::milliseconds Delay{};
+  bool IsSilentToTarget = false;
+  bool IsSilentToCaller = false;
+  /// The part of the connections that is harmed.
+  double Share = 1.0;
+};
+
+class LoopbackProxy {
+public:
+  LoopbackProxy(asio::io_context &context,
+                const asio::ip::tcp::endpoint &address,
+                const asio::ip::tcp::endpoint &target, std::uint64_t seed);
+  ~LoopbackProxy();
+
+  /// From any thread.
+  void setHarm(const LinkHarm &harm);
+  void resetConnections();
+
+private:
+  class Pipe;
+  struct State {
+    explicit State(std::uint64_t seed) : Random(seed) {}
+    LinkHarm Harm;
+    std::set<std::shared_ptr<Pipe>> Pipes;
+    std::mt19937_64 Random;
+  };
+
+  void accept();
+
+  asio::io_context &Context;
+  asio::ip::tcp::acceptor Acceptor;
+  asio::ip::tcp::endpoint Target;
+  std::shared_ptr<State> Shared;
+};
+
+} // namespace stepledge::soak
+
+#endif // STEPLEDGE_SOAK_LOOPBACKPROXY_H
--- /dev/null
+++ b/src/soak/tests/ReplicatedGroupTest.cpp
@@ -0,0 +1,163 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The soak's judge catches a planted breach of each promise, and says
+/// nothing where all were kept.
+
+#include "soak/ReplicatedGroup.h"
+
+#include <doctest/doctest.h>
+
+using namespace stepledge::soak;
+
+namespace {
+
+struct Fixture {
+  Fixture() {
+    Primary.Instance = 0;
+    Replica.Instance = 1;
+  }
+
+  void send(const std::string &id, const std::string &text,
+            std::uint64_t caller = 1, Place needed = {}) {
+    SentStatement sent;
+    sent.Text = text;
+    sent.Caller = caller;
+    sent.IsWrite = text.starts_with("WRITE");
+    sent.Needed = needed;
+    Group.willSend(id, sent);
+  }
+
+  RunResult run(ServerSession &session, const std::string &id,
+                const std::string &text) {
+    return Group.run(session, id, text, "", {});
+  }
+
+  bool isCaught() { return !Group.faults().empty(); }
+
+  ReplicatedGroup Group{3, 1};
+  ServerSession Primary;
+  ServerSession Replica;
+};
+
+} // namespace
+
+TEST_CASE("Judge_IsSilentWhenAllIsKept") {
+  Fixture it;
+  it.send("w", "WRITE x 1");
+  const auto result = it.run(it.Primary, "w", "WRITE x 1");
+  it.Group.answered("w", result.Signature, result.Row);
+  it.Group.acknowledged(1, {"w"});
+  it.Group.advance(SoakClock::now() + std::chrono::seconds(1));
+  it.send("r", "READ x", 1,
+          it.Group.needed(ReadRule::Own, 1, std::chrono::seconds(9)));
+  it.run(it.Replica, "r", "READ x");
+  CHECK(!it.isCaught());
+}
+
+TEST_CASE("Judge_CatchesAStaleRead") {
+  Fixture it;
+  it.send("w", "WRITE x 1");
+  it.run(it.Primary, "w", "WRITE x 1");
+  it.Group.acknowledged(1, {"w"});
+  const auto own = it.Group.needed(ReadRule::Own, 1, std::chrono::seconds(9));
+  const auto other = it.Group.needed(ReadRule::Own, 2, std::chrono::seconds(9));
+  CHECK(own > other);
+  it.send("r", "READ x", 1, own);
+  it.run(it.Replica, "r", "READ x");
+  CHECK(it.isCaught());
+}
+
+TEST_CASE("Judge_CatchesAWriteThatIsKeptTwice") {
+  Fixture it;
+  it.send("w", "WRITE x 1");
+  it.run(it.Primary, "w", "WRITE x 1");
+  it.run(it.Primary, "w", "WRITE x 1");
+  CHECK(it.isCaught());
+}
+
+TEST_CASE("Judge_CatchesARefusedWriteThatIsKept") {
+  Fixture it;
+  it.send("w", "WRITE x 1");
+  it.run(it.Primary, "w", "WRITE x 1");
+  it.Group.promised({"w"});
+  CHECK(it.isCaught());
+}
+
+TEST_CASE("Judge_CatchesASuccessThatNoInstanceSigned") {
+  Fixture it;
+  it.send("r", "READ x");
+  const auto result = it.run(it.Primary, "r", "READ x");
+  it.Group.answered("r", "s0", result.Row);
+  CHECK(it.isCaught());
+}
+
+TEST_CASE("Judge_CatchesOtherRows") {
+  Fixture it;
+  it.send("r", "READ x");
+  const auto result = it.run(it.Primary, "r", "READ x");
+  it.Group.answered("r", result.Signature, "another row");
+  CHECK(it.isCaught());
+}
+
+TEST_CASE("Judge_CatchesAStatementThatNobodySent") {
+  Fixture it;
+  it.run(it.Primary, "w", "WRITE x 1");
+  CHECK(it.isCaught());
+}
+
+TEST_CASE("Judge_CatchesAChangedText") {
+  Fixture it;
+  it.send("w", "WRITE x 1");
+  it.run(it.Primary, "w", "WRITE x 2");
+  CHECK(it.isCaught());
+}
+
+TEST_CASE("Judge_CatchesAnotherCallersTransaction") {
+  Fixture it;
+  it.Group.begin(it.Primary, false, {});
+  it.send("a", "READ x", 1);
+  it.send("b", "READ x", 2);
+  it.run(it.Primary, "a", "READ x");
+  it.run(it.Primary, "b", "READ x");
+  CHECK(it.isCaught());
+}
+
+TEST_CASE("Judge_CatchesForeignSessionValues") {
+  Fixture it;
+  it.Primary.Values["v"] = "1";
+  it.send("r", "READ x");
+  it.run(it.Primary, "r", "READ x");
+  CHECK(it.isCaught());
+}
+
+TEST_CASE("Judge_CatchesAnotherShape") {
+  Fixture it;
+  SentStatement sent;
+  sent.Caller = 1;
+  sent.Shape = "READ q1";
+  it.Group.willSend("r", sent);
+  it.Primary.Prepared["p"] = "READ q2";
+  it.Group.run(it.Primary, "r", "EXECUTE p x", "p", {});
+  CHECK(it.isCaught());
+}
+
+TEST_CASE("Judge_CatchesAnAcknowledgedWriteThatIsNowhere") {
+  Fixture it;
+  it.send("w", "WRITE x 1");
+  it.Group.acknowledged(1, {"w"});
+  CHECK(it.isCaught());
+}
+
+TEST_CASE("Judge_WhatAPromotionRolledBackIsNotOwed") {
+  Fixture it;
+  it.send("w", "WRITE x 1");
+  it.run(it.Primary, "w", "WRITE x 1");
+  it.Group.acknowledged(1, {"w"});
+  it.Group.promote(1);
+  it.send("r", "READ x", 1,
+          it.Group.needed(ReadRule::Current, 1, std::chrono::seconds(0)));
+  it.run(it.Replica, "r", "READ x");
+  CHECK(!it.isCaught());
+  CHECK(it.run(it.Primary, "r", "READ x").Code == RunCode::Done);
+}
