--- a/src/consensus/tests/LogStoreTest.cpp
+++ b/src/consensus/tests/LogStoreTest.cpp
@@ -217,3 +217,33 @@
       CHECK(it.command() == "command " + std::to_string(index++));
   }
 }
+
+TEST_CASE("LogStore_MutatedFilesGiveNothingThatWasNotWritten") {
+  std::mt19937_64 random(5);
+  for (int i = 0; i < 400; ++i) {
+    const TemporaryFolder folder;
+    {
+      LogStore store(folder.Path);
+      REQUIRE(store.rewrite(beginning(9)).ok());
+      REQUIRE(store.append({entryAt(4), entryAt(5), entryAt(6)}).ok());
+    }
+    const fs::path file = newestFile(folder.Path);
+    std::string bytes;
+    {
+      std::ifstream in(file, std::ios::binary);
+      bytes.assign(std::istreambuf_iterator<char>(in), {});
+    }
+    for (std::uint64_t n = 1 + random() % 4; n > 0; --n)
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    if (random() % 3 == 0)
+      bytes.resize(random() % bytes.size());
+    std::ofstream(file, std::ios::binary | std::ios::trunc) << bytes;
+    LogStore store(folder.Path);
+    const auto loaded = store.load();
+    if (!loaded.ok() || !*loaded)
+      continue;
+    CHECK((*loaded)->Identity == 9);
+    for (const auto &it : (*loaded)->State.Entries)
+      CHECK(it.command() == "command " + std::to_string(it.index()));
+  }
+}
