Borrow connections after a loss of power, and grow shares by one at a time

Change: a VM whose own connections a full instance refuses borrows from the others; after a start the share grows by one each 400 ms instead of standing at one for 3.3 s. Test: Proxy_VmWithoutAConnectionBorrowsWhileTheInstanceIsFull.

--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -103,6 +103,9 @@
   bool isHomeOf(const membership::InstanceRecord &record);
   ConnectionShare shareOf(TimePoint now,
                           const membership::InstanceRecord &record);
+  /// Only borrowed connections are left, and an own one may be had again.
+  bool mustReturnToOwn(TimePoint now,
+                       const membership::InstanceRecord &record) const;
   /// Gives up a use of a borrowed connection.
   void endBorrowed(InstanceConnection &connection);
   InstanceConnection *findLendable(TimePoint now, const std::string &service,
--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -50,7 +50,7 @@
       "event=connection_refused instance=", instance.str(),
       " service=", service, " code=", std::string(nameOf(reply.Code))));
   Pool.close(connection);
-  const bool isAlone = Pool.countOf(instance) == 0;
+  const bool isAlone = Pool.ownAt(instance) == 0;
   Pool.refuseUntil(
       instance, now + (isAlone ? Options.FullPauseAlone : Options.FullPause));
   if (reply.Code == ReplyCode::WrongInstance)
--- a/src/proxy/internal/ConnectionPool.cpp
+++ b/src/proxy/internal/ConnectionPool.cpp
@@ -25,9 +25,10 @@
     auto &it = Connections[id];
     if (!it.isFree() || (!usesDirect && it.RelayIp.empty()))
       continue;
-    if (it.Values == values)
+    // NOTE: a borrowed one is the second choice: it costs another VM's time.
+    if (it.Values == values && !it.IsBorrowed)
       return &it;
-    if (!found)
+    if (!found || (found->IsBorrowed && !it.IsBorrowed))
       found = &it;
   }
   return found;
@@ -49,11 +50,9 @@
                              const membership::InstanceRecord &instance,
                              const ConnectionShare &share,
                              const ConnectionPath &path) {
-  if (countOf(instance.Id) >= share.Limit)
-    return false;
-  const auto refused = RefusedUntil.find(instance.Id);
-  const bool isRefused = refused != RefusedUntil.end() && refused->second > now;
-  if (isRefused && !path.IsBorrowed)
+  const int own = ownAt(instance.Id);
+  const int open = path.IsBorrowed ? countOf(instance.Id) - own : own;
+  if (open >= share.Limit || (!path.IsBorrowed && isFull(now, instance.Id)))
     return false;
   const ConnectionId id{++LastId};
   auto &it = Connections[id];
@@ -116,6 +115,30 @@
   return countIf(instance, [](const auto &it) { return it.RelayIp.empty(); });
 }
 
+int ConnectionPool::ownAt(const InstanceId &instance) const {
+  return countIf(instance, [](const auto &it) { return !it.IsBorrowed; });
+}
+
+std::optional<TimePoint>
+ConnectionPool::ownSince(const InstanceId &instance) const {
+  std::optional<TimePoint> since;
+  const auto index = ByInstance.find(instance);
+  if (index == ByInstance.end())
+    return since;
+  for (const auto id : index->second) {
+    const auto &it = Connections.at(id);
+    const bool isOlder = !since || it.OpenedAt < *since;
+    if (it.IsReady && !it.IsBorrowed && isOlder)
+      since = it.OpenedAt;
+  }
+  return since;
+}
+
+bool ConnectionPool::isFull(TimePoint now, const InstanceId &instance) const {
+  const auto refused = RefusedUntil.find(instance);
+  return refused != RefusedUntil.end() && refused->second > now;
+}
+
 int ConnectionPool::pinnedAt(const InstanceId &instance) const {
   return countIf(instance, [](const auto &it) { return it.IsPinned; });
 }
--- a/src/proxy/internal/ConnectionPool.h
+++ b/src/proxy/internal/ConnectionPool.h
@@ -10,6 +10,7 @@
 #include "proxy/internal/InstanceConnection.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -54,6 +55,12 @@
   int countOf(const InstanceId &instance) const;
   /// Connections that go by no relay.
   int directAt(const InstanceId &instance) const;
+  /// Connections that aren't borrowed.
+  int ownAt(const InstanceId &instance) const;
+  /// Since when this VM has had an own connection, if it has one.
+  std::optional<TimePoint> ownSince(const InstanceId &instance) const;
+  /// The instance lately had no room for a new connection.
+  bool isFull(TimePoint now, const InstanceId &instance) const;
   /// Connections that open transactions hold.
   int pinnedAt(const InstanceId &instance) const;
   /// Connections on which \p instance owes an answer.
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -140,7 +140,8 @@
     return it;
   // NOTE: one that serves a single statement is free again about as soon as a
   // new one would be open, so it is worth a short wait.
-  const int open = Pool.countOf(instance);
+  const int open =
+      Pool.ownAt(instance) > 0 ? Pool.ownAt(instance) : Pool.countOf(instance);
   if (!known || Pool.isOpening(instance))
     return nullptr;
   const bool isShort = open < shareOf(now, known->Record).Floor ||
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -47,15 +47,22 @@
     const int limit = isCautious ? std::max(1, own / 2) : own;
     return {std::max(1, limit / 2), limit};
   }
-  if (isCautious)
-    return {1, 1};
   const int count = std::max(1, static_cast<int>(Homes.entries().size()));
   const int fair = std::max(1, usable / count);
   // NOTE: after a loss of power the instances count the lost connections for
   // some seconds, so half of the room is left free while nobody needs it.
   // More may be borrowed: an instance that is full says so before it runs
   // anything, and borrowed connections are given back when they rest.
-  return {std::max(1, fair / 2), std::min(usable, 2 * fair + 1)};
+  ConnectionShare share{std::max(1, fair / 2), std::min(usable, 2 * fair + 1)};
+  // NOTE: each VM should get one of the connections that are left before any
+  // gets two, so the share grows by one at a time after a start.
+  if (isCautious) {
+    const auto since = Pool.ownSince(record.Id);
+    const auto grown =
+        since ? static_cast<int>((now - *since) / Options.GrowthInterval) : 0;
+    share.Limit = std::min(share.Limit, 1 + grown);
+  }
+  return share;
 }
 
 bool Proxy::openTo(TimePoint now, const membership::InstanceRecord &record) {
@@ -64,15 +71,27 @@
   const bool isHomes = usesHomes(record.Service);
   const bool isDirect = !isDirectBad && (!isHomes || isHomeOf(record));
   auto share = shareOf(now, record);
-  if (isDirect)
+  // NOTE: one without any connection to a full instance borrows, since others
+  // have some.
+  const bool mustBorrow =
+      isDirect && Pool.ownAt(record.Id) == 0 && Pool.isFull(now, record.Id);
+  if (isDirect && !mustBorrow)
     return Pool.openOne(now, record, share, {});
   const auto relay = relayTo(now, record);
   if (!relay)
     return false;
+  if (mustBorrow || isHomes)
+    return Pool.openOne(now, record, {0, Options.BorrowLimit}, {*relay, true});
   // NOTE: the direct connections serve nobody while their path is cut.
   if (isDirectBad)
     share.Limit += Pool.directAt(record.Id);
-  return Pool.openOne(now, record, share, {*relay, isHomes});
+  return Pool.openOne(now, record, share, {*relay, false});
+}
+
+bool Proxy::mustReturnToOwn(TimePoint now,
+                            const membership::InstanceRecord &record) const {
+  return !usesHomes(record.Service) && Pool.ownAt(record.Id) == 0 &&
+         Pool.countOf(record.Id) > 0 && !Pool.isFull(now, record.Id);
 }
 
 std::optional<std::string>
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -166,7 +166,7 @@
       continue;
     auto *connection = Pool.findFree(*primary, {}, !instance->IsDirectBad);
     if (!connection) {
-      const bool isAlone = instance->IsDirectBad || Pool.countOf(*primary) == 0;
+      const bool isAlone = instance->IsDirectBad || Pool.ownAt(*primary) == 0;
       if (isAlone && !Pool.isOpening(*primary))
         openTo(now, instance->Record);
       continue;
@@ -175,9 +175,12 @@
     sendProbe(now, *connection);
   }
   for (auto &[service, it] : Trackers)
-    for (auto &[id, instance] : it->all())
+    for (auto &[id, instance] : it->all()) {
       if (instance.IsDirectBad)
         probeDirectPath(now, instance);
+      else if (mustReturnToOwn(now, instance.Record))
+        openTo(now, instance.Record);
+    }
 }
 
 void Proxy::searchPrimary(TimePoint now, const std::string &service,
--- a/src/proxy/tests/ProxyTest.cpp
+++ b/src/proxy/tests/ProxyTest.cpp
@@ -598,3 +598,39 @@
   REQUIRE(next);
   CHECK(it.Io.Opened.at(*next).RelayIp != lender.RelayIp);
 }
+
+TEST_CASE("Proxy_VmWithoutAConnectionBorrowsWhileTheInstanceIsFull") {
+  Fixture it;
+  it.warmUp();
+  it.Core.setEntries({{"10.9.9.1", HallId("a")}, {"10.9.9.2", HallId("a")}});
+  it.addInstance("p2", membership::InstanceRole::Primary, "10.0.0.4:1");
+  it.Core.applyPromotion(it.Now, "db", InstanceId("p2"), 9);
+  const auto client = it.connect("current");
+  it.Ready.insert(ConnectionId{}); // Connections are taken by hand from here.
+  ClientStatement statement;
+  statement.Id = "w";
+  statement.Kind = StatementKind::Write;
+  statement.Text = "WRITE x 1";
+  it.Core.clientAsked(it.Now, client, statement);
+  const auto openTo = [&](bool isBorrowed) -> std::optional<ConnectionId> {
+    for (const auto &[id, target] : it.Io.Opened)
+      if (target.Instance == InstanceId("p2") &&
+          target.IsBorrowed == isBorrowed)
+        return id;
+    return std::nullopt;
+  };
+  const auto own = openTo(false);
+  REQUIRE(own);
+  it.Core.connectionReady(it.Now, *own,
+                          Fixture::refusal(ReplyCode::TooManyConnections));
+  it.Now += milliseconds(30);
+  it.Core.tick(it.Now);
+  const auto borrowed = openTo(true);
+  REQUIRE(borrowed);
+  it.Core.connectionReady(it.Now, *borrowed, {});
+  CHECK(it.carrierOf("WRITE x 1") == borrowed);
+  // Once there may be room again, an own one is tried.
+  it.Now += milliseconds(150);
+  it.Core.tick(it.Now);
+  CHECK(openTo(false));
+}
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -57,9 +57,11 @@
   Duration FullLenderPause = milliseconds(150);
   /// How often an instance that is reached by relays is tried directly.
   Duration DirectProbeInterval = milliseconds(500);
-  /// One connection an instance for this long after the start: instances drop
-  /// the connections of a VM without power after 3 s.
+  /// Connections to an instance grow slowly for this long after the start:
+  /// instances drop the connections of a VM without power after 3 s.
   Duration CautiousStart = milliseconds(3300);
+  /// By one after each such time: some tries of a VM that has none.
+  Duration GrowthInterval = milliseconds(400);
   /// No new connection for this long after an instance had no room.
   Duration FullPause = milliseconds(1000);
   /// The same for a VM that has no connection to that instance at all.
