Give child processes no copies of the soak's sockets

A fault of the soak, found with the logs and the list of sockets; not one of the product. Change: children close all but their output.

--- a/src/bench/ChildProcess.cpp
+++ b/src/bench/ChildProcess.cpp
@@ -29,6 +29,12 @@
     posix_spawn_file_actions_adddup2(&Actions, STDOUT_FILENO, STDERR_FILENO);
   }
 
+  /// NOTE: a child that holds a copy of a socket keeps its connection open
+  /// after the parent has closed it.
+  void closeOthers() {
+    posix_spawn_file_actions_addclosefrom_np(&Actions, STDERR_FILENO + 1);
+  }
+
   posix_spawn_file_actions_t *get() { return &Actions; }
 
 private:
@@ -47,6 +53,7 @@
   argv.push_back(nullptr);
   FileActions actions;
   actions.outputTo(logPath);
+  actions.closeOthers();
   if (posix_spawn(&Id, program.c_str(), actions.get(), nullptr, argv.data(),
                   environ) != 0)
     throw std::runtime_error("can't start " + program);
