--- a/src/membership/tests/HomeTableTest.cpp
+++ b/src/membership/tests/HomeTableTest.cpp
@@ -20,6 +20,7 @@
 
 std::vector<EntryVm> vms(int count, int halls) {
   std::vector<EntryVm> entries;
+  entries.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i)
     entries.push_back(
         {"10.1." + std::to_string(i / 250) + "." + std::to_string(i % 250 + 1),
