--- a/src/entry/BorrowedConnections.cpp
+++ b/src/entry/BorrowedConnections.cpp
@@ -30,7 +30,7 @@
 void BorrowedConnections::sendBorrowed(
     ConnectionId connection,
     const std::vector<proxy::InstanceCommand> &commands,
-    const proxy::SessionValues &values) {
+    const proxy::BorrowNeeds &needs) {
   const auto found = Connections.find(connection);
   if (found == Connections.end())
     return;
@@ -45,11 +45,7 @@
   }
   for (const auto &command : commands)
     encodeCommand(command, *call.add_commands());
-  for (const auto &[name, value] : values) {
-    auto &out = *call.add_values();
-    out.set_name(name);
-    out.set_value(value);
-  }
+  encodeNeeds(Now, needs, call);
   if (it.Outstanding == 0)
     it.AskedAt = Now;
   it.Outstanding += static_cast<int>(commands.size());
--- a/src/entry/BorrowedConnections.h
+++ b/src/entry/BorrowedConnections.h
@@ -65,7 +65,7 @@
   }
   void sendBorrowed(ConnectionId connection,
                     const std::vector<proxy::InstanceCommand> &commands,
-                    const proxy::SessionValues &values) override;
+                    const proxy::BorrowNeeds &needs) override;
   void closeConnection(ConnectionId connection) override;
 
 private:
--- a/src/entry/LendingService.cpp
+++ b/src/entry/LendingService.cpp
@@ -24,7 +24,7 @@
   Known[ip].HeardAt = Now;
   if (message.has_borrow_call())
     Proxy->lender().ask(Now, {ip, message.borrow_call().use()},
-                        decodeCall(message.borrow_call()));
+                        decodeCall(Now, message.borrow_call()));
   else if (message.has_borrow_end())
     Proxy->lender().end(Now, {ip, message.borrow_end().use()});
 }
--- a/src/entry/internal/BorrowCodec.cpp
+++ b/src/entry/internal/BorrowCodec.cpp
@@ -29,7 +29,23 @@
   out.set_shape(command.Shape);
 }
 
-proxy::BorrowRequest decodeCall(const peer::wire::BorrowCall &call) {
+void encodeNeeds(TimePoint now, const proxy::BorrowNeeds &needs,
+                 peer::wire::BorrowCall &out) {
+  for (const auto &[name, value] : needs.Values) {
+    auto &it = *out.add_values();
+    it.set_name(name);
+    it.set_value(value);
+  }
+  const auto &rank = needs.Rank;
+  out.set_priority(rank.Priority);
+  out.set_objective_us(rank.Objective.count());
+  // NOTE: the proxy's own questions have no arrival; they are asked now.
+  if (rank.ArrivedAt != TimePoint{})
+    out.set_age_us((now - rank.ArrivedAt).count());
+}
+
+proxy::BorrowRequest decodeCall(TimePoint now,
+                                const peer::wire::BorrowCall &call) {
   proxy::BorrowRequest request;
   request.Service = call.service();
   request.Instance = InstanceId(call.instance());
@@ -48,7 +64,9 @@
     request.Commands.push_back(std::move(command));
   }
   for (const auto &it : call.values())
-    request.Values[it.name()] = it.value();
+    request.Needs.Values[it.name()] = it.value();
+  request.Needs.Rank = {call.priority(), Duration(call.objective_us()),
+                        now - Duration(call.age_us())};
   return request;
 }
 
--- a/src/entry/internal/BorrowCodec.h
+++ b/src/entry/internal/BorrowCodec.h
@@ -14,7 +14,11 @@
 
 void encodeCommand(const proxy::InstanceCommand &command,
                    peer::wire::BorrowedCommand &out);
-proxy::BorrowRequest decodeCall(const peer::wire::BorrowCall &call);
+void encodeNeeds(TimePoint now, const proxy::BorrowNeeds &needs,
+                 peer::wire::BorrowCall &out);
+/// \p now is that of this VM: clocks of different VMs are never compared.
+proxy::BorrowRequest decodeCall(TimePoint now,
+                                const peer::wire::BorrowCall &call);
 
 void encodeReply(const proxy::StatementReply &reply,
                  peer::wire::BorrowedReply &out);
--- a/src/proxy/IBorrowerIo.h
+++ b/src/proxy/IBorrowerIo.h
@@ -32,7 +32,7 @@
   std::string Service;
   InstanceId Instance;
   std::vector<InstanceCommand> Commands;
-  SessionValues Values;
+  BorrowNeeds Needs;
   /// The use begins with these commands.
   bool IsFirst = false;
 };
--- a/src/proxy/IProxyIo.h
+++ b/src/proxy/IProxyIo.h
@@ -10,6 +10,7 @@
 #include "base/types/Time.h"
 #include "proxy/types/InstanceCommand.h"
 #include "proxy/types/StatementReply.h"
+#include "proxy/types/WaitRank.h"
 
 #include <map>
 #include <string>
@@ -20,6 +21,14 @@
 using ClientId = NumberedId<struct ClientTag>;
 using SessionValues = std::map<std::string, std::string>;
 
+/// What the lender of a connection has to know beside the commands.
+struct BorrowNeeds {
+  /// Set before a client's statement.
+  SessionValues Values;
+  /// Its place among those that wait.
+  WaitRank Rank;
+};
+
 /// Where a connection goes.
 struct ConnectionTarget {
   std::string Address;
@@ -46,12 +55,11 @@
   /// Sends all of \p commands in one write.
   virtual void send(ConnectionId connection,
                     const std::vector<InstanceCommand> &commands) = 0;
-  /// The same for a borrowed connection, which the lender gives \p values
-  /// before a client's statement.
+  /// The same for a borrowed connection.
   virtual void sendBorrowed(ConnectionId connection,
                             const std::vector<InstanceCommand> &commands,
-                            const SessionValues &values) {
-    (void)values;
+                            const BorrowNeeds &needs) {
+    (void)needs;
     send(connection, commands);
   }
   virtual void closeConnection(ConnectionId connection) = 0;
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -152,7 +152,7 @@
                      const std::optional<Mark> &minimum);
   void transmit(TimePoint now, InstanceConnection &connection,
                 const std::vector<OutgoingCommand> &batch,
-                const SessionValues &values = {});
+                const BorrowNeeds &needs = {});
   void rollBack(TimePoint now, InstanceConnection &connection);
 
   void statementAnswered(TimePoint now, ClientSession &session,
@@ -181,6 +181,7 @@
   void releasePinned(TimePoint now, ClientSession &session);
   void abandonStatement(TimePoint now, ClientSession &session);
   void freeConnection(TimePoint now, InstanceConnection &connection);
+  static WaitRank rankOf(const ClientSession &session);
   std::vector<ClientId> waitingInOrder(TimePoint now,
                                        const std::string &service) const;
   void pump(TimePoint now, const std::string &service);
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -174,7 +174,8 @@
   connection.Owner = session.Id;
   auto begin = commandOf(minimum ? CommandKind::BeginRead : CommandKind::Begin);
   begin.MinimumPosition = minimum;
-  transmit(now, connection, {{std::move(begin), Purpose::Begin}});
+  transmit(now, connection, {{std::move(begin), Purpose::Begin}},
+           {{}, rankOf(session)});
 }
 
 void Proxy::sendStatement(TimePoint now, ClientSession &session,
@@ -213,12 +214,12 @@
   work.SentAt = now;
   work.Connection = connection.Id;
   connection.Owner = session.Id;
-  transmit(now, connection, batch, session.Values);
+  transmit(now, connection, batch, {session.Values, rankOf(session)});
 }
 
 void Proxy::transmit(TimePoint now, InstanceConnection &connection,
                      const std::vector<OutgoingCommand> &batch,
-                     const SessionValues &values) {
+                     const BorrowNeeds &needs) {
   std::vector<InstanceCommand> commands;
   commands.reserve(batch.size());
   for (const auto &it : batch) {
@@ -229,7 +230,7 @@
   if (auto *it = tracker(connection.Service).find(connection.Instance))
     it->InFlight += static_cast<int>(batch.size());
   if (connection.IsBorrowed)
-    Io.sendBorrowed(connection.Id, commands, values);
+    Io.sendBorrowed(connection.Id, commands, needs);
   else
     Io.send(connection.Id, commands);
 }
@@ -286,43 +287,35 @@
   pump(now, service);
 }
 
+WaitRank Proxy::rankOf(const ClientSession &session) {
+  return {session.Route.Priority, session.Route.LatencyObjective,
+          session.Current->ArrivedAt};
+}
+
 std::vector<ClientId> Proxy::waitingInOrder(TimePoint now,
                                             const std::string &service) const {
-  struct Waiter {
-    bool IsLate = false;
-    int Priority = 0;
-    Duration Objective{};
-    TimePoint ArrivedAt{};
-    ClientId Client;
-  };
   const auto queue = Waiting.find(service);
   if (queue == Waiting.end())
     return {};
-  std::vector<Waiter> waiters;
+  std::vector<std::pair<WaitRank, ClientId>> waiters;
   bool isOverloaded = false;
   for (const auto &it : queue->second) {
     const auto found = Sessions.find(it.Client);
     if (found == Sessions.end() || !found->second.Current)
       continue;
-    const Duration objective = found->second.Route.LatencyObjective;
-    const Duration age = now - it.ArrivedAt;
-    isOverloaded |= age > Options.OverloadAge;
-    waiters.push_back(
-        {age > objective, it.Priority, objective, it.ArrivedAt, it.Client});
+    isOverloaded |= now - it.ArrivedAt > Options.OverloadAge;
+    waiters.emplace_back(rankOf(found->second), it.Client);
   }
-  // NOTE: under overload somebody has to wait too long. Those that can still
-  // be answered in time go first, the tightest objectives before the others
-  // and the newest before the older; first come, first served made all late.
+  // NOTE: the set is in the order for quiet times already.
   if (isOverloaded)
-    std::sort(
-        waiters.begin(), waiters.end(), [](const Waiter &a, const Waiter &b) {
-          return std::tie(a.IsLate, a.Priority, a.Objective, b.ArrivedAt) <
-                 std::tie(b.IsLate, b.Priority, b.Objective, a.ArrivedAt);
-        });
+    std::sort(waiters.begin(), waiters.end(),
+              [&](const auto &a, const auto &b) {
+                return goesBefore(now, true, a.first, b.first);
+              });
   std::vector<ClientId> clients;
   clients.reserve(waiters.size());
-  for (const auto &it : waiters)
-    clients.push_back(it.Client);
+  for (const auto &[rank, client] : waiters)
+    clients.push_back(client);
   return clients;
 }
 
--- a/src/proxy/internal/Lender.cpp
+++ b/src/proxy/internal/Lender.cpp
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace stepledge::proxy {
@@ -65,7 +66,7 @@
   std::vector<OutgoingCommand> batch;
   batch.reserve(request.Commands.size() + 2);
   if (isForClient)
-    for (auto &it : valueSetup(*connection, request.Values))
+    for (auto &it : valueSetup(*connection, request.Needs.Values))
       batch.push_back({std::move(it), Purpose::Setup});
   for (const auto &it : request.Commands) {
     InstanceCommand command = it;
@@ -145,6 +146,23 @@
   return use != Uses.end() && use->second.Waiting;
 }
 
+BorrowKey Lender::takeNext(TimePoint now, std::deque<BorrowKey> &queue) {
+  const bool isOverloaded =
+      std::any_of(queue.begin(), queue.end(), [&](const BorrowKey &it) {
+        return isWaiting(it) && now - Uses[it].Waiting->Needs.Rank.ArrivedAt >
+                                    Options.OverloadAge;
+      });
+  auto next = queue.begin();
+  for (auto it = std::next(next); it != queue.end(); ++it)
+    if (isWaiting(*it) &&
+        goesBefore(now, isOverloaded, Uses[*it].Waiting->Needs.Rank,
+                   Uses[*next].Waiting->Needs.Rank))
+      next = it;
+  const BorrowKey key = *next;
+  queue.erase(next);
+  return key;
+}
+
 void Lender::pump(TimePoint now, const std::string &service,
                   const InstanceId &instance) {
   while (true) {
@@ -161,8 +179,7 @@
     auto *connection = Pool.findLendable(now, service, instance);
     if (!connection)
       return;
-    const BorrowKey key = queue->second.front();
-    queue->second.pop_front();
+    const BorrowKey key = takeNext(now, queue->second);
     auto &use = Uses[key];
     connection->Borrower = key;
     use.Bound = connection->Id;
--- a/src/proxy/internal/Lender.h
+++ b/src/proxy/internal/Lender.h
@@ -57,6 +57,9 @@
   /// that its borrower can ask another home in time: about the tightest
   /// latency objective.
   Duration QueueLimit = milliseconds(150);
+  /// Where statements have waited for longer, the line is overloaded; as at
+  /// the VM that their clients asked.
+  Duration OverloadAge = milliseconds(100);
   /// The most uses that wait for one instance.
   std::size_t QueueLength = 64;
 };
@@ -105,6 +108,8 @@
   /// The use has commands that aren't sent yet.
   bool isWaiting(const BorrowKey &key) const;
   void send(TimePoint now, Use &use, const BorrowRequest &request);
+  /// Of a line whose first use waits, the one to serve next.
+  BorrowKey takeNext(TimePoint now, std::deque<BorrowKey> &queue);
   void refuse(const BorrowKey &key, LendingEnd reason);
 
   ILendablePool &Pool;
--- a/src/proxy/tests/LenderTest.cpp
+++ b/src/proxy/tests/LenderTest.cpp
@@ -189,3 +189,32 @@
   // A borrower that had the replies first would ask here once more.
   CHECK(it.Io.Told == std::vector<std::string>{"end", "reply"});
 }
+
+TEST_CASE("Lender_ServesTheMostUrgentFirstUnderOverload") {
+  Fixture it;
+  it.Pool.HasConnection = false;
+  const auto ask = [&](std::uint64_t use, int priority, Duration objective,
+                       Duration age) {
+    BorrowRequest request;
+    request.Service = "db";
+    request.Instance = InstanceId("i");
+    request.IsFirst = true;
+    request.Commands.emplace_back();
+    request.Commands.back().Id = std::to_string(use);
+    request.Needs.Rank = {priority, objective, it.Now - age};
+    it.Lending.ask(it.Now, {"10.0.0.9", use}, request);
+  };
+  ask(1, 2, milliseconds(500), milliseconds(140));
+  ask(2, 2, milliseconds(250), milliseconds(20));
+  ask(3, 1, milliseconds(150), milliseconds(200));
+  ask(4, 1, milliseconds(150), milliseconds(10));
+  it.Pool.HasConnection = true;
+  std::string order;
+  for (int i = 0; i < 4; ++i) {
+    it.Lending.pump(it.Now, "db", InstanceId("i"));
+    order += it.Pool.Sent.back().Id;
+    it.answer(SessionState::Idle);
+  }
+  // The third is late already; the others go by priority and objective.
+  CHECK(order == "4213");
+}
