Take a lender's refusal for no answer of the instance

Each VM noted the silence when a lender said that it doesn't reach the instance, and forgot it with the lender's own replies; so no VM reported the primary as silent for 600 ms. Ruled out: the control group (it had a leader and sights of all VMs). Change: replies of a lender that refuses say nothing of the instance. Test: Proxy_RefusalOfALenderIsNoAnswerOfTheInstance, which failed before (0 ms).

--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -65,14 +65,18 @@
   const SentCommand sent = it->Sent.front();
   it->Sent.pop_front();
   auto &instances = tracker(it->Service);
+  // NOTE: a lender that refuses answers by itself.
+  const bool isFromInstance = !it->IsRefused;
   if (auto *instance = instances.find(it->Instance)) {
     if (it->RelayIp.empty())
       instance->IsDirectBad = false;
     instance->InFlight = std::max(0, instance->InFlight - 1);
-    instance->SilentSince.reset();
-    instance->LastAnswerAt = now;
+    if (isFromInstance) {
+      instance->SilentSince.reset();
+      instance->LastAnswerAt = now;
+    }
   }
-  if (sent.Reason == Purpose::Statement)
+  if (sent.Reason == Purpose::Statement && isFromInstance)
     instances.noteAnswer(now, it->Instance, now - sent.SentAt);
   if (reply.Position)
     instances.notePosition(now, it->Instance, *reply.Position);
--- a/src/proxy/tests/ProxyTest.cpp
+++ b/src/proxy/tests/ProxyTest.cpp
@@ -566,8 +566,11 @@
   CHECK(it.Io.Accepted.contains(client));
 }
 
-TEST_CASE("Proxy_LenderThatRefusesIsNotAskedAgainAtOnce") {
-  Fixture it;
+namespace {
+
+/// Gives \p it other VMs before the same instances, with too few connections
+/// for each to have its own.
+void shareWithSixVms(Fixture &it) {
   // Eight connections for six VMs: two are homes, two are guests.
   control::Configuration configuration;
   configuration.Version = 2;
@@ -582,6 +585,13 @@
     it.advance(milliseconds(100));
     it.answerOwn(markOf(3, 100));
   }
+}
+
+} // namespace
+
+TEST_CASE("Proxy_LenderThatRefusesIsNotAskedAgainAtOnce") {
+  Fixture it;
+  shareWithSixVms(it);
   const auto client = it.connect("current");
   it.ask(client, StatementKind::Write, "WRITE x 1");
   it.advance(milliseconds(30));
@@ -634,3 +644,21 @@
   it.Core.tick(it.Now);
   CHECK(openTo(false));
 }
+
+TEST_CASE("Proxy_RefusalOfALenderIsNoAnswerOfTheInstance") {
+  Fixture it;
+  shareWithSixVms(it);
+  const auto client = it.connect("current");
+  it.ask(client, StatementKind::Write, "WRITE x 1");
+  it.advance(milliseconds(30));
+  const auto carrier = it.carrierOf("WRITE x 1");
+  REQUIRE(carrier);
+  REQUIRE(it.Io.Opened.at(*carrier).IsBorrowed);
+  it.Core.lenderRefused(it.Now, *carrier, LendingEnd::Unreachable);
+  it.answer(*carrier, Fixture::refusal(ReplyCode::Busy));
+  it.Now += milliseconds(700);
+  const auto sights = it.Core.primarySights(it.Now);
+  REQUIRE(sights.size() == 1);
+  // Control replaces a primary that most VMs miss for this long.
+  CHECK(sights.front().SilentFor >= milliseconds(700));
+}
