Reach a primary that is cut off by a lender, and drop the tunnels

Cause: two mechanisms for one need: tunnels passed the bytes of a caller's own connection on, lenders lend one of theirs.

--- a/src/entry/BorrowedConnections.cpp
+++ b/src/entry/BorrowedConnections.cpp
@@ -15,15 +15,15 @@
 
 void BorrowedConnections::openConnection(
     ConnectionId connection, const proxy::ConnectionTarget &target) {
-  if (!target.IsBorrowed)
+  if (!target.isBorrowed())
     return Sockets.openConnection(connection, target);
   auto &it = Connections[connection];
-  it.LenderIp = target.RelayIp;
+  it.LenderIp = target.LenderIp;
   it.Service = target.Service;
   it.Instance = target.Instance;
   // NOTE: it is ready at the next tick, or once its lender is connected: the
   // proxy doesn't expect that within this call.
-  if (States.try_emplace(target.RelayIp).second)
+  if (States.try_emplace(target.LenderIp).second)
     keepLenders();
 }
 
--- a/src/entry/EntryModule.cpp
+++ b/src/entry/EntryModule.cpp
@@ -43,18 +43,12 @@
       Core(proxyOptions(Options.Node), Borrowed, log, Lending),
       Hub(context, helloOf(Options.Node, peer::wire::ENTRY), Options.PeerPort,
           *this),
-      Node(Options.Node, Core, Hub, log, std::move(decode)),
-      Tunnels(context, [this](const std::string &address) {
-        return Core.knowsAddress(address);
-      }) {
+      Node(Options.Node, Core, Hub, log, std::move(decode)) {
   Borrowed.setProxy(Core);
   Lending.setProxy(Core);
 }
 
 void EntryModule::start() {
-  if (const auto ec = Tunnels.listen(Options.ListenIp, Options.TunnelPort); ec)
-    Log.decision(
-        absl::StrCat("event=tunnels_off reason=\"", ec.message(), "\""));
   if (const auto ec = BorrowerHub.listen(Options.ListenIp); ec)
     Log.decision(
         absl::StrCat("event=lending_off reason=\"", ec.message(), "\""));
--- a/src/entry/EntryModule.h
+++ b/src/entry/EntryModule.h
@@ -1,8 +1,8 @@
 // Part of stepledge, under the Apache License v2.0. See LICENSE.
 // SPDX-License-Identifier: Apache-2.0
 
-/// \file Wires an entry VM: the proxy, the connections to other VMs, tunnels
-/// for them, and the steps of a planned stop.
+/// \file Wires an entry VM: the proxy, the connections to other VMs, what it
+/// lends and borrows, and the steps of a planned stop.
 
 #ifndef STEPLEDGE_ENTRY_ENTRYMODULE_H
 #define STEPLEDGE_ENTRY_ENTRYMODULE_H
@@ -12,7 +12,6 @@
 #include "entry/LendingService.h"
 #include "entry/StopPlan.h"
 #include "peer/PeerHub.h"
-#include "peer/TunnelServer.h"
 
 #include <asio.hpp>
 
@@ -26,7 +25,6 @@
   /// Where this process listens; others may know it by another address.
   std::string ListenIp;
   std::uint16_t PeerPort = 0;
-  std::uint16_t TunnelPort = 0;
   /// Where other entry VMs ask for connections to instances.
   std::uint16_t LendingPort = 0;
   /// From the stop signal to the kill.
@@ -99,7 +97,6 @@
   proxy::Proxy Core;
   peer::PeerHub Hub;
   EntryNode Node;
-  peer::TunnelServer Tunnels;
   std::optional<StopPlan> Stop;
   TimePoint LastBusy{};
 };
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -31,7 +31,7 @@
   Duration AlarmInterval = milliseconds(200);
   /// A configuration that was asked for and didn't come is asked for again.
   Duration FetchLimit = milliseconds(300);
-  /// The own address, which is no relay.
+  /// The address by which other VMs know this one.
   std::string Ip;
   /// Without word from a control VM that hears a majority, and from most
   /// primaries for this long, a VM is cut off: three heartbeats.
--- a/src/proxy/IProxyIo.h
+++ b/src/proxy/IProxyIo.h
@@ -34,10 +34,10 @@
   std::string Address;
   std::string Service;
   InstanceId Instance;
-  /// The VM that passes the bytes on; empty for a direct connection.
-  std::string RelayIp;
-  /// That VM lends a connection of its own for each use instead.
-  bool IsBorrowed = false;
+  /// The VM that lends a connection of its own for each use; empty for an own
+  /// connection.
+  std::string LenderIp;
+  bool isBorrowed() const { return !LenderIp.empty(); }
 };
 
 class IProxyIo {
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -309,14 +309,6 @@
   }
 }
 
-bool Proxy::knowsAddress(const std::string &address) const {
-  for (const auto &[service, it] : Trackers)
-    for (const auto &[id, instance] : it->all())
-      if (instance.Record.Address == address)
-        return true;
-  return false;
-}
-
 bool Proxy::isBusy() const {
   return std::any_of(Sessions.begin(), Sessions.end(), [](const auto &it) {
     return it.second.Current.has_value();
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -58,8 +58,6 @@
   void setIsolated(bool isIsolated) { IsIsolated = isIsolated; }
   /// No control VM with a majority behind it is heard.
   void setControlLost(bool isLost) { IsControlLost = isLost; }
-  /// Whether \p address is that of a known instance.
-  bool knowsAddress(const std::string &address) const;
   /// Another VM that borrows connections of this one, or no longer does.
   Lender &lender() { return Lending; }
   /// The VM that \p connection is borrowed from can't lend for now.
@@ -140,9 +138,9 @@
   InstanceConnection *acquire(TimePoint now, const ClientSession &session,
                               const InstanceId &instance);
   bool openTo(TimePoint now, const membership::InstanceRecord &record);
-  /// The VM to reach the instance by, if a path by another one is needed.
-  std::optional<std::string> relayTo(TimePoint now,
-                                     const membership::InstanceRecord &record);
+  /// The VM to borrow a connection to the instance from.
+  std::optional<std::string>
+  lenderFor(TimePoint now, const membership::InstanceRecord &record);
   void noteDirectBad(TimePoint now, TrackedInstance &instance);
   void sendBegin(TimePoint now, ClientSession &session,
                  InstanceConnection &connection,
@@ -218,9 +216,9 @@
   bool IsControlLost = false;
   membership::HomeTable Homes;
   Lender Lending;
-  /// By instance, the relays that failed to reach it, and until when they are
+  /// By instance, the lenders that failed to reach it, and until when they are
   /// not asked again.
-  std::map<InstanceId, std::map<std::string, TimePoint>> BadRelays;
+  std::map<InstanceId, std::map<std::string, TimePoint>> BadLenders;
 };
 
 } // namespace stepledge::proxy
--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -34,11 +34,11 @@
     it->IsReady = true;
     it->LastUsed = now;
     auto *known = tracker(service).find(instance);
-    if (known && it->RelayIp.empty())
+    if (known && !it->isBorrowed())
       known->IsDirectBad = false;
     // NOTE: a borrowed connection is ready once its lender is reached; the
     // instance has said nothing yet.
-    if (!it->IsBorrowed)
+    if (!it->isBorrowed())
       tracker(service).noteAnswer(now, instance, now - it->OpenedAt);
     if (reply.Position)
       tracker(service).notePosition(now, instance, *reply.Position);
@@ -68,7 +68,7 @@
   // NOTE: a lender that refuses answers by itself.
   const bool isFromInstance = !it->IsRefused;
   if (auto *instance = instances.find(it->Instance)) {
-    if (it->RelayIp.empty())
+    if (!it->isBorrowed())
       instance->IsDirectBad = false;
     instance->InFlight = std::max(0, instance->InFlight - 1);
     if (isFromInstance) {
@@ -243,12 +243,12 @@
     instance->InFlight =
         std::max(0, instance->InFlight - static_cast<int>(lost.Sent.size()));
   // NOTE: the loss of a lender says nothing of the instance.
-  if (!lost.IsBorrowed)
+  if (!lost.isBorrowed())
     instances.noteSilence(now, lost.Instance);
   if (lost.Borrower)
     Lending.lost(*lost.Borrower);
-  if (!lost.RelayIp.empty())
-    BadRelays[lost.Instance][lost.RelayIp] = now + Options.BadRelayPause;
+  if (lost.isBorrowed())
+    BadLenders[lost.Instance][lost.LenderIp] = now + Options.BadLenderPause;
   else if (auto *known = instances.find(lost.Instance); known && !lost.IsReady)
     noteDirectBad(now, *known);
   auto *owner = lost.Owner ? session(*lost.Owner) : nullptr;
--- a/src/proxy/internal/ConnectionPool.cpp
+++ b/src/proxy/internal/ConnectionPool.cpp
@@ -23,12 +23,12 @@
     return nullptr;
   for (const auto id : index->second) {
     auto &it = Connections[id];
-    if (!it.isFree() || (!usesDirect && it.RelayIp.empty()))
+    if (!it.isFree() || (!usesDirect && !it.isBorrowed()))
       continue;
     // NOTE: a borrowed one is the second choice: it costs another VM's time.
-    if (it.Values == values && !it.IsBorrowed)
+    if (it.Values == values && !it.isBorrowed())
       return &it;
-    if (!found || (found->IsBorrowed && !it.IsBorrowed))
+    if (!found || (found->isBorrowed() && !it.isBorrowed()))
       found = &it;
   }
   return found;
@@ -40,7 +40,7 @@
     return nullptr;
   for (const auto id : index->second) {
     auto &it = Connections[id];
-    if (it.isFree() && it.RelayIp.empty())
+    if (it.isFree() && !it.isBorrowed())
       return &it;
   }
   return nullptr;
@@ -49,10 +49,10 @@
 bool ConnectionPool::openOne(TimePoint now,
                              const membership::InstanceRecord &instance,
                              const ConnectionShare &share,
-                             const ConnectionPath &path) {
+                             const std::string &lenderIp) {
   const int own = ownAt(instance.Id);
-  const int open = path.IsBorrowed ? countOf(instance.Id) - own : own;
-  if (open >= share.Limit || (!path.IsBorrowed && isFull(now, instance.Id)))
+  const int open = !lenderIp.empty() ? countOf(instance.Id) - own : own;
+  if (open >= share.Limit || (lenderIp.empty() && isFull(now, instance.Id)))
     return false;
   const ConnectionId id{++LastId};
   auto &it = Connections[id];
@@ -61,11 +61,10 @@
   it.Instance = instance.Id;
   it.OpenedAt = now;
   it.LastUsed = now;
-  it.RelayIp = path.RelayIp;
-  it.IsBorrowed = path.IsBorrowed;
+  it.LenderIp = lenderIp;
   ByInstance[instance.Id].insert(id);
-  Io.openConnection(id, {instance.Address, instance.Service, instance.Id,
-                         path.RelayIp, path.IsBorrowed});
+  Io.openConnection(
+      id, {instance.Address, instance.Service, instance.Id, lenderIp});
   return true;
 }
 
@@ -111,12 +110,8 @@
   return index == ByInstance.end() ? 0 : static_cast<int>(index->second.size());
 }
 
-int ConnectionPool::directAt(const InstanceId &instance) const {
-  return countIf(instance, [](const auto &it) { return it.RelayIp.empty(); });
-}
-
 int ConnectionPool::ownAt(const InstanceId &instance) const {
-  return countIf(instance, [](const auto &it) { return !it.IsBorrowed; });
+  return countIf(instance, [](const auto &it) { return !it.isBorrowed(); });
 }
 
 std::optional<TimePoint>
@@ -128,7 +123,7 @@
   for (const auto id : index->second) {
     const auto &it = Connections.at(id);
     const bool isOlder = !since || it.OpenedAt < *since;
-    if (it.IsReady && !it.IsBorrowed && isOlder)
+    if (it.IsReady && !it.isBorrowed() && isOlder)
       since = it.OpenedAt;
   }
   return since;
@@ -156,7 +151,7 @@
     return ids;
   for (const auto id : index->second) {
     const auto &it = Connections.at(id);
-    if (it.IsBorrowed && it.RelayIp == lender)
+    if (it.isBorrowed() && it.LenderIp == lender)
       ids.push_back(id);
   }
   return ids;
--- a/src/proxy/internal/ConnectionPool.h
+++ b/src/proxy/internal/ConnectionPool.h
@@ -24,13 +24,6 @@
   int Limit = 1;
 };
 
-/// How a connection reaches its instance.
-struct ConnectionPath {
-  /// The VM that passes the bytes on, or lends; empty for a direct one.
-  std::string RelayIp;
-  bool IsBorrowed = false;
-};
-
 class ConnectionPool {
 public:
   explicit ConnectionPool(IProxyIo &io) : Io(io) {}
@@ -38,14 +31,14 @@
   InstanceConnection *find(ConnectionId id);
   /// A free connection to \p instance; one with \p values already set is
   /// preferred, since it needs no set-up. Those that \p usesDirect rules out
-  /// go by no relay.
+  /// are own ones.
   InstanceConnection *findFree(const InstanceId &instance,
                                const SessionValues &values, bool usesDirect);
-  /// A free connection that goes by no relay.
+  /// A free connection of this VM's own.
   InstanceConnection *findFreeDirect(const InstanceId &instance);
   /// Opens one more, unless the share or an earlier refusal forbids it.
   bool openOne(TimePoint now, const membership::InstanceRecord &instance,
-               const ConnectionShare &share, const ConnectionPath &path);
+               const ConnectionShare &share, const std::string &lenderIp);
   /// Whether one that was asked for is still on its way.
   bool isOpening(const InstanceId &instance) const;
   void close(ConnectionId id);
@@ -53,8 +46,6 @@
   /// The instance has no room: no new connection before \p until.
   void refuseUntil(const InstanceId &instance, TimePoint until);
   int countOf(const InstanceId &instance) const;
-  /// Connections that go by no relay.
-  int directAt(const InstanceId &instance) const;
   /// Connections that aren't borrowed.
   int ownAt(const InstanceId &instance) const;
   /// Since when this VM has had an own connection, if it has one.
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -186,7 +186,7 @@
   const auto &statement = work.Statement;
   // NOTE: the lender of a borrowed connection sets it up.
   std::vector<InstanceCommand> setup;
-  if (!connection.IsBorrowed)
+  if (!connection.isBorrowed())
     setup = valueSetup(connection, session.Values);
   auto command = commandOf(CommandKind::ClientText);
   if (statement.Kind == StatementKind::Execute) {
@@ -194,7 +194,7 @@
     command.Kind = CommandKind::ClientExecute;
     command.Mode = prepared.Mode;
     command.Shape = prepared.Shape;
-    if (!connection.IsBorrowed)
+    if (!connection.isBorrowed())
       command.Name = preparedName(connection, prepared, setup);
     command.Value = statement.Value;
   }
@@ -229,7 +229,7 @@
   connection.LastUsed = now;
   if (auto *it = tracker(connection.Service).find(connection.Instance))
     it->InFlight += static_cast<int>(batch.size());
-  if (connection.IsBorrowed)
+  if (connection.isBorrowed())
     Io.sendBorrowed(connection.Id, commands, needs);
   else
     Io.send(connection.Id, commands);
@@ -262,7 +262,7 @@
     return;
   // NOTE: a use that is given up ends at its lender too, and a new one costs
   // nothing.
-  if (connection->IsBorrowed)
+  if (connection->isBorrowed())
     return endBorrowed(*connection);
   connection->Owner.reset();
   connection->IsAbandoned = true;
--- a/src/proxy/internal/InstanceConnection.h
+++ b/src/proxy/internal/InstanceConnection.h
@@ -46,10 +46,9 @@
   ConnectionId Id;
   std::string Service;
   InstanceId Instance;
-  /// The VM that passes its bytes on, if any.
-  std::string RelayIp;
-  /// That VM lends one of its own; what it is set to is known there.
-  bool IsBorrowed = false;
+  /// The VM that lends one of its own, if any; what that one is set to is known
+  /// there.
+  std::string LenderIp;
   /// Its lender can't lend for now; it is closed once nothing is owed on it.
   bool IsRefused = false;
   TimePoint OpenedAt{};
@@ -68,6 +67,7 @@
   std::map<PreparedShape, std::string> Prepared;
   std::deque<SentCommand> Sent;
 
+  bool isBorrowed() const { return !LenderIp.empty(); }
   bool isFree() const {
     return IsReady && !IsRefused && !Owner && !Borrower && !IsAbandoned &&
            Sent.empty();
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -70,22 +70,17 @@
   const bool isDirectBad = known && known->IsDirectBad;
   const bool isHomes = usesHomes(record.Service);
   const bool isDirect = !isDirectBad && (!isHomes || isHomeOf(record));
-  auto share = shareOf(now, record);
+  const auto share = shareOf(now, record);
   // NOTE: one without any connection to a full instance borrows, since others
   // have some.
   const bool mustBorrow =
       isDirect && Pool.ownAt(record.Id) == 0 && Pool.isFull(now, record.Id);
   if (isDirect && !mustBorrow)
-    return Pool.openOne(now, record, share, {});
-  const auto relay = relayTo(now, record);
-  if (!relay)
+    return Pool.openOne(now, record, share, "");
+  const auto lender = lenderFor(now, record);
+  if (!lender)
     return false;
-  if (mustBorrow || isHomes)
-    return Pool.openOne(now, record, {0, Options.BorrowLimit}, {*relay, true});
-  // NOTE: the direct connections serve nobody while their path is cut.
-  if (isDirectBad)
-    share.Limit += Pool.directAt(record.Id);
-  return Pool.openOne(now, record, share, {*relay, false});
+  return Pool.openOne(now, record, {0, Options.BorrowLimit}, *lender);
 }
 
 bool Proxy::mustReturnToOwn(TimePoint now,
@@ -95,8 +90,8 @@
 }
 
 std::optional<std::string>
-Proxy::relayTo(TimePoint now, const membership::InstanceRecord &record) {
-  const auto &bad = BadRelays[record.Id];
+Proxy::lenderFor(TimePoint now, const membership::InstanceRecord &record) {
+  const auto &bad = BadLenders[record.Id];
   const auto share = Homes.share(usableConnections(record.Service));
   for (const auto &it : Homes.lenders(record.Id, record.Hall, share)) {
     const auto failed = bad.find(it);
@@ -112,11 +107,11 @@
   if (!it || reason == LendingEnd::Lost)
     return;
   const InstanceId instance = it->Instance;
-  const std::string lender = it->RelayIp;
+  const std::string lender = it->LenderIp;
   it->IsRefused = true;
-  BadRelays[instance][lender] =
+  BadLenders[instance][lender] =
       now + (reason == LendingEnd::Full ? Options.FullLenderPause
-                                        : Options.BadRelayPause);
+                                        : Options.BadLenderPause);
   if (reason == LendingEnd::Unreachable)
     tracker(it->Service).noteSilence(now, instance);
   for (const auto id : Pool.borrowedFrom(lender, instance)) {
@@ -143,9 +138,9 @@
     return it;
   // NOTE: one that is no home lends all the same: its borrowers may know of a
   // loss that this VM hasn't heard of, or reach the instance only by it.
-  const bool isHome = usesHomes(service) && isHomeOf(known->Record);
+  const bool isGuest = usesHomes(service) && !isHomeOf(known->Record);
   const ConnectionShare share =
-      isHome ? shareOf(now, known->Record) : ConnectionShare{0, 1};
+      isGuest ? ConnectionShare{0, 1} : shareOf(now, known->Record);
   if (!Pool.isOpening(instance) || Pool.countOf(instance) == 0)
     Pool.openOne(now, known->Record, share, {});
   return nullptr;
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -131,7 +131,7 @@
   if (!instance || session.HasRunInTransaction)
     return;
   // The primary is worth another try only by another path.
-  const bool isCutOff = instance->IsDirectBad && connection->RelayIp.empty();
+  const bool isCutOff = instance->IsDirectBad && !connection->isBorrowed();
   const bool isRead = work.Mode == AccessMode::Read &&
                       work.Statement.Kind != StatementKind::Commit;
   const bool isUnsent = work.Stage == WorkStage::Beginning;
@@ -215,7 +215,7 @@
   if (auto *connection = Pool.findFreeDirect(record.Id))
     sendProbe(now, *connection);
   else if (!Pool.isOpening(record.Id))
-    Pool.openOne(now, record, shareOf(now, record), {});
+    Pool.openOne(now, record, shareOf(now, record), "");
 }
 
 void Proxy::sweepConnections(TimePoint now) {
@@ -230,7 +230,7 @@
       const bool isIdle =
           it.isFree() && now - it.LastUsed > Options.SpareConnectionLifetime;
       // NOTE: a VM that no longer is a home gives its connections up.
-      const bool isForeign = instance && it.isFree() && it.RelayIp.empty() &&
+      const bool isForeign = instance && it.isFree() && !it.isBorrowed() &&
                              usesHomes(it.Service) &&
                              !isHomeOf(instance->Record) &&
                              now - it.LastUsed > Options.ForeignLifetime;
@@ -249,7 +249,7 @@
     if (!instance->SilentSince)
       instance->SilentSince =
           std::max(it.Sent.front().SentAt, instance->LastAnswerAt);
-    if (it.RelayIp.empty())
+    if (!it.isBorrowed())
       noteDirectBad(now, *instance);
   }
   for (const auto id : dead) {
--- a/src/proxy/tests/ProxyTest.cpp
+++ b/src/proxy/tests/ProxyTest.cpp
@@ -468,7 +468,7 @@
   CHECK(it.Io.Sent[*busy].front().Text == "WRITE x 39");
 }
 
-TEST_CASE("Proxy_PrimaryIsReachedByARelayWhenTheDirectPathIsSilent") {
+TEST_CASE("Proxy_PrimaryIsReachedByALenderWhenTheDirectPathIsSilent") {
   Fixture it;
   it.warmUp();
   it.Core.setEntries({{"10.9.9.9", HallId("b")}});
@@ -477,11 +477,11 @@
   // No answer comes on the direct connections.
   for (int i = 0; i < 8; ++i)
     it.advance(milliseconds(80));
-  bool usesRelay = false;
+  bool usesLender = false;
   for (const auto &[id, target] : it.Io.Opened)
-    usesRelay |=
-        target.Instance == InstanceId("p") && target.RelayIp == "10.9.9.9";
-  CHECK(usesRelay);
+    usesLender |=
+        target.Instance == InstanceId("p") && target.LenderIp == "10.9.9.9";
+  CHECK(usesLender);
 }
 
 TEST_CASE("Proxy_NewPrimaryIsFoundWithoutControl") {
@@ -598,7 +598,7 @@
   const auto first = it.carrierOf("WRITE x 1");
   REQUIRE(first);
   const auto lender = it.Io.Opened.at(*first);
-  REQUIRE(lender.IsBorrowed);
+  REQUIRE(lender.isBorrowed());
   it.Core.lenderRefused(it.Now, *first, LendingEnd::Full);
   it.answer(*first, Fixture::refusal(ReplyCode::Busy));
   for (int i = 0; i < 4; ++i)
@@ -606,7 +606,7 @@
   CHECK(!it.Io.Opened.contains(*first));
   const auto next = it.carrierOf("WRITE x 1");
   REQUIRE(next);
-  CHECK(it.Io.Opened.at(*next).RelayIp != lender.RelayIp);
+  CHECK(it.Io.Opened.at(*next).LenderIp != lender.LenderIp);
 }
 
 TEST_CASE("Proxy_VmWithoutAConnectionBorrowsWhileTheInstanceIsFull") {
@@ -625,7 +625,7 @@
   const auto openTo = [&](bool isBorrowed) -> std::optional<ConnectionId> {
     for (const auto &[id, target] : it.Io.Opened)
       if (target.Instance == InstanceId("p2") &&
-          target.IsBorrowed == isBorrowed)
+          target.isBorrowed() == isBorrowed)
         return id;
     return std::nullopt;
   };
@@ -653,7 +653,7 @@
   it.advance(milliseconds(30));
   const auto carrier = it.carrierOf("WRITE x 1");
   REQUIRE(carrier);
-  REQUIRE(it.Io.Opened.at(*carrier).IsBorrowed);
+  REQUIRE(it.Io.Opened.at(*carrier).isBorrowed());
   it.Core.lenderRefused(it.Now, *carrier, LendingEnd::Unreachable);
   it.answer(*carrier, Fixture::refusal(ReplyCode::Busy));
   it.Now += milliseconds(700);
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -50,12 +50,12 @@
   Duration AbandonedLifetime = milliseconds(2500);
   /// An instance that takes longer to accept a connection isn't reachable.
   Duration ConnectLimit = milliseconds(350);
-  /// A relay that didn't reach an instance isn't asked again before.
-  Duration BadRelayPause = milliseconds(2500);
+  /// A lender that failed for an instance isn't asked again before.
+  Duration BadLenderPause = milliseconds(2500);
   /// The same for a lender whose connections were all in use: some answer
   /// times.
   Duration FullLenderPause = milliseconds(150);
-  /// How often an instance that is reached by relays is tried directly.
+  /// How often an instance that is reached by lenders is tried directly.
   Duration DirectProbeInterval = milliseconds(500);
   /// Connections to an instance grow slowly for this long after the start:
   /// instances drop the connections of a VM without power after 3 s.
