--- a/src/proxy/internal/Lender.cpp
+++ b/src/proxy/internal/Lender.cpp
@@ -158,7 +158,7 @@
         goesBefore(now, isOverloaded, Uses[*it].Waiting->Needs.Rank,
                    Uses[*next].Waiting->Needs.Rank))
       next = it;
-  const BorrowKey key = *next;
+  BorrowKey key = *next;
   queue.erase(next);
   return key;
 }
