--- a/src/control/tests/ControlNodeTest.cpp
+++ b/src/control/tests/ControlNodeTest.cpp
@@ -297,3 +297,53 @@
     group.run(milliseconds(1000));
   }
 }
+
+TEST_CASE("Control_VmThatWasAwayForHundredsOfChangesCatchesUp") {
+  FakeControls group;
+  group.run(milliseconds(1500));
+  const std::size_t away = (group.leader() + 1) % 3;
+  group.kill(away);
+  constexpr std::uint64_t Changes = 400;
+  std::uint64_t acknowledged = 0;
+  for (std::uint64_t version = 1; version <= Changes; ++version) {
+    group.node(group.leader())
+        .putConfiguration(group.now(), version, std::to_string(version),
+                          [&](bool ok) { acknowledged += ok; });
+    group.run(milliseconds(20));
+  }
+  CHECK(acknowledged == Changes);
+  group.start(away);
+  group.run(milliseconds(1500));
+  CHECK(read(group, away) == std::to_string(Changes));
+  // It counts: with the former leader gone, the two that are left go on.
+  group.kill(group.leader());
+  group.run(milliseconds(3000));
+  CHECK(put(group, away, Changes + 1, "after") == true);
+  CHECK(read(group, away) == "after");
+}
+
+TEST_CASE("Control_NothingAcknowledgedIsLostWhenAllAreKilledAtOnce") {
+  FakeControls group;
+  group.run(milliseconds(1500));
+  std::uint64_t acknowledged = 0;
+  for (std::uint64_t version = 1; version <= 40; ++version) {
+    const std::size_t vm = version % 3;
+    group.node(vm).putConfiguration(group.now(), version,
+                                    std::to_string(version), [&](bool ok) {
+                                      if (ok)
+                                        acknowledged = version;
+                                    });
+    group.run(milliseconds(30));
+    if (version % 10 != 0)
+      continue;
+    for (std::size_t it = 0; it < 3; ++it)
+      group.kill(it);
+    for (std::size_t it = 0; it < 3; ++it)
+      group.start(it);
+    group.run(milliseconds(2500));
+    const auto held = read(group, vm);
+    REQUIRE(held);
+    CHECK(std::stoull(*held) >= acknowledged);
+  }
+  CHECK(acknowledged > 20);
+}
