Keep reads in their primary's hall while it has room; judge congestion twice

Change: 5 ms while the primary answers as usual, 25 ms once it is slower; keep off from 1.3 only where others wait here, else from 1.7.

--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -144,8 +144,10 @@
   const auto *instance = primary ? instances.find(*primary) : nullptr;
   const bool isNeeded =
       now - PrimaryNeededAt[service] < Options.PrimaryNeededTime;
-  if (!instance || !isNeeded ||
-      instance->Running.congestion() < Options.GiveWayAbove)
+  // NOTE: where others wait here as well, the queue is no chance.
+  const bool hasLine = Waiting[service].size() > 1;
+  const double most = hasLine ? Options.GiveWayInLine : Options.GiveWayAbove;
+  if (!instance || !isNeeded || instance->Running.congestion() < most)
     return false;
   auto &at = LetThroughAt[service];
   if (now - at < Options.LetThroughInterval)
--- a/src/proxy/internal/InstanceTracker.cpp
+++ b/src/proxy/internal/InstanceTracker.cpp
@@ -23,8 +23,13 @@
 /// Added where an instance may not have the position yet, in ms: an answer
 /// that says so costs a round trip and a second choice.
 constexpr double BehindCost = 40.0;
-/// Added for the primary, in ms, so that its slots are left to writes.
-constexpr double PrimaryCost = 25.0;
+/// Added for the primary, in ms, so that its slots are left to writes: with
+/// room there, less than another hall costs, so that reads of its hall stay.
+constexpr double PrimaryCost = 5.0;
+/// The same where it takes longer than usual to answer.
+constexpr double BusyPrimaryCost = 25.0;
+/// It does so from this many times its usual time on.
+constexpr double BusyFrom = 1.2;
 /// An estimated lag counts half after this time without news, so that an
 /// instance that has caught up is found out.
 constexpr Duration LagHalfLife = milliseconds(1000);
@@ -165,7 +170,8 @@
   if (!isExpectedAt(now, instance, minimum))
     cost += BehindCost;
   if (primary(now) == instance.Record.Id)
-    cost += PrimaryCost;
+    cost += instance.Running.congestion() < BusyFrom ? PrimaryCost
+                                                     : BusyPrimaryCost;
   return cost;
 }
 
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -34,7 +34,9 @@
   /// reads keep off it: writes, current reads and sessions that must see their
   /// own commits have no other instance. While all replicas lagged, 0.92 of the
   /// worth was served with this and 0.85 without (simulated days).
-  double GiveWayAbove = 1.3;
+  double GiveWayAbove = 1.7;
+  /// The same while other statements wait for the service at this VM.
+  double GiveWayInLine = 1.3;
   /// They keep off it for so long after it was last asked for such work.
   Duration PrimaryNeededTime = milliseconds(1000);
   /// One bounded read that would keep off goes through in each such time, so
