Give the connections left over to the instance's hall, and count statements only

Change: what doesn't go round of the connections goes to the VMs of the instance's hall; only clients' statements count as under way.

--- a/src/membership/HomeTable.cpp
+++ b/src/membership/HomeTable.cpp
@@ -44,13 +44,21 @@
   return share;
 }
 
-int HomeTable::evenShare(const InstanceId &instance, int connections) const {
+int HomeTable::evenShare(const InstanceId &instance, const HallId &hall,
+                         int connections) const {
+  const auto rankOf = [&](const EntryVm &it) {
+    return std::tuple(it.Hall != hall, weightOf(instance.str(), it.Ip), it.Ip);
+  };
+  const auto own =
+      std::find_if(Entries.begin(), Entries.end(),
+                   [&](const EntryVm &it) { return it.Ip == OwnIp; });
+  const auto before = own == Entries.end()
+                          ? 0
+                          : std::count_if(Entries.begin(), Entries.end(),
+                                          [&](const EntryVm &it) {
+                                            return rankOf(it) < rankOf(*own);
+                                          });
   const int vms = std::max(1, static_cast<int>(Entries.size()));
-  const std::uint64_t own = weightOf(instance.str(), OwnIp);
-  const auto before =
-      std::count_if(Entries.begin(), Entries.end(), [&](const EntryVm &it) {
-        return it.Ip != OwnIp && weightOf(instance.str(), it.Ip) < own;
-      });
   const int extra = before < connections % vms ? 1 : 0;
   return std::max(1, connections / vms + extra);
 }
--- a/src/membership/HomeTable.h
+++ b/src/membership/HomeTable.h
@@ -49,11 +49,13 @@
   /// True where \p usable connections don't go round for all VMs.
   bool isNeeded(int usable) const;
   HomeShare share(int usable) const;
-  /// This VM's part of \p connections to \p instance that all VMs share out
-  /// evenly, at least one. What doesn't go round goes to other VMs for each
-  /// instance; over all VMs with the same list the parts make up \p connections
-  /// where these are as many as the VMs.
-  int evenShare(const InstanceId &instance, int connections) const;
+  /// This VM's part of \p connections to \p instance in \p hall that all VMs
+  /// share out evenly, at least one. What doesn't go round goes to the VMs of
+  /// the instance's hall first, which ask it for reads, then to other VMs for
+  /// each instance. Over all VMs with the same list the parts make up
+  /// \p connections where these are as many as the VMs.
+  int evenShare(const InstanceId &instance, const HallId &hall,
+                int connections) const;
   bool isHome(const InstanceId &instance, const HallId &hall,
               const HomeShare &share);
   /// The VMs to ask for a connection to \p instance in \p hall, best first,
--- a/src/membership/tests/HomeTableTest.cpp
+++ b/src/membership/tests/HomeTableTest.cpp
@@ -130,7 +130,8 @@
     for (const auto &it : entries) {
       HomeTable table(it.Ip);
       table.setEntries(entries);
-      const int share = table.evenShare(instance, connections);
+      const int share =
+          table.evenShare(instance, entries.front().Hall, connections);
       sum += share;
       most = std::max(most, share);
       least = std::min(least, share);
@@ -140,14 +141,27 @@
   }
 }
 
-TEST_CASE("HomeTable_WhatDoesNotGoRoundGoesToOtherVmsForEachInstance") {
+TEST_CASE("HomeTable_WhatDoesNotGoRoundGoesToTheInstancesHallFirst") {
   const auto entries = vms(7, 3);
+  // Three VMs are in the first hall, and three connections are left over.
+  for (const auto &it : entries) {
+    HomeTable table(it.Ip);
+    table.setEntries(entries);
+    const int share =
+        table.evenShare(InstanceId("i-1"), entries.front().Hall, 10);
+    CHECK(share == (it.Hall == entries.front().Hall ? 2 : 1));
+  }
+}
+
+TEST_CASE("HomeTable_WhatIsLeftAfterThatDiffersByInstance") {
+  const auto entries = vms(8, 3);
   std::map<std::string, int> extras;
   for (int i = 0; i < 30; ++i)
     for (const auto &it : entries) {
       HomeTable table(it.Ip);
       table.setEntries(entries);
-      if (table.evenShare(InstanceId("i-" + std::to_string(i)), 10) > 1)
+      const InstanceId instance("i-" + std::to_string(i));
+      if (table.evenShare(instance, HallId("elsewhere"), 11) > 1)
         ++extras[it.Ip];
     }
   CHECK(extras.size() == entries.size());
--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -70,7 +70,8 @@
   if (auto *instance = instances.find(it->Instance)) {
     if (!it->isBorrowed())
       instance->IsDirectBad = false;
-    instance->InFlight = std::max(0, instance->InFlight - 1);
+    if (sent.Reason == Purpose::Statement)
+      instance->Statements = std::max(0, instance->Statements - 1);
     if (isFromInstance) {
       instance->SilentSince.reset();
       instance->LastAnswerAt = now;
@@ -261,8 +262,8 @@
   Pool.forget(connection);
   auto &instances = tracker(lost.Service);
   if (auto *instance = instances.find(lost.Instance))
-    instance->InFlight =
-        std::max(0, instance->InFlight - static_cast<int>(lost.Sent.size()));
+    instance->Statements =
+        std::max(0, instance->Statements - lost.statements());
   // NOTE: the loss of a lender says nothing of the instance.
   if (!lost.isBorrowed())
     instances.noteSilence(now, lost.Instance);
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -269,6 +269,7 @@
 void Proxy::transmit(TimePoint now, InstanceConnection &connection,
                      const std::vector<OutgoingCommand> &batch,
                      const BorrowNeeds &needs) {
+  const int before = connection.statements();
   std::vector<InstanceCommand> commands;
   commands.reserve(batch.size());
   for (const auto &it : batch) {
@@ -277,7 +278,7 @@
   }
   connection.LastUsed = now;
   if (auto *it = tracker(connection.Service).find(connection.Instance))
-    it->InFlight += static_cast<int>(batch.size());
+    it->Statements += connection.statements() - before;
   if (connection.isBorrowed())
     Io.sendBorrowed(connection.Id, commands, needs);
   else
--- a/src/proxy/internal/InstanceConnection.h
+++ b/src/proxy/internal/InstanceConnection.h
@@ -10,6 +10,7 @@
 #include "base/types/Time.h"
 #include "proxy/IBorrowerIo.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
@@ -67,6 +68,13 @@
   std::map<PreparedShape, std::string> Prepared;
   std::deque<SentCommand> Sent;
 
+  /// Clients' statements among what was sent.
+  int statements() const {
+    return static_cast<int>(
+        std::count_if(Sent.begin(), Sent.end(), [](const SentCommand &it) {
+          return it.Reason == Purpose::Statement;
+        }));
+  }
   bool isBorrowed() const { return !LenderIp.empty(); }
   bool isFree() const {
     return IsReady && !IsRefused && !Owner && !Borrower && !IsAbandoned &&
--- a/src/proxy/internal/InstanceTracker.cpp
+++ b/src/proxy/internal/InstanceTracker.cpp
@@ -163,7 +163,7 @@
 double InstanceTracker::readCost(TimePoint now, const TrackedInstance &instance,
                                  const Mark &minimum) const {
   const int slots = std::max(1, instance.Record.Slots);
-  const double rounds = 1.0 + static_cast<double>(instance.InFlight) / slots;
+  const double rounds = 1.0 + static_cast<double>(instance.Statements) / slots;
   double cost = toMilliseconds(instance.ServiceTime) * rounds;
   if (instance.Record.Hall != OwnHall)
     cost += OtherHallCost;
--- a/src/proxy/internal/InstanceTracker.h
+++ b/src/proxy/internal/InstanceTracker.h
@@ -47,8 +47,9 @@
   TimePoint BehindUntil{};
   /// How long it isn't asked after one more such refusal.
   Duration BehindPause{};
-  /// Statements sent and not answered.
-  int InFlight = 0;
+  /// Clients' statements sent and not answered. What sets a connection up,
+  /// opens or rolls back takes none of the instance's slots and doesn't count.
+  int Statements = 0;
   SharedLimit Running{MostRunning};
   /// Smoothed time from sending to answer.
   Duration ServiceTime = milliseconds(10);
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -54,7 +54,8 @@
     const int limit = isCautious ? std::max(1, own / 2) : own;
     return {std::max(1, limit / 2), limit};
   }
-  const int own = Homes.evenShare(record.Id, openTogether(record.Service));
+  const int own =
+      Homes.evenShare(record.Id, record.Hall, openTogether(record.Service));
   ConnectionShare share{std::max(1, own / 2), own};
   // NOTE: each VM should get one of the connections that are left before any
   // gets two, so the share grows by one at a time after a start.
@@ -131,8 +132,7 @@
 
 void Proxy::endBorrowed(InstanceConnection &connection) {
   if (auto *it = tracker(connection.Service).find(connection.Instance))
-    it->InFlight =
-        std::max(0, it->InFlight - static_cast<int>(connection.Sent.size()));
+    it->Statements = std::max(0, it->Statements - connection.statements());
   Pool.close(connection.Id);
 }
 
