Let a read wait a moment for a connection in its own hall

Cause: with one or two connections an instance, the next read turned to another hall at once although the connection is free again some ms later. Change: up to 15 ms of patience.

--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -116,6 +116,8 @@
       continue;
     }
     auto *connection = acquire(now, session, it);
+    if (!connection && mayWaitFor(now, work, instances.find(it)))
+      break;
     if (!connection)
       continue;
     if (isOpen)
@@ -130,6 +132,13 @@
   return false;
 }
 
+bool Proxy::mayWaitFor(TimePoint now, const Work &work,
+                       const TrackedInstance *instance) const {
+  return instance && instance->Record.Hall == Options.OwnHall &&
+         Pool.ownAt(instance->Record.Id) > 0 &&
+         now - work.ArrivedAt < Options.HallPatience;
+}
+
 bool Proxy::givesWay(TimePoint now, const ClientSession &session) {
   const auto &service = session.Route.Service;
   const bool isGuest = session.Route.Policy == ReadPolicy::BoundedStaleness &&
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -57,6 +57,9 @@
   Duration SearchInterval = milliseconds(100);
   /// Taken off a route's staleness for the time a read waits in queues.
   Duration StalenessMargin = milliseconds(250);
+  /// A read waits this long for a connection in its own hall before it turns to
+  /// another hall: about the usual answer time.
+  Duration HallPatience = milliseconds(15);
   /// A statement waits this long before a connection beyond the kept share is
   /// opened for it: about the usual answer time.
   Duration BorrowDelay = milliseconds(20);
