--- a/src/proxy/tests/OverloadTest.cpp
+++ b/src/proxy/tests/OverloadTest.cpp
@@ -24,20 +24,6 @@
   return reply;
 }
 
-/// Lets the first reads open connections to the replicas.
-void connectReplicas(Fixture &it) {
-  it.warmUp();
-  for (const char *text : {"READ u", "READ v", "READ w"}) {
-    it.ask(it.connect("bounded"), StatementKind::Read, text);
-    it.advance(milliseconds(15));
-    it.answerOwn(markOf(3, 100));
-    const auto carrier = it.carrierOf(text);
-    REQUIRE(carrier);
-    it.answer(*carrier, Fixture::replyAt(markOf(3, 100)));
-    it.warmUp();
-  }
-}
-
 /// A bounded read that a replica refuses for its position; gives the replica.
 std::string readThatAReplicaRefuses(Fixture &it, const char *text) {
   it.ask(it.connect("bounded"), StatementKind::Read, text);
@@ -90,6 +76,31 @@
             Fixture::replyAt(markOf(3, 100), SessionState::InTransaction));
 }
 
+/// A write of a VM all of whose connections to the primary are in transactions.
+void askWithoutAFreeConnection(Fixture &it) {
+  it.warmUp();
+  shareWithFourVms(it);
+  openTransaction(it, "WRITE a 1");
+  openTransaction(it, "WRITE b 1");
+  it.ask(it.connect("current"), StatementKind::Write, "WRITE c 1");
+  for (int i = 0; i < 6; ++i) {
+    it.advance(milliseconds(10));
+    it.answerOwn(markOf(3, 100));
+  }
+}
+
+void moveToAnotherHall(Fixture &it, const char *id,
+                       membership::InstanceRole role) {
+  membership::InstanceRecord record;
+  record.Id = InstanceId(id);
+  record.Service = "db";
+  record.Hall = HallId("b");
+  record.Role = role;
+  record.Slots = 3;
+  record.Sequence = 2;
+  it.Core.applyInstance(it.Now, record);
+}
+
 /// Asks for a bounded read; answers it and gives true if it was sent.
 bool readAtThePrimary(Fixture &it, const std::string &text) {
   it.ask(it.connect("bounded"), StatementKind::Read, text.c_str());
@@ -139,7 +150,7 @@
 
 TEST_CASE("Overload_ReplicaThatLacksThePositionIsNotAskedAgainAtOnce") {
   Fixture it;
-  connectReplicas(it);
+  it.connectReplicas();
   const auto replica = readThatAReplicaRefuses(it, "READ first");
   it.ask(it.connect("bounded"), StatementKind::Read, "READ second");
   it.advance(milliseconds(10));
@@ -149,7 +160,7 @@
 
 TEST_CASE("Overload_ReplicaThatWasBehindIsAskedAgainAfterAPause") {
   Fixture it;
-  connectReplicas(it);
+  it.connectReplicas();
   const auto replica = readThatAReplicaRefuses(it, "READ first");
   it.advance(milliseconds(30));
   it.answerOwn(markOf(3, 100));
@@ -163,15 +174,7 @@
 
 TEST_CASE("Overload_VmWhoseConnectionsAreAllInTransactionsBorrows") {
   Fixture it;
-  it.warmUp();
-  shareWithFourVms(it);
-  openTransaction(it, "WRITE a 1");
-  openTransaction(it, "WRITE b 1");
-  it.ask(it.connect("current"), StatementKind::Write, "WRITE c 1");
-  for (int i = 0; i < 6; ++i) {
-    it.advance(milliseconds(10));
-    it.answerOwn(markOf(3, 100));
-  }
+  askWithoutAFreeConnection(it);
   const auto carrier = it.carrierOf("WRITE c 1");
   REQUIRE(carrier);
   CHECK(it.Io.Opened.at(*carrier).isBorrowed());
@@ -179,15 +182,7 @@
 
 TEST_CASE("Overload_LendersRefusalIsNoReasonToPause") {
   Fixture it;
-  it.warmUp();
-  shareWithFourVms(it);
-  openTransaction(it, "WRITE a 1");
-  openTransaction(it, "WRITE b 1");
-  it.ask(it.connect("current"), StatementKind::Write, "WRITE c 1");
-  for (int i = 0; i < 6; ++i) {
-    it.advance(milliseconds(10));
-    it.answerOwn(markOf(3, 100));
-  }
+  askWithoutAFreeConnection(it);
   const auto first = it.carrierOf("WRITE c 1");
   REQUIRE(first);
   it.Core.lenderRefused(it.Now, *first, LendingEnd::Full);
@@ -251,20 +246,10 @@
 
 TEST_CASE("Overload_ReadWaitsAMomentBeforeItTurnsToAnotherHall") {
   Fixture it;
-  connectReplicas(it);
+  it.connectReplicas();
   // Of the three, only r1 stays in this VM's hall.
-  for (const char *id : {"p", "r2"}) {
-    membership::InstanceRecord record;
-    record.Id = InstanceId(id);
-    record.Service = "db";
-    record.Address = id == std::string("p") ? "10.0.0.1:1" : "10.0.0.3:1";
-    record.Hall = HallId("b");
-    record.Role = id == std::string("p") ? membership::InstanceRole::Primary
-                                         : membership::InstanceRole::Replica;
-    record.Slots = 3;
-    record.Sequence = 2;
-    it.Core.applyInstance(it.Now, record);
-  }
+  moveToAnotherHall(it, "p", membership::InstanceRole::Primary);
+  moveToAnotherHall(it, "r2", membership::InstanceRole::Replica);
   std::string text;
   for (int i = 0; i == 0 || it.carrierOf(text); ++i) {
     REQUIRE(i < 8);
@@ -281,3 +266,20 @@
   REQUIRE(carrier);
   CHECK(it.instanceOf(*carrier) != "r1");
 }
+
+TEST_CASE("Overload_ReadsStayInThePrimarysHallWhileItHasRoom") {
+  Fixture it;
+  it.connectReplicas();
+  moveToAnotherHall(it, "r1", membership::InstanceRole::Replica);
+  moveToAnotherHall(it, "r2", membership::InstanceRole::Replica);
+  runWrites(it, "current", 40, milliseconds(10));
+  it.ask(it.connect("bounded"), StatementKind::Read, "READ early");
+  REQUIRE(it.carrierOf("READ early"));
+  CHECK(it.instanceOf(*it.carrierOf("READ early")) == "p");
+  it.answer(*it.carrierOf("READ early"), Fixture::replyAt(markOf(3, 100)));
+  // Others have filled the primary's queue.
+  runWrites(it, "current", 20, milliseconds(60));
+  it.ask(it.connect("bounded"), StatementKind::Read, "READ late");
+  REQUIRE(it.carrierOf("READ late"));
+  CHECK(it.instanceOf(*it.carrierOf("READ late")) != "p");
+}
--- a/src/proxy/tests/ProxyFixture.h
+++ b/src/proxy/tests/ProxyFixture.h
@@ -168,6 +168,20 @@
     }
   }
 
+  /// Lets the first reads open connections to the replicas.
+  void connectReplicas() {
+    warmUp();
+    for (const char *text : {"READ u", "READ v", "READ w"}) {
+      ask(connect("bounded"), StatementKind::Read, text);
+      advance(milliseconds(15));
+      answerOwn(markOf(3, 100));
+      const auto carrier = carrierOf(text);
+      REQUIRE(carrier);
+      answer(*carrier, replyAt(markOf(3, 100)));
+      warmUp();
+    }
+  }
+
   FakeIo Io;
   TimePoint Now = TimePoint(std::chrono::seconds(10));
   Proxy Core;
--- a/src/proxy/tests/ProxyTest.cpp
+++ b/src/proxy/tests/ProxyTest.cpp
@@ -85,17 +85,7 @@
 
 TEST_CASE("Proxy_BoundedReadCarriesAPositionThatIsRecentEnough") {
   Fixture it;
-  it.warmUp();
-  // The first reads open the connections to the replicas.
-  for (const char *text : {"READ u", "READ v", "READ w"}) {
-    it.ask(it.connect("bounded"), StatementKind::Read, text);
-    it.advance(milliseconds(15));
-    it.answerOwn(markOf(3, 100));
-    const auto carrier = it.carrierOf(text);
-    REQUIRE(carrier);
-    it.answer(*carrier, Fixture::replyAt(markOf(3, 100)));
-    it.warmUp();
-  }
+  it.connectReplicas();
   const auto client = it.connect("bounded");
   it.ask(client, StatementKind::Read, "READ x");
   const auto carrier = it.carrierOf("READ x");
--- a/src/proxy/tests/SilentConnectionTest.cpp
+++ b/src/proxy/tests/SilentConnectionTest.cpp
@@ -31,8 +31,7 @@
     }
 }
 
-/// A current read whose connection says nothing, while writes on other
-/// connections to the primary are answered; gives the connection.
+/// Sends a write; gives the connection that will say nothing to it.
 ConnectionId askOnASilentConnection(Fixture &it, ClientId client,
                                     const char *text) {
   it.ask(client, StatementKind::Write, text);
@@ -41,6 +40,7 @@
   return *silent;
 }
 
+/// Lets 30 ms pass \p rounds times; other clients' writes are answered in each.
 void letOthersWork(Fixture &it, ConnectionId silent, int rounds) {
   for (int i = 0; i < rounds; ++i) {
     const std::string text = "WRITE other " + std::to_string(i);
@@ -50,6 +50,18 @@
   }
 }
 
+/// Opens a transaction with one write; gives its connection.
+ConnectionId beginTransaction(Fixture &it, ClientId client) {
+  it.ask(client, StatementKind::Begin, "BEGIN");
+  it.ask(client, StatementKind::Write, "WRITE x 1");
+  it.answerOwn(markOf(3, 100));
+  const auto carrier = it.carrierOf("WRITE x 1");
+  REQUIRE(carrier);
+  it.answer(*carrier,
+            Fixture::replyAt(markOf(3, 100), SessionState::InTransaction));
+  return *carrier;
+}
+
 } // namespace
 
 TEST_CASE("SilentConnection_CurrentReadMovesToAnotherConnection") {
@@ -123,35 +135,23 @@
   Fixture it;
   it.warmUp();
   const auto client = it.connect("current");
-  it.ask(client, StatementKind::Begin, "BEGIN");
-  it.ask(client, StatementKind::Write, "WRITE x 1");
-  it.answerOwn(markOf(3, 100));
-  const auto silent = it.carrierOf("WRITE x 1");
-  REQUIRE(silent);
-  it.answer(*silent,
-            Fixture::replyAt(markOf(3, 100), SessionState::InTransaction));
+  const auto silent = beginTransaction(it, client);
   it.ask(client, StatementKind::Write, "WRITE y 1");
   // 0.36 s of the route's 0.8 s.
-  letOthersWork(it, *silent, 12);
+  letOthersWork(it, silent, 12);
   CHECK(it.lastAnswer(client).Code == ReplyCode::Aborted);
-  CHECK(!it.Io.Opened.contains(*silent));
+  CHECK(!it.Io.Opened.contains(silent));
 }
 
 TEST_CASE("SilentConnection_CommitOnItIsNotGivenUpEarly") {
   Fixture it;
   it.warmUp();
   const auto client = it.connect("current");
-  it.ask(client, StatementKind::Begin, "BEGIN");
-  it.ask(client, StatementKind::Write, "WRITE x 1");
-  it.answerOwn(markOf(3, 100));
-  const auto silent = it.carrierOf("WRITE x 1");
-  REQUIRE(silent);
-  it.answer(*silent,
-            Fixture::replyAt(markOf(3, 100), SessionState::InTransaction));
+  const auto silent = beginTransaction(it, client);
   const auto answered = it.Io.Answers[client].size();
   it.ask(client, StatementKind::Commit, "COMMIT");
-  letOthersWork(it, *silent, 12);
+  letOthersWork(it, silent, 12);
   CHECK(it.Io.Answers[client].size() == answered);
-  letOthersWork(it, *silent, 20);
+  letOthersWork(it, silent, 20);
   CHECK(it.lastAnswer(client).Code == ReplyCode::OutcomeUnknown);
 }
