--- a/src/proxy/tests/OverloadTest.cpp
+++ b/src/proxy/tests/OverloadTest.cpp
@@ -29,7 +29,7 @@
   it.ask(it.connect("bounded"), StatementKind::Read, text);
   const auto carrier = it.carrierOf(text);
   REQUIRE(carrier);
-  const std::string replica = it.instanceOf(*carrier);
+  std::string replica = it.instanceOf(*carrier);
   REQUIRE(replica != "p");
   it.answer(*carrier, laggingReply());
   return replica;
