Move sockets, questions to instances and the programs out of platform/

It should only translate, but it also kept the table of clients, connections to instances, the line of questions to an instance with its time limits, and both programs with signals, ticks, metrics and stopping. Addresses are decoded with the settings, and a faulty one is named there instead of ending the program later. Tests: thirteen of gateway over loopback connections and a codec of the test's own, four of the loop; none before. All others pass unchanged but for names, and two lines more are checked of faulty settings. Behaviour: as before; the balancer's port no longer answers the metrics' page.

--- a/platform/ClientListener.cpp
+++ b/src/gateway/EntrySockets.cpp
@@ -1,7 +1,7 @@
 // Part of stepledge, under the Apache License v2.0. See LICENSE.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "ClientListener.h"
+#include "gateway/EntrySockets.h"
 
 #include "lines/ListenAt.h"
 
@@ -9,12 +9,12 @@
 
 #include <utility>
 
-namespace stepledge::platform {
+namespace stepledge::gateway {
 
 using proxy::ClientId;
 
-absl::Status ClientListener::listen(const HostPort &address,
-                                    proxy::Proxy &proxy) {
+absl::Status EntrySockets::listen(const lines::HostPort &address,
+                                  proxy::Proxy &proxy) {
   Proxy = &proxy;
   const auto ec = lines::listenAt(Acceptor, address.Ip, address.Port);
   if (ec)
@@ -24,7 +24,7 @@
   return absl::OkStatus();
 }
 
-void ClientListener::accept() {
+void EntrySockets::accept() {
   Acceptor.async_accept([this](std::error_code ec,
                                asio::ip::tcp::socket socket) {
     if (ec == asio::error::operation_aborted)
@@ -45,7 +45,7 @@
   });
 }
 
-void ClientListener::take(ClientId id) {
+void EntrySockets::take(ClientId id) {
   while (true) {
     const auto it = Clients.find(id);
     if (it == Clients.end() || !it->second.Socket->isOpen())
@@ -53,11 +53,11 @@
     const auto line = it->second.Socket->lines().next();
     if (!line)
       return;
-    handle(id, parseClientLine(*line));
+    handle(id, Codec.parseClientLine(*line));
   }
 }
 
-void ClientListener::handle(ClientId id, ClientCall call) {
+void EntrySockets::handle(ClientId id, ClientCall call) {
   auto &client = Clients[id];
   if (const auto *connect = std::get_if<ConnectCall>(&call)) {
     if (!std::exchange(client.IsConnected, true))
@@ -78,7 +78,7 @@
                                : proxy::ClientStatement());
 }
 
-void ClientListener::drop(ClientId id) {
+void EntrySockets::drop(ClientId id) {
   const auto it = Clients.find(id);
   if (it == Clients.end())
     return;
@@ -87,34 +87,34 @@
   Proxy->clientLeft(Clock(), id);
 }
 
-void ClientListener::acceptClient(ClientId client) {
+void EntrySockets::acceptClient(ClientId client) {
   if (const auto it = Clients.find(client); it != Clients.end())
-    it->second.Socket->write(formatAccepted());
+    it->second.Socket->write(Codec.formatAccepted());
 }
 
-void ClientListener::rejectClient(ClientId client,
-                                  const proxy::StatementReply &reply) {
+void EntrySockets::rejectClient(ClientId client,
+                                const proxy::StatementReply &reply) {
   const auto it = Clients.find(client);
   if (it == Clients.end())
     return;
-  it->second.Socket->write(formatRejected(reply));
+  it->second.Socket->write(Codec.formatRejected(reply));
   it->second.Socket->finish();
 }
 
-void ClientListener::answerClient(ClientId client,
-                                  const proxy::StatementReply &reply) {
+void EntrySockets::answerClient(ClientId client,
+                                const proxy::StatementReply &reply) {
   if (const auto it = Clients.find(client); it != Clients.end())
-    it->second.Socket->write(formatReply(reply));
+    it->second.Socket->write(Codec.formatReply(reply));
 }
 
-void ClientListener::closeClient(ClientId client) {
+void EntrySockets::closeClient(ClientId client) {
   // NOTE: the client's own end of the connection ends it fully.
   if (const auto it = Clients.find(client); it != Clients.end())
     it->second.Socket->finish();
 }
 
-void ClientListener::openConnection(ConnectionId connection,
-                                    const proxy::ConnectionTarget &target) {
+void EntrySockets::openConnection(ConnectionId connection,
+                                  const proxy::ConnectionTarget &target) {
   InstanceLink::Handlers handlers;
   handlers.Connected = [this, connection](const proxy::StatementReply &reply) {
     Proxy->connectionReady(Clock(), connection, reply);
@@ -126,23 +126,24 @@
     Links.erase(connection);
     Proxy->connectionLost(Clock(), connection);
   };
-  auto link = std::make_shared<InstanceLink>(Context, std::move(handlers));
+  auto link =
+      std::make_shared<InstanceLink>(Context, Codec, std::move(handlers));
   Links[connection] = link;
   link->open(target.Address, target.Service, target.Instance.str());
 }
 
-void ClientListener::send(ConnectionId connection,
-                          const std::vector<proxy::InstanceCommand> &commands) {
+void EntrySockets::send(ConnectionId connection,
+                        const std::vector<proxy::InstanceCommand> &commands) {
   const auto it = Links.find(connection);
   if (it == Links.end())
     return;
   std::string lines;
   for (const auto &command : commands)
-    lines += formatCommand(command);
+    lines += Codec.formatCommand(command);
   it->second->send(lines);
 }
 
-void ClientListener::closeConnection(ConnectionId connection) {
+void EntrySockets::closeConnection(ConnectionId connection) {
   const auto it = Links.find(connection);
   if (it == Links.end())
     return;
@@ -150,4 +151,4 @@
   Links.erase(it);
 }
 
-} // namespace stepledge::platform
+} // namespace stepledge::gateway
--- a/platform/ClientListener.h
+++ b/src/gateway/EntrySockets.h
@@ -4,11 +4,12 @@
 /// \file The sockets of an entry VM: clients on one side, instances on the
 /// other, and the proxy's decisions between them.
 
-#ifndef STEPLEDGE_PLATFORM_CLIENTLISTENER_H
-#define STEPLEDGE_PLATFORM_CLIENTLISTENER_H
+#ifndef STEPLEDGE_GATEWAY_ENTRYSOCKETS_H
+#define STEPLEDGE_GATEWAY_ENTRYSOCKETS_H
 
-#include "BootSettings.h"
-#include "InstanceLink.h"
+#include "gateway/ILineCodec.h"
+#include "gateway/internal/InstanceLink.h"
+#include "lines/HostPort.h"
 #include "lines/LineSocket.h"
 #include "proxy/Proxy.h"
 
@@ -18,17 +19,22 @@
 #include <map>
 #include <memory>
 
-namespace stepledge::platform {
+namespace stepledge::gateway {
 
-class ClientListener : public proxy::IProxyIo {
+class EntrySockets : public proxy::IProxyIo {
 public:
   using ReadClock = std::function<TimePoint()>;
 
-  ClientListener(asio::io_context &context, ReadClock clock)
-      : Context(context), Acceptor(context), Clock(std::move(clock)) {}
+  EntrySockets(asio::io_context &context, const ILineCodec &codec,
+               ReadClock clock)
+      : Context(context), Codec(codec), Acceptor(context),
+        Clock(std::move(clock)) {}
 
   /// Serves clients at \p address with \p proxy, which must outlive this.
-  absl::Status listen(const HostPort &address, proxy::Proxy &proxy);
+  absl::Status listen(const lines::HostPort &address, proxy::Proxy &proxy);
+
+  /// The port that clients connect to.
+  std::uint16_t port() const { return Acceptor.local_endpoint().port(); }
 
   void acceptClient(proxy::ClientId client) override;
   void rejectClient(proxy::ClientId client,
@@ -54,6 +60,7 @@
   void drop(proxy::ClientId id);
 
   asio::io_context &Context;
+  const ILineCodec &Codec;
   asio::ip::tcp::acceptor Acceptor;
   ReadClock Clock;
   proxy::Proxy *Proxy = nullptr;
@@ -62,6 +69,6 @@
   std::uint64_t LastClient = 0;
 };
 
-} // namespace stepledge::platform
+} // namespace stepledge::gateway
 
-#endif // STEPLEDGE_PLATFORM_CLIENTLISTENER_H
+#endif // STEPLEDGE_GATEWAY_ENTRYSOCKETS_H
--- a/platform/StatusProbe.h
+++ b/src/gateway/InstanceProbe.h
@@ -3,21 +3,27 @@
 
 /// \file A control VM's connections to instances, for questions about them.
 
-#ifndef STEPLEDGE_PLATFORM_STATUSPROBE_H
-#define STEPLEDGE_PLATFORM_STATUSPROBE_H
+#ifndef STEPLEDGE_GATEWAY_INSTANCEPROBE_H
+#define STEPLEDGE_GATEWAY_INSTANCEPROBE_H
 
-#include "InstanceLink.h"
 #include "control/IPromoter.h"
+#include "gateway/ILineCodec.h"
+#include "gateway/internal/InstanceLink.h"
+#include "gateway/internal/QuestionQueue.h"
 
-#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 
-namespace stepledge::platform {
+namespace stepledge::gateway {
 
-class StatusProbe : public control::IInstanceProbe {
+class InstanceProbe : public control::IInstanceProbe {
 public:
-  explicit StatusProbe(asio::io_context &context) : Context(context) {}
+  using ReadClock = std::function<TimePoint()>;
+
+  InstanceProbe(asio::io_context &context, const ILineCodec &codec,
+                ReadClock clock)
+      : Context(context), Codec(codec), Clock(std::move(clock)) {}
 
   void askStatus(const membership::InstanceRecord &instance,
                  std::function<void(std::optional<control::InstanceStatus>)>
@@ -31,39 +37,32 @@
   void keepOnly(const std::vector<InstanceId> &instances) override;
 
 private:
-  using OnReply =
-      std::function<void(const std::optional<proxy::StatementReply> &)>;
-
   struct Connection {
     std::shared_ptr<InstanceLink> Link;
     bool IsReady = false;
+    /// Lines for the instance until it has accepted the connection.
     std::string Unsent;
-    /// One for each question on its way; several replies may belong to one.
-    struct Question {
-      std::uint64_t Number = 0;
-      int Replies = 1;
-      OnReply Done;
-    };
-    std::deque<Question> Questions;
+    QuestionQueue Questions;
+    /// Tells it from an earlier connection to the same instance.
     std::uint64_t Number = 0;
   };
 
   /// Asks \p lines, which get \p replies replies; the first one counts.
   void ask(const membership::InstanceRecord &instance, const std::string &lines,
            int replies, OnReply onDone);
-  void answered(const InstanceId &id, const proxy::StatementReply &reply);
+  void connect(const membership::InstanceRecord &instance,
+               Connection &connection);
+  /// Gives the connection up if it owes an answer by then.
+  void watch(const InstanceId &id, std::uint64_t number);
   void lost(const InstanceId &id, std::uint64_t number);
 
   asio::io_context &Context;
+  const ILineCodec &Codec;
+  ReadClock Clock;
   std::map<InstanceId, Connection> Connections;
   std::uint64_t LastNumber = 0;
-  std::uint64_t LastQuestion = 0;
 };
 
-/// The row that an instance answers a question for its status with.
-std::optional<control::InstanceStatus>
-parseStatus(const proxy::StatementReply &reply);
-
-} // namespace stepledge::platform
+} // namespace stepledge::gateway
 
-#endif // STEPLEDGE_PLATFORM_STATUSPROBE_H
+#endif // STEPLEDGE_GATEWAY_INSTANCEPROBE_H
--- a/platform/InstanceLink.cpp
+++ b/src/gateway/internal/InstanceLink.cpp
@@ -1,15 +1,15 @@
 // Part of stepledge, under the Apache License v2.0. See LICENSE.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "InstanceLink.h"
+#include "gateway/internal/InstanceLink.h"
 
-#include "BootSettings.h"
+#include "lines/HostPort.h"
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <utility>
 
-namespace stepledge::platform {
+namespace stepledge::gateway {
 
 namespace {
 
@@ -30,8 +30,8 @@
 
 void InstanceLink::open(const std::string &address, const std::string &service,
                         const std::string &instance) {
-  const auto target = splitAddress(address);
-  const std::string greeting = formatConnect(service, instance);
+  const auto target = lines::splitAddress(address);
+  const std::string greeting = Codec.formatConnect(service, instance);
   std::error_code ec;
   const auto ip =
       asio::ip::make_address(target.ok() ? target->Ip : std::string(), ec);
@@ -67,7 +67,7 @@
     const auto line = Socket.lines().next();
     if (!line)
       return;
-    auto reply = Replies.take(*line);
+    auto reply = Replies->take(*line);
     if (!reply)
       continue;
     if (std::exchange(IsConnected, true))
@@ -81,7 +81,7 @@
   if (std::exchange(IsOver, true))
     return;
   Socket.close();
-  const auto refusal = Replies.takeUnfinished();
+  const auto refusal = Replies->takeUnfinished();
   auto handlers = std::exchange(On, {});
   if (!IsConnected && refusal)
     handlers.Connected(*refusal);
@@ -94,4 +94,4 @@
   Socket.close();
 }
 
-} // namespace stepledge::platform
+} // namespace stepledge::gateway
--- a/platform/InstanceLink.h
+++ b/src/gateway/internal/InstanceLink.h
@@ -3,17 +3,17 @@
 
 /// \file One connection to an instance that speaks the line protocol.
 
-#ifndef STEPLEDGE_PLATFORM_INSTANCELINK_H
-#define STEPLEDGE_PLATFORM_INSTANCELINK_H
+#ifndef STEPLEDGE_GATEWAY_INTERNAL_INSTANCELINK_H
+#define STEPLEDGE_GATEWAY_INTERNAL_INSTANCELINK_H
 
-#include "LineCodec.h"
+#include "gateway/ILineCodec.h"
 #include "lines/LineSocket.h"
 
 #include <functional>
 #include <memory>
 #include <string>
 
-namespace stepledge::platform {
+namespace stepledge::gateway {
 
 class InstanceLink : public std::enable_shared_from_this<InstanceLink> {
 public:
@@ -24,8 +24,10 @@
     std::function<void()> Lost;
   };
 
-  InstanceLink(asio::io_context &context, Handlers handlers)
-      : Socket(asio::ip::tcp::socket(context)), On(std::move(handlers)) {}
+  InstanceLink(asio::io_context &context, const ILineCodec &codec,
+               Handlers handlers)
+      : Socket(asio::ip::tcp::socket(context)), Codec(codec),
+        On(std::move(handlers)), Replies(codec.makeReplyReader()) {}
 
   void open(const std::string &address, const std::string &service,
             const std::string &instance);
@@ -38,12 +40,13 @@
   void lose();
 
   lines::LineSocket Socket;
+  const ILineCodec &Codec;
   Handlers On;
-  ReplyReader Replies;
+  std::unique_ptr<IReplyReader> Replies;
   bool IsConnected = false;
   bool IsOver = false;
 };
 
-} // namespace stepledge::platform
+} // namespace stepledge::gateway
 
-#endif // STEPLEDGE_PLATFORM_INSTANCELINK_H
+#endif // STEPLEDGE_GATEWAY_INTERNAL_INSTANCELINK_H
--- /dev/null
+++ b/src/gateway/tests/EntrySocketsTest.cpp
@@ -0,0 +1,114 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Clients and instances of an entry VM over real connections.
+
+#include "gateway/EntrySockets.h"
+#include "gateway/tests/LinePeer.h"
+#include "gateway/tests/PlainCodec.h"
+#include "proxy/tests/FakeIo.h"
+
+#include <doctest/doctest.h>
+
+using namespace stepledge;
+using namespace stepledge::gateway;
+using gateway::tests::LinePeer;
+using gateway::tests::PeerServer;
+using gateway::tests::PlainCodec;
+
+namespace {
+
+constexpr const char *Loopback = "127.0.0.1";
+
+struct Fixture {
+  Fixture() {
+    REQUIRE(Sockets.listen({Loopback, 0}, Core).ok());
+    control::Configuration configuration;
+    configuration.Version = 1;
+    configuration.Services["db"] = {"db", 40, 0};
+    control::Route route;
+    route.Name = "r";
+    route.Database = DatabaseId("orders");
+    route.Service = "db";
+    route.StatementTimeout = milliseconds(800);
+    configuration.Routes[route.Database] = route;
+    Core.applyConfiguration(Now, configuration);
+    membership::InstanceRecord record;
+    record.Id = InstanceId("i-1");
+    record.Service = "db";
+    record.Address = Instances.address();
+    record.Role = membership::InstanceRole::Primary;
+    record.Slots = 2;
+    record.Sequence = 1;
+    Core.applyInstance(Now, record);
+  }
+
+  bool runUntil(const std::function<bool()> &isDone) {
+    return gateway::tests::runUntil(Context, [&] {
+      Core.tick(Now);
+      return isDone();
+    });
+  }
+
+  std::unique_ptr<LinePeer> connect() {
+    asio::ip::tcp::socket socket(Context);
+    socket.connect({asio::ip::make_address(Loopback), Sockets.port()});
+    return std::make_unique<LinePeer>(std::move(socket));
+  }
+
+  asio::io_context Context;
+  PlainCodec Codec;
+  TimePoint Now = TimePoint(std::chrono::seconds(10));
+  PeerServer Instances{Context};
+  EntrySockets Sockets{Context, Codec, [this] { return Now; }};
+  proxy::tests::FakeIo Log;
+  proxy::Proxy Core{{}, Sockets, Log, Log};
+};
+
+} // namespace
+
+TEST_CASE("EntrySockets_StatementGoesThroughToTheInstanceAndBack") {
+  Fixture it;
+  const auto client = it.connect();
+  client->say("connect orders");
+  REQUIRE(it.runUntil([&] { return client->has("welcome"); }));
+  client->say("write x");
+  REQUIRE(it.runUntil([&] { return !it.Instances.Peers.empty(); }));
+  auto &instance = *it.Instances.Peers.front();
+  REQUIRE(it.runUntil([&] { return instance.has("hello db i-1"); }));
+  instance.say("ok");
+  REQUIRE(it.runUntil([&] { return instance.has("run x"); }));
+  instance.say("signed");
+  CHECK(it.runUntil([&] { return client->has("success signed"); }));
+}
+
+TEST_CASE("EntrySockets_ClientThatAsksBeforeItConnectsIsTurnedAway") {
+  Fixture it;
+  const auto client = it.connect();
+  client->say("write x");
+  CHECK(it.runUntil([&] { return client->IsOver; }));
+  CHECK(client->has("rejected connect first"));
+}
+
+TEST_CASE("EntrySockets_ClientThatQuitsLeavesNoSession") {
+  Fixture it;
+  const auto client = it.connect();
+  client->say("connect orders");
+  REQUIRE(it.runUntil([&] { return client->has("welcome"); }));
+  CHECK(it.Core.sessionCount() == 1);
+  client->say("quit");
+  CHECK(it.runUntil([&] { return it.Core.sessionCount() == 0; }));
+}
+
+TEST_CASE("EntrySockets_LostInstanceIsToldToTheProxy") {
+  Fixture it;
+  const auto client = it.connect();
+  client->say("connect orders");
+  client->say("write x");
+  REQUIRE(it.runUntil([&] { return !it.Instances.Peers.empty(); }));
+  auto &instance = *it.Instances.Peers.front();
+  instance.say("ok");
+  REQUIRE(it.runUntil([&] { return instance.has("run x"); }));
+  instance.leave();
+  CHECK(it.runUntil([&] { return client->has("outcome_unknown "); }));
+}
--- /dev/null
+++ b/src/gateway/tests/PlainCodec.cpp
@@ -0,0 +1,97 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "gateway/tests/PlainCodec.h"
+
+#include <utility>
+
+namespace stepledge::gateway::tests {
+
+namespace {
+
+class PlainReader : public IReplyReader {
+public:
+  std::optional<proxy::StatementReply> take(const std::string &line) override {
+    proxy::StatementReply reply;
+    if (line == "gone") {
+      Refusal = reply;
+      Refusal->Code = proxy::ReplyCode::TooManyConnections;
+      return std::nullopt;
+    }
+    if (line == "full")
+      reply.Code = proxy::ReplyCode::Busy;
+    else
+      reply.Signature = line;
+    return reply;
+  }
+  std::optional<proxy::StatementReply> takeUnfinished() override {
+    return std::exchange(Refusal, std::nullopt);
+  }
+
+private:
+  std::optional<proxy::StatementReply> Refusal;
+};
+
+/// What follows \p word in \p line, if it begins with it.
+std::optional<std::string> behind(const std::string &line,
+                                  const std::string &word) {
+  if (!line.starts_with(word + " "))
+    return std::nullopt;
+  return line.substr(word.size() + 1);
+}
+
+} // namespace
+
+ClientCall PlainCodec::parseClientLine(const std::string &line) const {
+  if (const auto database = behind(line, "connect"))
+    return ConnectCall{*database};
+  if (line == "quit")
+    return QuitCall{};
+  const auto text = behind(line, "write");
+  if (!text)
+    return UnknownCall{};
+  proxy::ClientStatement statement;
+  statement.Id = *text;
+  statement.Kind = proxy::StatementKind::Write;
+  statement.Text = *text;
+  return statement;
+}
+
+std::string PlainCodec::formatReply(const proxy::StatementReply &reply) const {
+  return std::string(nameOf(reply.Code)) + " " + reply.Signature + "\r\n";
+}
+
+std::string
+PlainCodec::formatRejected(const proxy::StatementReply &reply) const {
+  return "rejected " + reply.Detail + "\r\n";
+}
+
+std::string PlainCodec::formatConnect(const std::string &service,
+                                      const std::string &instance) const {
+  return "hello " + service + " " + instance + "\r\n";
+}
+
+std::string
+PlainCodec::formatCommand(const proxy::InstanceCommand &command) const {
+  if (command.Kind == proxy::CommandKind::ClientText)
+    return "run " + command.Text + "\r\n";
+  return command.Kind == proxy::CommandKind::Rollback ? "undo\r\n"
+                                                      : "begin\r\n";
+}
+
+std::unique_ptr<IReplyReader> PlainCodec::makeReplyReader() const {
+  return std::make_unique<PlainReader>();
+}
+
+std::optional<control::InstanceStatus>
+PlainCodec::parseStatus(const proxy::StatementReply &reply) const {
+  if (reply.Code != proxy::ReplyCode::Success)
+    return std::nullopt;
+  return control::InstanceStatus{};
+}
+
+std::string PlainCodec::formatPause(Term term) const {
+  return "pause " + std::to_string(term.Number) + "\r\n";
+}
+
+} // namespace stepledge::gateway::tests
--- /dev/null
+++ b/src/gateway/tests/PlainCodec.h
@@ -0,0 +1,35 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file A line protocol of a few words, for tests of sockets.
+
+#ifndef STEPLEDGE_GATEWAY_TESTS_PLAINCODEC_H
+#define STEPLEDGE_GATEWAY_TESTS_PLAINCODEC_H
+
+#include "gateway/ILineCodec.h"
+
+namespace stepledge::gateway::tests {
+
+/// Clients say "connect DATABASE", "quit" or "write TEXT"; instances answer
+/// "ok TEXT" or "full", and "gone" before they refuse a connection.
+class PlainCodec : public ILineCodec {
+public:
+  ClientCall parseClientLine(const std::string &line) const override;
+  std::string formatReply(const proxy::StatementReply &reply) const override;
+  std::string formatAccepted() const override { return "welcome\r\n"; }
+  std::string formatRejected(const proxy::StatementReply &reply) const override;
+  std::string formatConnect(const std::string &service,
+                            const std::string &instance) const override;
+  std::string
+  formatCommand(const proxy::InstanceCommand &command) const override;
+  std::unique_ptr<IReplyReader> makeReplyReader() const override;
+  std::string formatStatusQuestion() const override { return "status\r\n"; }
+  std::optional<control::InstanceStatus>
+  parseStatus(const proxy::StatementReply &reply) const override;
+  std::string formatPause(Term term) const override;
+  std::string formatResume() const override { return "resume\r\n"; }
+};
+
+} // namespace stepledge::gateway::tests
+
+#endif // STEPLEDGE_GATEWAY_TESTS_PLAINCODEC_H
--- a/src/lines/HostPort.h
+++ b/src/lines/HostPort.h
@@ -16,6 +16,7 @@
 struct HostPort {
   std::string Ip;
   std::uint16_t Port = 0;
+  bool operator==(const HostPort &) const = default;
 };
 
 /// "ip:port" in its two parts.
--- /dev/null
+++ b/src/node/ControlProgram.cpp
@@ -0,0 +1,78 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "node/ControlProgram.h"
+
+#include "observe/SystemClock.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <utility>
+
+namespace stepledge::node {
+
+namespace {
+
+/// How often elections, heartbeats and calls are looked at: a fifth of the
+/// consensus's heartbeat.
+constexpr Duration Tick = milliseconds(20);
+/// From the stop signal to the end, for calls on their way: some hundred round
+/// trips within a region.
+constexpr Duration StopTime = milliseconds(300);
+
+} // namespace
+
+ControlProgram::ControlProgram(const ControlProgramOptions &options,
+                               ControlAdapters adapters)
+    : Options(options), Adapters(std::move(adapters)), Loop(options.NodeName),
+      Promoter(Adapters.MakePromoter(Loop.context())),
+      Probe(Loop.context(), Adapters.Codec, observe::readClock),
+      Control(Loop.context(), options.Module, *Promoter, Probe, *this,
+              observe::readClock) {}
+
+int ControlProgram::run() {
+  decision(absl::StrCat("event=start program=control hall=",
+                        Options.Module.Node.Hall));
+  if (auto status = Control.start(); !status.ok())
+    return Loop.fail(status);
+  Calls = Adapters.MakeCallHandler(Control.node(), *this);
+  Loop.serve(Options.Calls, *Calls);
+  ProgramEvents events;
+  events.Tick = [this] { return tick(); };
+  events.Stop = [this] { stop(); };
+  // NOTE: the seeds are only for a first start; the group's members are in its
+  // log.
+  events.Reload = [this] {
+    decision(absl::StrCat("event=reload valid=", Adapters.AreSettingsValid()));
+  };
+  events.FillMetrics = [this](auto &page) { fillMetrics(page); };
+  return Loop.run(std::move(events), Options.Metrics);
+}
+
+std::optional<Duration> ControlProgram::tick() {
+  if (EndAt && *EndAt <= observe::readClock())
+    return std::nullopt;
+  Control.tick();
+  return Tick;
+}
+
+void ControlProgram::stop() {
+  if (EndAt)
+    return;
+  EndAt = observe::readClock() + StopTime;
+  decision("event=stopping");
+}
+
+void ControlProgram::fillMetrics(observe::MetricsPage &page) {
+  const auto &consensus = Control.consensus();
+  page.set("leads", consensus.isLeader());
+  page.set("is_voter", consensus.isVoter());
+  page.set("term", static_cast<double>(consensus.term()));
+  page.set("commit_index", static_cast<double>(consensus.commitIndex()));
+  page.set("configuration_version",
+           static_cast<double>(Control.node().configurationVersion()));
+}
+
+void ControlProgram::decision(const std::string &line) { Loop.write(line); }
+
+} // namespace stepledge::node
--- /dev/null
+++ b/src/node/ControlProgram.h
@@ -0,0 +1,72 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The program of a control VM: it keeps the system's state.
+
+#ifndef STEPLEDGE_NODE_CONTROLPROGRAM_H
+#define STEPLEDGE_NODE_CONTROLPROGRAM_H
+
+#include "control/ControlModule.h"
+#include "gateway/InstanceProbe.h"
+#include "http/IHttpServer.h"
+#include "lines/HostPort.h"
+#include "node/ProgramLoop.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace stepledge::node {
+
+struct ControlProgramOptions {
+  std::string NodeName;
+  control::ControlModuleOptions Module;
+  /// Where instances and operators call.
+  lines::HostPort Calls;
+  lines::HostPort Metrics;
+};
+
+/// What speaks to the outside of a control VM.
+struct ControlAdapters {
+  const gateway::ILineCodec &Codec;
+  /// Orders promotions.
+  std::function<std::unique_ptr<control::IPromoter>(asio::io_context &)>
+      MakePromoter;
+  /// Answers the calls of instances and operators.
+  std::function<std::unique_ptr<http::ICallHandler>(control::ControlNode &,
+                                                    control::IControlLog &)>
+      MakeCallHandler;
+  /// Whether the settings, read anew, are valid.
+  std::function<bool()> AreSettingsValid;
+};
+
+class ControlProgram : public control::IControlLog {
+public:
+  ControlProgram(const ControlProgramOptions &options,
+                 ControlAdapters adapters);
+
+  /// Serves until it is told to stop; the process's exit code.
+  int run();
+
+  void decision(const std::string &line) override;
+
+private:
+  std::optional<Duration> tick();
+  void stop();
+  void fillMetrics(observe::MetricsPage &page);
+
+  ControlProgramOptions Options;
+  ControlAdapters Adapters;
+  ProgramLoop Loop;
+  std::unique_ptr<control::IPromoter> Promoter;
+  gateway::InstanceProbe Probe;
+  control::ControlModule Control;
+  std::unique_ptr<http::ICallHandler> Calls;
+  /// When the program ends, once it was told to.
+  std::optional<TimePoint> EndAt;
+};
+
+} // namespace stepledge::node
+
+#endif // STEPLEDGE_NODE_CONTROLPROGRAM_H
--- /dev/null
+++ b/src/node/EntryProgram.h
@@ -0,0 +1,64 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The program of an entry VM: it serves clients.
+
+#ifndef STEPLEDGE_NODE_ENTRYPROGRAM_H
+#define STEPLEDGE_NODE_ENTRYPROGRAM_H
+
+#include "absl/status/statusor.h"
+#include "entry/EntryModule.h"
+#include "gateway/EntrySockets.h"
+#include "http/IHttpServer.h"
+#include "lines/HostPort.h"
+#include "node/ProgramLoop.h"
+
+#include <functional>
+#include <set>
+#include <string>
+
+namespace stepledge::node {
+
+struct EntryProgramOptions {
+  std::string NodeName;
+  entry::EntryModuleOptions Module;
+  /// Where clients connect.
+  lines::HostPort Clients;
+  /// Where the balancer asks whether this VM takes clients.
+  lines::HostPort Ready;
+  lines::HostPort Metrics;
+};
+
+class EntryProgram : public proxy::IProxyLog, public http::ICallHandler {
+public:
+  /// The addresses of some control VMs, read anew.
+  using ReadSeeds = std::function<absl::StatusOr<std::set<std::string>>()>;
+
+  EntryProgram(const EntryProgramOptions &options,
+               const gateway::ILineCodec &codec,
+               entry::EntryNode::Decode decode, ReadSeeds readSeeds);
+
+  /// Serves until it is told to stop; the process's exit code.
+  int run();
+
+  void decision(const std::string &line) override;
+  void answered(proxy::ReplyCode code, Duration took) override;
+  void retried(proxy::ReplyCode code) override;
+  /// The balancer's question.
+  void handle(http::HttpCall call, http::Reply reply) override;
+
+private:
+  std::optional<Duration> tick();
+  void reload();
+  void fillMetrics(observe::MetricsPage &page);
+
+  EntryProgramOptions Options;
+  ReadSeeds Seeds;
+  ProgramLoop Loop;
+  gateway::EntrySockets Sockets;
+  entry::EntryModule Entry;
+};
+
+} // namespace stepledge::node
+
+#endif // STEPLEDGE_NODE_ENTRYPROGRAM_H
