Count retries where they happen

Cause: IProxyLog::retried had no caller, so the counter retries_total stayed empty on every entry VM.

--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -249,6 +249,7 @@
   Log.decision(absl::StrCat(
       "event=retry request=", work.Statement.Id, " instance=", instance.str(),
       " code=", std::string(nameOf(code)), " sendings=", work.Sendings));
+  Log.retried(code);
   if (code == ReplyCode::ReadOnly)
     instances.noteDeniedLead(now, instance);
   const int factor = std::min(work.Sendings, MostPauseFactor);
--- a/src/proxy/tests/FakeIo.h
+++ b/src/proxy/tests/FakeIo.h
@@ -39,6 +39,7 @@
     Opened.erase(connection);
   }
   void decision(const std::string &line) override { Lines.push_back(line); }
+  void retried(ReplyCode code) override { Retried.push_back(code); }
   void answerBorrower(const BorrowKey &key,
                       const std::vector<StatementReply> &replies) override {
     for (const auto &it : replies) {
@@ -58,6 +59,7 @@
   std::map<ConnectionId, ConnectionTarget> Opened;
   std::map<ConnectionId, std::deque<InstanceCommand>> Sent;
   std::vector<std::string> Lines;
+  std::vector<ReplyCode> Retried;
   /// What borrowers were told.
   std::map<BorrowKey, std::vector<StatementReply>> Lent;
   std::map<BorrowKey, LendingEnd> Ended;
--- a/src/proxy/tests/ProxyTest.cpp
+++ b/src/proxy/tests/ProxyTest.cpp
@@ -104,6 +104,7 @@
   REQUIRE(first);
   const std::string lagging = it.instanceOf(*first);
   it.answer(*first, Fixture::refusal(ReplyCode::Lagging));
+  CHECK(it.Io.Retried == std::vector{ReplyCode::Lagging});
   it.advance(milliseconds(10));
   it.answerOwn(markOf(3, 100));
   const auto second = it.carrierOf("READ x");
