Write what stood twice once: listeners of peers, fakes of sockets; no default for borrowing

Cause: EntryModule had two listeners alike but for their target, and a third in itself; IProxyIo::sendBorrowed fell back to an ordinary send and dropped what the lender needs; expectsFree took a service that it didn't use; EntryTest had a fake of its own beside FakeIo. Change: peer::TimedListener tells any listener the time before an event; sockets are ISocketIo, and IProxyIo adds the borrowed sending without a default; EntryTest uses FakeIo.

--- a/src/entry/BorrowedConnections.cpp
+++ b/src/entry/BorrowedConnections.cpp
@@ -68,13 +68,15 @@
   Lenders.send(borrowed.LenderIp, message);
 }
 
-void BorrowedConnections::lenderConnected(const std::string &ip) {
+void BorrowedConnections::peerConnected(const std::string &ip,
+                                        const peer::wire::Hello &hello) {
+  (void)hello;
   auto &state = States[ip];
   state.IsConnected = true;
   state.HeardAt = Now;
 }
 
-void BorrowedConnections::lenderLost(const std::string &ip) {
+void BorrowedConnections::peerLost(const std::string &ip) {
   States[ip].IsConnected = false;
   std::vector<ConnectionId> lost;
   for (const auto &[id, it] : Connections)
@@ -93,8 +95,8 @@
   }
 }
 
-void BorrowedConnections::lenderSaid(const std::string &ip,
-                                     const peer::wire::Message &message) {
+void BorrowedConnections::peerSaid(const std::string &ip,
+                                   const peer::wire::Message &message) {
   States[ip].HeardAt = Now;
   if (message.has_borrow_replies())
     takeReplies(message.borrow_replies());
@@ -165,7 +167,7 @@
   }
   for (const auto &it : silent) {
     Log.decision(absl::StrCat("event=lender_silent ip=", it));
-    lenderLost(it);
+    peerLost(it);
     // Connected to anew, so that late words of the old uses are never taken
     // for those of new ones.
     States.erase(it);
--- a/src/entry/BorrowedConnections.h
+++ b/src/entry/BorrowedConnections.h
@@ -29,17 +29,20 @@
   Duration BorrowerLimit = milliseconds(1500);
 };
 
-class BorrowedConnections : public proxy::IProxyIo {
+class BorrowedConnections : public proxy::IProxyIo, public peer::IPeerListener {
 public:
-  BorrowedConnections(proxy::IProxyIo &sockets, peer::IPeerSender &lenders,
+  BorrowedConnections(proxy::ISocketIo &sockets, peer::IPeerSender &lenders,
                       proxy::IProxyLog &log, BorrowOptions options = {})
       : Sockets(sockets), Lenders(lenders), Log(log), Options(options) {}
 
   void setProxy(proxy::Proxy &proxy) { Proxy = &proxy; }
   void tick(TimePoint now);
-  void lenderConnected(const std::string &ip);
-  void lenderLost(const std::string &ip);
-  void lenderSaid(const std::string &ip, const peer::wire::Message &message);
+  /// Of lenders.
+  void peerConnected(const std::string &ip,
+                     const peer::wire::Hello &hello) override;
+  void peerLost(const std::string &ip) override;
+  void peerSaid(const std::string &ip,
+                const peer::wire::Message &message) override;
   /// The present time for what lenders say; set before each event.
   void setTime(TimePoint now) { Now = now; }
 
@@ -95,7 +98,7 @@
   /// Forgets lenders that can't be reached and that nothing needs any more.
   void dropUnusedLenders();
 
-  proxy::IProxyIo &Sockets;
+  proxy::ISocketIo &Sockets;
   peer::IPeerSender &Lenders;
   proxy::IProxyLog &Log;
   BorrowOptions Options;
--- a/src/entry/EntryModule.cpp
+++ b/src/entry/EntryModule.cpp
@@ -32,9 +32,11 @@
 } // namespace
 
 EntryModule::EntryModule(asio::io_context &context, EntryModuleOptions options,
-                         proxy::IProxyIo &io, proxy::IProxyLog &log,
+                         proxy::ISocketIo &io, proxy::IProxyLog &log,
                          EntryNode::Decode decode, ReadClock clock)
     : Options(std::move(options)), Log(log), Clock(std::move(clock)),
+      LenderEvents(Borrowed, Clock), BorrowerEvents(Lending, Clock),
+      ControlEvents(Node, Clock),
       LenderHub(context, helloOf(Options.Node, peer::wire::BORROWER),
                 Options.LendingPort, LenderEvents),
       BorrowerHub(context, helloOf(Options.Node, peer::wire::BORROWER),
@@ -42,7 +44,7 @@
       Borrowed(io, LenderHub, log), Lending(BorrowerHub, log),
       Core(proxyOptions(Options.Node), Borrowed, log, Lending),
       Hub(context, helloOf(Options.Node, peer::wire::ENTRY), Options.PeerPort,
-          *this),
+          ControlEvents),
       Node(Options.Node, Core, Hub, log, std::move(decode)) {
   Borrowed.setProxy(Core);
   Lending.setProxy(Core);
@@ -85,54 +87,4 @@
   return Stop->mustEnd(now) || (isEmpty && now - LastBusy > SettleTime);
 }
 
-void EntryModule::peerConnected(const std::string &ip,
-                                const peer::wire::Hello &hello) {
-  Node.setTime(Clock());
-  Node.peerConnected(ip, hello);
-}
-
-void EntryModule::peerLost(const std::string &ip) { Node.peerLost(ip); }
-
-void EntryModule::peerSaid(const std::string &ip,
-                           const peer::wire::Message &message) {
-  Node.setTime(Clock());
-  Node.peerSaid(ip, message);
-}
-
-void EntryModule::LenderPeers::peerConnected(const std::string &ip,
-                                             const peer::wire::Hello &hello) {
-  (void)hello;
-  Module.Borrowed.setTime(Module.Clock());
-  Module.Borrowed.lenderConnected(ip);
-}
-
-void EntryModule::LenderPeers::peerLost(const std::string &ip) {
-  Module.Borrowed.setTime(Module.Clock());
-  Module.Borrowed.lenderLost(ip);
-}
-
-void EntryModule::LenderPeers::peerSaid(const std::string &ip,
-                                        const peer::wire::Message &message) {
-  Module.Borrowed.setTime(Module.Clock());
-  Module.Borrowed.lenderSaid(ip, message);
-}
-
-void EntryModule::BorrowerPeers::peerConnected(const std::string &ip,
-                                               const peer::wire::Hello &hello) {
-  (void)hello;
-  Module.Lending.setTime(Module.Clock());
-  Module.Lending.borrowerConnected(ip);
-}
-
-void EntryModule::BorrowerPeers::peerLost(const std::string &ip) {
-  Module.Lending.setTime(Module.Clock());
-  Module.Lending.borrowerLost(ip);
-}
-
-void EntryModule::BorrowerPeers::peerSaid(const std::string &ip,
-                                          const peer::wire::Message &message) {
-  Module.Lending.setTime(Module.Clock());
-  Module.Lending.borrowerSaid(ip, message);
-}
-
 } // namespace stepledge::entry
--- a/src/entry/EntryModule.h
+++ b/src/entry/EntryModule.h
@@ -12,6 +12,7 @@
 #include "entry/LendingService.h"
 #include "entry/StopPlan.h"
 #include "peer/PeerHub.h"
+#include "peer/TimedListener.h"
 
 #include <asio.hpp>
 
@@ -31,12 +32,12 @@
   Duration StopLimit{};
 };
 
-class EntryModule : public peer::IPeerListener {
+class EntryModule {
 public:
   using ReadClock = std::function<TimePoint()>;
 
   EntryModule(asio::io_context &context, EntryModuleOptions options,
-              proxy::IProxyIo &io, proxy::IProxyLog &log,
+              proxy::ISocketIo &io, proxy::IProxyLog &log,
               EntryNode::Decode decode, ReadClock clock);
 
   void start();
@@ -47,47 +48,17 @@
   proxy::Proxy &proxy() { return Core; }
   void setSeeds(std::set<std::string> ips) { Node.setSeeds(std::move(ips)); }
 
-  void peerConnected(const std::string &ip,
-                     const peer::wire::Hello &hello) override;
-  void peerLost(const std::string &ip) override;
-  void peerSaid(const std::string &ip,
-                const peer::wire::Message &message) override;
-
 private:
-  /// The connections that this VM opened to lenders.
-  class LenderPeers : public peer::IPeerListener {
-  public:
-    explicit LenderPeers(EntryModule &module) : Module(module) {}
-    void peerConnected(const std::string &ip,
-                       const peer::wire::Hello &hello) override;
-    void peerLost(const std::string &ip) override;
-    void peerSaid(const std::string &ip,
-                  const peer::wire::Message &message) override;
-
-  private:
-    EntryModule &Module;
-  };
-  /// The connections that borrowers opened to this VM.
-  class BorrowerPeers : public peer::IPeerListener {
-  public:
-    explicit BorrowerPeers(EntryModule &module) : Module(module) {}
-    void peerConnected(const std::string &ip,
-                       const peer::wire::Hello &hello) override;
-    void peerLost(const std::string &ip) override;
-    void peerSaid(const std::string &ip,
-                  const peer::wire::Message &message) override;
-
-  private:
-    EntryModule &Module;
-  };
-
   bool continueStop(TimePoint now);
 
   EntryModuleOptions Options;
   proxy::IProxyLog &Log;
   ReadClock Clock;
-  LenderPeers LenderEvents{*this};
-  BorrowerPeers BorrowerEvents{*this};
+  /// Of the connections that this VM opened to lenders.
+  peer::TimedListener<BorrowedConnections> LenderEvents;
+  /// Of the connections that borrowers opened to this VM.
+  peer::TimedListener<LendingService> BorrowerEvents;
+  peer::TimedListener<EntryNode> ControlEvents;
   // NOTE: two hubs, so that the replies to one VM's calls all come by the
   // connection that it opened, in their order.
   peer::PeerHub LenderHub;
--- a/src/entry/LendingService.cpp
+++ b/src/entry/LendingService.cpp
@@ -9,18 +9,20 @@
 
 namespace stepledge::entry {
 
-void LendingService::borrowerConnected(const std::string &ip) {
-  borrowerLost(ip);
+void LendingService::peerConnected(const std::string &ip,
+                                   const peer::wire::Hello &hello) {
+  (void)hello;
+  peerLost(ip);
   Known[ip].HeardAt = Now;
 }
 
-void LendingService::borrowerLost(const std::string &ip) {
+void LendingService::peerLost(const std::string &ip) {
   Known.erase(ip);
   Proxy->lender().endAll(Now, ip);
 }
 
-void LendingService::borrowerSaid(const std::string &ip,
-                                  const peer::wire::Message &message) {
+void LendingService::peerSaid(const std::string &ip,
+                              const peer::wire::Message &message) {
   Known[ip].HeardAt = Now;
   if (message.has_borrow_call())
     Proxy->lender().ask(Now, {ip, message.borrow_call().use()},
@@ -73,7 +75,7 @@
     Log.decision(absl::StrCat("event=borrower_silent ip=", it, " for_ms=",
                               toMilliseconds(now - Known[it].HeardAt),
                               " uses=", Proxy->lender().usesOf(it)));
-    borrowerLost(it);
+    peerLost(it);
   }
 }
 
--- a/src/entry/LendingService.h
+++ b/src/entry/LendingService.h
@@ -20,7 +20,7 @@
 
 namespace stepledge::entry {
 
-class LendingService : public proxy::IBorrowerIo {
+class LendingService : public proxy::IBorrowerIo, public peer::IPeerListener {
 public:
   LendingService(peer::IPeerSender &borrowers, proxy::IProxyLog &log,
                  BorrowOptions options = {})
@@ -29,9 +29,11 @@
   void setProxy(proxy::Proxy &proxy) { Proxy = &proxy; }
   void tick(TimePoint now);
   /// A new connection of \p ip: what it asked for on an older one is over.
-  void borrowerConnected(const std::string &ip);
-  void borrowerLost(const std::string &ip);
-  void borrowerSaid(const std::string &ip, const peer::wire::Message &message);
+  void peerConnected(const std::string &ip,
+                     const peer::wire::Hello &hello) override;
+  void peerLost(const std::string &ip) override;
+  void peerSaid(const std::string &ip,
+                const peer::wire::Message &message) override;
   void setTime(TimePoint now) { Now = now; }
 
   void
--- a/src/entry/tests/EntryTest.cpp
+++ b/src/entry/tests/EntryTest.cpp
@@ -7,6 +7,8 @@
 #include "entry/EntryNode.h"
 #include "entry/StopPlan.h"
 
+#include "proxy/tests/FakeIo.h"
+
 #include <doctest/doctest.h>
 
 #include <string>
@@ -17,48 +19,9 @@
 
 namespace {
 
-class FakeParts : public proxy::IProxyIo,
-                  public proxy::IProxyLog,
-                  public proxy::IBorrowerIo,
-                  public peer::IPeerSender {
+/// Keeps what is sent to control VMs.
+class SentToControl : public peer::IPeerSender {
 public:
-  void acceptClient(proxy::ClientId client) override { (void)client; }
-  void rejectClient(proxy::ClientId client,
-                    const proxy::StatementReply &reply) override {
-    (void)client;
-    (void)reply;
-  }
-  void answerClient(proxy::ClientId client,
-                    const proxy::StatementReply &reply) override {
-    (void)client;
-    (void)reply;
-  }
-  void closeClient(proxy::ClientId client) override {
-    Closed.push_back(client);
-  }
-  void openConnection(ConnectionId connection,
-                      const proxy::ConnectionTarget &target) override {
-    (void)connection;
-    (void)target;
-  }
-  void send(ConnectionId connection,
-            const std::vector<proxy::InstanceCommand> &commands) override {
-    (void)connection;
-    (void)commands;
-  }
-  void closeConnection(ConnectionId connection) override { (void)connection; }
-  void decision(const std::string &line) override { (void)line; }
-  void
-  answerBorrower(const proxy::BorrowKey &key,
-                 const std::vector<proxy::StatementReply> &replies) override {
-    (void)key;
-    (void)replies;
-  }
-  void endBorrower(const proxy::BorrowKey &key,
-                   proxy::LendingEnd reason) override {
-    (void)key;
-    (void)reason;
-  }
   bool send(const std::string &ip,
             const peer::wire::Message &message) override {
     Sent.emplace_back(ip, message);
@@ -66,15 +29,14 @@
   }
   void keepConnected(const std::set<std::string> &ips) override { Ips = ips; }
 
-  std::vector<proxy::ClientId> Closed;
   std::vector<std::pair<std::string, peer::wire::Message>> Sent;
   std::set<std::string> Ips;
 };
 
 struct Fixture {
   Fixture()
-      : Core({}, Parts, Parts, Parts),
-        Node(options(), Core, Parts, Parts, [](const std::string &document) {
+      : Core({}, Io, Io, Io),
+        Node(options(), Core, Control, Io, [](const std::string &document) {
           control::Configuration configuration;
           configuration.Version = std::stoull(document);
           configuration.Services["db"] = {"db", 23, 0};
@@ -106,9 +68,9 @@
 
   bool hasAsked() {
     bool asked = false;
-    for (const auto &[ip, message] : Parts.Sent)
+    for (const auto &[ip, message] : Control.Sent)
       asked |= message.has_configuration_request();
-    Parts.Sent.clear();
+    Control.Sent.clear();
     return asked;
   }
 
@@ -128,7 +90,8 @@
     Node.tick(Now);
   }
 
-  FakeParts Parts;
+  proxy::tests::FakeIo Io;
+  SentToControl Control;
   TimePoint Now = TimePoint(std::chrono::seconds(5));
   proxy::Proxy Core;
   EntryNode Node;
--- a/src/entry/tests/LendingScheduleTest.cpp
+++ b/src/entry/tests/LendingScheduleTest.cpp
@@ -33,7 +33,7 @@
 std::string ipOf(std::size_t vm) { return "10.1.0." + std::to_string(vm + 1); }
 
 /// Gives each VM's connections numbers of their own at the instances.
-class NumberedSockets : public proxy::IProxyIo {
+class NumberedSockets : public proxy::ISocketIo {
 public:
   NumberedSockets(SimulatedInstances &group, std::size_t vm)
       : Group(group), Base(SimulatedInstances::idBase(vm).Number) {}
@@ -197,8 +197,8 @@
   auto &to = *(*Vms)[lender];
   from.Borrowed.setTime(now);
   to.Lending.setTime(now);
-  from.Borrowed.lenderConnected(ipOf(lender));
-  to.Lending.borrowerConnected(ipOf(borrower));
+  from.Borrowed.peerConnected(ipOf(lender), {});
+  to.Lending.peerConnected(ipOf(borrower), {});
 }
 
 void Links::cut(TimePoint now, std::size_t borrower, std::size_t lender) {
@@ -208,8 +208,8 @@
   auto &to = *(*Vms)[lender];
   from.Borrowed.setTime(now);
   to.Lending.setTime(now);
-  from.Borrowed.lenderLost(ipOf(lender));
-  to.Lending.borrowerLost(ipOf(borrower));
+  from.Borrowed.peerLost(ipOf(lender));
+  to.Lending.peerLost(ipOf(borrower));
 }
 
 void Links::advance(TimePoint now) {
@@ -231,10 +231,10 @@
     auto &to = *(*Vms)[it.To];
     if (it.IsToLender) {
       to.Lending.setTime(now);
-      to.Lending.borrowerSaid(ipOf(it.From), it.Message);
+      to.Lending.peerSaid(ipOf(it.From), it.Message);
     } else {
       to.Borrowed.setTime(now);
-      to.Borrowed.lenderSaid(ipOf(it.From), it.Message);
+      to.Borrowed.peerSaid(ipOf(it.From), it.Message);
     }
   }
   // NOTE: what was sent meanwhile comes after what is held up.
--- a/src/gateway/EntrySockets.h
+++ b/src/gateway/EntrySockets.h
@@ -21,7 +21,7 @@
 
 namespace stepledge::gateway {
 
-class EntrySockets : public proxy::IProxyIo {
+class EntrySockets : public proxy::ISocketIo {
 public:
   using ReadClock = std::function<TimePoint()>;
 
--- a/src/gateway/tests/EntrySocketsTest.cpp
+++ b/src/gateway/tests/EntrySocketsTest.cpp
@@ -4,6 +4,7 @@
 /// \file Clients and instances of an entry VM over real connections.
 
 #include "gateway/EntrySockets.h"
+#include "entry/BorrowedConnections.h"
 #include "gateway/tests/LinePeer.h"
 #include "gateway/tests/PlainCodec.h"
 #include "proxy/tests/FakeIo.h"
@@ -20,6 +21,18 @@
 
 constexpr const char *Loopback = "127.0.0.1";
 
+/// No other VM lends.
+class NoPeers : public peer::IPeerSender {
+public:
+  bool send(const std::string &ip,
+            const peer::wire::Message &message) override {
+    (void)ip;
+    (void)message;
+    return false;
+  }
+  void keepConnected(const std::set<std::string> &ips) override { (void)ips; }
+};
+
 struct Fixture {
   Fixture() {
     REQUIRE(Sockets.listen({Loopback, 0}, Core).ok());
@@ -62,7 +75,9 @@
   PeerServer Instances{Context};
   EntrySockets Sockets{Context, Codec, [this] { return Now; }};
   proxy::tests::FakeIo Log;
-  proxy::Proxy Core{{}, Sockets, Log, Log};
+  NoPeers Peers;
+  entry::BorrowedConnections Connections{Sockets, Peers, Log};
+  proxy::Proxy Core{{}, Connections, Log, Log};
 };
 
 } // namespace
--- a/src/proxy/IProxyIo.h
+++ b/src/proxy/IProxyIo.h
@@ -43,9 +43,10 @@
   bool isBorrowed() const { return !LenderIp.empty(); }
 };
 
-class IProxyIo {
+/// The sockets of clients and instances.
+class ISocketIo {
 public:
-  virtual ~IProxyIo() = default;
+  virtual ~ISocketIo() = default;
 
   virtual void acceptClient(ClientId client) = 0;
   /// Tells the client why it is refused, and closes its connection.
@@ -58,14 +59,17 @@
   /// Sends all of \p commands in one write.
   virtual void send(ConnectionId connection,
                     const std::vector<InstanceCommand> &commands) = 0;
-  /// The same for a borrowed connection.
+  virtual void closeConnection(ConnectionId connection) = 0;
+};
+
+/// The same, and connections that other VMs lend: ConnectionTarget tells them
+/// apart.
+class IProxyIo : public ISocketIo {
+public:
+  /// Sends all of \p commands on a borrowed connection.
   virtual void sendBorrowed(ConnectionId connection,
                             const std::vector<InstanceCommand> &commands,
-                            const BorrowNeeds &needs) {
-    (void)needs;
-    send(connection, commands);
-  }
-  virtual void closeConnection(ConnectionId connection) = 0;
+                            const BorrowNeeds &needs) = 0;
 };
 
 /// Told of each decision that changes a request's way or its result.
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -112,8 +112,7 @@
   InstanceConnection *findLendable(TimePoint now, const std::string &service,
                                    const InstanceId &instance) override;
   bool reaches(const std::string &service, const InstanceId &instance) override;
-  bool expectsFree(const std::string &service,
-                   const InstanceId &instance) override;
+  bool expectsFree(const InstanceId &instance) override;
   InstanceConnection *connection(ConnectionId id) override {
     return Pool.find(id);
   }
--- a/src/proxy/internal/Lender.cpp
+++ b/src/proxy/internal/Lender.cpp
@@ -56,7 +56,7 @@
   queue.push_back(key);
   pump(now, service, instance);
   // NOTE: a client may rest inside its transaction for seconds.
-  if (isWaiting(key) && (needsFreeNow || !Pool.expectsFree(service, instance)))
+  if (isWaiting(key) && (needsFreeNow || !Pool.expectsFree(instance)))
     refuse(key, LendingEnd::Full);
 }
 
--- a/src/proxy/internal/Lender.h
+++ b/src/proxy/internal/Lender.h
@@ -41,8 +41,7 @@
                        const InstanceId &instance) = 0;
   /// A connection to the instance should be free in a moment: one is being
   /// opened, or is at work now.
-  virtual bool expectsFree(const std::string &service,
-                           const InstanceId &instance) = 0;
+  virtual bool expectsFree(const InstanceId &instance) = 0;
   virtual InstanceConnection *connection(ConnectionId id) = 0;
   virtual void transmitLent(TimePoint now, InstanceConnection &connection,
                             const std::vector<OutgoingCommand> &batch) = 0;
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -154,9 +154,7 @@
   return nullptr;
 }
 
-bool Proxy::expectsFree(const std::string &service,
-                        const InstanceId &instance) {
-  (void)service;
+bool Proxy::expectsFree(const InstanceId &instance) {
   return Pool.isOpening(instance) || Pool.busyAt(instance) > 0;
 }
 
--- a/src/proxy/tests/FakeIo.h
+++ b/src/proxy/tests/FakeIo.h
@@ -35,6 +35,12 @@
     for (const auto &it : commands)
       Sent[connection].push_back(it);
   }
+  void sendBorrowed(ConnectionId connection,
+                    const std::vector<InstanceCommand> &commands,
+                    const BorrowNeeds &needs) override {
+    (void)needs;
+    send(connection, commands);
+  }
   void closeConnection(ConnectionId connection) override {
     Opened.erase(connection);
   }
--- a/src/proxy/tests/LenderTest.cpp
+++ b/src/proxy/tests/LenderTest.cpp
@@ -30,9 +30,7 @@
     (void)instance;
     return IsReached;
   }
-  bool expectsFree(const std::string &service,
-                   const InstanceId &instance) override {
-    (void)service;
+  bool expectsFree(const InstanceId &instance) override {
     (void)instance;
     return IsExpected;
   }
--- a/src/proxy/tests/SimulatedInstances.h
+++ b/src/proxy/tests/SimulatedInstances.h
@@ -87,6 +87,13 @@
                       const ConnectionTarget &target) override;
   void send(ConnectionId connection,
             const std::vector<InstanceCommand> &commands) override;
+  /// It knows no lenders: a borrowed connection goes to the instance too.
+  void sendBorrowed(ConnectionId connection,
+                    const std::vector<InstanceCommand> &commands,
+                    const BorrowNeeds &needs) override {
+    (void)needs;
+    send(connection, commands);
+  }
   void closeConnection(ConnectionId connection) override;
   void decision(const std::string &line) override { (void)line; }
   void answerBorrower(const BorrowKey &key,
