Name shedding by the field's terms, and give it a class of its own

Cause: second reading. givesWay() both asked and remembered; its limits stood among all options of the proxy; words of our own (gives way, open part, behind pause, hall patience) where the field has load shedding, pooled connections, backoff and locality wait; a struct for five eighths; two look-ups of the same limit of connections.

--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -16,6 +16,7 @@
 #include "proxy/internal/ConnectionPool.h"
 #include "proxy/internal/InstanceTracker.h"
 #include "proxy/internal/Lender.h"
+#include "proxy/internal/LoadShedder.h"
 #include "proxy/internal/RouteWork.h"
 #include "proxy/types/ProxyOptions.h"
 
@@ -97,8 +98,10 @@
   InstanceTracker &tracker(const std::string &service);
   const control::Route *routeOf(const ClientSession &session) const;
   int usableConnections(const std::string &service) const;
-  /// How many connections to one instance all VMs together may keep.
-  int openTogether(const std::string &service) const;
+  /// How many connections one instance of the service allows.
+  int maxConnections(const std::string &service) const;
+  /// How many of them all VMs together may keep.
+  int pooledConnections(const std::string &service) const;
   /// The service's instances have too few connections for all VMs.
   bool usesHomes(const std::string &service) const;
   bool isHomeOf(const membership::InstanceRecord &record);
@@ -139,7 +142,7 @@
                    const InstanceId &instance) const;
   /// The primary is congested, and the statement, which replicas could run as
   /// well if they were not behind, leaves it to others.
-  bool givesWay(TimePoint now, const ClientSession &session);
+  bool keepsOffPrimary(TimePoint now, const ClientSession &session);
   std::optional<Mark> minimumPosition(TimePoint now,
                                       const ClientSession &session);
   InstanceConnection *acquire(TimePoint now, const ClientSession &session,
@@ -226,10 +229,7 @@
   };
   std::vector<EarlyClient> Unconfigured;
   RouteWork UsualWork;
-  /// By service, when the primary was last asked for what only it can do.
-  std::map<std::string, TimePoint> PrimaryNeededAt;
-  /// By service, when a statement that would give way was last let through.
-  std::map<std::string, TimePoint> LetThroughAt;
+  LoadShedder Shedder;
   /// By service, the statements that need a connection.
   std::map<std::string, std::set<WaitKey>> Waiting;
   ConnectionPool Pool;
--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -14,6 +14,10 @@
 
 namespace {
 
+/// An instance that takes less than so many times its usual time tells what a
+/// route's statements take: its queue adds little. Without a bound the usual
+/// time would follow each overload.
+constexpr double MostUncongested = 1.7;
 /// A read that an instance failed is tried on this many in all.
 constexpr int MostReadTries = 2;
 /// A statement that a lost connection has rolled back is sent at most so often.
@@ -79,7 +83,8 @@
   }
   if (auto *instance = instances.find(it->Instance);
       instance && !it->isBorrowed())
-    instance->AnsweredSentAt = std::max(instance->AnsweredSentAt, sent.SentAt);
+    instance->NewestAnsweredSentAt =
+        std::max(instance->NewestAnsweredSentAt, sent.SentAt);
   if (sent.Reason == Purpose::Statement && isFromInstance)
     instances.noteAnswer(now, it->Instance, now - sent.SentAt);
   if (reply.Position)
@@ -167,7 +172,7 @@
     return;
   known->Running.noteAnswer(UsualWork.slowness(session.Route, took),
                             Pool.busyAt(instance) + 1);
-  if (known->Running.congestion() < Options.GiveWayAbove)
+  if (known->Running.congestion() < MostUncongested)
     UsualWork.note(session.Route, took);
 }
 
--- a/src/proxy/internal/ClientSession.h
+++ b/src/proxy/internal/ClientSession.h
@@ -41,7 +41,7 @@
   /// The position that the instance it was sent to last must have.
   std::optional<Mark> Minimum;
   /// It was kept from an overloaded primary for the sake of other routes.
-  bool GaveWay = false;
+  bool IsShed = false;
   /// What it was sent on last was borrowed, and the lender had none to lend.
   bool IsRefusedByLender = false;
   /// Only the primary is asked from now on.
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr const char *GaveWayReason =
+constexpr const char *ShedReason =
     "the replicas are behind, and the primary is overloaded";
 
 InstanceCommand commandOf(CommandKind kind) {
@@ -48,7 +48,7 @@
   auto &work = *session.Current;
   if (work.NotBefore > now)
     return wait(session, work.NotBefore);
-  work.GaveWay = false;
+  work.IsShed = false;
   if (session.Pinned) {
     auto *connection = Pool.find(*session.Pinned);
     sendStatement(now, session, *connection, std::nullopt);
@@ -72,9 +72,9 @@
     work.LastRefusal = "the primary leaves and has no successor yet";
     return false;
   }
-  if (givesWay(now, session)) {
-    work.GaveWay = true;
-    work.LastRefusal = GaveWayReason;
+  if (keepsOffPrimary(now, session)) {
+    work.IsShed = true;
+    work.LastRefusal = ShedReason;
     return false;
   }
   auto *connection = acquire(now, session, *primary);
@@ -110,19 +110,19 @@
     return dispatchToPrimary(now, session);
   }
   const auto primary = instances.primary(now);
-  bool waitsForHome = false;
+  bool waitsForLocal = false;
   for (const auto &it : candidates) {
-    if (it == primary && givesWay(now, session)) {
-      work.GaveWay = true;
+    if (it == primary && keepsOffPrimary(now, session)) {
+      work.IsShed = true;
       continue;
     }
-    const bool isHome = isInOwnHall(instances, it);
-    if (waitsForHome && !isHome)
+    const bool isLocal = isInOwnHall(instances, it);
+    if (waitsForLocal && !isLocal)
       continue;
     auto *connection = acquire(now, session, it);
     if (!connection) {
-      waitsForHome |= isHome && Pool.busyAt(it) > 0 &&
-                      now - work.ArrivedAt < Options.HallPatience;
+      waitsForLocal |= isLocal && Pool.busyAt(it) > 0 &&
+                       now - work.ArrivedAt < Options.LocalityWait;
       continue;
     }
     if (isOpen)
@@ -132,8 +132,8 @@
     return true;
   }
   work.LastRefusal =
-      work.GaveWay ? GaveWayReason
-                   : "no free connection to an instance that is current enough";
+      work.IsShed ? ShedReason
+                  : "no free connection to an instance that is current enough";
   return false;
 }
 
@@ -143,30 +143,23 @@
   return known && known->Record.Hall == Options.OwnHall;
 }
 
-bool Proxy::givesWay(TimePoint now, const ClientSession &session) {
+bool Proxy::keepsOffPrimary(TimePoint now, const ClientSession &session) {
   const auto &service = session.Route.Service;
-  const bool isGuest = session.Route.Policy == ReadPolicy::BoundedStaleness &&
-                       session.Current->Mode == AccessMode::Read &&
-                       session.Mode != TransactionMode::ReadWrite;
-  if (!isGuest) {
-    PrimaryNeededAt[service] = now;
+  // NOTE: bounded reads come to the primary only while replicas are behind; all
+  // others have no other instance.
+  const bool mayBeShed = session.Route.Policy == ReadPolicy::BoundedStaleness &&
+                         session.Current->Mode == AccessMode::Read &&
+                         session.Mode != TransactionMode::ReadWrite;
+  if (!mayBeShed) {
+    Shedder.notePrimaryNeeded(now, service);
     return false;
   }
   auto &instances = tracker(service);
   const auto primary = instances.primary(now);
   const auto *instance = primary ? instances.find(*primary) : nullptr;
-  const bool isNeeded =
-      now - PrimaryNeededAt[service] < Options.PrimaryNeededTime;
-  // NOTE: where others wait here as well, the queue is no chance.
-  const bool hasLine = Waiting[service].size() > 1;
-  const double most = hasLine ? Options.GiveWayInLine : Options.GiveWayAbove;
-  if (!instance || !isNeeded || instance->Running.congestion() < most)
-    return false;
-  auto &at = LetThroughAt[service];
-  if (now - at < Options.LetThroughInterval)
-    return true;
-  at = now;
-  return false;
+  const bool hasQueue = Waiting[service].size() > 1;
+  return instance &&
+         Shedder.sheds(now, service, instance->Running.congestion(), hasQueue);
 }
 
 std::optional<Mark> Proxy::minimumPosition(TimePoint now,
--- a/src/proxy/internal/InstanceTracker.cpp
+++ b/src/proxy/internal/InstanceTracker.cpp
@@ -37,12 +37,12 @@
 constexpr double LagWeight = 0.3;
 /// An instance that refused a read for its position isn't asked for such a one
 /// again for this long: half of the usual lag of a replica.
-constexpr Duration FirstBehindPause = milliseconds(25);
+constexpr Duration FirstLagBackoff = milliseconds(25);
 /// Without it each read of a service whose replicas all lag is refused twice
 /// first, which took 0.002 of the worth in bytes (simulated days, mean of ten).
 /// The pause doubles up to this one, which bounds how late it is found out that
 /// an instance has caught up.
-constexpr Duration LongestBehindPause = milliseconds(400);
+constexpr Duration LongestLagBackoff = milliseconds(400);
 /// A leaving primary that has no successor yet is used for this long: the
 /// platform lets instances that leave take work for 7 s at least, less the
 /// time that the word of it travels.
@@ -158,8 +158,8 @@
 bool InstanceTracker::isKnownBehind(TimePoint now,
                                     const TrackedInstance &instance,
                                     const Mark &minimum) {
-  return instance.RefusedAt && minimum >= *instance.RefusedAt &&
-         instance.BehindUntil > now;
+  return instance.RefusedPosition && minimum >= *instance.RefusedPosition &&
+         instance.LagBackoffUntil > now;
 }
 
 double InstanceTracker::readCost(TimePoint now, const TrackedInstance &instance,
@@ -207,9 +207,9 @@
   auto *it = find(id);
   if (!it || (it->Position && *it->Position > position))
     return;
-  if (it->RefusedAt && position >= *it->RefusedAt) {
-    it->RefusedAt.reset();
-    it->BehindPause = {};
+  if (it->RefusedPosition && position >= *it->RefusedPosition) {
+    it->RefusedPosition.reset();
+    it->LagBackoff = {};
   }
   const bool isFirst = !it->Position;
   const auto sample = static_cast<double>(lagOf(now, position).count());
@@ -284,10 +284,11 @@
   auto *it = find(id);
   if (!it)
     return;
-  it->RefusedAt = it->RefusedAt ? std::min(*it->RefusedAt, minimum) : minimum;
-  it->BehindPause =
-      std::clamp(2 * it->BehindPause, FirstBehindPause, LongestBehindPause);
-  it->BehindUntil = now + it->BehindPause;
+  it->RefusedPosition =
+      it->RefusedPosition ? std::min(*it->RefusedPosition, minimum) : minimum;
+  it->LagBackoff =
+      std::clamp(2 * it->LagBackoff, FirstLagBackoff, LongestLagBackoff);
+  it->LagBackoffUntil = now + it->LagBackoff;
 }
 
 } // namespace stepledge::proxy
--- a/src/proxy/internal/InstanceTracker.h
+++ b/src/proxy/internal/InstanceTracker.h
@@ -32,7 +32,7 @@
 /// A connection whose statement has no answer although one that was sent so
 /// much later on another connection has is taken for silent: longer than
 /// statements that run beside each other differ.
-constexpr Duration OvertakenBy = milliseconds(150);
+constexpr Duration OutOfOrderLimit = milliseconds(150);
 
 /// The most statements that one VM has at an instance at once; less as its
 /// answers slow down.
@@ -47,11 +47,11 @@
   Duration Lag{};
   /// The least position that it refused a read for, until it tells a position
   /// at or after it.
-  std::optional<Mark> RefusedAt;
-  /// It isn't asked for RefusedAt or more before this time.
-  TimePoint BehindUntil{};
+  std::optional<Mark> RefusedPosition;
+  /// It isn't asked for RefusedPosition or more before this time.
+  TimePoint LagBackoffUntil{};
   /// How long it isn't asked after one more such refusal.
-  Duration BehindPause{};
+  Duration LagBackoff{};
   /// Clients' statements sent and not answered. What sets a connection up,
   /// opens or rolls back takes none of the instance's slots and doesn't count.
   int Statements = 0;
@@ -65,14 +65,14 @@
   TimePoint LastAnswerAt{};
   /// When the newest of the statements that it has answered on own connections
   /// was sent.
-  TimePoint AnsweredSentAt{};
+  TimePoint NewestAnsweredSentAt{};
   /// It didn't answer on its direct connections, and has not done so since.
   bool IsDirectBad = false;
   TimePoint DirectProbedAt{};
   /// It has answered statements sent well after \p sentAt: the connection that
   /// this one was sent on may be silent for good.
-  bool hasOvertaken(TimePoint sentAt) const {
-    return AnsweredSentAt > sentAt + OvertakenBy;
+  bool hasAnsweredLater(TimePoint sentAt) const {
+    return NewestAnsweredSentAt > sentAt + OutOfOrderLimit;
   }
   /// Since when it is known to leave.
   std::optional<TimePoint> LeavingSince;
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -18,18 +18,17 @@
   Homes.setEntries(std::move(entries));
 }
 
-int Proxy::usableConnections(const std::string &service) const {
+int Proxy::maxConnections(const std::string &service) const {
   const auto it = Configuration.Services.find(service);
-  const int limit =
-      it == Configuration.Services.end() ? 1 : it->second.MaxConnections;
-  return std::max(1, limit - Options.ReservedConnections);
+  return it == Configuration.Services.end() ? 1 : it->second.MaxConnections;
 }
 
-int Proxy::openTogether(const std::string &service) const {
-  const auto it = Configuration.Services.find(service);
-  const int limit =
-      it == Configuration.Services.end() ? 1 : it->second.MaxConnections;
-  return limit * Options.OpenPart.Numerator / Options.OpenPart.Denominator;
+int Proxy::usableConnections(const std::string &service) const {
+  return std::max(1, maxConnections(service) - Options.ReservedConnections);
+}
+
+int Proxy::pooledConnections(const std::string &service) const {
+  return static_cast<int>(maxConnections(service) * Options.PooledFraction);
 }
 
 bool Proxy::usesHomes(const std::string &service) const {
@@ -54,8 +53,8 @@
     const int limit = isCautious ? std::max(1, own / 2) : own;
     return {std::max(1, limit / 2), limit};
   }
-  const int own =
-      Homes.evenShare(record.Id, record.Hall, openTogether(record.Service));
+  const int own = Homes.evenShare(record.Id, record.Hall,
+                                  pooledConnections(record.Service));
   ConnectionShare share{std::max(1, own / 2), own};
   // NOTE: each VM should get one of the connections that are left before any
   // gets two, so the share grows by one at a time after a start.
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -84,7 +84,7 @@
       isHopeless ? Options.IsolatedQueueLimit : Options.QueueLimit;
   // NOTE: an overload outlasts a single statement, and the client still has
   // time for other tries.
-  if (work.GaveWay)
+  if (work.IsShed)
     patience = std::min(patience, session.Route.LatencyObjective / 2);
   const TimePoint limit =
       wasSent ? work.Deadline
@@ -132,7 +132,7 @@
       std::max(Options.SilentTransactionLimit,
                Options.SilentTransactionFactor * instance.ServiceTime);
   if (isCommit || connection.isBorrowed() ||
-      !instance.hasOvertaken(work.SentAt) || now - work.SentAt < limit)
+      !instance.hasAnsweredLater(work.SentAt) || now - work.SentAt < limit)
     return;
   // NOTE: the instance rolls back once the connection is closed, so the client
   // may try again whole, and still has the time for it.
@@ -160,7 +160,7 @@
                       work.Statement.Kind != StatementKind::Commit;
   const bool isUnsent = work.Stage == WorkStage::Beginning;
   const bool isSilent =
-      !connection->isBorrowed() && instance->hasOvertaken(work.SentAt);
+      !connection->isBorrowed() && instance->hasAnsweredLater(work.SentAt);
   const bool isMovable = work.PrimaryOnly
                              ? (isCutOff || isSilent) && (isRead || isUnsent)
                              : isRead;
@@ -266,10 +266,10 @@
       continue;
     }
     const Duration waited = now - it.Sent.front().SentAt;
-    const bool isOvertaken = instance && !it.isBorrowed() &&
-                             instance->hasOvertaken(it.Sent.front().SentAt);
+    const bool isSuspect = instance && !it.isBorrowed() &&
+                           instance->hasAnsweredLater(it.Sent.front().SentAt);
     const Duration lifetime =
-        isOvertaken ? Options.SuspectLifetime : Options.AbandonedLifetime;
+        isSuspect ? Options.SuspectLifetime : Options.AbandonedLifetime;
     if (it.IsAbandoned && waited > lifetime)
       dead.push_back(id);
     const bool isSilent = instance && waited > SilenceLimit &&
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -13,12 +13,6 @@
 
 namespace stepledge::proxy {
 
-/// A part of a whole number, without rounding errors.
-struct Fraction {
-  int Numerator = 1;
-  int Denominator = 1;
-};
-
 struct ProxyOptions {
   HallId OwnHall;
   /// The address by which other VMs know this one.
@@ -30,18 +24,6 @@
   /// Where statements have waited for longer, the newest go first: a good part
   /// of the latency objectives, which are some 150 to 600 ms.
   Duration OverloadAge = milliseconds(100);
-  /// Where the primary takes so many times its usual time to answer, bounded
-  /// reads keep off it: writes, current reads and sessions that must see their
-  /// own commits have no other instance. While all replicas lagged, 0.92 of the
-  /// worth was served with this and 0.85 without (simulated days).
-  double GiveWayAbove = 1.7;
-  /// The same while other statements wait for the service at this VM.
-  double GiveWayInLine = 1.3;
-  /// They keep off it for so long after it was last asked for such work.
-  Duration PrimaryNeededTime = milliseconds(1000);
-  /// One bounded read that would keep off goes through in each such time, so
-  /// that none waits for ever.
-  Duration LetThroughInterval = milliseconds(1000);
   /// The same while this VM is cut off: others may serve the client sooner.
   Duration IsolatedQueueLimit = milliseconds(40);
   /// A read that got no answer for this long is sent to another instance:
@@ -61,7 +43,7 @@
   /// another hall: about the usual answer time. Together with the shares by
   /// hall it takes a fifth off the bytes between halls: their price fell from
   /// 0.035 to 0.028 of the worth (simulated days, mean of ten).
-  Duration HallPatience = milliseconds(15);
+  Duration LocalityWait = milliseconds(15);
   /// A statement waits this long before a connection beyond the kept share is
   /// opened for it: about the usual answer time.
   Duration BorrowDelay = milliseconds(20);
@@ -111,7 +93,7 @@
   /// connections for some seconds more, and no VM gets in where they are all.
   /// In the two seconds after such a loss 0.57 was served instead of 0.07 to
   /// 0.17 (simulated days).
-  Fraction OpenPart{5, 8};
+  double PooledFraction = 0.625;
   /// Connections to an instance left to the control VMs.
   int ReservedConnections = 4;
 };
