Take a reply by reference in a test, as the linter asks

Ruled out: a difference between machines; the same line fails here. Change: the handler's reply is a const reference. No other product or test code.

--- a/src/node/tests/ProgramsTest.cpp
+++ b/src/node/tests/ProgramsTest.cpp
@@ -59,7 +59,7 @@
   ProgramEvents events;
   events.FillMetrics = [](auto &metrics) { metrics.set("sessions", 7); };
   events.Tick = [&]() -> std::optional<Duration> {
-    loop.handle({}, [&](http::HttpReply reply) { page = reply.Body; });
+    loop.handle({}, [&](const http::HttpReply &reply) { page = reply.Body; });
     return std::nullopt;
   };
   loop.run(events, AnyPort);
