Learn a route's usual time only from answers without a queue

Answers of an instance at up to 1.7 times its usual time counted as usual ones, so the usual time of each route followed the overload, and bounded reads were let in again. Test: RouteWork_AnswersOfAnInstanceWithAQueueDontBecomeUsual, failed before (slowness 1 instead of 1.5).

--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -14,10 +14,6 @@
 
 namespace {
 
-/// An instance that takes less than so many times its usual time tells what a
-/// route's statements take: its queue adds little. Without a bound the usual
-/// time would follow each overload.
-constexpr double MostUncongested = 1.7;
 /// A read that an instance failed is tried on this many in all.
 constexpr int MostReadTries = 2;
 /// A statement that a lost connection has rolled back is sent at most so often.
@@ -172,8 +168,7 @@
     return;
   known->Running.noteAnswer(UsualWork.slowness(session.Route, took),
                             Pool.busyAt(instance) + 1);
-  if (known->Running.congestion() < MostUncongested)
-    UsualWork.note(session.Route, took);
+  UsualWork.note(session.Route, took, known->Running.congestion());
 }
 
 void Proxy::singleAnswered(TimePoint now, ClientSession &session,
--- a/src/proxy/internal/RouteWork.h
+++ b/src/proxy/internal/RouteWork.h
@@ -17,8 +17,9 @@
 
 class RouteWork {
 public:
-  /// A statement of \p route took \p took at an instance without a queue.
-  void note(const control::Route &route, Duration took);
+  /// A statement of \p route took \p took at an instance that takes
+  /// \p congestion times as long as usual.
+  void note(const control::Route &route, Duration took, double congestion);
   /// How many times as long as usual \p took is for a statement of \p route; 1
   /// while that isn't known.
   double slowness(const control::Route &route, Duration took) const;
--- a/src/proxy/tests/RouteWorkTest.cpp
+++ b/src/proxy/tests/RouteWorkTest.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// An instance that answers as fast as usual.
+constexpr double NoQueue = 1.0;
+
 control::Route routeOf(const char *name) {
   control::Route route;
   route.Name = name;
@@ -30,11 +33,23 @@
 TEST_CASE("RouteWork_LongerStatementsDoNotLookLikeAQueue") {
   RouteWork work;
   for (int i = 0; i < 100; ++i) {
-    work.note(routeOf("short"), milliseconds(5));
-    work.note(routeOf("long"), milliseconds(20));
+    work.note(routeOf("short"), milliseconds(5), NoQueue);
+    work.note(routeOf("long"), milliseconds(20), NoQueue);
   }
   CHECK(work.slowness(routeOf("long"), milliseconds(20)) ==
         doctest::Approx(1.0));
   CHECK(work.slowness(routeOf("short"), milliseconds(20)) ==
         doctest::Approx(4.0));
 }
+
+TEST_CASE("RouteWork_AnswersOfAnInstanceWithAQueueDontBecomeUsual") {
+  RouteWork work;
+  for (int i = 0; i < 100; ++i)
+    work.note(routeOf("short"), milliseconds(10), NoQueue);
+  // Half a minute of an overload at which each statement takes half as long
+  // again.
+  for (int i = 0; i < 600; ++i)
+    work.note(routeOf("short"), milliseconds(15), 1.5);
+  CHECK(work.slowness(routeOf("short"), milliseconds(15)) ==
+        doctest::Approx(1.5));
+}
