Spare a congested primary read-only transactions too, and say so at once

Read-only transactions of routes that read their own writes are a sixth of its work for a twentieth of the callers. Change: read-only transactions whose route lets replicas run them keep off a congested primary as bounded reads do; what is shed is refused after an eighth of its objective, not a half.

--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -140,6 +140,9 @@
   bool dispatchRead(TimePoint now, ClientSession &session);
   bool isInOwnHall(InstanceTracker &instances,
                    const InstanceId &instance) const;
+  /// Replicas could run the statement as well if they were not behind, and it
+  /// is the first that a congested primary can do without.
+  static bool mayBeShed(const ClientSession &session);
   /// The primary is congested, and the statement, which replicas could run as
   /// well if they were not behind, leaves it to others.
   bool keepsOffPrimary(TimePoint now, const ClientSession &session);
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -143,14 +143,23 @@
   return known && known->Record.Hall == Options.OwnHall;
 }
 
+bool Proxy::mayBeShed(const ClientSession &session) {
+  const bool needsPrimary = session.Route.Policy == ReadPolicy::Current ||
+                            session.Current->Mode == AccessMode::Write ||
+                            session.Mode == TransactionMode::ReadWrite;
+  if (needsPrimary)
+    return false;
+  // NOTE: such reads come to the primary only while replicas are behind. A
+  // transaction takes as many of its slots as some single reads, so that fewer
+  // clients are refused: 0.848 of the worth was earned without this line on
+  // days with replicas behind, 0.855 with it (simulated days, means of twenty).
+  return session.Route.Policy == ReadPolicy::BoundedStaleness ||
+         session.Mode == TransactionMode::ReadOnly;
+}
+
 bool Proxy::keepsOffPrimary(TimePoint now, const ClientSession &session) {
   const auto &service = session.Route.Service;
-  // NOTE: bounded reads come to the primary only while replicas are behind; all
-  // others have no other instance.
-  const bool mayBeShed = session.Route.Policy == ReadPolicy::BoundedStaleness &&
-                         session.Current->Mode == AccessMode::Read &&
-                         session.Mode != TransactionMode::ReadWrite;
-  if (!mayBeShed) {
+  if (!mayBeShed(session)) {
     Shedder.notePrimaryNeeded(now, service);
     return false;
   }
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -17,6 +17,9 @@
 /// A question unanswered for this long counts as silence: above the time that
 /// a full queue of an instance takes.
 constexpr Duration SilenceLimit = milliseconds(300);
+/// A statement that an overloaded primary is spared waits for this part of its
+/// objective, in case the overload ends at once: one or two statement times.
+constexpr int ShedPatienceDivisor = 8;
 
 } // namespace
 
@@ -82,10 +85,11 @@
                      !tracker(session.Route.Service).primary(now));
   Duration patience =
       isHopeless ? Options.IsolatedQueueLimit : Options.QueueLimit;
-  // NOTE: an overload outlasts a single statement, and the client still has
-  // time for other tries.
+  // NOTE: an overload outlasts a single statement, and the sooner the client is
+  // told, the more time its other tries have.
   if (work.IsShed)
-    patience = std::min(patience, session.Route.LatencyObjective / 2);
+    patience = std::min(patience,
+                        session.Route.LatencyObjective / ShedPatienceDivisor);
   const TimePoint limit =
       wasSent ? work.Deadline
               : std::min(work.Deadline, work.ArrivedAt + patience);
