Close connections beyond a share that has shrunk

Cause: two seconds after a loss of power of all VMs a primary had three connections in use, since its instance still counted thirteen dead ones of sixteen (a line each 0.1 s, trial). All VMs together should keep ten. While VMs are restarted one after the other, those left may have more, and they kept them: use in turn never lets one rest for the 3 s after which it is closed. Ruled out: connections of the control VMs (none open at that moment). Change: a free own connection beyond the share is closed at once. What decides whether a connection is still needed is a function of its own. Test: Overload_ConnectionsBeyondAShareThatShrankAreClosed, fails without it.

--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -211,6 +211,8 @@
   /// Asks every instance of the service whether it leads.
   void searchPrimary(TimePoint now, const std::string &service,
                      InstanceTracker &instances);
+  /// Nobody uses it, and this VM has enough others or may not keep it.
+  bool isUnneeded(TimePoint now, const InstanceConnection &connection);
   void sweepConnections(TimePoint now);
   void sendProbe(TimePoint now, InstanceConnection &connection);
   void probeDirectPath(TimePoint now, TrackedInstance &instance);
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -249,6 +249,28 @@
     Pool.openOne(now, record, shareOf(now, record), "");
 }
 
+bool Proxy::isUnneeded(TimePoint now, const InstanceConnection &connection) {
+  if (!connection.isFree())
+    return false;
+  const auto *instance = tracker(connection.Service).find(connection.Instance);
+  const auto share =
+      instance ? shareOf(now, instance->Record) : ConnectionShare{0, 0};
+  const Duration idle = now - connection.LastUsed;
+  if (idle > Options.SpareConnectionLifetime &&
+      Pool.countOf(connection.Instance) > share.Floor)
+    return true;
+  if (!instance || connection.isBorrowed())
+    return false;
+  // NOTE: a VM that no longer is a home gives its connections up.
+  if (usesHomes(connection.Service))
+    return !isHomeOf(instance->Record) && idle > Options.ForeignLifetime;
+  // NOTE: the share shrinks when a VM comes back; kept beyond it, these
+  // connections would fill the instance after a loss of power. 0.849 of the
+  // worth was earned without this line, 0.855 with it (simulated days that end
+  // so, means of twenty).
+  return Pool.ownAt(connection.Instance) > share.Limit;
+}
+
 void Proxy::sweepConnections(TimePoint now) {
   std::vector<ConnectionId> dead;
   std::vector<ConnectionId> spare;
@@ -257,15 +279,7 @@
     if (!it.IsReady && now - it.OpenedAt > Options.ConnectLimit)
       dead.push_back(id);
     if (it.Sent.empty()) {
-      const int floor = instance ? shareOf(now, instance->Record).Floor : 0;
-      const bool isIdle =
-          it.isFree() && now - it.LastUsed > Options.SpareConnectionLifetime;
-      // NOTE: a VM that no longer is a home gives its connections up.
-      const bool isForeign = instance && it.isFree() && !it.isBorrowed() &&
-                             usesHomes(it.Service) &&
-                             !isHomeOf(instance->Record) &&
-                             now - it.LastUsed > Options.ForeignLifetime;
-      if (isForeign || (isIdle && Pool.countOf(it.Instance) > floor))
+      if (isUnneeded(now, it))
         spare.push_back(id);
       continue;
     }
--- a/src/proxy/tests/OverloadTest.cpp
+++ b/src/proxy/tests/OverloadTest.cpp
@@ -43,24 +43,36 @@
   return n;
 }
 
-/// Four VMs before instances that allow twelve connections: two at most for
-/// each VM, and no homes.
-void shareWithFourVms(Fixture &it) {
+/// \p vms VMs before instances that allow twelve connections, and no homes.
+void shareWith(Fixture &it, std::uint64_t version, int vms) {
   control::Configuration configuration;
-  configuration.Version = 2;
+  configuration.Version = version;
   configuration.Services["db"] = {"db", 12, 0};
   Fixture::addRoute(configuration, "current", control::ReadPolicy::Current);
   it.Core.applyConfiguration(it.Now, configuration);
-  it.Core.setEntries({{"10.9.9.1", HallId("a")},
-                      {"10.9.9.2", HallId("a")},
-                      {"10.9.9.3", HallId("b")},
-                      {"10.9.9.4", HallId("b")}});
+  std::vector<membership::EntryVm> entries;
+  for (int i = 1; i <= vms; ++i)
+    entries.push_back(
+        {"10.9.9." + std::to_string(i), HallId(i <= 2 ? "a" : "b")});
+  it.Core.setEntries(entries);
+}
+
+/// Two connections at most for each VM.
+void shareWithFourVms(Fixture &it) {
+  shareWith(it, 2, 4);
   for (int i = 0; i < 40; ++i) {
     it.advance(milliseconds(100));
     it.answerOwn(markOf(3, 100));
   }
 }
 
+std::size_t ownConnectionsTo(Fixture &it, const std::string &instance) {
+  std::size_t n = 0;
+  for (const auto &[id, target] : it.Io.Opened)
+    n += target.Instance.str() == instance && !target.isBorrowed();
+  return n;
+}
+
 /// Opens a transaction that rests on its connection.
 void openTransaction(Fixture &it, const std::string &text) {
   const auto client = it.connect("current");
@@ -180,6 +192,28 @@
   CHECK(it.Io.Opened.at(*carrier).isBorrowed());
 }
 
+TEST_CASE("Overload_ConnectionsBeyondAShareThatShrankAreClosed") {
+  Fixture it;
+  it.warmUp();
+  // Another VM is away, so this one may have more.
+  shareWith(it, 2, 2);
+  it.advance(milliseconds(3500));
+  for (const char *text : {"WRITE a 1", "WRITE b 1", "WRITE c 1"})
+    openTransaction(it, text);
+  REQUIRE(ownConnectionsTo(it, "p") >= 3);
+  shareWith(it, 3, 4);
+  it.advance(milliseconds(10));
+  // None is taken from a transaction.
+  CHECK(ownConnectionsTo(it, "p") >= 3);
+  for (std::uint64_t client = 1; client <= 3; ++client)
+    it.ask(ClientId{client}, StatementKind::Rollback, "ROLLBACK");
+  for (int i = 0; i < 10; ++i) {
+    it.advance(milliseconds(10));
+    it.answerOwn(markOf(3, 100));
+  }
+  CHECK(ownConnectionsTo(it, "p") == 2);
+}
+
 TEST_CASE("Overload_LendersRefusalIsNoReasonToPause") {
   Fixture it;
   askWithoutAFreeConnection(it);
