Tell entry VMs of each other by changes, not by whole lists

Each of six control VMs named all 70 entry VMs to each of them every two seconds, and with each change of the configuration. Change: the whole list goes out on a new connection only, then those that came or went; a link loses nothing without breaking. EntryRoster keeps what was told at the control VM, EntryLists puts the words together at the entry VM.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -94,7 +94,9 @@
     if (std::exchange(IsNoticeDue, false))
       FullNoticeAt = now;
     NoticeAt = now + Options.NoticeInterval;
-    tellEntries(notice(FullNoticeAt <= now));
+    auto message = notice(FullNoticeAt <= now);
+    Entries.tellChanges(*message.mutable_notice());
+    tellEntries(message);
     if (FullNoticeAt <= now)
       FullNoticeAt = now + Options.FullNoticeInterval;
     for (const auto &it : Directory.expire(now, Options.InstanceSilence))
@@ -281,7 +283,7 @@
 }
 
 void ControlNode::tellEntries(const peer::wire::Message &message) {
-  for (const auto &[ip, hall] : Entries)
+  for (const auto &[ip, hall] : Entries.halls())
     Peers.send(ip, message);
 }
 
@@ -298,11 +300,6 @@
   out.set_is_fresh(IsFresh);
   if (!isFull)
     return message;
-  for (const auto &[ip, hall] : Entries) {
-    auto &entry = *out.add_entries();
-    entry.set_ip(ip);
-    entry.set_hall(hall);
-  }
   for (const auto &it : Node.membership().voters())
     out.add_control_ips(it.ip());
   for (const auto &[service, it] : State.promotions()) {
@@ -336,13 +333,16 @@
                                 const peer::wire::Hello &hello) {
   const bool isEntry = !hello.ip().empty() && hello.kind() == peer::wire::ENTRY;
   if (isEntry)
-    Entries[ip] = hello.hall();
+    Entries.join(ip, hello.hall());
   Peers.send(ip, allInstances());
-  if (isEntry)
-    Peers.send(ip, notice(true));
+  if (!isEntry)
+    return;
+  auto message = notice(true);
+  Entries.tellAll(*message.mutable_notice());
+  Peers.send(ip, message);
 }
 
-void ControlNode::peerLost(const std::string &ip) { Entries.erase(ip); }
+void ControlNode::peerLost(const std::string &ip) { Entries.leave(ip); }
 
 void ControlNode::peerSaid(const std::string &ip,
                            const peer::wire::Message &message) {
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -9,6 +9,7 @@
 
 #include "consensus/ConsensusNode.h"
 #include "control/ClusterState.h"
+#include "control/EntryRoster.h"
 #include "control/IPromoter.h"
 #include "control/PrimaryWatch.h"
 #include "control/types/Configuration.h"
@@ -150,7 +151,7 @@
   void learnKept(TimePoint now);
   void tellEntries(const peer::wire::Message &message);
   void tellControls(const peer::wire::Message &message);
-  /// A full one also names the VMs and the promotions.
+  /// A full one also names the control VMs and the promotions.
   peer::wire::Message notice(bool isFull) const;
   peer::wire::Message allInstances() const;
   void updatePeers();
@@ -168,8 +169,7 @@
   PrimaryWatch Watch{WatchOptions{}};
   std::unique_ptr<Replacement> Replacer;
 
-  /// The connected entry VMs and their halls.
-  std::map<std::string, std::string> Entries;
+  EntryRoster Entries;
   std::set<std::string> KnownControls;
   std::map<std::uint64_t, PendingCall> Calls;
   std::map<std::uint64_t, RemoteCall> RemoteReads;
--- /dev/null
+++ b/src/control/EntryRoster.cpp
@@ -0,0 +1,41 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "control/EntryRoster.h"
+
+namespace stepledge::control {
+
+namespace {
+
+void describe(const std::string &ip, const std::string &hall,
+              peer::wire::EntryVm &out) {
+  out.set_ip(ip);
+  out.set_hall(hall);
+}
+
+} // namespace
+
+void EntryRoster::join(const std::string &ip, const std::string &hall) {
+  Halls[ip] = hall;
+}
+
+void EntryRoster::leave(const std::string &ip) { Halls.erase(ip); }
+
+void EntryRoster::tellAll(peer::wire::Notice &notice) const {
+  for (const auto &[ip, hall] : Halls)
+    describe(ip, hall, *notice.add_entries());
+}
+
+void EntryRoster::tellChanges(peer::wire::Notice &notice) {
+  for (const auto &[ip, hall] : Halls) {
+    const auto known = Told.find(ip);
+    if (known == Told.end() || known->second != hall)
+      describe(ip, hall, *notice.add_entries_joined());
+  }
+  for (const auto &[ip, hall] : Told)
+    if (!Halls.contains(ip))
+      notice.add_entries_left(ip);
+  Told = Halls;
+}
+
+} // namespace stepledge::control
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -85,9 +85,7 @@
 
 void EntryNode::peerLost(const std::string &ip) {
   Connected.erase(ip);
-  // NOTE: the last word is better than none.
-  if (EntriesBy.size() > 1)
-    EntriesBy.erase(ip);
+  Entries.lost(ip);
   Log.decision(absl::StrCat("event=control_lost ip=", ip));
 }
 
@@ -107,8 +105,8 @@
   // NOTE: the control VM of a hall that is cut off goes on speaking.
   if (notice.is_fresh())
     HeardAt = Now;
-  if (notice.entries_size() > 0)
-    takeEntries(ip, notice);
+  if (Entries.take(ip, notice))
+    shareEntries();
   for (const auto &it : notice.promotions())
     Proxy.applyPromotion(Now, it.service(), InstanceId(it.instance()),
                          it.fence());
@@ -129,16 +127,9 @@
     fetch(ip);
 }
 
-void EntryNode::takeEntries(const std::string &ip,
-                            const peer::wire::Notice &notice) {
-  auto &own = EntriesBy[ip];
-  own.clear();
-  for (const auto &it : notice.entries())
-    own.push_back({it.ip(), HallId(it.hall())});
-  // NOTE: a VM that some control VM hears is there, whoever else is cut off.
-  std::set<membership::EntryVm> all{{Options.Ip, HallId(Options.Hall)}};
-  for (const auto &[control, entries] : EntriesBy)
-    all.insert(entries.begin(), entries.end());
+void EntryNode::shareEntries() {
+  auto all = Entries.all();
+  all.insert({Options.Ip, HallId(Options.Hall)});
   Proxy.setEntries({all.begin(), all.end()});
 }
 
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -7,6 +7,7 @@
 #ifndef STEPLEDGE_ENTRY_ENTRYNODE_H
 #define STEPLEDGE_ENTRY_ENTRYNODE_H
 
+#include "entry/EntryLists.h"
 #include "peer/IPeerListener.h"
 #include "peer/IPeerSender.h"
 #include "proxy/Proxy.h"
@@ -71,7 +72,7 @@
   void fetch(const std::string &ip);
   void tellSights();
   void checkIsolation();
-  void takeEntries(const std::string &ip, const peer::wire::Notice &notice);
+  void shareEntries();
 
   EntryOptions Options;
   proxy::Proxy &Proxy;
@@ -85,8 +86,7 @@
   TimePoint HeardAt{};
   std::optional<TimePoint> IsolatedSince;
   std::set<std::string> Connected;
-  /// By control VM, the entry VMs that are connected to it.
-  std::map<std::string, std::vector<membership::EntryVm>> EntriesBy;
+  EntryLists Entries;
 };
 
 } // namespace stepledge::entry
