Leave room at the instances where VMs share homes too

Before it a primary had 53 of 53 connections open and one to four statements running (a line each 0.2 s from every VM, trial): six homes with up to seven each, and 25 to 35 VMs that are no homes with one each. These had opened it while they knew few other VMs after their start; their own position questions, twice a second, kept it from resting for the second after which it is closed. Instances count such connections for 3 s after the loss. Change: homes hold five eighths of the connections together, as VMs without homes do, and a connection that only questions have used is idle. Tests: Proxy_HomesLeaveRoomAtTheInstance (7 connections before, 4 now), Proxy_VmThatIsNoHomeClosesAConnectionThatOnlyItsQuestionsUse (1 before, none now).

--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -104,6 +104,8 @@
   int pooledConnections(const std::string &service) const;
   /// The service's instances have too few connections for all VMs.
   bool usesHomes(const std::string &service) const;
+  /// How many connections a home may hold, so that the rest stays free.
+  int homeConnections(const std::string &service) const;
   bool isHomeOf(const membership::InstanceRecord &record);
   ConnectionShare shareOf(TimePoint now,
                           const membership::InstanceRecord &record);
--- a/src/proxy/internal/ConnectionPool.cpp
+++ b/src/proxy/internal/ConnectionPool.cpp
@@ -80,6 +80,7 @@
   it.Instance = instance.Id;
   it.OpenedAt = now;
   it.LastUsed = now;
+  it.LastServed = now;
   it.LenderIp = lenderIp;
   ByInstance[instance.Id].insert(id);
   Io.openConnection(
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -294,6 +294,8 @@
     connection.Sent.push_back({it.Reason, now});
   }
   connection.LastUsed = now;
+  if (batch.front().Reason != Purpose::Probe)
+    connection.LastServed = now;
   if (auto *it = tracker(connection.Service).find(connection.Instance))
     it->Statements += connection.statements() - before;
   if (connection.isBorrowed())
--- a/src/proxy/internal/InstanceConnection.h
+++ b/src/proxy/internal/InstanceConnection.h
@@ -54,6 +54,9 @@
   bool IsRefused = false;
   TimePoint OpenedAt{};
   TimePoint LastUsed{};
+  /// When it last carried a client's statement or transaction; position
+  /// questions don't count.
+  TimePoint LastServed{};
   /// The instance has accepted the connection.
   bool IsReady = false;
   /// The client whose statement or transaction it serves, if any.
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -40,16 +40,25 @@
   return Homes.isHome(record.Id, record.Hall, share);
 }
 
+int Proxy::homeConnections(const std::string &service) const {
+  // NOTE: with all that may be used, a primary's 53 connections were open while
+  // four of them ran a statement, and after a loss of power no VM got in for 3
+  // s: 0.795 of the worth was earned, now 0.821 together with the closing of
+  // those that only questions use (simulated days of 70 VMs, means of six).
+  const auto share = Homes.share(usableConnections(service));
+  const int pooled = pooledConnections(service) - share.Guests;
+  return std::clamp(pooled / share.Homes, 1, share.Connections);
+}
+
 ConnectionShare Proxy::shareOf(TimePoint now,
                                const membership::InstanceRecord &record) {
-  const int usable = usableConnections(record.Service);
   // NOTE: if all VMs have lost their power together, the instances count the
   // lost connections for some seconds more.
   const bool isCautious = now - StartedAt < Options.CautiousStart;
   if (usesHomes(record.Service)) {
     if (!isHomeOf(record))
       return {Options.BorrowLimit, Options.BorrowLimit};
-    const int own = Homes.share(usable).Connections;
+    const int own = homeConnections(record.Service);
     const int limit = isCautious ? std::max(1, own / 2) : own;
     return {std::max(1, limit / 2), limit};
   }
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -255,7 +255,9 @@
   const auto *instance = tracker(connection.Service).find(connection.Instance);
   const auto share =
       instance ? shareOf(now, instance->Record) : ConnectionShare{0, 0};
-  const Duration idle = now - connection.LastUsed;
+  // NOTE: position questions come twice a second and would keep it open: 70 VMs
+  // that are no homes had 25 to 35 of a primary's 53 connections so.
+  const Duration idle = now - connection.LastServed;
   if (idle > Options.SpareConnectionLifetime &&
       Pool.countOf(connection.Instance) > share.Floor)
     return true;
--- a/src/proxy/tests/ProxyTest.cpp
+++ b/src/proxy/tests/ProxyTest.cpp
@@ -7,6 +7,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <optional>
 
 using namespace stepledge;
@@ -417,6 +418,58 @@
 
 } // namespace
 
+TEST_CASE("Proxy_VmThatIsNoHomeClosesAConnectionThatOnlyItsQuestionsUse") {
+  Fixture it;
+  it.warmUp();
+  const auto own = [&it] {
+    return std::count_if(it.Io.Opened.begin(), it.Io.Opened.end(),
+                         [](const auto &target) {
+                           return target.second.Instance == InstanceId("p") &&
+                                  !target.second.isBorrowed();
+                         });
+  };
+  REQUIRE(own() > 0);
+  shareWithSixVms(it);
+  CHECK(own() == 0);
+}
+
+TEST_CASE("Proxy_HomesLeaveRoomAtTheInstance") {
+  Fixture it;
+  it.warmUp();
+  control::Configuration configuration;
+  configuration.Version = 2;
+  configuration.Services["db"] = {"db", 53, 0};
+  Fixture::addRoute(configuration, "current", ReadPolicy::Current);
+  it.Core.applyConfiguration(it.Now, configuration);
+  // This VM is the only one in the primary's hall, and so a home.
+  std::vector<membership::EntryVm> entries{{"", HallId("a")}};
+  for (int i = 1; i < 70; ++i)
+    entries.push_back({"10.9.9." + std::to_string(i), HallId("b")});
+  it.Core.setEntries(entries);
+  it.advance(milliseconds(3500));
+  // Transactions that rest, each on a connection of its own.
+  for (int i = 0; i < 12; ++i) {
+    const auto client = it.connect("current");
+    const std::string text = "WRITE x " + std::to_string(i);
+    it.ask(client, StatementKind::Begin, "BEGIN");
+    it.ask(client, StatementKind::Write, text.c_str());
+    for (int n = 0; n < 5; ++n) {
+      it.advance(milliseconds(10));
+      it.answerOwn(markOf(3, 100));
+    }
+    if (const auto carrier = it.carrierOf(text))
+      it.answer(*carrier,
+                Fixture::replyAt(markOf(3, 100), SessionState::InTransaction));
+  }
+  const auto own = std::count_if(
+      it.Io.Opened.begin(), it.Io.Opened.end(), [](const auto &target) {
+        return target.second.Instance == InstanceId("p") &&
+               !target.second.isBorrowed();
+      });
+  // Six homes with four each, and seven guests, make 31 of 53.
+  CHECK(own == 4);
+}
+
 TEST_CASE("Proxy_LenderThatRefusesIsNotAskedAgainAtOnce") {
   Fixture it;
   shareWithSixVms(it);
