--- a/src/proxy/tests/OverloadTest.cpp
+++ b/src/proxy/tests/OverloadTest.cpp
@@ -158,6 +158,14 @@
   }
 }
 
+/// Others have filled the primary's queue, and no replica is there to turn to.
+void congestPrimary(Fixture &it) {
+  it.warmUp();
+  runWrites(it, "current", 40, milliseconds(5));
+  runWrites(it, "current", 20, milliseconds(60));
+  takeReplicasAway(it);
+}
+
 } // namespace
 
 TEST_CASE("Overload_ReplicaThatLacksThePositionIsNotAskedAgainAtOnce") {
@@ -229,11 +237,7 @@
 
 TEST_CASE("Overload_BoundedReadsKeepOffACongestedPrimary") {
   Fixture it;
-  it.warmUp();
-  runWrites(it, "current", 40, milliseconds(5));
-  // Others have filled the primary's queue, and both replicas are behind.
-  runWrites(it, "current", 20, milliseconds(60));
-  takeReplicasAway(it);
+  congestPrimary(it);
   readAtThePrimary(it, "READ through");
   const auto late = it.connect("bounded");
   it.ask(late, StatementKind::Read, "READ later");
@@ -252,10 +256,7 @@
 
 TEST_CASE("Overload_ReadOnlyTransactionsKeepOffACongestedPrimary") {
   Fixture it;
-  it.warmUp();
-  runWrites(it, "current", 40, milliseconds(5));
-  runWrites(it, "current", 20, milliseconds(60));
-  takeReplicasAway(it);
+  congestPrimary(it);
   readAtThePrimary(it, "READ through");
   const auto reader = it.connect("own");
   it.ask(reader, StatementKind::BeginRead, "BEGIN READ");
@@ -275,10 +276,7 @@
 
 TEST_CASE("Overload_BoundedReadsUseACongestedPrimaryThatNobodyElseNeeds") {
   Fixture it;
-  it.warmUp();
-  runWrites(it, "current", 40, milliseconds(5));
-  runWrites(it, "current", 20, milliseconds(60));
-  takeReplicasAway(it);
+  congestPrimary(it);
   it.advance(milliseconds(1100));
   it.answerOwn(markOf(3, 100));
   CHECK(readAtThePrimary(it, "READ first"));
@@ -287,10 +285,7 @@
 
 TEST_CASE("Overload_SomeBoundedReadsAreLetThroughAllTheSame") {
   Fixture it;
-  it.warmUp();
-  runWrites(it, "current", 40, milliseconds(5));
-  runWrites(it, "current", 20, milliseconds(60));
-  takeReplicasAway(it);
+  congestPrimary(it);
   int served = 0;
   for (int i = 0; i < 30; ++i) {
     served += readAtThePrimary(it, "READ " + std::to_string(i));
