Log who asks for a configuration, what is sent, and why a connection ends

Cause: after a large configuration the logs told neither how many copies of it are on their way to an entry VM nor why it loses its control VMs, so two hypotheses couldn't be told apart. Change: event=configuration_asked, event=configuration_sent with its bytes, and a reason in control_lost, peer_lost and lender_lost. No decision changes. Conclusion: needed for the trace; stays, since each is one line an event.

--- a/src/control/ControlModule.cpp
+++ b/src/control/ControlModule.cpp
@@ -138,7 +138,9 @@
   Node->peerConnected(ip, hello);
 }
 
-void ControlModule::peerLost(const std::string &ip) { Node->peerLost(ip); }
+void ControlModule::peerLost(const std::string &ip, peer::LinkEnd end) {
+  Node->peerLost(ip, end);
+}
 
 void ControlModule::peerSaid(const std::string &ip,
                              const peer::wire::Message &message) {
--- a/src/control/ControlModule.h
+++ b/src/control/ControlModule.h
@@ -56,7 +56,7 @@
                std::vector<consensus::wire::Record> records) override;
   void peerConnected(const std::string &ip,
                      const peer::wire::Hello &hello) override;
-  void peerLost(const std::string &ip) override;
+  void peerLost(const std::string &ip, peer::LinkEnd end) override;
   void peerSaid(const std::string &ip,
                 const peer::wire::Message &message) override;
 
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -342,7 +342,9 @@
   Peers.send(ip, message);
 }
 
-void ControlNode::peerLost(const std::string &ip) {
+void ControlNode::peerLost(const std::string &ip, peer::LinkEnd end) {
+  Log.decision(absl::StrCat("event=peer_lost ip=", ip, " reason=",
+                            std::string(nameIn(peer::LinkEndNames, end))));
   Entries.leave(ip);
   LastSights.erase(ip);
 }
@@ -363,6 +365,9 @@
       out.mutable_configuration()->set_version(State.configurationVersion());
       out.mutable_configuration()->set_document(State.document());
       Peers.send(ip, out);
+      Log.decision(absl::StrCat("event=configuration_sent ip=", ip,
+                                " version=", State.configurationVersion(),
+                                " bytes=", State.document().size()));
     }
   } else if (message.has_sights()) {
     onSights(ip, message.sights());
--- a/src/entry/BorrowedConnections.cpp
+++ b/src/entry/BorrowedConnections.cpp
@@ -76,15 +76,16 @@
   state.HeardAt = Now;
 }
 
-void BorrowedConnections::peerLost(const std::string &ip) {
+void BorrowedConnections::peerLost(const std::string &ip, peer::LinkEnd end) {
   States[ip].IsConnected = false;
   std::vector<ConnectionId> lost;
   for (const auto &[id, it] : Connections)
     if (it.LenderIp == ip)
       lost.push_back(id);
   if (!lost.empty())
-    Log.decision(absl::StrCat("event=lender_lost ip=", ip,
-                              " connections=", lost.size()));
+    Log.decision(
+        absl::StrCat("event=lender_lost ip=", ip, " connections=", lost.size(),
+                     " reason=", std::string(nameIn(peer::LinkEndNames, end))));
   for (const auto id : lost) {
     const auto found = Connections.extract(id);
     if (found.empty())
@@ -167,7 +168,7 @@
   }
   for (const auto &it : silent) {
     Log.decision(absl::StrCat("event=lender_silent ip=", it));
-    peerLost(it);
+    peerLost(it, peer::LinkEnd::Silent);
     // Connected to anew, so that late words of the old uses are never taken
     // for those of new ones.
     States.erase(it);
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -95,11 +95,12 @@
   Log.decision(absl::StrCat("event=control_connected ip=", ip));
 }
 
-void EntryNode::peerLost(const std::string &ip) {
+void EntryNode::peerLost(const std::string &ip, peer::LinkEnd end) {
   Connected.erase(ip);
   ToldSights.erase(ip);
   Entries.lost(ip);
-  Log.decision(absl::StrCat("event=control_lost ip=", ip));
+  Log.decision(absl::StrCat("event=control_lost ip=", ip, " reason=",
+                            std::string(nameIn(peer::LinkEndNames, end))));
 }
 
 void EntryNode::peerSaid(const std::string &ip,
@@ -154,6 +155,8 @@
   message.mutable_configuration_request()->set_above_version(
       Proxy.configurationVersion());
   Peers.send(ip, message);
+  Log.decision(absl::StrCat("event=configuration_asked ip=", ip,
+                            " held=", Proxy.configurationVersion()));
 }
 
 void EntryNode::onConfiguration(
--- a/src/entry/LendingService.cpp
+++ b/src/entry/LendingService.cpp
@@ -12,11 +12,12 @@
 void LendingService::peerConnected(const std::string &ip,
                                    const peer::wire::Hello &hello) {
   (void)hello;
-  peerLost(ip);
+  peerLost(ip, peer::LinkEnd::Replaced);
   Known[ip].HeardAt = Now;
 }
 
-void LendingService::peerLost(const std::string &ip) {
+void LendingService::peerLost(const std::string &ip, peer::LinkEnd end) {
+  (void)end;
   Known.erase(ip);
   Proxy->lender().endAll(Now, ip);
 }
@@ -75,7 +76,7 @@
     Log.decision(absl::StrCat("event=borrower_silent ip=", it, " for_ms=",
                               toMilliseconds(now - Known[it].HeardAt),
                               " uses=", Proxy->lender().usesOf(it)));
-    peerLost(it);
+    peerLost(it, peer::LinkEnd::Silent);
   }
 }
 
--- a/src/entry/LendingService.h
+++ b/src/entry/LendingService.h
@@ -31,7 +31,7 @@
   /// A new connection of \p ip: what it asked for on an older one is over.
   void peerConnected(const std::string &ip,
                      const peer::wire::Hello &hello) override;
-  void peerLost(const std::string &ip) override;
+  void peerLost(const std::string &ip, peer::LinkEnd end) override;
   void peerSaid(const std::string &ip,
                 const peer::wire::Message &message) override;
   void setTime(TimePoint now) { Now = now; }
--- a/src/entry/tests/EntryTest.cpp
+++ b/src/entry/tests/EntryTest.cpp
@@ -187,7 +187,7 @@
   CHECK(second.front().is_unchanged());
   CHECK(second.front().sights_size() == 0);
   // A control VM that was connected to anew knows nothing of them.
-  it.Node.peerLost("10.0.0.1");
+  it.Node.peerLost("10.0.0.1", peer::LinkEnd::Closed);
   it.Node.peerConnected("10.0.0.1", {});
   it.advance(milliseconds(1000));
   const auto third = it.toldSights();
--- a/src/entry/tests/LendingScheduleTest.cpp
+++ b/src/entry/tests/LendingScheduleTest.cpp
@@ -208,8 +208,8 @@
   auto &to = *(*Vms)[lender];
   from.Borrowed.setTime(now);
   to.Lending.setTime(now);
-  from.Borrowed.peerLost(ipOf(lender));
-  to.Lending.peerLost(ipOf(borrower));
+  from.Borrowed.peerLost(ipOf(lender), peer::LinkEnd::Closed);
+  to.Lending.peerLost(ipOf(borrower), peer::LinkEnd::Closed);
 }
 
 void Links::advance(TimePoint now) {
--- a/src/peer/IPeerListener.h
+++ b/src/peer/IPeerListener.h
@@ -7,6 +7,7 @@
 #define STEPLEDGE_PEER_IPEERLISTENER_H
 
 #include "peer/generated/Peer.pb.h"
+#include "peer/types/LinkEnd.h"
 
 #include <string>
 
@@ -19,7 +20,7 @@
   /// A connection to \p ip, from either side, can be used.
   virtual void peerConnected(const std::string &ip,
                              const wire::Hello &hello) = 0;
-  virtual void peerLost(const std::string &ip) = 0;
+  virtual void peerLost(const std::string &ip, LinkEnd end) = 0;
   virtual void peerSaid(const std::string &ip,
                         const wire::Message &message) = 0;
 };
--- a/src/peer/PeerHub.cpp
+++ b/src/peer/PeerHub.cpp
@@ -60,16 +60,16 @@
         Unnamed.erase(self);
         auto old = std::exchange(IncomingLinks[*ip], Incoming{self, number});
         if (old.Link)
-          old.Link->close();
+          old.Link->close(LinkEnd::Replaced);
         Listener.peerConnected(*ip, message.hello());
       },
-      [this, ip, number, holder] {
+      [this, ip, number, holder](LinkEnd end) {
         Unnamed.erase(holder->lock());
         const auto it = IncomingLinks.find(*ip);
         if (it == IncomingLinks.end() || it->second.Number != number)
           return;
         IncomingLinks.erase(it);
-        Listener.peerLost(*ip);
+        Listener.peerLost(*ip, end);
       });
   *holder = link;
   Unnamed.insert(link);
@@ -88,7 +88,7 @@
     it = OutgoingLinks.erase(it);
   }
   for (const auto &it : unwanted)
-    it->close();
+    it->close(LinkEnd::Dropped);
   for (const auto &it : ips)
     if (it != Self.ip())
       OutgoingLinks.try_emplace(it);
@@ -107,7 +107,7 @@
       open(now, ip, it);
   }
   for (const auto &it : silent)
-    it->close();
+    it->close(LinkEnd::Silent);
 }
 
 void PeerHub::open(TimePoint now, const std::string &ip, Outgoing &outgoing) {
@@ -143,12 +143,12 @@
           it->second.HeardAt = Now;
         Listener.peerSaid(ip, message);
       },
-      [this, ip, holder] {
+      [this, ip, holder](LinkEnd end) {
         const auto it = OutgoingLinks.find(ip);
         if (it == OutgoingLinks.end() || it->second.Link != holder->lock())
           return;
         it->second.Link.reset();
-        Listener.peerLost(ip);
+        Listener.peerLost(ip, end);
       });
   *holder = link;
   auto &outgoing = OutgoingLinks[ip];
--- a/src/peer/TimedListener.h
+++ b/src/peer/TimedListener.h
@@ -28,9 +28,9 @@
     Listener.setTime(Clock());
     Listener.peerConnected(ip, hello);
   }
-  void peerLost(const std::string &ip) override {
+  void peerLost(const std::string &ip, LinkEnd end) override {
     Listener.setTime(Clock());
-    Listener.peerLost(ip);
+    Listener.peerLost(ip, end);
   }
   void peerSaid(const std::string &ip, const wire::Message &message) override {
     Listener.setTime(Clock());
--- a/src/peer/internal/PeerLink.cpp
+++ b/src/peer/internal/PeerLink.cpp
@@ -21,6 +21,15 @@
 /// Unacknowledged bytes end a connection after this time.
 constexpr unsigned DeadPeerMs = 2000;
 
+LinkEnd endOf(std::error_code ec) {
+  if (ec == asio::error::eof)
+    return LinkEnd::Closed;
+  if (ec == asio::error::connection_reset || ec == asio::error::broken_pipe)
+    return LinkEnd::Reset;
+  return ec == asio::error::timed_out ? LinkEnd::Unacknowledged
+                                      : LinkEnd::Failed;
+}
+
 } // namespace
 
 void watchForDeadPeer(asio::ip::tcp::socket &socket) {
@@ -46,7 +55,7 @@
       asio::buffer(Chunk),
       [self = shared_from_this()](std::error_code ec, std::size_t n) {
         if (ec || self->IsClosed)
-          return self->close();
+          return self->close(endOf(ec));
         self->Input.append(self->Chunk.data(), n);
         self->takeMessages();
         if (!self->IsClosed)
@@ -60,13 +69,13 @@
     std::uint32_t length = 0;
     std::memcpy(&length, Input.data() + offset, LengthBytes);
     if (length > MostMessageBytes)
-      return close();
+      return close(LinkEnd::Unreadable);
     if (Input.size() - offset - LengthBytes < length)
       break;
     wire::Message message;
     const char *body = Input.data() + offset + LengthBytes;
     if (!message.ParseFromArray(body, static_cast<int>(length)))
-      return close();
+      return close(LinkEnd::Unreadable);
     offset += LengthBytes + length;
     MessageHandler(message);
   }
@@ -80,7 +89,7 @@
     return;
   const std::string body = message.SerializeAsString();
   if (Waiting.size() + body.size() > MostWaitingBytes)
-    return close();
+    return close(LinkEnd::NotRead);
   const auto length = static_cast<std::uint32_t>(body.size());
   std::array<char, LengthBytes> header{};
   std::memcpy(header.data(), &length, LengthBytes);
@@ -97,19 +106,19 @@
       [self = shared_from_this()](std::error_code ec, std::size_t) {
         self->Writing.clear();
         if (ec || self->IsClosed)
-          return self->close();
+          return self->close(endOf(ec));
         if (!self->Waiting.empty())
           self->write();
       });
 }
 
-void PeerLink::close() {
+void PeerLink::close(LinkEnd end) {
   if (std::exchange(IsClosed, true))
     return;
   std::error_code ec;
   Socket.close(ec);
   if (auto handler = std::exchange(ClosedHandler, {}))
-    handler();
+    handler(end);
   MessageHandler = {};
 }
 
--- a/src/peer/internal/PeerLink.h
+++ b/src/peer/internal/PeerLink.h
@@ -7,6 +7,7 @@
 #define STEPLEDGE_PEER_INTERNAL_PEERLINK_H
 
 #include "peer/generated/Peer.pb.h"
+#include "peer/types/LinkEnd.h"
 
 #include <asio.hpp>
 
@@ -20,7 +21,7 @@
 class PeerLink : public std::enable_shared_from_this<PeerLink> {
 public:
   using OnMessage = std::function<void(const wire::Message &)>;
-  using OnClosed = std::function<void()>;
+  using OnClosed = std::function<void(LinkEnd)>;
 
   PeerLink(asio::ip::tcp::socket socket, OnMessage onMessage,
            OnClosed onClosed);
@@ -29,7 +30,7 @@
   /// Queues \p message. A peer that doesn't read is cut off, so that it comes
   /// back and is told everything anew.
   void send(const wire::Message &message);
-  void close();
+  void close(LinkEnd end);
 
 private:
   void read();
