Bring configurations to entry VMs as changes, in small parts, each asked for once

Cause: an entry VM asked for a newer configuration each 300 ms until it came, and a control VM sent the whole document each time. On a narrow link it takes over a second, so several copies were on their way and took the link from replies and heartbeats; one that took longer than three seconds never came, since the connection was dropped as silent first. Change: module distribution. Control VMs decode a configuration once and keep what leads from version to version; an entry VM gets the change from what it holds (or the whole, 12 bytes a route), in parts of 4 KB of which one is on its way at a time, from one control VM at a time. A repeat comes after a second without a part, then later and later. A digest shows a change that doesn't fit. Entry VMs no longer read operators' documents.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -183,20 +183,38 @@
 }
 
 void ControlNode::takeConfiguration() {
-  if (!Options.Decode || State.configurationVersion() == Decoded.Version)
+  const auto version = State.configurationVersion();
+  if (!Options.Decode || version == Configurations.newest().Version)
     return;
   auto decoded = Options.Decode(State.document());
   if (!decoded.ok()) {
-    Log.decision(absl::StrCat("event=configuration_unreadable version=",
-                              State.configurationVersion()));
+    Log.decision(
+        absl::StrCat("event=configuration_unreadable version=", version));
     return;
   }
-  Decoded = *std::move(decoded);
+  decoded->Version = version;
+  Configurations.take(*std::move(decoded));
+}
+
+void ControlNode::sendConfiguration(
+    const std::string &ip, const peer::wire::ConfigurationRequest &request) {
+  auto part = Configurations.answer(ip, request);
+  if (!part)
+    return;
+  if (part->offset() == 0)
+    Log.decision(absl::StrCat("event=configuration_sent ip=", ip,
+                              " held=", request.held_version(),
+                              " version=", Configurations.newest().Version,
+                              " bytes=", part->total()));
+  peer::wire::Message message;
+  *message.mutable_configuration_part() = *std::move(part);
+  Peers.send(ip, message);
 }
 
 int ControlNode::syncReplicasOf(const std::string &service) const {
-  const auto it = Decoded.Services.find(service);
-  return it == Decoded.Services.end() ? 0 : it->second.SyncReplicas;
+  const auto &services = Configurations.newest().Services;
+  const auto it = services.find(service);
+  return it == services.end() ? 0 : it->second.SyncReplicas;
 }
 
 void ControlNode::apply(TimePoint now, const consensus::wire::Entry &entry) {
@@ -296,7 +314,7 @@
 peer::wire::Message ControlNode::notice(bool isFull) const {
   peer::wire::Message message;
   auto &out = *message.mutable_notice();
-  out.set_configuration_version(State.configurationVersion());
+  out.set_configuration_version(Configurations.newest().Version);
   out.set_is_fresh(IsFresh);
   if (!isFull)
     return message;
@@ -346,6 +364,7 @@
   Log.decision(absl::StrCat("event=peer_lost ip=", ip, " reason=",
                             std::string(nameIn(peer::LinkEndNames, end))));
   Entries.leave(ip);
+  Configurations.forget(ip);
   LastSights.erase(ip);
 }
 
@@ -359,16 +378,7 @@
     for (const auto &it : message.instances().instances())
       learn(Now, peer::decode(it), true);
   } else if (message.has_configuration_request()) {
-    if (State.configurationVersion() >
-        message.configuration_request().above_version()) {
-      peer::wire::Message out;
-      out.mutable_configuration()->set_version(State.configurationVersion());
-      out.mutable_configuration()->set_document(State.document());
-      Peers.send(ip, out);
-      Log.decision(absl::StrCat("event=configuration_sent ip=", ip,
-                                " version=", State.configurationVersion(),
-                                " bytes=", State.document().size()));
-    }
+    sendConfiguration(ip, message.configuration_request());
   } else if (message.has_sights()) {
     onSights(ip, message.sights());
   } else if (message.has_call()) {
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -13,6 +13,7 @@
 #include "control/IPromoter.h"
 #include "control/PrimaryWatch.h"
 #include "control/types/Configuration.h"
+#include "distribution/ConfigurationSender.h"
 #include "membership/InstanceDirectory.h"
 #include "peer/IPeerListener.h"
 #include "peer/IPeerSender.h"
@@ -138,6 +139,8 @@
   void reply(const RemoteCall &call, bool done, std::uint64_t index);
 
   void takeConfiguration();
+  void sendConfiguration(const std::string &ip,
+                         const peer::wire::ConfigurationRequest &request);
   /// The replicas that must hold a commit of \p service before it is
   /// acknowledged.
   int syncReplicasOf(const std::string &service) const;
@@ -165,7 +168,8 @@
   IInstanceProbe &Probe;
   IControlLog &Log;
   ClusterState State;
-  Configuration Decoded;
+  /// The newest configuration that could be read, for entry VMs.
+  distribution::ConfigurationSender Configurations;
   membership::InstanceDirectory Directory;
   PrimaryWatch Watch{WatchOptions{}};
   std::unique_ptr<Replacement> Replacer;
--- a/src/control/types/Configuration.h
+++ b/src/control/types/Configuration.h
@@ -26,7 +26,6 @@
 };
 
 struct Route {
-  std::string Name;
   DatabaseId Database;
   std::string Service;
   ReadPolicy Policy = ReadPolicy::Current;
@@ -35,6 +34,8 @@
   Duration MaxStaleness{};
   /// 0 ranks highest.
   int Priority = 0;
+
+  bool operator==(const Route &) const = default;
 };
 
 struct ServiceSettings {
@@ -43,6 +44,8 @@
   int MaxConnections = 0;
   /// Replicas that must hold a commit before it is acknowledged.
   int SyncReplicas = 0;
+
+  bool operator==(const ServiceSettings &) const = default;
 };
 
 struct Configuration {
--- /dev/null
+++ b/src/distribution/ChangeCodec.cpp
@@ -0,0 +1,114 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "distribution/ChangeCodec.h"
+
+#include "distribution/generated/Distribution.pb.h"
+
+#include <tuple>
+
+namespace stepledge::distribution {
+
+using control::ReadPolicy;
+using control::Route;
+
+namespace {
+
+/// All of a route but its database.
+auto settingsOf(const Route &route) {
+  return std::make_tuple(route.Service, route.Policy, route.StatementTimeout,
+                         route.LatencyObjective, route.MaxStaleness,
+                         route.Priority);
+}
+
+void encodeSettings(const Route &route, wire::RouteGroup &out) {
+  out.set_service(route.Service);
+  out.set_policy(static_cast<std::uint32_t>(route.Policy));
+  out.set_statement_timeout_us(route.StatementTimeout.count());
+  out.set_latency_objective_us(route.LatencyObjective.count());
+  out.set_max_staleness_us(route.MaxStaleness.count());
+  out.set_priority(route.Priority);
+}
+
+Route decodeSettings(const wire::RouteGroup &group) {
+  Route route;
+  route.Service = group.service();
+  route.Policy = static_cast<ReadPolicy>(group.policy());
+  route.StatementTimeout = Duration(group.statement_timeout_us());
+  route.LatencyObjective = Duration(group.latency_objective_us());
+  route.MaxStaleness = Duration(group.max_staleness_us());
+  route.Priority = group.priority();
+  return route;
+}
+
+bool isKnownPolicy(std::uint32_t policy) {
+  return policy <= static_cast<std::uint32_t>(ReadPolicy::ReadYourWrites);
+}
+
+void encodeRoutes(const ConfigurationChange &change, wire::Change &out) {
+  std::map<decltype(settingsOf(Route())), wire::RouteGroup *> groups;
+  for (const auto &[database, route] : change.Routes) {
+    auto &group = groups[settingsOf(route)];
+    if (!group) {
+      group = out.add_routes();
+      encodeSettings(route, *group);
+    }
+    group->add_databases(database.str());
+  }
+  for (const auto &it : change.RemovedRoutes)
+    out.add_removed_routes(it.str());
+}
+
+void encodeServices(const ConfigurationChange &change, wire::Change &out) {
+  for (const auto &[name, service] : change.Services) {
+    auto &it = *out.add_services();
+    it.set_name(name);
+    it.set_max_connections(service.MaxConnections);
+    it.set_sync_replicas(service.SyncReplicas);
+  }
+  for (const auto &it : change.RemovedServices)
+    out.add_removed_services(it);
+}
+
+} // namespace
+
+std::string encodeChange(const ConfigurationChange &change) {
+  wire::Change out;
+  out.set_from(change.From);
+  out.set_to(change.To);
+  encodeRoutes(change, out);
+  encodeServices(change, out);
+  out.set_transaction_idle_limit_us(change.TransactionIdleLimit.count());
+  out.set_digest(change.Digest);
+  return out.SerializeAsString();
+}
+
+std::optional<ConfigurationChange> decodeChange(const std::string &bytes) {
+  wire::Change in;
+  if (!in.ParseFromString(bytes))
+    return std::nullopt;
+  ConfigurationChange change;
+  change.From = in.from();
+  change.To = in.to();
+  for (const auto &group : in.routes()) {
+    if (!isKnownPolicy(group.policy()))
+      return std::nullopt;
+    Route route = decodeSettings(group);
+    for (const auto &database : group.databases()) {
+      route.Database = DatabaseId(database);
+      change.Routes.insert_or_assign(route.Database, route);
+    }
+  }
+  for (const auto &it : in.removed_routes())
+    change.RemovedRoutes.insert(DatabaseId(it));
+  for (const auto &it : in.services())
+    change.Services[it.name()] = {it.name(), it.max_connections(),
+                                  it.sync_replicas()};
+  change.RemovedServices.insert(in.removed_services().begin(),
+                                in.removed_services().end());
+  change.TransactionIdleLimit = Duration(in.transaction_idle_limit_us());
+  change.Digest = in.digest();
+  return change;
+}
+
+} // namespace stepledge::distribution
--- /dev/null
+++ b/src/distribution/ConfigurationHistory.cpp
@@ -0,0 +1,54 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "distribution/ConfigurationHistory.h"
+
+#include "distribution/ChangeCodec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace stepledge::distribution {
+
+namespace {
+
+/// Changes that are kept: some minutes of an operator's quickest series, longer
+/// than an entry VM is away without a restart.
+constexpr std::size_t MostSteps = 64;
+
+} // namespace
+
+void ConfigurationHistory::take(control::Configuration configuration) {
+  Steps.push_back(changeBetween(Newest, configuration));
+  StepRoutes += Steps.back().size();
+  Newest = std::move(configuration);
+  Encoded.clear();
+  // NOTE: steps that name more routes than there are would be no shorter than
+  // the whole, so they needn't be kept.
+  while (Steps.size() > MostSteps || StepRoutes > Newest.Routes.size()) {
+    StepRoutes -= Steps.front().size();
+    Steps.pop_front();
+  }
+}
+
+std::shared_ptr<const std::string>
+ConfigurationHistory::changeFrom(std::uint64_t version) {
+  auto &it = Encoded[version];
+  if (!it)
+    it = std::make_shared<const std::string>(encodeFrom(version));
+  return it;
+}
+
+std::string ConfigurationHistory::encodeFrom(std::uint64_t version) const {
+  const auto first =
+      std::find_if(Steps.begin(), Steps.end(),
+                   [&](const auto &it) { return it.From == version; });
+  if (version == 0 || first == Steps.end())
+    return encodeChange(changeBetween({}, Newest));
+  ConfigurationChange change = *first;
+  for (auto it = first + 1; it != Steps.end(); ++it)
+    extendChange(change, *it);
+  return encodeChange(change);
+}
+
+} // namespace stepledge::distribution
--- /dev/null
+++ b/src/distribution/tests/ConfigurationChangeTest.cpp
@@ -0,0 +1,105 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Changes between configurations, and their bytes.
+
+#include "distribution/ChangeCodec.h"
+
+#include "control/tests/RouteListDocument.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace stepledge;
+using namespace stepledge::distribution;
+using control::Configuration;
+using control::tests::decodeRouteList;
+using control::tests::routeListDocument;
+
+namespace {
+
+Configuration routes(std::uint64_t version, int count, int timeoutMs = 800) {
+  return *decodeRouteList(routeListDocument(version, count, timeoutMs));
+}
+
+/// Some routes and services, drawn by \p random.
+Configuration drawn(std::uint64_t version, std::mt19937_64 &random) {
+  const auto pick = [&random](int n) {
+    return std::uniform_int_distribution<int>(0, n - 1)(random);
+  };
+  Configuration configuration;
+  configuration.Version = version;
+  configuration.TransactionIdleLimit = milliseconds(pick(3));
+  for (int i = 0; i < 4; ++i) {
+    const std::string name = "s" + std::to_string(pick(5));
+    configuration.Services[name] = {name, pick(3), pick(2)};
+  }
+  for (int i = pick(20); i > 0; --i) {
+    control::Route route;
+    route.Database = DatabaseId("d" + std::to_string(pick(30)));
+    route.Service = "s" + std::to_string(pick(5));
+    route.Policy = static_cast<control::ReadPolicy>(pick(3));
+    route.StatementTimeout = milliseconds(pick(3));
+    route.Priority = pick(2);
+    configuration.Routes[route.Database] = route;
+  }
+  return configuration;
+}
+
+bool isAlike(const Configuration &a, const Configuration &b) {
+  return a.Version == b.Version && a.Routes == b.Routes &&
+         a.Services == b.Services &&
+         a.TransactionIdleLimit == b.TransactionIdleLimit;
+}
+
+} // namespace
+
+TEST_CASE("ConfigurationChange_LeadsFromOneToTheOther") {
+  std::mt19937_64 random(7);
+  for (std::uint64_t i = 1; i <= 300; ++i) {
+    const auto from = drawn(3 * i, random);
+    const auto middle = drawn(3 * i + 1, random);
+    const auto to = drawn(3 * i + 2, random);
+    auto change = changeBetween(from, middle);
+    extendChange(change, changeBetween(middle, to));
+    const auto decoded = decodeChange(encodeChange(change));
+    REQUIRE(decoded);
+    auto result = from;
+    REQUIRE(applyChange(result, *decoded));
+    CHECK(isAlike(result, to));
+  }
+}
+
+TEST_CASE("ConfigurationChange_FitsOnlyWhatItStartsFrom") {
+  auto held = routes(3, 10);
+  const auto change = changeBetween(routes(4, 10), routes(5, 12));
+  CHECK(!applyChange(held, change));
+  CHECK(isAlike(held, routes(3, 10)));
+  // The same version with another content shows by the digest.
+  auto other = routes(4, 10, 900);
+  CHECK(!applyChange(other, changeBetween(routes(4, 11), routes(5, 12))));
+  CHECK(isAlike(other, routes(4, 10, 900)));
+}
+
+TEST_CASE("ConfigurationChange_WholeReplacesAnything") {
+  auto held = routes(3, 10);
+  CHECK(applyChange(held, changeBetween({}, routes(9, 4))));
+  CHECK(isAlike(held, routes(9, 4)));
+}
+
+TEST_CASE("ConfigurationChange_OtherBytesAreNoChange") {
+  CHECK(!decodeChange("no change"));
+}
+
+TEST_CASE("ConfigurationChange_SizeBenchmark") {
+  // As operators send them, 1,400 routes take 260 KB, and so did each change to
+  // them on its way to an entry VM. Now 17 KB go there, and 28 bytes for one
+  // changed route among them.
+  const std::string document = routeListDocument(2, 1400);
+  const auto whole = encodeChange(changeBetween({}, routes(2, 1400)));
+  CHECK(document.size() > 250'000);
+  CHECK(whole.size() < 20'000);
+  const auto one = changeBetween(routes(2, 1400), routes(3, 1400, 900));
+  CHECK(encodeChange(one).size() < 60);
+}
--- /dev/null
+++ b/src/distribution/tests/ConfigurationHistoryTest.cpp
@@ -0,0 +1,74 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file What leads to the newest configuration from the ones before.
+
+#include "distribution/ConfigurationHistory.h"
+
+#include "control/tests/RouteListDocument.h"
+#include "distribution/ChangeCodec.h"
+
+#include <doctest/doctest.h>
+
+using namespace stepledge;
+using namespace stepledge::distribution;
+using control::tests::decodeRouteList;
+using control::tests::routeListDocument;
+
+namespace {
+
+control::Configuration routes(std::uint64_t version, int count,
+                              int timeoutMs = 800) {
+  return *decodeRouteList(routeListDocument(version, count, timeoutMs));
+}
+
+ConfigurationChange changeFrom(ConfigurationHistory &history,
+                               std::uint64_t version) {
+  const auto change = decodeChange(*history.changeFrom(version));
+  REQUIRE(change);
+  return *change;
+}
+
+} // namespace
+
+TEST_CASE("ConfigurationHistory_JoinsTheChangesSinceAVersion") {
+  ConfigurationHistory history;
+  history.take(routes(3, 100));
+  history.take(routes(5, 100, 810));
+  history.take(routes(8, 101, 820));
+  const auto change = changeFrom(history, 3);
+  CHECK(change.From == 3);
+  CHECK(change.To == 8);
+  CHECK(change.size() == 2);
+  CHECK(changeFrom(history, 5).From == 5);
+}
+
+TEST_CASE("ConfigurationHistory_UnknownVersionGetsTheWhole") {
+  ConfigurationHistory history;
+  history.take(routes(3, 100));
+  history.take(routes(5, 100, 810));
+  for (const std::uint64_t version : {0, 2, 4}) {
+    const auto change = changeFrom(history, version);
+    CHECK(change.From == 0);
+    CHECK(change.Routes.size() == 100);
+  }
+}
+
+TEST_CASE("ConfigurationHistory_KeepsNoMoreThanTheWholeWouldTake") {
+  ConfigurationHistory history;
+  history.take(routes(1, 100));
+  // Each replaces all routes' names but for what both lists share.
+  history.take(routes(2, 20));
+  history.take(routes(3, 100));
+  CHECK(changeFrom(history, 1).From == 0);
+  CHECK(changeFrom(history, 2).From == 2);
+}
+
+TEST_CASE("ConfigurationHistory_ForgetsTheOldestChanges") {
+  ConfigurationHistory history;
+  for (std::uint64_t version = 1; version <= 100; ++version)
+    history.take(routes(version, 200, static_cast<int>(version)));
+  CHECK(changeFrom(history, 2).From == 0);
+  CHECK(changeFrom(history, 50).From == 50);
+  CHECK(changeFrom(history, 50).size() == 1);
+}
--- /dev/null
+++ b/src/distribution/tests/ConfigurationTransferTest.cpp
@@ -0,0 +1,138 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file A change on its way from a control VM to an entry VM, part by part.
+
+#include "distribution/ConfigurationFetch.h"
+#include "distribution/ConfigurationSender.h"
+
+#include "control/tests/RouteListDocument.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+
+using namespace stepledge;
+using namespace stepledge::distribution;
+using control::tests::decodeRouteList;
+using control::tests::routeListDocument;
+
+namespace {
+
+const std::string SenderIp = "10.0.0.1";
+const std::string OtherIp = "10.0.0.2";
+const std::string ReceiverIp = "10.5.0.1";
+
+control::Configuration routes(std::uint64_t version, int count) {
+  return *decodeRouteList(routeListDocument(version, count));
+}
+
+/// Keeps the requests of a fetch.
+struct Requests : public peer::IPeerSender {
+  bool send(const std::string &ip,
+            const peer::wire::Message &message) override {
+    Sent.emplace_back(ip, message.configuration_request());
+    return true;
+  }
+  void keepConnected(const std::set<std::string> &ips) override { (void)ips; }
+
+  std::deque<std::pair<std::string, peer::wire::ConfigurationRequest>> Sent;
+};
+
+struct Fixture {
+  Fixture() { Sender.take(routes(4, 2000)); }
+
+  /// The sender's answer to the oldest request.
+  peer::wire::ConfigurationPart answer() {
+    REQUIRE(!Out.Sent.empty());
+    const auto request = Out.Sent.front().second;
+    Out.Sent.pop_front();
+    const auto part = Sender.answer(ReceiverIp, request);
+    REQUIRE(part);
+    return *part;
+  }
+  PartResult exchange() { return Fetch.take(Now, SenderIp, answer()); }
+
+  Requests Out;
+  ConfigurationSender Sender;
+  ConfigurationFetch Fetch{Out};
+  TimePoint Now = TimePoint(std::chrono::seconds(5));
+};
+
+} // namespace
+
+TEST_CASE("ConfigurationTransfer_OnePartIsOnItsWayAtATime") {
+  Fixture it;
+  REQUIRE(it.Fetch.start(it.Now, SenderIp, 0));
+  int parts = 1;
+  while (it.exchange() == PartResult::Taken) {
+    ++parts;
+    CHECK(it.Out.Sent.size() == 1);
+  }
+  CHECK(parts >= 5);
+  CHECK(it.Out.Sent.empty());
+  CHECK(it.Fetch.change().To == 4);
+  CHECK(it.Fetch.change().Routes.size() == 2000);
+}
+
+TEST_CASE("ConfigurationTransfer_WhatIsOnItsWayIsNotAskedForAgain") {
+  Fixture it;
+  it.Fetch.start(it.Now, SenderIp, 0);
+  for (int i = 0; i < 9; ++i) {
+    it.Now += milliseconds(100);
+    CHECK(!it.Fetch.start(it.Now, OtherIp, 0));
+  }
+  CHECK(it.Out.Sent.size() == 1);
+}
+
+TEST_CASE("ConfigurationTransfer_SilentControlVmIsGivenUp") {
+  Fixture it;
+  it.Fetch.start(it.Now, SenderIp, 0);
+  it.Now += milliseconds(1001);
+  CHECK(it.Fetch.start(it.Now, OtherIp, 0));
+  CHECK(it.Out.Sent.back().first == OtherIp);
+  // Its late answer is none to the new question.
+  CHECK(it.exchange() == PartResult::Unexpected);
+  // The next one is waited for twice as long.
+  it.Now += milliseconds(1500);
+  CHECK(!it.Fetch.start(it.Now, SenderIp, 0));
+  it.Now += milliseconds(600);
+  CHECK(it.Fetch.start(it.Now, SenderIp, 0));
+}
+
+TEST_CASE("ConfigurationTransfer_LostConnectionEndsTheFetch") {
+  Fixture it;
+  it.Fetch.start(it.Now, SenderIp, 0);
+  it.Fetch.lost(OtherIp);
+  CHECK(!it.Fetch.start(it.Now, OtherIp, 0));
+  it.Fetch.lost(SenderIp);
+  CHECK(it.Fetch.start(it.Now, OtherIp, 0));
+}
+
+TEST_CASE("ConfigurationTransfer_NewerConfigurationLetsTheOldOneThrough") {
+  Fixture it;
+  it.Fetch.start(it.Now, SenderIp, 0);
+  CHECK(it.exchange() == PartResult::Taken);
+  it.Sender.take(routes(6, 2001));
+  while (it.exchange() == PartResult::Taken)
+    ;
+  CHECK(it.Fetch.change().To == 4);
+  it.Fetch.start(it.Now, SenderIp, 4);
+  CHECK(it.exchange() == PartResult::Complete);
+  CHECK(it.Fetch.change().From == 4);
+  CHECK(it.Fetch.change().To == 6);
+}
+
+TEST_CASE("ConfigurationTransfer_NothingGoesToOneWhoHoldsTheNewest") {
+  Fixture it;
+  it.Fetch.start(it.Now, SenderIp, 4);
+  CHECK(!it.Sender.answer(ReceiverIp, it.Out.Sent.front().second));
+}
+
+TEST_CASE("ConfigurationTransfer_PartOfAnUnknownFetchIsNotSent") {
+  Fixture it;
+  it.Fetch.start(it.Now, SenderIp, 0);
+  it.exchange();
+  it.Sender.forget(ReceiverIp);
+  CHECK(!it.Sender.answer(ReceiverIp, it.Out.Sent.front().second));
+}
--- a/src/entry/EntryModule.cpp
+++ b/src/entry/EntryModule.cpp
@@ -33,7 +33,7 @@
 
 EntryModule::EntryModule(asio::io_context &context, EntryModuleOptions options,
                          proxy::ISocketIo &io, proxy::IProxyLog &log,
-                         EntryNode::Decode decode, ReadClock clock)
+                         ReadClock clock)
     : Options(std::move(options)), Log(log), Clock(std::move(clock)),
       LenderEvents(Borrowed, Clock), BorrowerEvents(Lending, Clock),
       ControlEvents(Node, Clock),
@@ -45,7 +45,7 @@
       Core(proxyOptions(Options.Node), Borrowed, log, Lending),
       Hub(context, helloOf(Options.Node, peer::wire::ENTRY), Options.PeerPort,
           ControlEvents),
-      Node(Options.Node, Core, Hub, log, std::move(decode)) {
+      Node(Options.Node, Core, Hub, log) {
   Borrowed.setProxy(Core);
   Lending.setProxy(Core);
 }
--- a/src/entry/EntryModule.h
+++ b/src/entry/EntryModule.h
@@ -37,8 +37,7 @@
   using ReadClock = std::function<TimePoint()>;
 
   EntryModule(asio::io_context &context, EntryModuleOptions options,
-              proxy::ISocketIo &io, proxy::IProxyLog &log,
-              EntryNode::Decode decode, ReadClock clock);
+              proxy::ISocketIo &io, proxy::IProxyLog &log, ReadClock clock);
 
   void start();
   /// Call it each few milliseconds; true once a planned stop is through.
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -13,10 +13,9 @@
 namespace stepledge::entry {
 
 EntryNode::EntryNode(EntryOptions options, proxy::Proxy &proxy,
-                     peer::IPeerSender &peers, proxy::IProxyLog &log,
-                     Decode decode)
+                     peer::IPeerSender &peers, proxy::IProxyLog &log)
     : Options(std::move(options)), Proxy(proxy), Peers(peers), Log(log),
-      DecodeDocument(std::move(decode)) {
+      Fetch(peers) {
   Peers.keepConnected(Options.SeedIps);
 }
 
@@ -99,6 +98,9 @@
   Connected.erase(ip);
   ToldSights.erase(ip);
   Entries.lost(ip);
+  Fetch.lost(ip);
+  if (ip == AnnouncerIp)
+    AnnouncerIp.clear();
   Log.decision(absl::StrCat("event=control_lost ip=", ip, " reason=",
                             std::string(nameIn(peer::LinkEndNames, end))));
 }
@@ -107,8 +109,8 @@
                          const peer::wire::Message &message) {
   if (message.has_notice())
     onNotice(ip, message.notice());
-  else if (message.has_configuration())
-    onConfiguration(message.configuration());
+  else if (message.has_configuration_part())
+    onPart(ip, message.configuration_part());
   else if (message.has_instances())
     for (const auto &it : message.instances().instances())
       Proxy.applyInstance(Now, peer::decode(it));
@@ -137,8 +139,12 @@
   // none, but only once there was time for a newer one.
   const bool mayTake =
       notice.is_fresh() || Now - StartedAt > Options.FreshLimit;
-  if (mayTake && notice.configuration_version() > Proxy.configurationVersion())
-    fetch(ip);
+  if (mayTake &&
+      notice.configuration_version() > Proxy.configurationVersion()) {
+    AnnouncerIp = ip;
+    AnnouncedVersion = notice.configuration_version();
+    fetch();
+  }
 }
 
 void EntryNode::shareEntries() {
@@ -147,33 +153,52 @@
   Proxy.setEntries({all.begin(), all.end()});
 }
 
-void EntryNode::fetch(const std::string &ip) {
-  if (Now - FetchedAt < Options.FetchLimit && FetchedAt != TimePoint{})
+void EntryNode::fetch() {
+  const auto held = Proxy.configurationVersion();
+  if (AnnouncerIp.empty() || AnnouncedVersion <= held)
     return;
-  FetchedAt = Now;
-  peer::wire::Message message;
-  message.mutable_configuration_request()->set_above_version(
-      Proxy.configurationVersion());
-  Peers.send(ip, message);
-  Log.decision(absl::StrCat("event=configuration_asked ip=", ip,
-                            " held=", Proxy.configurationVersion()));
+  if (Fetch.start(Now, AnnouncerIp, NeedsWhole ? 0 : held))
+    Log.decision(absl::StrCat("event=configuration_asked ip=", AnnouncerIp,
+                              " held=", held, " announced=", AnnouncedVersion,
+                              " whole=", NeedsWhole));
 }
 
-void EntryNode::onConfiguration(
-    const peer::wire::Configuration &configuration) {
-  FetchedAt = {};
-  if (configuration.version() <= Proxy.configurationVersion())
+void EntryNode::onPart(const std::string &ip,
+                       const peer::wire::ConfigurationPart &part) {
+  switch (Fetch.take(Now, ip, part)) {
+  case distribution::PartResult::Unexpected:
+  case distribution::PartResult::Taken:
     return;
-  auto decoded = DecodeDocument(configuration.document());
-  if (!decoded.ok()) {
-    Log.decision(absl::StrCat(
-        "event=configuration_unreadable version=", configuration.version(),
-        " reason=\"", std::string(decoded.status().message()), "\""));
+  case distribution::PartResult::Unreadable:
+    NeedsWhole = true;
+    Log.decision(absl::StrCat("event=configuration_unreadable ip=", ip,
+                              " bytes=", part.total()));
     return;
+  case distribution::PartResult::Complete:
+    NeedsWhole = !takeChange();
+    // NOTE: a newer one may have been announced meanwhile. One that doesn't fit
+    // is asked for at the next word of a control VM, not at once.
+    if (!NeedsWhole)
+      fetch();
+  }
+}
+
+bool EntryNode::takeChange() {
+  const auto &change = Fetch.change();
+  if (change.To <= Proxy.configurationVersion())
+    return true;
+  auto configuration = Proxy.configuration();
+  if (!distribution::applyChange(configuration, change)) {
+    Log.decision(absl::StrCat("event=configuration_mismatch from=", change.From,
+                              " version=", change.To,
+                              " held=", Proxy.configurationVersion()));
+    return false;
   }
-  Log.decision(
-      absl::StrCat("event=configuration version=", configuration.version()));
-  Proxy.applyConfiguration(Now, *std::move(decoded));
+  Log.decision(absl::StrCat("event=configuration version=", change.To,
+                            " from=", change.From,
+                            " routes=", configuration.Routes.size()));
+  Proxy.applyConfiguration(Now, std::move(configuration));
+  return true;
 }
 
 } // namespace stepledge::entry
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -7,14 +7,12 @@
 #ifndef STEPLEDGE_ENTRY_ENTRYNODE_H
 #define STEPLEDGE_ENTRY_ENTRYNODE_H
 
+#include "distribution/ConfigurationFetch.h"
 #include "entry/EntryLists.h"
 #include "peer/IPeerListener.h"
 #include "peer/IPeerSender.h"
 #include "proxy/Proxy.h"
 
-#include "absl/status/statusor.h"
-
-#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -34,8 +32,6 @@
   /// naming the primaries each time took 2 of 10 MB that 70 VMs without load
   /// sent between halls in 52 s (simulated day).
   Duration AllSightsInterval = milliseconds(10000);
-  /// A configuration that was asked for and didn't come is asked for again.
-  Duration FetchLimit = milliseconds(300);
   /// The address by which other VMs know this one.
   std::string Ip;
   /// Without word from a control VM that hears a majority, and from most
@@ -53,11 +49,8 @@
 
 class EntryNode : public peer::IPeerListener {
 public:
-  using Decode = std::function<absl::StatusOr<control::Configuration>(
-      const std::string &document)>;
-
   EntryNode(EntryOptions options, proxy::Proxy &proxy, peer::IPeerSender &peers,
-            proxy::IProxyLog &log, Decode decode);
+            proxy::IProxyLog &log);
 
   void tick(TimePoint now);
   void setTime(TimePoint now) { Now = now; }
@@ -72,8 +65,11 @@
 
 private:
   void onNotice(const std::string &ip, const peer::wire::Notice &notice);
-  void onConfiguration(const peer::wire::Configuration &configuration);
-  void fetch(const std::string &ip);
+  void onPart(const std::string &ip, const peer::wire::ConfigurationPart &part);
+  /// Takes the change that was fetched; false where it doesn't fit.
+  bool takeChange();
+  /// Asks for the newest configuration that was announced, if it isn't held.
+  void fetch();
   void tellSights();
   void checkIsolation();
   void shareEntries();
@@ -82,14 +78,18 @@
   proxy::Proxy &Proxy;
   peer::IPeerSender &Peers;
   proxy::IProxyLog &Log;
-  Decode DecodeDocument;
   TimePoint Now{};
   TimePoint StartedAt{};
   TimePoint SightsAt{};
   TimePoint AllSightsAt{};
   /// By control VM, the sights that it was told last.
   std::map<std::string, std::string> ToldSights;
-  TimePoint FetchedAt{};
+  distribution::ConfigurationFetch Fetch;
+  /// The control VM that last announced a version above the held one.
+  std::string AnnouncerIp;
+  std::uint64_t AnnouncedVersion = 0;
+  /// The last change didn't fit: the next fetch is for the whole.
+  bool NeedsWhole = false;
   TimePoint HeardAt{};
   std::optional<TimePoint> IsolatedSince;
   std::set<std::string> Connected;
--- a/src/entry/tests/EntryTest.cpp
+++ b/src/entry/tests/EntryTest.cpp
@@ -7,6 +7,7 @@
 #include "entry/EntryNode.h"
 #include "entry/StopPlan.h"
 
+#include "distribution/ChangeCodec.h"
 #include "proxy/tests/FakeIo.h"
 
 #include <doctest/doctest.h>
@@ -26,23 +27,19 @@
   bool send(const std::string &ip,
             const peer::wire::Message &message) override {
     Sent.emplace_back(ip, message);
+    if (message.has_configuration_request())
+      LastFetch = message.configuration_request().fetch();
     return true;
   }
   void keepConnected(const std::set<std::string> &ips) override { Ips = ips; }
 
   std::vector<std::pair<std::string, peer::wire::Message>> Sent;
   std::set<std::string> Ips;
+  std::uint64_t LastFetch = 0;
 };
 
 struct Fixture {
-  Fixture()
-      : Core({}, Io, Io, Io),
-        Node(options(), Core, Control, Io, [](const std::string &document) {
-          control::Configuration configuration;
-          configuration.Version = std::stoull(document);
-          configuration.Services["db"] = {"db", 23, 0};
-          return absl::StatusOr<control::Configuration>(configuration);
-        }) {
+  Fixture() : Core({}, Io, Io, Io), Node(options(), Core, Control, Io) {
     Node.tick(Now);
   }
 
@@ -60,10 +57,17 @@
     Node.peerSaid("10.0.0.1", message);
   }
 
-  void give(std::uint64_t version) {
+  void giveWhole(std::uint64_t version) {
+    control::Configuration configuration;
+    configuration.Version = version;
+    configuration.Services["db"] = {"db", 23, 0};
+    const auto bytes = distribution::encodeChange(
+        distribution::changeBetween({}, configuration));
     peer::wire::Message message;
-    message.mutable_configuration()->set_version(version);
-    message.mutable_configuration()->set_document(std::to_string(version));
+    auto &part = *message.mutable_configuration_part();
+    part.set_fetch(Control.LastFetch);
+    part.set_total(bytes.size());
+    part.set_body(bytes);
     Node.peerSaid("10.0.0.1", message);
   }
 
@@ -126,9 +130,9 @@
   CHECK(!it.hasAsked());
   it.notice(7, true);
   CHECK(it.hasAsked());
-  it.give(7);
+  it.giveWhole(7);
   CHECK(it.Core.configurationVersion() == 7);
-  it.give(5);
+  it.giveWhole(5);
   CHECK(it.Core.configurationVersion() == 7);
 }
 
@@ -143,7 +147,7 @@
 TEST_CASE("Entry_CutOffVmIsNotReady") {
   Fixture it;
   it.notice(7, true);
-  it.give(7);
+  it.giveWhole(7);
   it.addPrimary();
   CHECK(it.Node.isReady());
   // Its own hall's control VM still speaks, but no majority is behind it, and
@@ -161,7 +165,7 @@
 TEST_CASE("Entry_StaysReadyWhileOnlyThePrimaryIsSilent") {
   Fixture it;
   it.notice(7, true);
-  it.give(7);
+  it.giveWhole(7);
   it.addPrimary();
   for (int i = 0; i < 30; ++i) {
     it.advance(milliseconds(100));
@@ -173,7 +177,7 @@
 TEST_CASE("Entry_SightsThatStayTheSameAreNamedOnce") {
   Fixture it;
   it.notice(7, true);
-  it.give(7);
+  it.giveWhole(7);
   it.addPrimary();
   it.Node.peerConnected("10.0.0.1", {});
   it.advance(milliseconds(1000));
--- a/src/entry/tests/NarrowFleet.cpp
+++ b/src/entry/tests/NarrowFleet.cpp
@@ -47,7 +47,7 @@
 
 NarrowFleet::EntryVm::EntryVm(NarrowFleet &fleet)
     : Fleet(fleet), Core({}, Io, Io, Io),
-      Node(entryOptions(), Core, *this, Io, control::tests::decodeRouteList) {}
+      Node(entryOptions(), Core, *this, Io) {}
 
 bool NarrowFleet::EntryVm::send(const std::string &ip,
                                 const peer::wire::Message &message) {
--- a/src/gateway/tests/EntrySocketsTest.cpp
+++ b/src/gateway/tests/EntrySocketsTest.cpp
@@ -40,7 +40,6 @@
     configuration.Version = 1;
     configuration.Services["db"] = {"db", 40, 0};
     control::Route route;
-    route.Name = "r";
     route.Database = DatabaseId("orders");
     route.Service = "db";
     route.StatementTimeout = milliseconds(800);
--- a/src/node/EntryProgram.cpp
+++ b/src/node/EntryProgram.cpp
@@ -23,10 +23,10 @@
 
 EntryProgram::EntryProgram(const EntryProgramOptions &options,
                            const gateway::ILineCodec &codec,
-                           entry::EntryNode::Decode decode, ReadSeeds readSeeds)
+                           ReadSeeds readSeeds)
     : Options(options), Seeds(std::move(readSeeds)), Loop(options.NodeName),
       Sockets(Loop.context(), codec, observe::readClock),
-      Entry(Loop.context(), options.Module, Sockets, *this, std::move(decode),
+      Entry(Loop.context(), options.Module, Sockets, *this,
             observe::readClock) {}
 
 int EntryProgram::run() {
--- a/src/node/EntryProgram.h
+++ b/src/node/EntryProgram.h
@@ -35,8 +35,7 @@
   using ReadSeeds = std::function<absl::StatusOr<std::set<std::string>>()>;
 
   EntryProgram(const EntryProgramOptions &options,
-               const gateway::ILineCodec &codec,
-               entry::EntryNode::Decode decode, ReadSeeds readSeeds);
+               const gateway::ILineCodec &codec, ReadSeeds readSeeds);
 
   /// Serves until it is told to stop; the process's exit code.
   int run();
--- a/src/proxy/internal/RouteWork.cpp
+++ b/src/proxy/internal/RouteWork.cpp
@@ -24,13 +24,13 @@
   if (congestion >= MostUncongested)
     return;
   const double sample = toMilliseconds(took);
-  const auto [it, isNew] = Usual.try_emplace(route.Name, sample);
+  const auto [it, isNew] = Usual.try_emplace(route.Database, sample);
   if (!isNew)
     it->second += (sample - it->second) * SampleWeight;
 }
 
 double RouteWork::slowness(const control::Route &route, Duration took) const {
-  const auto it = Usual.find(route.Name);
+  const auto it = Usual.find(route.Database);
   if (it == Usual.end() || it->second <= 0)
     return 1.0;
   return toMilliseconds(took) / it->second;
--- a/src/proxy/internal/RouteWork.h
+++ b/src/proxy/internal/RouteWork.h
@@ -11,7 +11,6 @@
 #include "control/types/Configuration.h"
 
 #include <map>
-#include <string>
 
 namespace stepledge::proxy {
 
@@ -25,8 +24,8 @@
   double slowness(const control::Route &route, Duration took) const;
 
 private:
-  /// By route, the smoothed time of a statement in ms.
-  std::map<std::string, double> Usual;
+  /// By the route's database, the smoothed time of a statement in ms.
+  std::map<DatabaseId, double> Usual;
 };
 
 } // namespace stepledge::proxy
--- a/src/proxy/tests/ProxyFixture.h
+++ b/src/proxy/tests/ProxyFixture.h
@@ -46,7 +46,6 @@
   static void addRoute(control::Configuration &configuration, const char *name,
                        ReadPolicy policy) {
     control::Route route;
-    route.Name = name;
     route.Database = DatabaseId(name);
     route.Service = "db";
     route.Policy = policy;
--- a/src/proxy/tests/RouteWorkTest.cpp
+++ b/src/proxy/tests/RouteWorkTest.cpp
@@ -18,7 +18,7 @@
 
 control::Route routeOf(const char *name) {
   control::Route route;
-  route.Name = name;
+  route.Database = DatabaseId(name);
   route.Service = "db";
   return route;
 }
