Check a changed configuration's digest without copies of it

Cause: to apply a change an entry VM copied the configuration three times and serialized it once, for each change; entry VMs have an eighth of a core. Change: the digest is a sum over routes and services, and a change is applied in place, to the copy that the caller makes. Figures: none of the processor's time was measured apart. Conclusion: kept for its simplicity.

--- a/src/distribution/types/ConfigurationChange.cpp
+++ b/src/distribution/types/ConfigurationChange.cpp
@@ -3,11 +3,9 @@
 
 #include "distribution/types/ConfigurationChange.h"
 
-#include "distribution/ChangeCodec.h"
-
 #include <xxhash.h>
 
-#include <utility>
+#include <array>
 
 namespace stepledge::distribution {
 
@@ -50,6 +48,31 @@
     all.insert_or_assign(key, value);
 }
 
+std::uint64_t hashOf(const std::string &text, std::uint64_t seed) {
+  return XXH64(text.data(), text.size(), seed);
+}
+
+template <std::size_t N>
+std::uint64_t hashOf(const std::array<std::int64_t, N> &numbers,
+                     std::uint64_t seed) {
+  return XXH64(numbers.data(), sizeof(numbers), seed);
+}
+
+std::uint64_t hashOf(const control::Route &route) {
+  const std::array<std::int64_t, 5> numbers{
+      static_cast<std::int64_t>(route.Policy), route.StatementTimeout.count(),
+      route.LatencyObjective.count(), route.MaxStaleness.count(),
+      route.Priority};
+  const auto names = hashOf(route.Database.str(), hashOf(route.Service, 0));
+  return hashOf(numbers, names);
+}
+
+std::uint64_t hashOf(const control::ServiceSettings &service) {
+  const std::array<std::int64_t, 2> numbers{service.MaxConnections,
+                                            service.SyncReplicas};
+  return hashOf(numbers, hashOf(service.Name, 0));
+}
+
 } // namespace
 
 ConfigurationChange changeBetween(const control::Configuration &from,
@@ -79,25 +102,25 @@
   const bool isWhole = change.From == 0;
   if (!isWhole && change.From != configuration.Version)
     return false;
-  auto result = isWhole ? control::Configuration() : configuration;
-  apply(result.Routes, change.Routes, change.RemovedRoutes);
-  apply(result.Services, change.Services, change.RemovedServices);
-  result.Version = change.To;
-  result.TransactionIdleLimit = change.TransactionIdleLimit;
-  if (digestOf(result) != change.Digest)
-    return false;
-  configuration = std::move(result);
-  return true;
+  if (isWhole)
+    configuration = {};
+  apply(configuration.Routes, change.Routes, change.RemovedRoutes);
+  apply(configuration.Services, change.Services, change.RemovedServices);
+  configuration.Version = change.To;
+  configuration.TransactionIdleLimit = change.TransactionIdleLimit;
+  return digestOf(configuration) == change.Digest;
 }
 
 std::uint64_t digestOf(const control::Configuration &configuration) {
-  ConfigurationChange whole;
-  whole.To = configuration.Version;
-  whole.Routes = configuration.Routes;
-  whole.Services = configuration.Services;
-  whole.TransactionIdleLimit = configuration.TransactionIdleLimit;
-  const std::string bytes = encodeChange(whole);
-  return XXH64(bytes.data(), bytes.size(), 0);
+  const std::array<std::int64_t, 2> numbers{
+      static_cast<std::int64_t>(configuration.Version),
+      configuration.TransactionIdleLimit.count()};
+  std::uint64_t digest = hashOf(numbers, 0);
+  for (const auto &[database, route] : configuration.Routes)
+    digest += hashOf(route);
+  for (const auto &[name, service] : configuration.Services)
+    digest += hashOf(service);
+  return digest;
 }
 
 } // namespace stepledge::distribution
--- a/src/distribution/types/ConfigurationChange.h
+++ b/src/distribution/types/ConfigurationChange.h
@@ -41,7 +41,7 @@
 void extendChange(ConfigurationChange &change, const ConfigurationChange &next);
 
 /// False where \p configuration isn't what the change starts from, or where the
-/// result isn't what its sender holds; \p configuration then stays as it is.
+/// result isn't what its sender holds; \p configuration is then of no use.
 bool applyChange(control::Configuration &configuration,
                  const ConfigurationChange &change);
 
