Leave a control VM that sends slowly, and pause after a change that doesn't fit

Cause, found by a review: the limit on a fetch began anew with each part, so a control VM that took 0.9 s a part was kept for 11.7 s; a change that never fits was fetched 240 times in 10 s; each unknown version kept a copy of the whole (300 of them 15 MB); a standstill wasn't seen where a word of a control VM was handled before the first tick after it. Change: a fetch may be a second behind 64 KB/s, then twice that; the same pause follows a change that doesn't fit; unknown versions share one whole; standstills are measured between ticks. A test each; the review's tests of the same failed on the code before.

--- a/src/distribution/ConfigurationFetch.cpp
+++ b/src/distribution/ConfigurationFetch.cpp
@@ -12,23 +12,36 @@
 
 bool ConfigurationFetch::start(TimePoint now, const std::string &ip,
                                std::uint64_t held) {
+  if (now < NotBefore)
+    return false;
   // NOTE: an answer that is on its way is never asked for again: on a narrow
   // link the copies take the room of all else, and none arrives in time.
   const bool isUnderWay = !Ip.empty();
-  if (isUnderWay && now - AskedAt <= StallLimit)
+  const Duration limit = ip == Ip ? 2 * Patience : Patience;
+  if (isUnderWay && behind(now) <= limit)
     return false;
   if (isUnderWay)
-    StallLimit = std::min(2 * StallLimit, LongestStallLimit);
+    waitLonger();
   Ip = ip;
   Held = held;
   ++Fetch;
   Received.clear();
-  ask(now);
+  StartedAt = now;
+  ask();
   return true;
 }
 
-void ConfigurationFetch::ask(TimePoint now) {
-  AskedAt = now;
+Duration ConfigurationFetch::behind(TimePoint now) const {
+  constexpr std::int64_t MicrosecondsInSecond = 1'000'000;
+  const auto bytes = static_cast<std::int64_t>(Received.size());
+  return now - StartedAt - Duration(bytes * MicrosecondsInSecond / SlowestPace);
+}
+
+void ConfigurationFetch::waitLonger() {
+  Patience = std::min(2 * Patience, LongestPatience);
+}
+
+void ConfigurationFetch::ask() {
   peer::wire::Message message;
   auto &request = *message.mutable_configuration_request();
   request.set_fetch(Fetch);
@@ -37,7 +50,7 @@
   Peers.send(Ip, message);
 }
 
-PartResult ConfigurationFetch::take(TimePoint now, const std::string &ip,
+PartResult ConfigurationFetch::take(const std::string &ip,
                                     const peer::wire::ConfigurationPart &part) {
   const bool isExpected = ip == Ip && part.fetch() == Fetch &&
                           part.offset() == Received.size() &&
@@ -46,11 +59,10 @@
     return PartResult::Unexpected;
   Received += part.body();
   if (Received.size() < part.total()) {
-    ask(now);
+    ask();
     return PartResult::Taken;
   }
   finish();
-  StallLimit = FirstStallLimit;
   auto change = decodeChange(std::exchange(Received, {}));
   if (!change)
     return PartResult::Unreadable;
@@ -58,6 +70,11 @@
   return PartResult::Complete;
 }
 
+void ConfigurationFetch::reject(TimePoint now) {
+  NotBefore = now + Patience;
+  waitLonger();
+}
+
 void ConfigurationFetch::lost(const std::string &ip) {
   if (ip == Ip)
     finish();
--- a/src/distribution/ConfigurationHistory.cpp
+++ b/src/distribution/ConfigurationHistory.cpp
@@ -33,17 +33,17 @@
 
 std::shared_ptr<const std::string>
 ConfigurationHistory::changeFrom(std::uint64_t version) {
-  auto &it = Encoded[version];
+  const auto first =
+      std::find_if(Steps.begin(), Steps.end(),
+                   [&](const auto &it) { return it.From == version; });
+  auto &it = Encoded[first == Steps.end() ? 0 : version];
   if (!it)
-    it = std::make_shared<const std::string>(encodeFrom(version));
+    it = std::make_shared<const std::string>(encodeFrom(first));
   return it;
 }
 
-std::string ConfigurationHistory::encodeFrom(std::uint64_t version) const {
-  const auto first =
-      std::find_if(Steps.begin(), Steps.end(),
-                   [&](const auto &it) { return it.From == version; });
-  if (version == 0 || first == Steps.end())
+std::string ConfigurationHistory::encodeFrom(StepIterator first) const {
+  if (first == Steps.end() || first->From == 0)
     return encodeChange(changeBetween({}, Newest));
   ConfigurationChange change = *first;
   for (auto it = first + 1; it != Steps.end(); ++it)
--- a/src/distribution/ConfigurationHistory.h
+++ b/src/distribution/ConfigurationHistory.h
@@ -27,14 +27,18 @@
   std::shared_ptr<const std::string> changeFrom(std::uint64_t version);
 
 private:
-  std::string encodeFrom(std::uint64_t version) const;
+  using StepIterator = std::deque<ConfigurationChange>::const_iterator;
+
+  /// The change that begins with the step \p first; the whole at the end.
+  std::string encodeFrom(StepIterator first) const;
 
   control::Configuration Newest;
   /// Each starts where the one before ends; the last ends at the newest.
   std::deque<ConfigurationChange> Steps;
   /// How many routes they name in all.
   std::size_t StepRoutes = 0;
-  /// By the version they start from, changes to the newest that were asked for.
+  /// By the version they start from, changes to the newest that were asked for;
+  /// one whole for all versions that aren't known.
   std::map<std::uint64_t, std::shared_ptr<const std::string>> Encoded;
 };
 
--- a/src/distribution/tests/ConfigurationHistoryTest.cpp
+++ b/src/distribution/tests/ConfigurationHistoryTest.cpp
@@ -54,6 +54,14 @@
   }
 }
 
+TEST_CASE("ConfigurationHistory_AllUnknownVersionsShareOneWhole") {
+  ConfigurationHistory history;
+  history.take(routes(300, 100));
+  const auto whole = history.changeFrom(0);
+  for (std::uint64_t version = 1; version < 300; ++version)
+    CHECK(history.changeFrom(version) == whole);
+}
+
 TEST_CASE("ConfigurationHistory_KeepsNoMoreThanTheWholeWouldTake") {
   ConfigurationHistory history;
   history.take(routes(1, 100));
--- a/src/distribution/tests/ConfigurationTransferTest.cpp
+++ b/src/distribution/tests/ConfigurationTransferTest.cpp
@@ -51,7 +51,7 @@
     REQUIRE(part);
     return *part;
   }
-  PartResult exchange() { return Fetch.take(Now, SenderIp, answer()); }
+  PartResult exchange() { return Fetch.take(SenderIp, answer()); }
 
   Requests Out;
   ConfigurationSender Sender;
@@ -100,6 +100,48 @@
   CHECK(it.Fetch.start(it.Now, SenderIp, 0));
 }
 
+TEST_CASE(
+    "ConfigurationTransfer_SilentControlVmIsAskedAgainOnlyWhereNoOtherIs") {
+  Fixture it;
+  it.Fetch.start(it.Now, SenderIp, 0);
+  it.Now += milliseconds(1500);
+  CHECK(!it.Fetch.start(it.Now, SenderIp, 0));
+  it.Now += milliseconds(501);
+  CHECK(it.Fetch.start(it.Now, SenderIp, 0));
+}
+
+TEST_CASE("ConfigurationTransfer_SlowControlVmIsLeft") {
+  Fixture it;
+  it.Fetch.start(it.Now, SenderIp, 0);
+  Duration took{};
+  while (!it.Fetch.start(it.Now + took, OtherIp, 0)) {
+    took += milliseconds(100);
+    REQUIRE(took < milliseconds(3000));
+    if (took.count() % milliseconds(900).count() == 0)
+      CHECK(it.exchange() == PartResult::Taken);
+  }
+  CHECK(took > milliseconds(1000));
+  CHECK(it.Out.Sent.back().first == OtherIp);
+}
+
+TEST_CASE("ConfigurationTransfer_ChangesThatDoNotFitComeRarely") {
+  Fixture it;
+  int fetches = 0;
+  for (int i = 0; i < 400; ++i) {
+    it.Now += milliseconds(25);
+    if (!it.Fetch.start(it.Now, i % 2 == 0 ? SenderIp : OtherIp, 0))
+      continue;
+    ++fetches;
+    it.Fetch.lost(it.Out.Sent.back().first);
+    it.Fetch.reject(it.Now);
+  }
+  // In ten seconds, after 1, 2, 4 and 8 of them.
+  CHECK(fetches <= 4);
+  it.Fetch.accept();
+  it.Now += milliseconds(8000);
+  CHECK(it.Fetch.start(it.Now, SenderIp, 0));
+}
+
 TEST_CASE("ConfigurationTransfer_LostConnectionEndsTheFetch") {
   Fixture it;
   it.Fetch.start(it.Now, SenderIp, 0);
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -20,11 +20,14 @@
 }
 
 void EntryNode::tick(TimePoint now) {
-  if (Now != TimePoint{} && now - Now > Options.StandstillLimit) {
-    Log.decision(
-        absl::StrCat("event=stood_still for_ms=", toMilliseconds(now - Now)));
+  // NOTE: not since the last event: a word of a control VM that waited while
+  // this VM stood still may be handled before the first tick.
+  if (TickedAt != TimePoint{} && now - TickedAt > Options.StandstillLimit) {
+    Log.decision(absl::StrCat("event=stood_still for_ms=",
+                              toMilliseconds(now - TickedAt)));
     Proxy.forgetProofs();
   }
+  TickedAt = now;
   Now = now;
   if (StartedAt == TimePoint{})
     StartedAt = now;
@@ -165,22 +168,24 @@
 
 void EntryNode::onPart(const std::string &ip,
                        const peer::wire::ConfigurationPart &part) {
-  switch (Fetch.take(Now, ip, part)) {
+  switch (Fetch.take(ip, part)) {
   case distribution::PartResult::Unexpected:
   case distribution::PartResult::Taken:
     return;
   case distribution::PartResult::Unreadable:
-    NeedsWhole = true;
     Log.decision(absl::StrCat("event=configuration_unreadable ip=", ip,
                               " bytes=", part.total()));
-    return;
+    NeedsWhole = true;
+    return Fetch.reject(Now);
   case distribution::PartResult::Complete:
-    NeedsWhole = !takeChange();
-    // NOTE: a newer one may have been announced meanwhile. One that doesn't fit
-    // is asked for at the next word of a control VM, not at once.
-    if (!NeedsWhole)
-      fetch();
+    break;
   }
+  NeedsWhole = !takeChange();
+  if (NeedsWhole)
+    return Fetch.reject(Now);
+  Fetch.accept();
+  // NOTE: a newer one may have been announced meanwhile.
+  fetch();
 }
 
 bool EntryNode::takeChange() {
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -79,6 +79,7 @@
   peer::IPeerSender &Peers;
   proxy::IProxyLog &Log;
   TimePoint Now{};
+  TimePoint TickedAt{};
   TimePoint StartedAt{};
   TimePoint SightsAt{};
   TimePoint AllSightsAt{};
--- a/src/entry/tests/EntryTest.cpp
+++ b/src/entry/tests/EntryTest.cpp
@@ -12,6 +12,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
@@ -153,12 +154,29 @@
   it.giveChange(change);
   CHECK(it.Core.configurationVersion() == 7);
   CHECK(!it.Core.configuration().Services.contains("other"));
+  // Not at once: a change that never fits would fill the link.
+  it.advance(milliseconds(500));
+  it.notice(9, true);
+  CHECK(it.Control.LastRequest.held_version() == 7);
+  it.advance(milliseconds(600));
   it.notice(9, true);
   CHECK(it.Control.LastRequest.held_version() == 0);
   it.giveWhole(9);
   CHECK(it.Core.configurationVersion() == 9);
 }
 
+TEST_CASE("Entry_StandstillIsSeenWhoeverSpeaksFirstAfterIt") {
+  Fixture it;
+  it.Io.Lines.clear();
+  it.Now += milliseconds(5000);
+  it.Node.setTime(it.Now);
+  it.notice(1, true);
+  it.Node.tick(it.Now);
+  CHECK(std::any_of(it.Io.Lines.begin(), it.Io.Lines.end(), [](const auto &l) {
+    return l.find("event=stood_still") != std::string::npos;
+  }));
+}
+
 TEST_CASE("Entry_TakesAnOlderStateOnceItHasWaited") {
   Fixture it;
   for (int i = 0; i < 40; ++i)
