Work out a VM's place among the others once per list of VMs

Cause, found by a review: the even share of an instance's connections was worked out anew for each free connection at each tick, over all VMs. Change: HomeTable keeps the VM's place by instance until the list changes. Figures (20,000 calls timed alone): 3.1 us before and 0.07 after among 69 VMs, 14.6 and 0.08 among 300.

--- a/src/membership/HomeTable.cpp
+++ b/src/membership/HomeTable.cpp
@@ -26,6 +26,7 @@
     return;
   Entries = std::move(entries);
   Rankings.clear();
+  Places.clear();
 }
 
 bool HomeTable::isNeeded(int usable) const {
@@ -45,22 +46,30 @@
 }
 
 int HomeTable::evenShare(const InstanceId &instance, const HallId &hall,
-                         int connections) const {
+                         int connections) {
+  const int vms = std::max(1, static_cast<int>(Entries.size()));
+  const int extra = placeOf(instance, hall) < connections % vms ? 1 : 0;
+  return std::max(1, connections / vms + extra);
+}
+
+int HomeTable::placeOf(const InstanceId &instance, const HallId &hall) {
+  const auto [known, isNew] = Places.try_emplace(instance, 0);
+  if (!isNew)
+    return known->second;
   const auto rankOf = [&](const EntryVm &it) {
     return std::tuple(it.Hall != hall, weightOf(instance.str(), it.Ip), it.Ip);
   };
   const auto own =
       std::find_if(Entries.begin(), Entries.end(),
                    [&](const EntryVm &it) { return it.Ip == OwnIp; });
-  const auto before = own == Entries.end()
-                          ? 0
-                          : std::count_if(Entries.begin(), Entries.end(),
-                                          [&](const EntryVm &it) {
-                                            return rankOf(it) < rankOf(*own);
-                                          });
-  const int vms = std::max(1, static_cast<int>(Entries.size()));
-  const int extra = before < connections % vms ? 1 : 0;
-  return std::max(1, connections / vms + extra);
+  if (own == Entries.end())
+    return known->second;
+  const auto before =
+      std::count_if(Entries.begin(), Entries.end(), [&](const EntryVm &it) {
+        return rankOf(it) < rankOf(*own);
+      });
+  known->second = static_cast<int>(before);
+  return known->second;
 }
 
 bool HomeTable::isHome(const InstanceId &instance, const HallId &hall,
--- a/src/membership/HomeTable.h
+++ b/src/membership/HomeTable.h
@@ -55,7 +55,7 @@
   /// each instance. Over all VMs with the same list the parts make up
   /// \p connections where these are as many as the VMs.
   int evenShare(const InstanceId &instance, const HallId &hall,
-                int connections) const;
+                int connections);
   bool isHome(const InstanceId &instance, const HallId &hall,
               const HomeShare &share);
   /// The VMs to ask for a connection to \p instance in \p hall, best first,
@@ -70,6 +70,9 @@
     bool IsHome = false;
     std::vector<std::string> Lenders;
   };
+  /// How many VMs come before this one where connections to the instance are
+  /// left over.
+  int placeOf(const InstanceId &instance, const HallId &hall);
   const Ranking &ranking(const InstanceId &instance, const HallId &hall,
                          const HomeShare &share);
 
@@ -78,6 +81,10 @@
   std::vector<EntryVm> Entries;
   /// Worked out when first asked for, forgotten when the VMs change.
   std::map<InstanceId, Ranking> Rankings;
+  /// Likewise. A share is asked for per free connection and tick; without this
+  /// it took 3.1 us among 69 VMs and 14.6 us among 300, with it 0.07 and 0.08
+  /// (timed alone), and a small processor has some 1,000 us in such a tick.
+  std::map<InstanceId, int> Places;
 };
 
 } // namespace stepledge::membership
--- a/src/membership/tests/HomeTableTest.cpp
+++ b/src/membership/tests/HomeTableTest.cpp
@@ -166,3 +166,24 @@
     }
   CHECK(extras.size() == entries.size());
 }
+
+TEST_CASE("HomeTable_EvenShareFollowsTheListOfVms") {
+  const auto few = vms(4, 1);
+  HomeTable table(few.front().Ip);
+  const InstanceId instance("i-1");
+  const HallId hall = few.front().Hall;
+  table.setEntries(few);
+  CHECK(table.evenShare(instance, hall, 40) == 10);
+  table.setEntries(vms(20, 1));
+  CHECK(table.evenShare(instance, hall, 40) == 2);
+  // What is left over goes by the place among the VMs of now.
+  int sum = 0;
+  for (const auto &it : few) {
+    HomeTable own(it.Ip);
+    own.setEntries(vms(20, 1));
+    CHECK(own.evenShare(instance, hall, 42) >= 2);
+    own.setEntries(few);
+    sum += own.evenShare(instance, hall, 42);
+  }
+  CHECK(sum == 42);
+}
