Test that fails: a configuration made again fills the control group's log

Cause, as the tests show it on the code as it is: a control VM passes a call to the leader again each 300 ms while it has no answer, and operators send what they got no acknowledgement for to another VM; the leader appends each copy, with the whole document, as an entry of its own. Change: the fake control VMs can stall their disks, and count the bytes of the entries in their logs.

--- a/src/control/tests/FakeControls.cpp
+++ b/src/control/tests/FakeControls.cpp
@@ -91,8 +91,9 @@
     for (auto &it : Vms) {
       if (!it.Node)
         continue;
-      for (const auto ticket : std::exchange(it.Written, {}))
-        it.Node->persisted(Now, ticket);
+      if (Now >= DisksStalledUntil)
+        for (const auto ticket : std::exchange(it.Written, {}))
+          it.Node->persisted(Now, ticket);
       it.Node->tick(Now);
     }
     for (auto &it : std::exchange(Packets, {})) {
@@ -107,8 +108,10 @@
 
 void FakeControls::Vm::append(std::uint64_t ticket,
                               std::vector<consensus::wire::Record> records) {
-  for (auto &it : records)
+  for (auto &it : records) {
+    EntryBytes += it.entry().command().size();
     Disk.push_back(std::move(it));
+  }
   Written.push_back(ticket);
 }
 
--- a/src/control/tests/FakeControls.h
+++ b/src/control/tests/FakeControls.h
@@ -79,6 +79,11 @@
     return ToEntries[ip];
   }
   void cutOff(std::size_t vm) { Cut.insert(vm); }
+  void rejoin(std::size_t vm) { Cut.erase(vm); }
+  /// All disks take \p time longer before what was written is synced.
+  void stallDisks(Duration time) { DisksStalledUntil = Now + time; }
+  /// The bytes of all entries that the VM's log was given.
+  std::size_t entryBytes(std::size_t vm) const { return Vms[vm].EntryBytes; }
 
   /// What an entry VM at \p ip does on its connection to \p vm.
   void connectFromOutside(const std::string &ip, std::size_t vm,
@@ -106,6 +111,7 @@
     std::unique_ptr<ControlNode> Node;
     std::vector<std::uint64_t> Written;
     std::uint64_t Life = 0;
+    std::size_t EntryBytes = 0;
 
     void append(std::uint64_t ticket,
                 std::vector<consensus::wire::Record> records) override;
@@ -130,6 +136,7 @@
   std::set<std::size_t> Cut;
   std::map<std::string, std::vector<peer::wire::Message>> ToEntries;
   TimePoint Now = TimePoint(std::chrono::seconds(1));
+  TimePoint DisksStalledUntil{};
 };
 
 } // namespace stepledge::control::tests
