Put a call into the control group's log once, and no document that is held

Change: the leader keeps the calls (proposer, number) that it has put into its log in its present term until they are committed, and appends none twice. A configuration whose version isn't above the applied one's goes into the log, and to the leader, without its document: what is applied is committed and stands below the new entry in every leader's log, so the entry changes nothing, and its commit is still what the acknowledgement waits for. Ruled out: to answer such a call without an entry. A leader that has lost its majority would acknowledge it.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -246,6 +246,7 @@
   }
   if (command.has_take_fence())
     Replacer->fenceTaken(now, command, entry.index());
+  Proposed.remove(command.proposer(), command.number());
   if (command.proposer() == Node.self().number())
     return finishCall(command.number(), true);
   // Whoever passed the call on to this leader waits for its end.
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -12,6 +12,7 @@
 #include "control/EntryRoster.h"
 #include "control/IPromoter.h"
 #include "control/PrimaryWatch.h"
+#include "control/internal/CallsInLog.h"
 #include "control/types/Configuration.h"
 #include "distribution/ConfigurationSender.h"
 #include "membership/InstanceDirectory.h"
@@ -132,6 +133,10 @@
   std::uint64_t startCall(TimePoint now, wire::Command command, bool isRead,
                           OnDone onDone);
   void tryCall(TimePoint now, std::uint64_t number, PendingCall &call);
+  /// Puts the call into this leader's log, unless it waits there already.
+  void propose(TimePoint now, wire::Command command);
+  /// Takes the document out of a configuration that changes nothing.
+  void dropHeldConfiguration(wire::Command &command) const;
   void finishCall(std::uint64_t number, bool done);
   void finishReads();
   void onCall(const std::string &ip, const peer::wire::Call &call);
@@ -180,6 +185,7 @@
   std::set<std::string> KnownControls;
   std::map<std::uint64_t, PendingCall> Calls;
   std::map<std::uint64_t, RemoteCall> RemoteReads;
+  CallsInLog Proposed;
   std::uint64_t LastCall = 0;
   std::map<InstanceId, TimePoint> ToldAlive;
   std::map<InstanceId, TimePoint> PingSentAt;
--- a/src/control/internal/Calls.cpp
+++ b/src/control/internal/Calls.cpp
@@ -31,7 +31,7 @@
     if (call.IsRead)
       Node.requestRead(now, number);
     else
-      Node.propose(now, call.Command.SerializeAsString());
+      propose(now, call.Command);
     // NOTE: a proposal is not repeated while this member leads.
     call.RetryAt = call.Deadline;
     return;
@@ -43,12 +43,37 @@
   auto &out = *message.mutable_call();
   out.set_number(number);
   out.set_is_read(call.IsRead);
-  if (!call.IsRead)
+  if (!call.IsRead) {
+    dropHeldConfiguration(call.Command);
     out.set_command(call.Command.SerializeAsString());
+  }
   if (Peers.send(leader->ip(), message))
     call.RetryAt = now + Options.CallRetry * 5;
 }
 
+void ControlNode::propose(TimePoint now, wire::Command command) {
+  // NOTE: other VMs make a call again each 300 ms until it is answered. With a
+  // document of 260 KB and disks that stall for 0.7 s, three copies were synced
+  // and sent to all followers.
+  if (!Proposed.add(Node.term(), command.proposer(), command.number()))
+    return;
+  dropHeldConfiguration(command);
+  Node.propose(now, command.SerializeAsString());
+}
+
+void ControlNode::dropHeldConfiguration(wire::Command &command) const {
+  // NOTE: what is applied is committed, so every leader's log holds it below
+  // the entry that this becomes, and the document would take no effect there.
+  // The entry itself is needed: its commit shows that the leader still leads.
+  // Operators give a document to each VM until one acknowledges it; three such
+  // repeats of 260 KB each stood in the log in full.
+  const bool isHeld =
+      command.has_put_configuration() &&
+      command.put_configuration().version() <= State.configurationVersion();
+  if (isHeld)
+    command.clear_body();
+}
+
 void ControlNode::finishCall(std::uint64_t number, bool done) {
   const auto it = Calls.find(number);
   if (it == Calls.end())
@@ -77,7 +102,10 @@
     Node.requestRead(Now, number);
     return;
   }
-  Node.propose(Now, call.command());
+  wire::Command command;
+  if (!command.ParseFromString(call.command()))
+    return reply({ip, call.number()}, false, 0);
+  propose(Now, std::move(command));
 }
 
 void ControlNode::reply(const RemoteCall &call, bool done,
--- /dev/null
+++ b/src/control/internal/CallsInLog.h
@@ -0,0 +1,37 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The calls that a leader has put into its log and that aren't committed
+/// yet.
+
+#ifndef STEPLEDGE_CONTROL_INTERNAL_CALLSINLOG_H
+#define STEPLEDGE_CONTROL_INTERNAL_CALLSINLOG_H
+
+#include <cstdint>
+#include <set>
+#include <utility>
+
+namespace stepledge::control {
+
+class CallsInLog {
+public:
+  /// Notes the call, and says whether it is a new one in \p term, in which the
+  /// caller leads. What an earlier lead put into the log may be gone from it.
+  bool add(std::uint64_t term, std::uint64_t proposer, std::uint64_t number) {
+    if (std::exchange(Term, term) != term)
+      Calls.clear();
+    return Calls.emplace(proposer, number).second;
+  }
+  /// The call is committed; one that comes again is a new one.
+  void remove(std::uint64_t proposer, std::uint64_t number) {
+    Calls.erase({proposer, number});
+  }
+
+private:
+  std::uint64_t Term = 0;
+  std::set<std::pair<std::uint64_t, std::uint64_t>> Calls;
+};
+
+} // namespace stepledge::control
+
+#endif // STEPLEDGE_CONTROL_INTERNAL_CALLSINLOG_H
--- /dev/null
+++ b/src/control/tests/CallsInLogTest.cpp
@@ -0,0 +1,32 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file A call is new to a leader's log once in a term, until it is committed.
+
+#include "control/internal/CallsInLog.h"
+
+#include <doctest/doctest.h>
+
+using stepledge::control::CallsInLog;
+
+TEST_CASE("CallsInLog_RepeatIsNoNewCall") {
+  CallsInLog calls;
+  CHECK(calls.add(3, 100, 1));
+  CHECK(!calls.add(3, 100, 1));
+  CHECK(calls.add(3, 100, 2));
+  CHECK(calls.add(3, 101, 1));
+}
+
+TEST_CASE("CallsInLog_CommittedCallIsNewAgain") {
+  CallsInLog calls;
+  CHECK(calls.add(3, 100, 1));
+  calls.remove(100, 1);
+  CHECK(calls.add(3, 100, 1));
+}
+
+TEST_CASE("CallsInLog_NextLeadKnowsNoCallOfTheLastOne") {
+  CallsInLog calls;
+  CHECK(calls.add(3, 100, 1));
+  CHECK(calls.add(5, 100, 1));
+  CHECK(!calls.add(5, 100, 1));
+}
