Test that fails: copies of what a member hasn't answered yet

Change: the simulated group has narrow links, which small messages may overtake, and counts the bytes that members send. Conclusion: reproduced without a network.

--- /dev/null
+++ b/src/consensus/tests/ResendTest.cpp
@@ -0,0 +1,100 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file What a member hasn't answered yet is on its way, more often than it is
+/// lost: a slow link carries few copies, and heartbeats go on beside them.
+
+#include "consensus/tests/SimulatedGroup.h"
+
+#include <doctest/doctest.h>
+
+using namespace stepledge;
+using consensus::tests::SimulatedGroup;
+
+namespace {
+
+/// As the narrowest link that a VM was seen with.
+constexpr double NarrowRate = 250e3;
+constexpr std::size_t EntryBytes = 200 << 10;
+constexpr std::size_t StateBytes = 800 << 10;
+/// All messages without entries or state in a test's time.
+constexpr std::size_t SmallMessages = 20 << 10;
+
+struct Slow {
+  std::size_t Leader = 0;
+  std::size_t Follower = 0;
+};
+
+/// A group that leads, and the way from its leader to one follower.
+Slow begin(SimulatedGroup &group) {
+  group.run(milliseconds(2500));
+  group.propose();
+  group.run(milliseconds(500));
+  REQUIRE(group.leader());
+  return {*group.leader(), (*group.leader() + 1) % group.size()};
+}
+
+/// Brings three large entries over a narrow link, and counts its bytes.
+std::size_t bytesOfThreeEntries(bool letsSmallBy) {
+  SimulatedGroup group(3, 3, 3, 5);
+  const auto [leader, follower] = begin(group);
+  group.narrow(leader, follower, NarrowRate, letsSmallBy);
+  const auto before = group.sentBytes(leader, follower);
+  const auto applied = group.appliedIndex(follower);
+  for (int i = 0; i < 3; ++i)
+    group.propose(EntryBytes);
+  group.run(milliseconds(10000));
+  CHECK(group.appliedIndex(follower) == applied + 3);
+  CHECK(group.leader() == leader);
+  CHECK(group.fault() == "");
+  return group.sentBytes(leader, follower) - before;
+}
+
+} // namespace
+
+TEST_CASE("Resend_SlowLinkCarriesLargeEntriesOnce") {
+  CHECK(bytesOfThreeEntries(false) < 3 * EntryBytes + SmallMessages);
+  // The answers to heartbeats that overtake an entry don't speak of it.
+  CHECK(bytesOfThreeEntries(true) < 3 * EntryBytes + SmallMessages);
+}
+
+TEST_CASE("Resend_MemberThatGetsALargeStateHearsItsLeader") {
+  SimulatedGroup group(3, 3, 3, 6);
+  const auto [leader, follower] = begin(group);
+  group.kill(follower);
+  group.setStateBytes(StateBytes);
+  for (int i = 0; i < 20; ++i) {
+    group.propose();
+    group.run(milliseconds(50));
+  }
+  group.narrow(leader, follower, NarrowRate, true);
+  const auto before = group.sentBytes(leader, follower);
+  group.start(follower);
+  group.run(milliseconds(400));
+  const auto votes = group.votesAsked(follower);
+  group.run(milliseconds(8000));
+  CHECK(group.votesAsked(follower) == votes);
+  CHECK(group.appliedIndex(follower) == group.appliedIndex(leader));
+  CHECK(group.sentBytes(leader, follower) - before <
+        StateBytes + SmallMessages);
+  CHECK(group.fault() == "");
+}
+
+TEST_CASE("Resend_MemberThatDoesNotAnswerIsRepeatedToLaterAndLater") {
+  SimulatedGroup group(3, 3, 3, 7);
+  const auto [leader, follower] = begin(group);
+  group.cut(leader, follower);
+  // The answers to earlier heartbeats are in by then.
+  group.run(milliseconds(100));
+  const auto before = group.sentBytes(leader, follower);
+  group.propose(EntryBytes);
+  group.run(milliseconds(12000));
+  const auto sent = group.sentBytes(leader, follower) - before;
+  // It still gets one now and then: it may be well again.
+  CHECK(sent < 8 * EntryBytes);
+  CHECK(sent > 3 * EntryBytes);
+  group.heal();
+  group.run(milliseconds(4500));
+  CHECK(group.appliedIndex(follower) == group.appliedIndex(leader));
+  CHECK(group.fault() == "");
+}
--- a/src/consensus/tests/SimulatedGroup.cpp
+++ b/src/consensus/tests/SimulatedGroup.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Duration Step = milliseconds(10);
+/// What goes beside a line that lets small messages by.
+constexpr std::size_t SmallBytes = 16 << 10;
 
 std::uint64_t firstNumber(std::size_t member) { return 1000 + member; }
 
@@ -193,10 +195,13 @@
     }
     for (auto &out : effects.Messages) {
       const auto to = memberAt(out.Ip);
+      it.VotesAsked += out.Message.has_vote_request();
       std::bernoulli_distribution isLost(Loss);
+      if (to)
+        SentBytes[{member, *to}] += out.Message.ByteSizeLong();
       if (!to || Cuts.contains({member, *to}) || isLost(Random))
         continue;
-      post({Now + draw(milliseconds(1), milliseconds(20)),
+      post({arrivalOf({member, *to}, out.Message.ByteSizeLong()),
             0,
             *to,
             Lives[*to],
@@ -207,7 +212,8 @@
     }
     if (effects.Restored) {
       it.AppliedIndex = effects.Restored->index();
-      if (std::to_string(it.AppliedIndex) != effects.Restored->state())
+      const auto &state = effects.Restored->state();
+      if (!state.starts_with(std::to_string(it.AppliedIndex) + ' '))
         Fault = "a snapshot holds another state than its index says";
     }
     for (const auto &entry : effects.Committed)
@@ -216,12 +222,42 @@
       if (it.AppliedIndex < Reads[token].LeastIndex)
         Fault = "a read misses an entry that was committed before it";
     if (it.Node->wantsSnapshot() && it.AppliedIndex > 0)
-      it.Node->takeSnapshot(it.AppliedIndex, std::to_string(it.AppliedIndex));
+      it.Node->takeSnapshot(it.AppliedIndex, stateAt(it.AppliedIndex));
     else if (effects.Ticket == 0 && effects.Messages.empty())
       return;
   }
 }
 
+std::string SimulatedGroup::stateAt(std::uint64_t index) const {
+  return std::to_string(index) + ' ' + std::string(StateBytes, '.');
+}
+
+void SimulatedGroup::narrow(std::size_t from, std::size_t to,
+                            double bytesPerSecond, bool letsSmallBy) {
+  Lines[{from, to}] = {bytesPerSecond, letsSmallBy, Now};
+}
+
+std::size_t SimulatedGroup::sentBytes(std::size_t from, std::size_t to) const {
+  const auto it = SentBytes.find({from, to});
+  return it == SentBytes.end() ? 0 : it->second;
+}
+
+TimePoint
+SimulatedGroup::arrivalOf(const std::pair<std::size_t, std::size_t> &pair,
+                          std::size_t bytes) {
+  const Duration delay = draw(milliseconds(1), milliseconds(20));
+  const auto it = Lines.find(pair);
+  if (it == Lines.end() || (it->second.LetsSmallBy && bytes <= SmallBytes))
+    return Now + delay;
+  constexpr double MillisecondsInSecond = 1000.0;
+  const double time = static_cast<double>(bytes) * MillisecondsInSecond /
+                      it->second.BytesPerSecond;
+  auto &freeAt = it->second.FreeAt;
+  freeAt =
+      std::max(freeAt, Now) + milliseconds(static_cast<std::int64_t>(time));
+  return freeAt + milliseconds(1);
+}
+
 void SimulatedGroup::apply(std::size_t member, const wire::Entry &entry) {
   auto &it = Members[member];
   if (entry.index() != it.AppliedIndex + 1)
@@ -241,11 +277,12 @@
   return std::nullopt;
 }
 
-void SimulatedGroup::propose() {
+void SimulatedGroup::propose(std::size_t bytes) {
   for (std::size_t i = 0; i < Members.size(); ++i) {
     if (!Members[i].Node || !Members[i].Node->canServe())
       continue;
-    Members[i].Node->propose(Now, "c" + std::to_string(++LastCommand));
+    Members[i].Node->propose(Now, "c" + std::to_string(++LastCommand) +
+                                      std::string(bytes, '.'));
     runEffects(i);
   }
 }
--- a/src/consensus/tests/SimulatedGroup.h
+++ b/src/consensus/tests/SimulatedGroup.h
@@ -34,6 +34,14 @@
   std::uint64_t AppliedIndex = 0;
   TimePoint DiskStalledUntil{};
   TimePoint JoinAt{};
+  std::size_t VotesAsked = 0;
+};
+
+/// A narrow way from one member to another.
+struct SimulatedLine {
+  double BytesPerSecond = 0;
+  bool LetsSmallBy = false;
+  TimePoint FreeAt{};
 };
 
 struct ReadCheck {
@@ -55,9 +63,24 @@
   void cut(std::size_t from, std::size_t to) { Cuts.insert({from, to}); }
   void heal() { Cuts.clear(); }
   void setLoss(double share) { Loss = share; }
+  /// Messages from \p from to \p to go through a line of \p bytesPerSecond, in
+  /// turn; small ones beside it where \p letsSmallBy.
+  void narrow(std::size_t from, std::size_t to, double bytesPerSecond,
+              bool letsSmallBy);
+  /// Snapshots from now on hold as many bytes more.
+  void setStateBytes(std::size_t bytes) { StateBytes = bytes; }
+  /// All that \p from has given away for \p to, whether or not it arrived.
+  std::size_t sentBytes(std::size_t from, std::size_t to) const;
+  /// How often the member has asked for votes.
+  std::size_t votesAsked(std::size_t member) const {
+    return Members[member].VotesAsked;
+  }
+  std::uint64_t appliedIndex(std::size_t member) const {
+    return Members[member].AppliedIndex;
+  }
 
-  /// Proposes a new command at whoever leads.
-  void propose();
+  /// Proposes a new command at whoever leads, with \p bytes of filling.
+  void propose(std::size_t bytes = 0);
   void read();
   std::optional<std::size_t> leader() const;
   bool isRunning(std::size_t member) const {
@@ -88,6 +111,10 @@
   void deliver(Event event);
   void runEffects(std::size_t member);
   void apply(std::size_t member, const wire::Entry &entry);
+  /// When a message that is sent now comes out of the pair's line.
+  TimePoint arrivalOf(const std::pair<std::size_t, std::size_t> &pair,
+                      std::size_t bytes);
+  std::string stateAt(std::uint64_t index) const;
   void post(Event event);
   std::optional<std::size_t> memberAt(const std::string &ip) const;
   Duration draw(Duration least, Duration most);
@@ -102,6 +129,9 @@
   std::vector<Event> Events;
   std::set<std::pair<std::size_t, std::size_t>> Cuts;
   double Loss = 0.0;
+  std::map<std::pair<std::size_t, std::size_t>, SimulatedLine> Lines;
+  std::map<std::pair<std::size_t, std::size_t>, std::size_t> SentBytes;
+  std::size_t StateBytes = 0;
   /// By index, what some member has applied first.
   std::map<std::uint64_t, std::string> Committed;
   std::map<std::uint64_t, ReadCheck> Reads;
