Test that fails: an entry that was lost with its connection

Cause: a control VM isn't told the consensus that a connection was lost, so what was on it waits for the time of its repeat. Change: the fake control VMs can end their connections. Conclusion: reproduced without a network.

--- a/src/control/tests/FakeControls.cpp
+++ b/src/control/tests/FakeControls.cpp
@@ -126,6 +126,8 @@
   for (std::size_t i = 0; i < Size; ++i) {
     if (ipOf(i) != ip)
       continue;
+    if (Group->Disconnected.contains(Number) || Group->Disconnected.contains(i))
+      return false;
     Group->Packets.push_back({Number, i, message});
     return true;
   }
@@ -136,6 +138,30 @@
   return true;
 }
 
+void FakeControls::disconnect(std::size_t vm) {
+  Disconnected.insert(vm);
+  for (std::size_t i = 0; i < Size; ++i) {
+    if (i == vm)
+      continue;
+    loseFromOutside(ipOf(vm), i);
+    loseFromOutside(ipOf(i), vm);
+  }
+}
+
+void FakeControls::reconnect(std::size_t vm) {
+  Disconnected.erase(vm);
+  peer::wire::Hello hello;
+  hello.set_kind(peer::wire::CONTROL);
+  for (std::size_t i = 0; i < Size; ++i) {
+    if (i == vm)
+      continue;
+    hello.set_ip(ipOf(vm));
+    connectFromOutside(ipOf(vm), i, hello);
+    hello.set_ip(ipOf(i));
+    connectFromOutside(ipOf(i), vm, hello);
+  }
+}
+
 void FakeControls::connectFromOutside(const std::string &ip, std::size_t vm,
                                       const peer::wire::Hello &hello) {
   Vms[vm].Node->setTime(Now);
--- a/src/control/tests/FakeControls.h
+++ b/src/control/tests/FakeControls.h
@@ -80,6 +80,9 @@
   }
   void cutOff(std::size_t vm) { Cut.insert(vm); }
   void rejoin(std::size_t vm) { Cut.erase(vm); }
+  /// Ends the VM's connections to the others, and tells all of them.
+  void disconnect(std::size_t vm);
+  void reconnect(std::size_t vm);
   /// All disks take \p time longer before what was written is synced.
   void stallDisks(Duration time) { DisksStalledUntil = Now + time; }
   /// The bytes of all entries that the VM's log was given.
@@ -134,6 +137,7 @@
   std::vector<Vm> Vms;
   std::deque<Packet> Packets;
   std::set<std::size_t> Cut;
+  std::set<std::size_t> Disconnected;
   std::map<std::string, std::vector<peer::wire::Message>> ToEntries;
   TimePoint Now = TimePoint(std::chrono::seconds(1));
   TimePoint DisksStalledUntil{};
--- a/src/control/tests/RepeatedCallTest.cpp
+++ b/src/control/tests/RepeatedCallTest.cpp
@@ -148,3 +148,34 @@
     CHECK(group.node(old).configurationVersion() == 2 + vm);
   }
 }
+
+TEST_CASE("Control_EntryOnALostConnectionIsSentAgainAtOnce") {
+  FakeControls group(decodeRouteList);
+  group.run(milliseconds(1500));
+  const std::string document = routeListDocument(1, Routes, TimeoutMs);
+  const std::size_t follower = followerOf(group);
+  // What is sent now doesn't arrive, and then the connection ends.
+  group.cutOff(follower);
+  const auto done = put(group, group.leader(), 1, document);
+  group.run(milliseconds(100));
+  CHECK(*done == true);
+  group.disconnect(follower);
+  group.rejoin(follower);
+  group.reconnect(follower);
+  group.run(milliseconds(50));
+  CHECK(group.node(follower).document() == document);
+}
+
+TEST_CASE("Control_EntryThatFoundNoConnectionGoesOutOnTheNextOne") {
+  FakeControls group(decodeRouteList);
+  group.run(milliseconds(1500));
+  const std::string document = routeListDocument(1, Routes, TimeoutMs);
+  const std::size_t follower = followerOf(group);
+  group.disconnect(follower);
+  const auto done = put(group, group.leader(), 1, document);
+  group.run(milliseconds(200));
+  CHECK(*done == true);
+  group.reconnect(follower);
+  group.run(milliseconds(50));
+  CHECK(group.node(follower).document() == document);
+}
