--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -357,7 +357,6 @@
   if (!isEntry)
     return;
   auto message = notice(true);
-  message.mutable_notice()->set_hall(Options.Hall);
   Entries.tellAll(*message.mutable_notice());
   Peers.send(ip, message);
 }
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -102,7 +102,6 @@
   ToldSights.erase(ip);
   Entries.lost(ip);
   Fetch.lost(ip);
-  ControlHalls.erase(ip);
   if (ip == AnnouncerIp)
     AnnouncerIp.clear();
   Log.decision(absl::StrCat("event=control_lost ip=", ip, " reason=",
@@ -143,30 +142,12 @@
   // none, but only once there was time for a newer one.
   const bool mayTake =
       notice.is_fresh() || Now - StartedAt > Options.FreshLimit;
-  if (!notice.hall().empty())
-    ControlHalls[ip] = notice.hall();
-  if (mayTake && notice.configuration_version() > Proxy.configurationVersion())
-    onAnnouncement(ip, notice.configuration_version());
-}
-
-void EntryNode::onAnnouncement(const std::string &ip, std::uint64_t version) {
-  if (!BehindSince)
-    BehindSince = Now;
-  if (mayWaitForOwnHall(ip))
-    return;
-  AnnouncerIp = ip;
-  AnnouncedVersion = version;
-  fetch();
-}
-
-bool EntryNode::mayWaitForOwnHall(const std::string &ip) const {
-  const auto isOwn = [&](const auto &it) { return it.second == Options.Hall; };
-  const auto it = ControlHalls.find(ip);
-  if (it != ControlHalls.end() && isOwn(*it))
-    return false;
-  const bool hasNone = Proxy.configurationVersion() == 0;
-  return !hasNone && Now - *BehindSince < Options.OwnHallPatience &&
-         std::any_of(ControlHalls.begin(), ControlHalls.end(), isOwn);
+  if (mayTake &&
+      notice.configuration_version() > Proxy.configurationVersion()) {
+    AnnouncerIp = ip;
+    AnnouncedVersion = notice.configuration_version();
+    fetch();
+  }
 }
 
 void EntryNode::shareEntries() {
@@ -222,7 +203,6 @@
                             " from=", change.From,
                             " routes=", configuration.Routes.size()));
   Proxy.applyConfiguration(Now, std::move(configuration));
-  BehindSince.reset();
   return true;
 }
 
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -32,11 +32,6 @@
   /// naming the primaries each time took 2 of 10 MB that 70 VMs without load
   /// sent between halls in 52 s (simulated day).
   Duration AllSightsInterval = milliseconds(10000);
-  /// A newer configuration that another hall's control VM announces is asked
-  /// for there only after this time, if one of the own hall is connected: the
-  /// leader's next heartbeat tells it of the commit. All VMs would ask the
-  /// leader otherwise, which knows first.
-  Duration OwnHallPatience = milliseconds(150);
   /// The address by which other VMs know this one.
   std::string Ip;
   /// Without word from a control VM that hears a majority, and from most
@@ -70,9 +65,6 @@
 
 private:
   void onNotice(const std::string &ip, const peer::wire::Notice &notice);
-  void onAnnouncement(const std::string &ip, std::uint64_t version);
-  /// A control VM of the own hall may announce the same within a moment.
-  bool mayWaitForOwnHall(const std::string &ip) const;
   void onPart(const std::string &ip, const peer::wire::ConfigurationPart &part);
   /// Takes the change that was fetched; false where it doesn't fit.
   bool takeChange();
@@ -94,13 +86,9 @@
   /// By control VM, the sights that it was told last.
   std::map<std::string, std::string> ToldSights;
   distribution::ConfigurationFetch Fetch;
-  /// By control VM, its hall.
-  std::map<std::string, std::string> ControlHalls;
   /// The control VM that last announced a version above the held one.
   std::string AnnouncerIp;
   std::uint64_t AnnouncedVersion = 0;
-  /// Since when a version above the held one is known.
-  std::optional<TimePoint> BehindSince;
   /// The last change didn't fit: the next fetch is for the whole.
   bool NeedsWhole = false;
   TimePoint HeardAt{};
--- a/src/entry/tests/EntryTest.cpp
+++ b/src/entry/tests/EntryTest.cpp
@@ -47,20 +47,10 @@
   static EntryOptions options() {
     EntryOptions options;
     options.Ip = "10.1.0.1";
-    options.Hall = "a";
     options.SeedIps = {"10.0.0.1", "10.0.0.2"};
     return options;
   }
 
-  void noticeFrom(const std::string &ip, const std::string &hall,
-                  std::uint64_t version) {
-    peer::wire::Message message;
-    message.mutable_notice()->set_configuration_version(version);
-    message.mutable_notice()->set_is_fresh(true);
-    message.mutable_notice()->set_hall(hall);
-    Node.peerSaid(ip, message);
-  }
-
   void notice(std::uint64_t version, bool isFresh) {
     peer::wire::Message message;
     message.mutable_notice()->set_configuration_version(version);
@@ -68,22 +58,21 @@
     Node.peerSaid("10.0.0.1", message);
   }
 
-  void giveWhole(std::uint64_t version, const std::string &ip = "10.0.0.1") {
+  void giveWhole(std::uint64_t version) {
     control::Configuration configuration;
     configuration.Version = version;
     configuration.Services["db"] = {"db", 23, 0};
-    giveChange(distribution::changeBetween({}, configuration), ip);
+    giveChange(distribution::changeBetween({}, configuration));
   }
 
-  void giveChange(const distribution::ConfigurationChange &change,
-                  const std::string &ip = "10.0.0.1") {
+  void giveChange(const distribution::ConfigurationChange &change) {
     const auto bytes = distribution::encodeChange(change);
     peer::wire::Message message;
     auto &part = *message.mutable_configuration_part();
     part.set_fetch(Control.LastRequest.fetch());
     part.set_total(bytes.size());
     part.set_body(bytes);
-    Node.peerSaid(ip, message);
+    Node.peerSaid("10.0.0.1", message);
   }
 
   bool hasAsked() {
@@ -176,44 +165,6 @@
   CHECK(it.Core.configurationVersion() == 9);
 }
 
-TEST_CASE("Entry_AsksTheControlVmOfItsOwnHallFirst") {
-  Fixture it;
-  it.noticeFrom("10.0.0.1", "b", 7);
-  it.giveWhole(7);
-  it.noticeFrom("10.0.0.2", "a", 7);
-  it.Control.Sent.clear();
-  it.noticeFrom("10.0.0.1", "b", 9);
-  CHECK(!it.hasAsked());
-  it.advance(milliseconds(60));
-  it.noticeFrom("10.0.0.2", "a", 9);
-  CHECK(it.hasAsked());
-  it.giveWhole(9, "10.0.0.2");
-  CHECK(it.Core.configurationVersion() == 9);
-}
-
-TEST_CASE("Entry_WaitsOnlyAMomentForTheControlVmOfItsOwnHall") {
-  Fixture it;
-  it.noticeFrom("10.0.0.1", "b", 7);
-  it.giveWhole(7);
-  it.noticeFrom("10.0.0.2", "a", 7);
-  it.Control.Sent.clear();
-  // Two others that hold different versions don't put it off.
-  for (const std::uint64_t version : {9, 8, 9}) {
-    it.noticeFrom("10.0.0.1", "b", version);
-    CHECK(!it.hasAsked());
-    it.advance(milliseconds(50));
-  }
-  it.noticeFrom("10.0.0.1", "b", 8);
-  CHECK(it.hasAsked());
-}
-
-TEST_CASE("Entry_WithoutAConfigurationAsksWhoeverSpeaks") {
-  Fixture it;
-  it.noticeFrom("10.0.0.2", "a", 0);
-  it.noticeFrom("10.0.0.1", "b", 7);
-  CHECK(it.hasAsked());
-}
-
 TEST_CASE("Entry_StandstillIsSeenWhoeverSpeaksFirstAfterIt") {
   Fixture it;
   it.Io.Lines.clear();
