One walk over an instance's free connections

Cause: ConnectionPool::findFree and findLongestUnused each walked the free connections of an instance with the same conditions and differed only in what they prefer; seven functions began with the same search in the index.

Change: findFirstFree walks once and takes the second key as an argument; own connections come before borrowed ones in both. idsAt gives an instance's connections, none where it has none. Ruled out: findFreeDirect on the same walk, since it would have to pass over borrowed ones afterwards. findFree no longer leaves the walk at the first exact match.

Conclusion: the same choices with one walk fewer.

--- a/src/proxy/internal/ConnectionPool.cpp
+++ b/src/proxy/internal/ConnectionPool.cpp
@@ -6,7 +6,7 @@
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 namespace stepledge::proxy {
 
@@ -15,50 +15,49 @@
   return it == Connections.end() ? nullptr : &it->second;
 }
 
-InstanceConnection *ConnectionPool::findFree(const InstanceId &instance,
-                                             const SessionValues &values,
-                                             bool usesDirect) {
+const std::set<ConnectionId> &
+ConnectionPool::idsAt(const InstanceId &instance) const {
+  static const std::set<ConnectionId> none;
+  const auto it = ByInstance.find(instance);
+  return it == ByInstance.end() ? none : it->second;
+}
+
+template <typename SecondKey>
+InstanceConnection *ConnectionPool::findFirstFree(const InstanceId &instance,
+                                                  bool usesDirect,
+                                                  SecondKey secondKey) {
+  // NOTE: a borrowed one is the second choice: it costs another VM's time.
+  const auto key = [&](const InstanceConnection &it) {
+    return std::pair(it.isBorrowed(), secondKey(it));
+  };
   InstanceConnection *found = nullptr;
-  const auto index = ByInstance.find(instance);
-  if (index == ByInstance.end())
-    return nullptr;
-  for (const auto id : index->second) {
-    auto &it = Connections[id];
-    if (!it.isFree() || (!usesDirect && !it.isBorrowed()))
-      continue;
-    // NOTE: a borrowed one is the second choice: it costs another VM's time.
-    if (it.Values == values && !it.isBorrowed())
-      return &it;
-    if (!found || (found->isBorrowed() && !it.isBorrowed()))
+  for (const auto id : idsAt(instance)) {
+    auto &it = Connections.at(id);
+    const bool isAllowed = usesDirect || it.isBorrowed();
+    if (it.isFree() && isAllowed && (!found || key(it) < key(*found)))
       found = &it;
   }
   return found;
 }
 
+InstanceConnection *ConnectionPool::findFree(const InstanceId &instance,
+                                             const SessionValues &values,
+                                             bool usesDirect) {
+  // NOTE: the lender of a borrowed one sets it up, whatever its values are.
+  return findFirstFree(instance, usesDirect, [&](const auto &it) {
+    return !it.isBorrowed() && it.Values != values;
+  });
+}
+
 InstanceConnection *
 ConnectionPool::findLongestUnused(const InstanceId &instance, bool usesDirect) {
-  InstanceConnection *found = nullptr;
-  const auto index = ByInstance.find(instance);
-  if (index == ByInstance.end())
-    return nullptr;
-  for (const auto id : index->second) {
-    auto &it = Connections[id];
-    if (!it.isFree() || (!usesDirect && !it.isBorrowed()))
-      continue;
-    // NOTE: a borrowed one is the second choice: it costs another VM's time.
-    if (!found || std::tuple(it.isBorrowed(), it.LastUsed) <
-                      std::tuple(found->isBorrowed(), found->LastUsed))
-      found = &it;
-  }
-  return found;
+  return findFirstFree(instance, usesDirect,
+                       [](const auto &it) { return it.LastUsed; });
 }
 
 InstanceConnection *ConnectionPool::findFreeDirect(const InstanceId &instance) {
-  const auto index = ByInstance.find(instance);
-  if (index == ByInstance.end())
-    return nullptr;
-  for (const auto id : index->second) {
-    auto &it = Connections[id];
+  for (const auto id : idsAt(instance)) {
+    auto &it = Connections.at(id);
     if (it.isFree() && !it.isBorrowed())
       return &it;
   }
@@ -117,17 +116,15 @@
 template <typename Predicate>
 int ConnectionPool::countIf(const InstanceId &instance,
                             Predicate predicate) const {
-  const auto index = ByInstance.find(instance);
-  if (index == ByInstance.end())
-    return 0;
-  return static_cast<int>(std::count_if(
-      index->second.begin(), index->second.end(),
-      [&](ConnectionId id) { return predicate(Connections.at(id)); }));
+  const auto &ids = idsAt(instance);
+  return static_cast<int>(
+      std::count_if(ids.begin(), ids.end(), [&](ConnectionId id) {
+        return predicate(Connections.at(id));
+      }));
 }
 
 int ConnectionPool::countOf(const InstanceId &instance) const {
-  const auto index = ByInstance.find(instance);
-  return index == ByInstance.end() ? 0 : static_cast<int>(index->second.size());
+  return static_cast<int>(idsAt(instance).size());
 }
 
 int ConnectionPool::ownAt(const InstanceId &instance) const {
@@ -137,10 +134,7 @@
 std::optional<TimePoint>
 ConnectionPool::ownSince(const InstanceId &instance) const {
   std::optional<TimePoint> since;
-  const auto index = ByInstance.find(instance);
-  if (index == ByInstance.end())
-    return since;
-  for (const auto id : index->second) {
+  for (const auto id : idsAt(instance)) {
     const auto &it = Connections.at(id);
     const bool isOlder = !since || it.OpenedAt < *since;
     if (it.IsReady && !it.isBorrowed() && isOlder)
@@ -166,10 +160,7 @@
 ConnectionPool::borrowedFrom(const std::string &lender,
                              const InstanceId &instance) const {
   std::vector<ConnectionId> ids;
-  const auto index = ByInstance.find(instance);
-  if (index == ByInstance.end())
-    return ids;
-  for (const auto id : index->second) {
+  for (const auto id : idsAt(instance)) {
     const auto &it = Connections.at(id);
     if (it.isBorrowed() && it.LenderIp == lender)
       ids.push_back(id);
--- a/src/proxy/internal/ConnectionPool.h
+++ b/src/proxy/internal/ConnectionPool.h
@@ -66,10 +66,16 @@
   std::map<ConnectionId, InstanceConnection> &all() { return Connections; }
 
 private:
-  IProxyIo &Io;
+  const std::set<ConnectionId> &idsAt(const InstanceId &instance) const;
   template <typename Predicate>
   int countIf(const InstanceId &instance, Predicate predicate) const;
+  /// Of the free connections that \p usesDirect allows, an own one with the
+  /// least \p secondKey; a borrowed one only where there is no own one.
+  template <typename SecondKey>
+  InstanceConnection *findFirstFree(const InstanceId &instance, bool usesDirect,
+                                    SecondKey secondKey);
 
+  IProxyIo &Io;
   std::map<ConnectionId, InstanceConnection> Connections;
   std::map<InstanceId, std::set<ConnectionId>> ByInstance;
   std::map<InstanceId, TimePoint> RefusedUntil;
