One way to open a transaction in the proxy's tests

Cause: SilentConnectionTest had a function of its own for a transaction whose first write is answered, and four cases wrote the same lines out.

Change: ProxyFixture::beginTransaction serves all six places. It also asks that BEGIN is answered as within a transaction, which one case did before.

--- a/src/proxy/tests/ProxyFixture.h
+++ b/src/proxy/tests/ProxyFixture.h
@@ -159,6 +159,19 @@
     return Io.Answers[client].back();
   }
 
+  /// Opens a transaction whose first write, WRITE x 1, is answered; gives the
+  /// connection that holds it.
+  ConnectionId beginTransaction(ClientId client) {
+    ask(client, StatementKind::Begin, "BEGIN");
+    REQUIRE(lastAnswer(client).State == SessionState::InTransaction);
+    ask(client, StatementKind::Write, "WRITE x 1");
+    answerOwn(markOf(3, 100));
+    const auto carrier = carrierOf("WRITE x 1");
+    REQUIRE(carrier);
+    answer(*carrier, replyAt(markOf(3, 100), SessionState::InTransaction));
+    return *carrier;
+  }
+
   /// Settles the first proofs and connections.
   void warmUp() {
     for (int i = 0; i < 10; ++i) {
--- a/src/proxy/tests/ProxyTransactionTest.cpp
+++ b/src/proxy/tests/ProxyTransactionTest.cpp
@@ -44,14 +44,7 @@
   Fixture it;
   it.warmUp();
   const auto client = it.connect("current");
-  it.ask(client, StatementKind::Begin, "BEGIN");
-  CHECK(it.lastAnswer(client).State == SessionState::InTransaction);
-  it.ask(client, StatementKind::Write, "WRITE x 1");
-  it.answerOwn(markOf(3, 100));
-  const auto first = it.carrierOf("WRITE x 1");
-  REQUIRE(first);
-  it.answer(*first,
-            Fixture::replyAt(markOf(3, 100), SessionState::InTransaction));
+  const auto first = it.beginTransaction(client);
   it.ask(client, StatementKind::Read, "READ y");
   CHECK(it.carrierOf("READ y") == first);
   // Another client's statement must not run inside that transaction.
@@ -64,16 +57,10 @@
   Fixture it;
   it.warmUp();
   const auto client = it.connect("current");
-  it.ask(client, StatementKind::Begin, "BEGIN");
-  it.ask(client, StatementKind::Write, "WRITE x 1");
-  it.answerOwn(markOf(3, 100));
-  const auto carrier = it.carrierOf("WRITE x 1");
-  REQUIRE(carrier);
-  it.answer(*carrier,
-            Fixture::replyAt(markOf(3, 100), SessionState::InTransaction));
+  const auto carrier = it.beginTransaction(client);
   it.ask(client, StatementKind::Read, "READ y");
-  it.Io.Sent.erase(*carrier);
-  it.Core.connectionLost(it.Now, *carrier);
+  it.Io.Sent.erase(carrier);
+  it.Core.connectionLost(it.Now, carrier);
   CHECK(it.lastAnswer(client).Code == ReplyCode::Aborted);
   CHECK(it.lastAnswer(client).State == SessionState::Failed);
   it.ask(client, StatementKind::Rollback, "ROLLBACK");
@@ -84,16 +71,10 @@
   Fixture it;
   it.warmUp();
   const auto client = it.connect("current");
-  it.ask(client, StatementKind::Begin, "BEGIN");
-  it.ask(client, StatementKind::Write, "WRITE x 1");
-  it.answerOwn(markOf(3, 100));
-  const auto carrier = it.carrierOf("WRITE x 1");
-  REQUIRE(carrier);
-  it.answer(*carrier,
-            Fixture::replyAt(markOf(3, 100), SessionState::InTransaction));
+  const auto carrier = it.beginTransaction(client);
   it.ask(client, StatementKind::Commit, "COMMIT");
-  it.Io.Sent.erase(*carrier);
-  it.Core.connectionLost(it.Now, *carrier);
+  it.Io.Sent.erase(carrier);
+  it.Core.connectionLost(it.Now, carrier);
   CHECK(it.lastAnswer(client).Code == ReplyCode::OutcomeUnknown);
   CHECK(it.lastAnswer(client).State == SessionState::Idle);
 }
@@ -102,13 +83,7 @@
   Fixture it;
   it.warmUp();
   const auto client = it.connect("current");
-  it.ask(client, StatementKind::Begin, "BEGIN");
-  it.ask(client, StatementKind::Write, "WRITE x 1");
-  it.answerOwn(markOf(3, 100));
-  const auto carrier = it.carrierOf("WRITE x 1");
-  REQUIRE(carrier);
-  it.answer(*carrier,
-            Fixture::replyAt(markOf(3, 100), SessionState::InTransaction));
+  it.beginTransaction(client);
   it.advance(milliseconds(3500));
   it.answerOwn(markOf(3, 100));
   it.ask(client, StatementKind::Commit, "COMMIT");
--- a/src/proxy/tests/SilentConnectionTest.cpp
+++ b/src/proxy/tests/SilentConnectionTest.cpp
@@ -50,18 +50,6 @@
   }
 }
 
-/// Opens a transaction with one write; gives its connection.
-ConnectionId beginTransaction(Fixture &it, ClientId client) {
-  it.ask(client, StatementKind::Begin, "BEGIN");
-  it.ask(client, StatementKind::Write, "WRITE x 1");
-  it.answerOwn(markOf(3, 100));
-  const auto carrier = it.carrierOf("WRITE x 1");
-  REQUIRE(carrier);
-  it.answer(*carrier,
-            Fixture::replyAt(markOf(3, 100), SessionState::InTransaction));
-  return *carrier;
-}
-
 } // namespace
 
 TEST_CASE("SilentConnection_CurrentReadMovesToAnotherConnection") {
@@ -135,7 +123,7 @@
   Fixture it;
   it.warmUp();
   const auto client = it.connect("current");
-  const auto silent = beginTransaction(it, client);
+  const auto silent = it.beginTransaction(client);
   it.ask(client, StatementKind::Write, "WRITE y 1");
   // 0.36 s of the route's 0.8 s.
   letOthersWork(it, silent, 12);
@@ -147,7 +135,7 @@
   Fixture it;
   it.warmUp();
   const auto client = it.connect("current");
-  const auto silent = beginTransaction(it, client);
+  const auto silent = it.beginTransaction(client);
   const auto answered = it.Io.Answers[client].size();
   it.ask(client, StatementKind::Commit, "COMMIT");
   letOthersWork(it, silent, 12);
