Liveness of lenders and borrowers in one place

Cause: BorrowedConnections and LendingService each kept when the other VM was last heard and told, with the same rule for when it is due to hear again, and each built the same message.

Change: LendingPartner holds both times, the rule and the message. tick calls a named function a step, in the old order: ready connections, lenders in use and silent lenders are all found before anything is given up. Ruled out: one class for the listeners of peers in EntryModule, which TimedListener is already; one base for the two services, since only the two times are alike.

--- a/src/entry/BorrowedConnections.cpp
+++ b/src/entry/BorrowedConnections.cpp
@@ -49,8 +49,13 @@
   if (it.Outstanding == 0)
     it.AskedAt = Now;
   it.Outstanding += static_cast<int>(commands.size());
-  States[it.LenderIp].ToldAt = Now;
-  Lenders.send(it.LenderIp, message);
+  tell(it.LenderIp, message);
+}
+
+void BorrowedConnections::tell(const std::string &lender,
+                               const peer::wire::Message &message) {
+  States[lender].ToldAt = Now;
+  Lenders.send(lender, message);
 }
 
 void BorrowedConnections::closeConnection(ConnectionId connection) {
@@ -149,40 +154,56 @@
     keepLenders();
 }
 
-void BorrowedConnections::tick(TimePoint now) {
-  Now = now;
+std::vector<ConnectionId> BorrowedConnections::noteReady() {
   std::vector<ConnectionId> ready;
-  std::set<std::string> silent;
-  std::set<std::string> inUse;
   for (auto &[id, it] : Connections) {
-    const auto &state = States[it.LenderIp];
-    if (!it.IsReady && state.IsConnected) {
-      it.IsReady = true;
-      ready.push_back(id);
-    }
-    if (it.isInUse())
-      inUse.insert(it.LenderIp);
-    const TimePoint since = std::max(it.AskedAt, state.HeardAt);
-    if (it.Outstanding > 0 && now - since > Options.SilenceLimit)
-      silent.insert(it.LenderIp);
+    if (it.IsReady || !States[it.LenderIp].IsConnected)
+      continue;
+    it.IsReady = true;
+    ready.push_back(id);
   }
-  for (const auto &it : silent) {
-    Log.decision(absl::StrCat("event=lender_silent ip=", it));
-    peerLost(it, peer::LinkEnd::Silent);
-    // Connected to anew, so that late words of the old uses are never taken
-    // for those of new ones.
-    States.erase(it);
-    keepLenders();
+  return ready;
+}
+
+std::set<std::string> BorrowedConnections::lendersInUse() const {
+  std::set<std::string> ips;
+  for (const auto &[id, it] : Connections)
+    if (it.isInUse())
+      ips.insert(it.LenderIp);
+  return ips;
+}
+
+std::set<std::string> BorrowedConnections::silentLenders() {
+  std::set<std::string> ips;
+  for (const auto &[id, it] : Connections) {
+    const TimePoint since = std::max(it.AskedAt, States[it.LenderIp].HeardAt);
+    if (it.Outstanding > 0 && Now - since > Options.SilenceLimit)
+      ips.insert(it.LenderIp);
   }
+  return ips;
+}
+
+void BorrowedConnections::giveUpLender(const std::string &ip) {
+  Log.decision(absl::StrCat("event=lender_silent ip=", ip));
+  peerLost(ip, peer::LinkEnd::Silent);
+  // Connected to anew, so that late words of the old uses are never taken for
+  // those of new ones.
+  States.erase(ip);
+  keepLenders();
+}
+
+void BorrowedConnections::tick(TimePoint now) {
+  Now = now;
+  const auto ready = noteReady();
+  const auto inUse = lendersInUse();
+  const auto silent = silentLenders();
+  for (const auto &it : silent)
+    giveUpLender(it);
   dropUnusedLenders();
   for (const auto &it : inUse) {
-    auto &state = States[it];
-    if (silent.contains(it) || now - state.ToldAt < Options.AliveInterval)
-      continue;
-    state.ToldAt = now;
-    peer::wire::Message message;
-    message.mutable_still_here();
-    Lenders.send(it, message);
+    const bool isDue = States[it].mustBeTold(now, Options.AliveInterval);
+    if (isDue && !silent.contains(it))
+      tell(it, stillHere());
   }
   for (const auto id : ready)
     if (Connections.contains(id))
--- a/src/entry/BorrowedConnections.h
+++ b/src/entry/BorrowedConnections.h
@@ -9,11 +9,13 @@
 #define STEPLEDGE_ENTRY_BORROWEDCONNECTIONS_H
 
 #include "base/types/Time.h"
+#include "entry/internal/LendingPartner.h"
 #include "peer/IPeerListener.h"
 #include "peer/IPeerSender.h"
 #include "proxy/Proxy.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -85,15 +87,20 @@
       return Outstanding > 0 || State != proxy::SessionState::Idle;
     }
   };
-  struct LenderState {
+  struct LenderState : LendingPartner {
     bool IsConnected = false;
-    TimePoint HeardAt{};
-    TimePoint ToldAt{};
   };
 
   void takeReplies(const peer::wire::BorrowReplies &replies);
   void takeEnd(const peer::wire::BorrowEnd &end);
   void sendEnd(const Borrowed &borrowed, ConnectionId connection);
+  void tell(const std::string &lender, const peer::wire::Message &message);
+  /// Marks the connections whose lenders have since been connected as ready.
+  std::vector<ConnectionId> noteReady();
+  std::set<std::string> lendersInUse() const;
+  /// Those that owe an answer and have said nothing for too long.
+  std::set<std::string> silentLenders();
+  void giveUpLender(const std::string &ip);
   void keepLenders();
   /// Forgets lenders that can't be reached and that nothing needs any more.
   void dropUnusedLenders();
--- a/src/entry/LendingService.cpp
+++ b/src/entry/LendingService.cpp
@@ -66,10 +66,8 @@
     auto &it = Known[ip];
     if (now - it.HeardAt > Options.BorrowerLimit) {
       gone.push_back(ip);
-    } else if (now - it.ToldAt >= Options.AliveInterval) {
-      peer::wire::Message message;
-      message.mutable_still_here();
-      tell(ip, message);
+    } else if (it.mustBeTold(now, Options.AliveInterval)) {
+      tell(ip, stillHere());
     }
   }
   for (const auto &it : gone) {
--- a/src/entry/LendingService.h
+++ b/src/entry/LendingService.h
@@ -9,6 +9,7 @@
 
 #include "base/types/Time.h"
 #include "entry/BorrowedConnections.h"
+#include "entry/internal/LendingPartner.h"
 #include "peer/IPeerListener.h"
 #include "peer/IPeerSender.h"
 #include "proxy/IBorrowerIo.h"
@@ -43,18 +44,13 @@
                    proxy::LendingEnd reason) override;
 
 private:
-  struct Borrower {
-    TimePoint HeardAt{};
-    TimePoint ToldAt{};
-  };
-
   void tell(const std::string &ip, const peer::wire::Message &message);
 
   peer::IPeerSender &Borrowers;
   proxy::IProxyLog &Log;
   BorrowOptions Options;
   proxy::Proxy *Proxy = nullptr;
-  std::map<std::string, Borrower> Known;
+  std::map<std::string, LendingPartner> Known;
   TimePoint Now{};
 };
 
