Put the framing of messages between VMs into classes without sockets

Cause: lengths before messages were written and read amid the socket's calls, so nothing could be tested without one. Change: FrameQueue holds what waits to be written, FrameReader makes messages of what arrives; PeerLink moves bytes. The bytes on the wire are the same.

--- /dev/null
+++ b/src/peer/internal/FrameFormat.h
@@ -0,0 +1,37 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The bytes around each message on a connection between VMs: a word with
+/// the length of what follows, in the order of the machine's own bytes.
+
+#ifndef STEPLEDGE_PEER_INTERNAL_FRAMEFORMAT_H
+#define STEPLEDGE_PEER_INTERNAL_FRAMEFORMAT_H
+
+#include <cstddef>
+#include <cstdint>
+#include <cstring>
+#include <string>
+
+namespace stepledge::peer {
+
+struct FrameFormat {
+  static constexpr std::size_t WordBytes = 4;
+  /// Above the largest state that is sent.
+  static constexpr std::uint32_t MostMessageBytes = 32U << 20;
+
+  static void appendWord(std::string &out, std::uint32_t word) {
+    char bytes[WordBytes];
+    std::memcpy(bytes, &word, WordBytes);
+    out.append(bytes, WordBytes);
+  }
+  /// \p at has WordBytes.
+  static std::uint32_t wordAt(const char *at) {
+    std::uint32_t word = 0;
+    std::memcpy(&word, at, WordBytes);
+    return word;
+  }
+};
+
+} // namespace stepledge::peer
+
+#endif // STEPLEDGE_PEER_INTERNAL_FRAMEFORMAT_H
--- a/src/peer/internal/PeerLink.cpp
+++ b/src/peer/internal/PeerLink.cpp
@@ -3,8 +3,6 @@
 
 #include "peer/internal/PeerLink.h"
 
-#include <cstdint>
-#include <cstring>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <utility>
@@ -13,11 +11,6 @@
 
 namespace {
 
-constexpr std::size_t LengthBytes = 4;
-/// Above the largest state that is sent.
-constexpr std::uint32_t MostMessageBytes = 32U << 20;
-/// What may wait for a peer that is slow to read.
-constexpr std::size_t MostWaitingBytes = 8U << 20;
 /// Unacknowledged bytes end a connection after this time.
 constexpr unsigned DeadPeerMs = 2000;
 
@@ -56,7 +49,7 @@
       [self = shared_from_this()](std::error_code ec, std::size_t n) {
         if (ec || self->IsClosed)
           return self->close(endOf(ec));
-        self->Input.append(self->Chunk.data(), n);
+        self->Reader.add({self->Chunk.data(), n});
         self->takeMessages();
         if (!self->IsClosed)
           self->read();
@@ -64,51 +57,39 @@
 }
 
 void PeerLink::takeMessages() {
-  std::size_t offset = 0;
-  while (!IsClosed && Input.size() - offset >= LengthBytes) {
-    std::uint32_t length = 0;
-    std::memcpy(&length, Input.data() + offset, LengthBytes);
-    if (length > MostMessageBytes)
-      return close(LinkEnd::Unreadable);
-    if (Input.size() - offset - LengthBytes < length)
+  while (!IsClosed) {
+    const auto body = Reader.next();
+    if (!body)
       break;
     wire::Message message;
-    const char *body = Input.data() + offset + LengthBytes;
-    if (!message.ParseFromArray(body, static_cast<int>(length)))
+    if (!message.ParseFromArray(body->data(), static_cast<int>(body->size())))
       return close(LinkEnd::Unreadable);
-    offset += LengthBytes + length;
     MessageHandler(message);
   }
-  Input.erase(0, offset);
-  if (Input.empty() && Input.capacity() > Chunk.size() * 8)
-    Input.shrink_to_fit();
+  if (Reader.isBroken())
+    close(LinkEnd::Unreadable);
 }
 
 void PeerLink::send(const wire::Message &message) {
   if (IsClosed)
     return;
-  const std::string body = message.SerializeAsString();
-  if (Waiting.size() + body.size() > MostWaitingBytes)
+  if (!Queue.push(message.SerializeAsString(), FrameOrder::Kept))
     return close(LinkEnd::NotRead);
-  const auto length = static_cast<std::uint32_t>(body.size());
-  std::array<char, LengthBytes> header{};
-  std::memcpy(header.data(), &length, LengthBytes);
-  Waiting.append(header.data(), header.size());
-  Waiting.append(body);
   if (Writing.empty())
     write();
 }
 
 void PeerLink::write() {
-  Writing = std::exchange(Waiting, {});
+  Writing = Queue.next();
+  if (Writing.empty())
+    return;
   asio::async_write(
       Socket, asio::buffer(Writing),
       [self = shared_from_this()](std::error_code ec, std::size_t) {
         self->Writing.clear();
         if (ec || self->IsClosed)
           return self->close(endOf(ec));
-        if (!self->Waiting.empty())
-          self->write();
+        self->write();
       });
 }
 
--- a/src/peer/internal/PeerLink.h
+++ b/src/peer/internal/PeerLink.h
@@ -1,12 +1,14 @@
 // Part of stepledge, under the Apache License v2.0. See LICENSE.
 // SPDX-License-Identifier: Apache-2.0
 
-/// \file One TCP connection between two VMs, with a length before each message.
+/// \file One TCP connection between two VMs.
 
 #ifndef STEPLEDGE_PEER_INTERNAL_PEERLINK_H
 #define STEPLEDGE_PEER_INTERNAL_PEERLINK_H
 
 #include "peer/generated/Peer.pb.h"
+#include "peer/internal/FrameQueue.h"
+#include "peer/internal/FrameReader.h"
 #include "peer/types/LinkEnd.h"
 
 #include <asio.hpp>
@@ -41,8 +43,8 @@
   OnMessage MessageHandler;
   OnClosed ClosedHandler;
   std::array<char, 8192> Chunk{};
-  std::string Input;
-  std::string Waiting;
+  FrameReader Reader;
+  FrameQueue Queue;
   std::string Writing;
   bool IsClosed = false;
 };
