One note of a lost instance for reads and writes

Cause: ReadFlow::lost and WriteFlow::lost began with the same five lines.

Change: DatabaseContext::noteLost counts the failure against the instance and notes it at the request, if that is still open. Ruled out: the three alike visitors of RequestCoordinator, which differ in the one line that matters.

Conclusion: each flow keeps only what is its own.

--- a/src/request/internal/DatabaseContext.cpp
+++ b/src/request/internal/DatabaseContext.cpp
@@ -85,6 +85,16 @@
         {now - request.ArrivedAt, std::move(note)});
 }
 
+ActiveRequest *DatabaseContext::noteLost(RequestId id,
+                                         const InstanceId &instance,
+                                         TimePoint now) {
+  View.noteFailure(instance);
+  auto *request = find(id);
+  if (request != nullptr)
+    note(*request, {NoteKind::InstanceLost, instance, {}, ""}, now);
+  return request;
+}
+
 void DatabaseContext::finish(RequestId id, CallerAnswer answer, TimePoint now) {
   const auto it = Requests.find(id);
   if (it == Requests.end())
--- a/src/request/internal/DatabaseContext.h
+++ b/src/request/internal/DatabaseContext.h
@@ -70,6 +70,10 @@
   /// @{
   ActiveRequest *find(RequestId id);
   void note(ActiveRequest &request, Note note, TimePoint now);
+  /// The connection to \p instance was lost while \p id ran on it; gives the
+  /// request, if it is still open.
+  ActiveRequest *noteLost(RequestId id, const InstanceId &instance,
+                          TimePoint now);
   /// Answers and forgets the request.
   void finish(RequestId id, CallerAnswer answer, TimePoint now);
   void refuse(RequestId id, ResultCode code, const std::string &detail,
--- a/src/request/internal/ReadFlow.cpp
+++ b/src/request/internal/ReadFlow.cpp
@@ -166,11 +166,9 @@
 
 void ReadFlow::lost(const ReadWork &work, const InstanceId &instance,
                     TimePoint now) {
-  Context.View.noteFailure(instance);
-  auto *request = Context.find(work.Request);
+  auto *request = Context.noteLost(work.Request, instance, now);
   if (request == nullptr)
     return;
-  Context.note(*request, {NoteKind::InstanceLost, instance, {}, ""}, now);
   request->Tried.insert(instance);
   Context.retryOrRefuse(*request, ResultCode::UpstreamLost, now);
 }
--- a/src/request/internal/WriteFlow.cpp
+++ b/src/request/internal/WriteFlow.cpp
@@ -436,11 +436,9 @@
 
 void WriteFlow::lost(const WriteWork &work, const InstanceId &instance,
                      TimePoint now) {
-  Context.View.noteFailure(instance);
-  auto *request = Context.find(work.Request);
+  auto *request = Context.noteLost(work.Request, instance, now);
   if (request == nullptr)
     return;
-  Context.note(*request, {NoteKind::InstanceLost, instance, {}, ""}, now);
   switch (request->Now) {
   case Phase::Inserting:
     return Context.retryOrRefuse(*request, ResultCode::UpstreamLost, now);
