--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -41,7 +41,7 @@
   for (const auto &[name, service] : Configuration.Services)
     tracker(name);
   for (const auto &[name, service] : Configuration.Services)
-    pump(now, name);
+    dispatchWaiting(now, name);
   for (const auto &it : std::exchange(Unconfigured, {}))
     clientConnected(now, it.Client, it.Database);
 }
@@ -57,13 +57,13 @@
     for (const auto id : unused)
       Pool.close(id);
   }
-  pump(now, record.Service);
+  dispatchWaiting(now, record.Service);
 }
 
 void Proxy::applyPromotion(TimePoint now, const std::string &service,
                            const InstanceId &primary, std::uint64_t fence) {
   tracker(service).notePromotion(primary, fence);
-  pump(now, service);
+  dispatchWaiting(now, service);
 }
 
 void Proxy::clientConnected(TimePoint now, ClientId client,
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -196,7 +196,7 @@
   void abortSilentTransaction(TimePoint now, const ClientSession &session,
                               InstanceConnection &connection,
                               const TrackedInstance &instance);
-  void moveSlowRead(TimePoint now, ClientSession &session);
+  void moveSlowStatement(TimePoint now, ClientSession &session);
   void lostWork(TimePoint now, ClientSession &session,
                 const InstanceId &instance);
 
@@ -209,7 +209,7 @@
   static WaitRank rankOf(const ClientSession &session);
   std::vector<ClientId> waitingInOrder(TimePoint now,
                                        const std::string &service) const;
-  void pump(TimePoint now, const std::string &service);
+  void dispatchWaiting(TimePoint now, const std::string &service);
   void probePrimaries(TimePoint now);
   /// Asks every instance of the service whether it leads.
   void searchPrimary(TimePoint now, const std::string &service,
--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -43,7 +43,7 @@
     if (reply.Position)
       tracker(service).notePosition(now, instance, *reply.Position);
     Lending.pump(now, service, instance);
-    pump(now, service);
+    dispatchWaiting(now, service);
     return;
   }
   Log.decision(absl::StrCat(
@@ -279,7 +279,7 @@
     noteDirectBad(now, *known);
   auto *owner = lost.Owner ? session(*lost.Owner) : nullptr;
   if (!owner)
-    return pump(now, lost.Service);
+    return dispatchWaiting(now, lost.Service);
   if (owner->Current && owner->Current->Connection == connection)
     return lostWork(now, *owner, lost.Instance);
   if (owner->Pinned == connection) {
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -1,15 +1,14 @@
 // Part of stepledge, under the Apache License v2.0. See LICENSE.
 // SPDX-License-Identifier: Apache-2.0
 
-/// \file The part of Proxy that chooses where a statement runs, and sends it.
+/// \file The part of Proxy that chooses the instance and the connection on
+/// which a statement runs.
 
 #include "proxy/Proxy.h"
 
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
-#include <tuple>
-#include <utility>
 
 namespace stepledge::proxy {
 
@@ -20,30 +19,8 @@
 constexpr const char *ShedReason =
     "the replicas are behind, and the primary is overloaded";
 
-InstanceCommand commandOf(CommandKind kind) {
-  InstanceCommand command;
-  command.Kind = kind;
-  return command;
-}
-
 } // namespace
 
-void Proxy::wait(ClientSession &session, TimePoint notBefore) {
-  auto &work = *session.Current;
-  work.Stage = WorkStage::Waiting;
-  work.Connection.reset();
-  work.NotBefore = notBefore;
-  Waiting[session.Route.Service].insert(
-      {session.Route.Priority, work.ArrivedAt, session.Id});
-}
-
-void Proxy::stopWaiting(ClientSession &session) {
-  if (!session.Current)
-    return;
-  Waiting[session.Route.Service].erase(
-      {session.Route.Priority, session.Current->ArrivedAt, session.Id});
-}
-
 void Proxy::dispatch(TimePoint now, ClientSession &session) {
   auto &work = *session.Current;
   if (work.NotBefore > now)
@@ -214,187 +191,4 @@
   return nullptr;
 }
 
-void Proxy::noteDirectBad(TimePoint now, TrackedInstance &instance) {
-  if (std::exchange(instance.IsDirectBad, true))
-    return;
-  instance.DirectProbedAt = now;
-  Log.decision(
-      absl::StrCat("event=direct_path_lost instance=", instance.Record.Id.str(),
-                   " service=", instance.Record.Service));
-}
-
-void Proxy::sendBegin(TimePoint now, ClientSession &session,
-                      InstanceConnection &connection,
-                      const std::optional<Mark> &minimum) {
-  auto &work = *session.Current;
-  stopWaiting(session);
-  work.Stage = WorkStage::Beginning;
-  work.SentAt = now;
-  work.Connection = connection.Id;
-  work.Minimum = minimum;
-  ++work.Sendings;
-  connection.Owner = session.Id;
-  auto begin = commandOf(minimum ? CommandKind::BeginRead : CommandKind::Begin);
-  begin.MinimumPosition = minimum;
-  transmit(now, connection, {{std::move(begin), Purpose::Begin}},
-           {{}, rankOf(session), Pool.ownAt(connection.Instance) > 0});
-}
-
-void Proxy::sendStatement(TimePoint now, ClientSession &session,
-                          InstanceConnection &connection,
-                          const std::optional<Mark> &minimum) {
-  auto &work = *session.Current;
-  stopWaiting(session);
-  const auto &statement = work.Statement;
-  // NOTE: the lender of a borrowed connection sets it up.
-  std::vector<InstanceCommand> setup;
-  if (!connection.isBorrowed())
-    setup = valueSetup(connection, session.Values);
-  auto command = commandOf(CommandKind::ClientText);
-  if (statement.Kind == StatementKind::Execute) {
-    const auto &prepared = session.Prepared[statement.Name];
-    command.Kind = CommandKind::ClientExecute;
-    command.Mode = prepared.Mode;
-    command.Shape = prepared.Shape;
-    if (!connection.isBorrowed())
-      command.Name = preparedName(connection, prepared, setup);
-    command.Value = statement.Value;
-  }
-  command.Id = statement.Id;
-  command.Text = statement.Text;
-  command.MinimumPosition = minimum;
-  if (work.Stage != WorkStage::Beginning)
-    work.Minimum = minimum;
-  std::vector<OutgoingCommand> batch;
-  batch.reserve(setup.size() + 2);
-  for (auto &it : setup)
-    batch.push_back({std::move(it), Purpose::Setup});
-  batch.push_back({std::move(command), Purpose::Statement});
-  if (work.IsWrapped)
-    batch.push_back({commandOf(CommandKind::Rollback), Purpose::End});
-  if (work.Stage != WorkStage::Beginning)
-    ++work.Sendings;
-  work.Stage = WorkStage::Sent;
-  work.SentAt = now;
-  work.Connection = connection.Id;
-  connection.Owner = session.Id;
-  transmit(
-      now, connection, batch,
-      {session.Values, rankOf(session), Pool.ownAt(connection.Instance) > 0});
-}
-
-void Proxy::transmit(TimePoint now, InstanceConnection &connection,
-                     const std::vector<OutgoingCommand> &batch,
-                     const BorrowNeeds &needs) {
-  const int before = connection.statements();
-  std::vector<InstanceCommand> commands;
-  commands.reserve(batch.size());
-  for (const auto &it : batch) {
-    commands.push_back(it.Command);
-    connection.Sent.push_back({it.Reason, now});
-  }
-  connection.LastUsed = now;
-  if (batch.front().Reason != Purpose::Probe)
-    connection.LastServed = now;
-  if (auto *it = tracker(connection.Service).find(connection.Instance))
-    it->Statements += connection.statements() - before;
-  if (connection.isBorrowed())
-    Io.sendBorrowed(connection.Id, commands, needs);
-  else
-    Io.send(connection.Id, commands);
-}
-
-void Proxy::rollBack(TimePoint now, InstanceConnection &connection) {
-  transmit(now, connection, {{commandOf(CommandKind::Rollback), Purpose::End}});
-}
-
-void Proxy::releasePinned(TimePoint now, ClientSession &session) {
-  if (!session.Pinned)
-    return;
-  auto *connection = Pool.find(*session.Pinned);
-  session.Pinned.reset();
-  if (!connection)
-    return;
-  connection->Owner.reset();
-  connection->IsPinned = false;
-  connection->IsAbandoned = true;
-  rollBack(now, *connection);
-}
-
-void Proxy::abandonStatement(TimePoint now, ClientSession &session) {
-  auto &work = *session.Current;
-  stopWaiting(session);
-  if (!work.Connection || session.Pinned)
-    return;
-  auto *connection = Pool.find(*work.Connection);
-  if (!connection)
-    return;
-  // NOTE: a use that is given up ends at its lender too, and a new one costs
-  // nothing.
-  if (connection->isBorrowed())
-    return endBorrowed(*connection);
-  connection->Owner.reset();
-  connection->IsAbandoned = true;
-  if (work.Stage == WorkStage::Beginning)
-    rollBack(now, *connection);
-}
-
-void Proxy::freeConnection(TimePoint now, InstanceConnection &connection) {
-  connection.Owner.reset();
-  connection.IsPinned = false;
-  connection.LastUsed = now;
-  if (connection.IsRefused && connection.Sent.empty()) {
-    const std::string refused = connection.Service;
-    Pool.close(connection.Id);
-    return pump(now, refused);
-  }
-  if (!connection.isFree())
-    return;
-  const std::string service = connection.Service;
-  const InstanceId instance = connection.Instance;
-  Lending.pump(now, service, instance);
-  pump(now, service);
-}
-
-WaitRank Proxy::rankOf(const ClientSession &session) {
-  return {session.Route.Priority, session.Route.LatencyObjective,
-          session.Current->ArrivedAt};
-}
-
-std::vector<ClientId> Proxy::waitingInOrder(TimePoint now,
-                                            const std::string &service) const {
-  const auto queue = Waiting.find(service);
-  if (queue == Waiting.end())
-    return {};
-  std::vector<std::pair<WaitRank, ClientId>> waiters;
-  bool isOverloaded = false;
-  for (const auto &it : queue->second) {
-    const auto found = Sessions.find(it.Client);
-    if (found == Sessions.end() || !found->second.Current)
-      continue;
-    isOverloaded |= now - it.ArrivedAt > Options.OverloadAge;
-    waiters.emplace_back(rankOf(found->second), it.Client);
-  }
-  // NOTE: the set is in the order for quiet times already.
-  if (isOverloaded)
-    std::sort(waiters.begin(), waiters.end(),
-              [&](const auto &a, const auto &b) {
-                return goesBefore(now, true, a.first, b.first);
-              });
-  std::vector<ClientId> clients;
-  clients.reserve(waiters.size());
-  for (const auto &[rank, client] : waiters)
-    clients.push_back(client);
-  return clients;
-}
-
-void Proxy::pump(TimePoint now, const std::string &service) {
-  for (const auto it : waitingInOrder(now, service)) {
-    auto *waiter = session(it);
-    if (waiter && waiter->Current &&
-        waiter->Current->Stage == WorkStage::Waiting)
-      dispatch(now, *waiter);
-  }
-}
-
 } // namespace stepledge::proxy
--- /dev/null
+++ b/src/proxy/internal/Sending.cpp
@@ -0,0 +1,163 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The part of Proxy that sends commands on a connection, and takes the
+/// connection back afterwards.
+
+#include "proxy/Proxy.h"
+
+#include <utility>
+
+namespace stepledge::proxy {
+
+namespace {
+
+InstanceCommand commandOf(CommandKind kind) {
+  InstanceCommand command;
+  command.Kind = kind;
+  return command;
+}
+
+} // namespace
+
+void Proxy::sendBegin(TimePoint now, ClientSession &session,
+                      InstanceConnection &connection,
+                      const std::optional<Mark> &minimum) {
+  auto &work = *session.Current;
+  stopWaiting(session);
+  work.Stage = WorkStage::Beginning;
+  work.SentAt = now;
+  work.Connection = connection.Id;
+  work.Minimum = minimum;
+  ++work.Sendings;
+  connection.Owner = session.Id;
+  auto begin = commandOf(minimum ? CommandKind::BeginRead : CommandKind::Begin);
+  begin.MinimumPosition = minimum;
+  transmit(now, connection, {{std::move(begin), Purpose::Begin}},
+           {{}, rankOf(session), Pool.ownAt(connection.Instance) > 0});
+}
+
+void Proxy::sendStatement(TimePoint now, ClientSession &session,
+                          InstanceConnection &connection,
+                          const std::optional<Mark> &minimum) {
+  auto &work = *session.Current;
+  stopWaiting(session);
+  const auto &statement = work.Statement;
+  // NOTE: the lender of a borrowed connection sets it up.
+  std::vector<InstanceCommand> setup;
+  if (!connection.isBorrowed())
+    setup = valueSetup(connection, session.Values);
+  auto command = commandOf(CommandKind::ClientText);
+  if (statement.Kind == StatementKind::Execute) {
+    const auto &prepared = session.Prepared[statement.Name];
+    command.Kind = CommandKind::ClientExecute;
+    command.Mode = prepared.Mode;
+    command.Shape = prepared.Shape;
+    if (!connection.isBorrowed())
+      command.Name = preparedName(connection, prepared, setup);
+    command.Value = statement.Value;
+  }
+  command.Id = statement.Id;
+  command.Text = statement.Text;
+  command.MinimumPosition = minimum;
+  if (work.Stage != WorkStage::Beginning)
+    work.Minimum = minimum;
+  std::vector<OutgoingCommand> batch;
+  batch.reserve(setup.size() + 2);
+  for (auto &it : setup)
+    batch.push_back({std::move(it), Purpose::Setup});
+  batch.push_back({std::move(command), Purpose::Statement});
+  if (work.IsWrapped)
+    batch.push_back({commandOf(CommandKind::Rollback), Purpose::End});
+  if (work.Stage != WorkStage::Beginning)
+    ++work.Sendings;
+  work.Stage = WorkStage::Sent;
+  work.SentAt = now;
+  work.Connection = connection.Id;
+  connection.Owner = session.Id;
+  transmit(
+      now, connection, batch,
+      {session.Values, rankOf(session), Pool.ownAt(connection.Instance) > 0});
+}
+
+void Proxy::sendProbe(TimePoint now, InstanceConnection &connection) {
+  connection.IsAbandoned = true;
+  transmit(now, connection,
+           {{commandOf(CommandKind::Begin), Purpose::Probe},
+            {commandOf(CommandKind::Rollback), Purpose::End}});
+}
+
+void Proxy::transmit(TimePoint now, InstanceConnection &connection,
+                     const std::vector<OutgoingCommand> &batch,
+                     const BorrowNeeds &needs) {
+  const int before = connection.statements();
+  std::vector<InstanceCommand> commands;
+  commands.reserve(batch.size());
+  for (const auto &it : batch) {
+    commands.push_back(it.Command);
+    connection.Sent.push_back({it.Reason, now});
+  }
+  connection.LastUsed = now;
+  if (batch.front().Reason != Purpose::Probe)
+    connection.LastServed = now;
+  if (auto *it = tracker(connection.Service).find(connection.Instance))
+    it->Statements += connection.statements() - before;
+  if (connection.isBorrowed())
+    Io.sendBorrowed(connection.Id, commands, needs);
+  else
+    Io.send(connection.Id, commands);
+}
+
+void Proxy::rollBack(TimePoint now, InstanceConnection &connection) {
+  transmit(now, connection, {{commandOf(CommandKind::Rollback), Purpose::End}});
+}
+
+void Proxy::releasePinned(TimePoint now, ClientSession &session) {
+  if (!session.Pinned)
+    return;
+  auto *connection = Pool.find(*session.Pinned);
+  session.Pinned.reset();
+  if (!connection)
+    return;
+  connection->Owner.reset();
+  connection->IsPinned = false;
+  connection->IsAbandoned = true;
+  rollBack(now, *connection);
+}
+
+void Proxy::abandonStatement(TimePoint now, ClientSession &session) {
+  auto &work = *session.Current;
+  stopWaiting(session);
+  if (!work.Connection || session.Pinned)
+    return;
+  auto *connection = Pool.find(*work.Connection);
+  if (!connection)
+    return;
+  // NOTE: a use that is given up ends at its lender too, and a new one costs
+  // nothing.
+  if (connection->isBorrowed())
+    return endBorrowed(*connection);
+  connection->Owner.reset();
+  connection->IsAbandoned = true;
+  if (work.Stage == WorkStage::Beginning)
+    rollBack(now, *connection);
+}
+
+void Proxy::freeConnection(TimePoint now, InstanceConnection &connection) {
+  connection.Owner.reset();
+  connection.IsPinned = false;
+  connection.LastUsed = now;
+  if (connection.IsRefused && connection.Sent.empty()) {
+    const std::string refused = connection.Service;
+    Pool.close(connection.Id);
+    return dispatchWaiting(now, refused);
+  }
+  if (!connection.isFree())
+    return;
+  const std::string service = connection.Service;
+  const InstanceId instance = connection.Instance;
+  Lending.pump(now, service, instance);
+  dispatchWaiting(now, service);
+}
+
+} // namespace stepledge::proxy
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -97,6 +97,15 @@
   return Pool.openOne(now, record, {0, Options.BorrowLimit}, *lender);
 }
 
+void Proxy::noteDirectBad(TimePoint now, TrackedInstance &instance) {
+  if (std::exchange(instance.IsDirectBad, true))
+    return;
+  instance.DirectProbedAt = now;
+  Log.decision(
+      absl::StrCat("event=direct_path_lost instance=", instance.Record.Id.str(),
+                   " service=", instance.Record.Service));
+}
+
 bool Proxy::mustReturnToOwn(TimePoint now,
                             const membership::InstanceRecord &record) const {
   return !usesHomes(record.Service) && Pool.ownAt(record.Id) == 0 &&
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -31,7 +31,7 @@
   probePrimaries(now);
   for (const auto &[service, it] : Trackers)
     if (!Waiting[service].empty())
-      pump(now, service);
+      dispatchWaiting(now, service);
 }
 
 void Proxy::forgetProofs() {
@@ -62,7 +62,7 @@
       expireWork(now, *it);
     it = session(id);
     if (it && it->Current && it->Current->Stage != WorkStage::Waiting)
-      moveSlowRead(now, *it);
+      moveSlowStatement(now, *it);
     const Duration limit = Configuration.TransactionIdleLimit;
     const bool rests = it && it->Pinned && !it->Current;
     if (rests && limit > Duration{} && now - it->LastActive > limit) {
@@ -145,7 +145,7 @@
   connectionLost(now, id);
 }
 
-void Proxy::moveSlowRead(TimePoint now, ClientSession &session) {
+void Proxy::moveSlowStatement(TimePoint now, ClientSession &session) {
   auto &work = *session.Current;
   const bool isOpen = session.State == SessionState::InTransaction;
   if (!work.Connection || now - work.SentAt < Options.ReadRetryAfter)
@@ -229,15 +229,6 @@
   }
 }
 
-void Proxy::sendProbe(TimePoint now, InstanceConnection &connection) {
-  InstanceCommand begin;
-  begin.Kind = CommandKind::Begin;
-  InstanceCommand end;
-  end.Kind = CommandKind::Rollback;
-  connection.IsAbandoned = true;
-  transmit(now, connection, {{begin, Purpose::Probe}, {end, Purpose::End}});
-}
-
 void Proxy::probeDirectPath(TimePoint now, TrackedInstance &instance) {
   if (now - instance.DirectProbedAt < Options.DirectProbeInterval)
     return;
