--- a/src/consensus/tests/ConsensusScheduleTest.cpp
+++ b/src/consensus/tests/ConsensusScheduleTest.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+/// As the narrowest link that a VM was seen with.
+constexpr double NarrowRate = 250e3;
+
 /// More with STEPLEDGE_SEEDS=N, from STEPLEDGE_FIRST_SEED on.
 std::uint64_t numberFrom(const char *variable, std::uint64_t otherwise) {
   const char *text = std::getenv(variable);
@@ -81,15 +84,30 @@
   CHECK_MESSAGE(group.committed() > before, "nothing commits any more");
 }
 
-void playSeed(std::uint64_t seed, const Shape &shape) {
+/// Half of all ways get narrow, and let small messages by.
+void narrowSomeWays(SimulatedGroup &group) {
+  for (std::size_t from = 0; from < group.size(); ++from)
+    for (std::size_t to = 0; to < group.size(); ++to)
+      if (group.pick(2) == 0)
+        group.narrow(from, to, NarrowRate, true);
+}
+
+/// Entries hold up to \p mostBytes, snapshots as many; large ones are late on
+/// narrow ways.
+void playSeed(std::uint64_t seed, const Shape &shape,
+              std::size_t mostBytes = 0) {
   CAPTURE(seed);
   CAPTURE(shape.Members);
   SimulatedGroup group(shape.Members, shape.Bootstrapped, shape.Target, seed);
+  if (mostBytes > 0) {
+    narrowSomeWays(group);
+    group.setStateBytes(mostBytes);
+  }
   group.run(milliseconds(2500));
   for (int round = 0; round < 25; ++round) {
     disturb(group, shape);
     for (int i = 0; i < 3; ++i) {
-      group.propose();
+      group.propose(mostBytes > 0 ? group.pick(mostBytes) : 0);
       group.read();
       group.run(milliseconds(150));
     }
@@ -138,6 +156,16 @@
       playSeed(seed, it);
 }
 
+TEST_CASE("Consensus_LargeEntriesThatAreOvertakenLoseNothing") {
+  const Shape shapes[] = {{3, 3, 3, 1}, {4, 3, 3, 1}, {6, 3, 5, 2}};
+  constexpr std::size_t MostBytes = 40 << 10;
+  const std::uint64_t first = numberFrom("STEPLEDGE_FIRST_SEED", 1);
+  const std::uint64_t count = numberFrom("STEPLEDGE_SEEDS", 20);
+  for (std::uint64_t seed = first; seed < first + count; ++seed)
+    for (const auto &it : shapes)
+      playSeed(seed, it, MostBytes);
+}
+
 TEST_CASE("Consensus_SeedsThatFailed") {
   // 2214: the member with the newer term had the shorter log; neither could
   // win a trial, since a refused one didn't tell the newer term.
