Count arriving bytes as word of another VM, not whole messages only

The borrower took their lender for silent, gave all uses of it up and asked elsewhere, and the rows came again. A control VM's connection was dropped as silent likewise after three seconds. Change: PeerLink tells of each arrival of bytes; BorrowedConnections, LendingService and PeerHub go by that.

--- a/src/entry/BorrowedConnections.cpp
+++ b/src/entry/BorrowedConnections.cpp
@@ -101,9 +101,16 @@
   }
 }
 
+void BorrowedConnections::peerHeard(const std::string &ip) {
+  // NOTE: rows of 100 KB take 400 ms on a link of 2 Mbit/s; taken for silence,
+  // they would be asked for again elsewhere, and fill the link.
+  if (const auto it = States.find(ip); it != States.end())
+    it->second.HeardAt = Now;
+}
+
 void BorrowedConnections::peerSaid(const std::string &ip,
                                    const peer::wire::Message &message) {
-  States[ip].HeardAt = Now;
+  peerHeard(ip);
   if (message.has_borrow_replies())
     takeReplies(message.borrow_replies());
   else if (message.has_borrow_end())
--- a/src/entry/BorrowedConnections.h
+++ b/src/entry/BorrowedConnections.h
@@ -43,6 +43,7 @@
   void peerConnected(const std::string &ip,
                      const peer::wire::Hello &hello) override;
   void peerLost(const std::string &ip, peer::LinkEnd end) override;
+  void peerHeard(const std::string &ip) override;
   void peerSaid(const std::string &ip,
                 const peer::wire::Message &message) override;
   /// The present time for what lenders say; set before each event.
--- a/src/entry/LendingService.cpp
+++ b/src/entry/LendingService.cpp
@@ -22,6 +22,11 @@
   Proxy->lender().endAll(Now, ip);
 }
 
+void LendingService::peerHeard(const std::string &ip) {
+  if (const auto it = Known.find(ip); it != Known.end())
+    it->second.HeardAt = Now;
+}
+
 void LendingService::peerSaid(const std::string &ip,
                               const peer::wire::Message &message) {
   Known[ip].HeardAt = Now;
--- /dev/null
+++ b/src/entry/tests/BorrowedConnectionsTest.cpp
@@ -0,0 +1,84 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file When a lender that owes an answer is taken for silent.
+
+#include "entry/BorrowedConnections.h"
+
+#include "proxy/tests/FakeIo.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace stepledge;
+using namespace stepledge::entry;
+
+namespace {
+
+const std::string LenderIp = "10.1.0.2";
+constexpr ConnectionId Use{1};
+
+struct NoHub : public peer::IPeerSender {
+  bool send(const std::string &ip,
+            const peer::wire::Message &message) override {
+    (void)ip;
+    (void)message;
+    return true;
+  }
+  void keepConnected(const std::set<std::string> &ips) override { (void)ips; }
+};
+
+/// A use whose first command the lender has been sent.
+struct Fixture {
+  Fixture() : Borrowed(Io, Hub, Io), Core({}, Borrowed, Io, Io) {
+    Borrowed.setProxy(Core);
+    Borrowed.tick(Now);
+    proxy::ConnectionTarget target;
+    target.LenderIp = LenderIp;
+    target.Service = "db";
+    target.Instance = InstanceId("p");
+    Borrowed.openConnection(Use, target);
+    Borrowed.peerConnected(LenderIp, {});
+    Borrowed.tick(Now);
+    Borrowed.sendBorrowed(Use, {proxy::InstanceCommand()}, {});
+  }
+
+  void advance(Duration time) {
+    Now += time;
+    Borrowed.tick(Now);
+  }
+
+  bool isTakenForSilent() const {
+    return std::any_of(Io.Lines.begin(), Io.Lines.end(), [](const auto &it) {
+      return it.find("event=lender_silent") != std::string::npos;
+    });
+  }
+
+  NoHub Hub;
+  proxy::tests::FakeIo Io;
+  BorrowedConnections Borrowed;
+  proxy::Proxy Core;
+  TimePoint Now = TimePoint(std::chrono::seconds(5));
+};
+
+} // namespace
+
+TEST_CASE("BorrowedConnections_LenderWithoutAWordIsSilent") {
+  Fixture it;
+  it.advance(milliseconds(300));
+  CHECK(!it.isTakenForSilent());
+  it.advance(milliseconds(300));
+  CHECK(it.isTakenForSilent());
+}
+
+TEST_CASE("BorrowedConnections_ReplyThatTakesLongOnTheLinkIsNoSilence") {
+  // Rows of 300 KB, of which a part of 8 KB comes each 33 ms.
+  Fixture it;
+  for (int i = 0; i < 37; ++i) {
+    it.Borrowed.setTime(it.Now);
+    it.Borrowed.peerHeard(LenderIp);
+    it.advance(milliseconds(33));
+  }
+  CHECK(!it.isTakenForSilent());
+}
--- a/src/peer/IPeerListener.h
+++ b/src/peer/IPeerListener.h
@@ -21,6 +21,9 @@
   virtual void peerConnected(const std::string &ip,
                              const wire::Hello &hello) = 0;
   virtual void peerLost(const std::string &ip, LinkEnd end) = 0;
+  /// Bytes have come from \p ip, of a message that needn't be whole yet: it is
+  /// there, however long the message takes on the link.
+  virtual void peerHeard(const std::string &ip) = 0;
   virtual void peerSaid(const std::string &ip,
                         const wire::Message &message) = 0;
 };
--- a/src/peer/PeerHub.cpp
+++ b/src/peer/PeerHub.cpp
@@ -70,6 +70,10 @@
           return;
         IncomingLinks.erase(it);
         Listener.peerLost(*ip, end);
+      },
+      [this, ip] {
+        if (!ip->empty())
+          Listener.peerHeard(*ip);
       });
   *holder = link;
   Unnamed.insert(link);
@@ -138,9 +142,6 @@
   auto link = std::make_shared<PeerLink>(
       std::move(socket),
       [this, ip](const wire::Message &message) {
-        const auto it = OutgoingLinks.find(ip);
-        if (it != OutgoingLinks.end())
-          it->second.HeardAt = Now;
         Listener.peerSaid(ip, message);
       },
       [this, ip, holder](LinkEnd end) {
@@ -149,6 +150,12 @@
           return;
         it->second.Link.reset();
         Listener.peerLost(ip, end);
+      },
+      [this, ip] {
+        const auto it = OutgoingLinks.find(ip);
+        if (it != OutgoingLinks.end())
+          it->second.HeardAt = Now;
+        Listener.peerHeard(ip);
       });
   *holder = link;
   auto &outgoing = OutgoingLinks[ip];
--- a/src/peer/TimedListener.h
+++ b/src/peer/TimedListener.h
@@ -32,6 +32,10 @@
     Listener.setTime(Clock());
     Listener.peerLost(ip, end);
   }
+  void peerHeard(const std::string &ip) override {
+    Listener.setTime(Clock());
+    Listener.peerHeard(ip);
+  }
   void peerSaid(const std::string &ip, const wire::Message &message) override {
     Listener.setTime(Clock());
     Listener.peerSaid(ip, message);
--- a/src/peer/internal/PeerLink.cpp
+++ b/src/peer/internal/PeerLink.cpp
@@ -50,9 +50,9 @@
 }
 
 PeerLink::PeerLink(asio::ip::tcp::socket socket, OnMessage onMessage,
-                   OnClosed onClosed)
+                   OnClosed onClosed, OnBytes onBytes)
     : Socket(std::move(socket)), MessageHandler(std::move(onMessage)),
-      ClosedHandler(std::move(onClosed)) {
+      ClosedHandler(std::move(onClosed)), BytesHandler(std::move(onBytes)) {
   watchForDeadPeer(Socket);
   std::error_code ec;
   // NOTE: a connection works without it too, only heartbeats may come late.
@@ -67,6 +67,7 @@
       [self = shared_from_this()](std::error_code ec, std::size_t n) {
         if (ec || self->IsClosed)
           return self->close(endOf(ec));
+        self->BytesHandler();
         self->Reader.add({self->Chunk.data(), n});
         self->takeMessages();
         if (!self->IsClosed)
--- a/src/peer/internal/PeerLink.h
+++ b/src/peer/internal/PeerLink.h
@@ -24,9 +24,11 @@
 public:
   using OnMessage = std::function<void(const wire::Message &)>;
   using OnClosed = std::function<void(LinkEnd)>;
+  using OnBytes = std::function<void()>;
 
-  PeerLink(asio::ip::tcp::socket socket, OnMessage onMessage,
-           OnClosed onClosed);
+  /// \p onBytes is told before the messages that the bytes complete.
+  PeerLink(asio::ip::tcp::socket socket, OnMessage onMessage, OnClosed onClosed,
+           OnBytes onBytes);
 
   void start();
   /// Queues \p message. A peer that doesn't read is cut off, so that it comes
@@ -42,6 +44,7 @@
   asio::ip::tcp::socket Socket;
   OnMessage MessageHandler;
   OnClosed ClosedHandler;
+  OnBytes BytesHandler;
   std::array<char, 8192> Chunk{};
   FrameReader Reader;
   FrameQueue Queue;
--- a/src/peer/tests/PeerLinkTest.cpp
+++ b/src/peer/tests/PeerLinkTest.cpp
@@ -70,9 +70,9 @@
         if (calls.size() + instances.size() == sent.size())
           receiver->close(LinkEnd::Dropped);
       },
-      [](LinkEnd) {});
+      [](LinkEnd) {}, [] {});
   auto sender = std::make_shared<PeerLink>(
-      std::move(ends.One), [](const wire::Message &) {}, [](LinkEnd) {});
+      std::move(ends.One), [](const wire::Message &) {}, [](LinkEnd) {}, [] {});
   receiver->start();
   sender->start();
   for (const auto &it : sent)
