Upkeep in small functions

Cause: expireWork, moveSlowStatement, probePrimaries and sweepConnections each took several decisions in 35 to 50 lines, and a connection that nobody waits for any more was marked so by the same three lines in two places.

Change: queueLimit, expireSent, expireCommit, endIdleTransaction, isMovable, probePrimary, restoreOwnConnections, isDead and noteSilenceOn are functions of their own; InstanceConnection::giveUp marks the connection; the bare 2 of sendings is the constant MostSlowSendings. A session is looked up anew after moveSlowStatement too, as after expireWork. An instance is now looked up in sweepConnections only for connections that owe an answer or are free.

Conclusion: each rule of the upkeep can be read by itself.

--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -191,11 +191,20 @@
               const InstanceId &instance);
   void noteSuccess(ClientSession &session, const InstanceId &instance,
                    const StatementReply &reply, TimePoint sentAt);
+  /// How long a statement that isn't sent yet may wait.
+  Duration queueLimit(TimePoint now, const ClientSession &session);
   void expireWork(TimePoint now, ClientSession &session);
+  void expireSent(TimePoint now, ClientSession &session);
+  void expireCommit(TimePoint now, ClientSession &session);
   /// Ends an open transaction whose connection has gone silent.
   void abortSilentTransaction(TimePoint now, const ClientSession &session,
                               InstanceConnection &connection,
                               const TrackedInstance &instance);
+  /// Whether another connection may have the answer sooner, and running the
+  /// statement twice does no harm.
+  static bool isMovable(const ClientSession &session,
+                        const InstanceConnection &connection,
+                        const TrackedInstance &instance);
   void moveSlowStatement(TimePoint now, ClientSession &session);
   void lostWork(TimePoint now, ClientSession &session,
                 const InstanceId &instance);
@@ -211,15 +220,26 @@
                                        const std::string &service) const;
   void dispatchWaiting(TimePoint now, const std::string &service);
   void probePrimaries(TimePoint now);
+  /// Asks the primary for its position when no newer proof has come by itself.
+  void probePrimary(TimePoint now, const std::string &service,
+                    std::optional<TimePoint> newestProofAt,
+                    const TrackedInstance &instance);
+  /// Tries own connections again where only borrowed ones are left.
+  void restoreOwnConnections(TimePoint now);
   /// Asks every instance of the service whether it leads.
   void searchPrimary(TimePoint now, const std::string &service,
                      InstanceTracker &instances);
   /// Nobody uses it, and this VM has enough others or may not keep it.
   bool isUnneeded(TimePoint now, const InstanceConnection &connection);
+  /// It was never accepted in time, or owes for too long what nobody waits for.
+  bool isDead(TimePoint now, const InstanceConnection &connection);
+  /// Notes that the instance is silent, if the connection shows it.
+  void noteSilenceOn(TimePoint now, const InstanceConnection &connection);
   void sweepConnections(TimePoint now);
   void sendProbe(TimePoint now, InstanceConnection &connection);
   void probeDirectPath(TimePoint now, TrackedInstance &instance);
   void sweepSessions(TimePoint now);
+  void endIdleTransaction(TimePoint now, ClientSession &session);
   void dropEarlyClients(TimePoint now);
 
   ProxyOptions Options;
--- a/src/proxy/internal/InstanceConnection.h
+++ b/src/proxy/internal/InstanceConnection.h
@@ -78,6 +78,12 @@
           return it.Reason == Purpose::Statement;
         }));
   }
+  /// Nobody waits any more for what was sent.
+  void giveUp() {
+    Owner.reset();
+    IsPinned = false;
+    IsAbandoned = true;
+  }
   bool isBorrowed() const { return !LenderIp.empty(); }
   bool isFree() const {
     return IsReady && !IsRefused && !Owner && !Borrower && !IsAbandoned &&
--- a/src/proxy/internal/Sending.cpp
+++ b/src/proxy/internal/Sending.cpp
@@ -119,9 +119,7 @@
   session.Pinned.reset();
   if (!connection)
     return;
-  connection->Owner.reset();
-  connection->IsPinned = false;
-  connection->IsAbandoned = true;
+  connection->giveUp();
   rollBack(now, *connection);
 }
 
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -20,6 +20,10 @@
 /// A statement that an overloaded primary is spared waits for this part of its
 /// objective, in case the overload ends at once: one or two statement times.
 constexpr int ShedPatienceDivisor = 8;
+/// A statement that gets no answer is sent this often in all: two waits of
+/// ReadRetryAfter are a good part of the latency objectives, which are some 150
+/// to 600 ms.
+constexpr int MostSlowSendings = 2;
 
 } // namespace
 
@@ -29,6 +33,7 @@
   sweepSessions(now);
   Lending.tick(now);
   probePrimaries(now);
+  restoreOwnConnections(now);
   for (const auto &[service, it] : Trackers)
     if (!Waiting[service].empty())
       dispatchWaiting(now, service);
@@ -56,6 +61,7 @@
   for (const auto &[id, it] : Sessions)
     if (it.Current || it.Pinned)
       ids.push_back(id);
+  // NOTE: each step may end the session.
   for (const auto id : ids) {
     auto *it = session(id);
     if (it && it->Current)
@@ -63,61 +69,62 @@
     it = session(id);
     if (it && it->Current && it->Current->Stage != WorkStage::Waiting)
       moveSlowStatement(now, *it);
-    const Duration limit = Configuration.TransactionIdleLimit;
-    const bool rests = it && it->Pinned && !it->Current;
-    if (rests && limit > Duration{} && now - it->LastActive > limit) {
-      Log.decision(
-          absl::StrCat("event=transaction_idle client=", it->Id.Number));
-      releasePinned(now, *it);
-      it->State = SessionState::Failed;
-      it->WasAbortedAtRest = true;
-    }
+    it = session(id);
+    if (it && it->Pinned && !it->Current)
+      endIdleTransaction(now, *it);
   }
 }
 
-void Proxy::expireWork(TimePoint now, ClientSession &session) {
-  auto &work = *session.Current;
-  const bool wasSent = work.Stage == WorkStage::Sent;
+void Proxy::endIdleTransaction(TimePoint now, ClientSession &session) {
+  const Duration limit = Configuration.TransactionIdleLimit;
+  if (limit <= Duration{} || now - session.LastActive <= limit)
+    return;
+  Log.decision(
+      absl::StrCat("event=transaction_idle client=", session.Id.Number));
+  releasePinned(now, session);
+  session.State = SessionState::Failed;
+  session.WasAbortedAtRest = true;
+}
+
+Duration Proxy::queueLimit(TimePoint now, const ClientSession &session) {
+  const auto &work = *session.Current;
   // NOTE: without control nobody may tell this VM of a new primary, but others
   // may know it.
   const bool isHopeless =
       IsIsolated || (IsControlLost && work.PrimaryOnly &&
                      !tracker(session.Route.Service).primary(now));
-  Duration patience =
+  const Duration limit =
       isHopeless ? Options.IsolatedQueueLimit : Options.QueueLimit;
   // NOTE: an overload outlasts a single statement, and the sooner the client is
   // told, the more time its other tries have.
-  if (work.IsShed)
-    patience = std::min(patience,
-                        session.Route.LatencyObjective / ShedPatienceDivisor);
+  return work.IsShed ? std::min(limit, session.Route.LatencyObjective /
+                                           ShedPatienceDivisor)
+                     : limit;
+}
+
+void Proxy::expireWork(TimePoint now, ClientSession &session) {
+  const auto &work = *session.Current;
+  if (work.Stage == WorkStage::Sent) {
+    if (now >= work.Deadline)
+      expireSent(now, session);
+    return;
+  }
   const TimePoint limit =
-      wasSent ? work.Deadline
-              : std::min(work.Deadline, work.ArrivedAt + patience);
+      std::min(work.Deadline, work.ArrivedAt + queueLimit(now, session));
   if (now < limit)
     return;
-  if (!wasSent) {
-    const std::string reason = work.LastRefusal;
-    abandonStatement(now, session);
-    return refuse(now, session, ReplyCode::Busy, reason);
-  }
+  const std::string reason = work.LastRefusal;
+  abandonStatement(now, session);
+  refuse(now, session, ReplyCode::Busy, reason);
+}
+
+void Proxy::expireSent(TimePoint now, ClientSession &session) {
+  const auto &work = *session.Current;
   const bool isOpen = session.State == SessionState::InTransaction;
   const bool isCommit = work.Statement.Kind == StatementKind::Commit;
   abandonStatement(now, session);
-  if (isOpen && isCommit) {
-    const bool wrote = session.HasWritten;
-    // NOTE: a commit is under way, so a rollback behind it would be wrong.
-    const auto pinned = std::exchange(session.Pinned, std::nullopt);
-    if (auto *connection = Pool.find(*pinned)) {
-      connection->Owner.reset();
-      connection->IsPinned = false;
-      connection->IsAbandoned = true;
-    }
-    session.State = SessionState::Idle;
-    session.Mode = TransactionMode::None;
-    return refuse(now, session,
-                  wrote ? ReplyCode::OutcomeUnknown : ReplyCode::TimedOut,
-                  "the commit took longer than its limit");
-  }
+  if (isOpen && isCommit)
+    return expireCommit(now, session);
   if (isOpen)
     return refuse(now, session, ReplyCode::Aborted,
                   "a statement took longer than its limit");
@@ -127,6 +134,18 @@
          "the statement took longer than its limit");
 }
 
+void Proxy::expireCommit(TimePoint now, ClientSession &session) {
+  const bool wrote = session.HasWritten;
+  // NOTE: a commit is under way, so a rollback behind it would be wrong.
+  const auto pinned = std::exchange(session.Pinned, std::nullopt);
+  if (auto *connection = Pool.find(*pinned))
+    connection->giveUp();
+  session.State = SessionState::Idle;
+  session.Mode = TransactionMode::None;
+  refuse(now, session, wrote ? ReplyCode::OutcomeUnknown : ReplyCode::TimedOut,
+         "the commit took longer than its limit");
+}
+
 void Proxy::abortSilentTransaction(TimePoint now, const ClientSession &session,
                                    InstanceConnection &connection,
                                    const TrackedInstance &instance) {
@@ -145,8 +164,23 @@
   connectionLost(now, id);
 }
 
+bool Proxy::isMovable(const ClientSession &session,
+                      const InstanceConnection &connection,
+                      const TrackedInstance &instance) {
+  const auto &work = *session.Current;
+  const bool isRead = work.Mode == AccessMode::Read &&
+                      work.Statement.Kind != StatementKind::Commit;
+  if (!work.PrimaryOnly)
+    return isRead;
+  const bool isUnsent = work.Stage == WorkStage::Beginning;
+  // The primary is worth another try only by another path.
+  const bool isPathBad =
+      instance.IsDirectBad || instance.hasAnsweredLater(work.SentAt);
+  return !connection.isBorrowed() && isPathBad && (isRead || isUnsent);
+}
+
 void Proxy::moveSlowStatement(TimePoint now, ClientSession &session) {
-  auto &work = *session.Current;
+  const auto &work = *session.Current;
   const bool isOpen = session.State == SessionState::InTransaction;
   if (!work.Connection || now - work.SentAt < Options.ReadRetryAfter)
     return;
@@ -158,17 +192,8 @@
     return;
   if (isOpen && session.HasRunInTransaction)
     return abortSilentTransaction(now, session, *connection, *instance);
-  // The primary is worth another try only by another path.
-  const bool isCutOff = instance->IsDirectBad && !connection->isBorrowed();
-  const bool isRead = work.Mode == AccessMode::Read &&
-                      work.Statement.Kind != StatementKind::Commit;
-  const bool isUnsent = work.Stage == WorkStage::Beginning;
-  const bool isSilent =
-      !connection->isBorrowed() && instance->hasAnsweredLater(work.SentAt);
-  const bool isMovable = work.PrimaryOnly
-                             ? (isCutOff || isSilent) && (isRead || isUnsent)
-                             : isRead;
-  if (!isMovable || work.Sendings >= 2)
+  if (work.Sendings >= MostSlowSendings ||
+      !isMovable(session, *connection, *instance))
     return;
   const InstanceId slow = connection->Instance;
   tracker(connection->Service).noteSilence(now, slow);
@@ -181,30 +206,33 @@
 
 void Proxy::probePrimaries(TimePoint now) {
   for (auto &[service, it] : Trackers) {
-    if (!it->primary(now) || it->isLeadDenied(now)) {
-      searchPrimary(now, service, *it);
-      continue;
-    }
-    const auto newest = it->newestProofAt();
-    if (newest && now - *newest < Options.ProofInterval)
-      continue;
-    auto &probedAt = ProbedAt[service];
-    if (now - probedAt < Options.ProofInterval / 2)
-      continue;
     const auto primary = it->primary(now);
-    const auto *instance = primary ? it->find(*primary) : nullptr;
-    if (!instance)
-      continue;
-    auto *connection = Pool.findLongestUnused(*primary, !instance->IsDirectBad);
-    if (!connection) {
-      const bool isAlone = instance->IsDirectBad || Pool.ownAt(*primary) == 0;
-      if (isAlone && !Pool.isOpening(*primary))
-        openTo(now, instance->Record);
-      continue;
-    }
+    if (!primary || it->isLeadDenied(now))
+      searchPrimary(now, service, *it);
+    else if (const auto *instance = it->find(*primary))
+      probePrimary(now, service, it->newestProofAt(), *instance);
+  }
+}
+
+void Proxy::probePrimary(TimePoint now, const std::string &service,
+                         std::optional<TimePoint> newestProofAt,
+                         const TrackedInstance &instance) {
+  if (newestProofAt && now - *newestProofAt < Options.ProofInterval)
+    return;
+  auto &probedAt = ProbedAt[service];
+  if (now - probedAt < Options.ProofInterval / 2)
+    return;
+  const InstanceId &id = instance.Record.Id;
+  if (auto *it = Pool.findLongestUnused(id, !instance.IsDirectBad)) {
     probedAt = now;
-    sendProbe(now, *connection);
+    return sendProbe(now, *it);
   }
+  const bool isAlone = instance.IsDirectBad || Pool.ownAt(id) == 0;
+  if (isAlone && !Pool.isOpening(id))
+    openTo(now, instance.Record);
+}
+
+void Proxy::restoreOwnConnections(TimePoint now) {
   for (auto &[service, it] : Trackers)
     for (auto &[id, instance] : it->all()) {
       if (instance.IsDirectBad)
@@ -264,35 +292,44 @@
   return Pool.ownAt(connection.Instance) > share.Limit;
 }
 
+bool Proxy::isDead(TimePoint now, const InstanceConnection &connection) {
+  if (!connection.IsReady && now - connection.OpenedAt > Options.ConnectLimit)
+    return true;
+  if (!connection.IsAbandoned || connection.Sent.empty())
+    return false;
+  const TimePoint sentAt = connection.Sent.front().SentAt;
+  const auto *instance = tracker(connection.Service).find(connection.Instance);
+  const bool isSuspect = instance && !connection.isBorrowed() &&
+                         instance->hasAnsweredLater(sentAt);
+  return now - sentAt >
+         (isSuspect ? Options.SuspectLifetime : Options.AbandonedLifetime);
+}
+
+void Proxy::noteSilenceOn(TimePoint now, const InstanceConnection &connection) {
+  if (connection.Sent.empty())
+    return;
+  const TimePoint sentAt = connection.Sent.front().SentAt;
+  if (now - sentAt <= SilenceLimit)
+    return;
+  auto *instance = tracker(connection.Service).find(connection.Instance);
+  if (!instance || now - instance->LastAnswerAt <= SilenceLimit)
+    return;
+  // NOTE: a read that was moved away may have noted the silence before.
+  if (!instance->SilentSince)
+    instance->SilentSince = std::max(sentAt, instance->LastAnswerAt);
+  if (!connection.isBorrowed())
+    noteDirectBad(now, *instance);
+}
+
 void Proxy::sweepConnections(TimePoint now) {
   std::vector<ConnectionId> dead;
   std::vector<ConnectionId> spare;
   for (auto &[id, it] : Pool.all()) {
-    auto *instance = tracker(it.Service).find(it.Instance);
-    if (!it.IsReady && now - it.OpenedAt > Options.ConnectLimit)
-      dead.push_back(id);
-    if (it.Sent.empty()) {
-      if (isUnneeded(now, it))
-        spare.push_back(id);
-      continue;
-    }
-    const Duration waited = now - it.Sent.front().SentAt;
-    const bool isSuspect = instance && !it.isBorrowed() &&
-                           instance->hasAnsweredLater(it.Sent.front().SentAt);
-    const Duration lifetime =
-        isSuspect ? Options.SuspectLifetime : Options.AbandonedLifetime;
-    if (it.IsAbandoned && waited > lifetime)
+    if (isDead(now, it))
       dead.push_back(id);
-    const bool isSilent = instance && waited > SilenceLimit &&
-                          now - instance->LastAnswerAt > SilenceLimit;
-    if (!isSilent)
-      continue;
-    // NOTE: a read that was moved away may have noted the silence before.
-    if (!instance->SilentSince)
-      instance->SilentSince =
-          std::max(it.Sent.front().SentAt, instance->LastAnswerAt);
-    if (!it.isBorrowed())
-      noteDirectBad(now, *instance);
+    if (isUnneeded(now, it))
+      spare.push_back(id);
+    noteSilenceOn(now, it);
   }
   for (const auto id : dead) {
     Io.closeConnection(id);
