Test that fails: a large call is passed on to the leader again and again

Cause: a control VM makes a call again each 300 ms until it is answered, whatever its size, and not earlier where it was lost with its connection. Change: the fake control VMs count the bytes of the calls that they pass on. Conclusion: reproduced without a network.

--- a/src/control/tests/FakeControls.cpp
+++ b/src/control/tests/FakeControls.cpp
@@ -128,6 +128,7 @@
       continue;
     if (Group->Disconnected.contains(Number) || Group->Disconnected.contains(i))
       return false;
+    CallBytes += message.call().command().size();
     Group->Packets.push_back({Number, i, message});
     return true;
   }
--- a/src/control/tests/FakeControls.h
+++ b/src/control/tests/FakeControls.h
@@ -78,6 +78,8 @@
   std::vector<peer::wire::Message> &sentTo(const std::string &ip) {
     return ToEntries[ip];
   }
+  /// The bytes of the calls that the VM has passed on to others.
+  std::size_t callBytes(std::size_t vm) const { return Vms[vm].CallBytes; }
   void cutOff(std::size_t vm) { Cut.insert(vm); }
   void rejoin(std::size_t vm) { Cut.erase(vm); }
   /// Ends the VM's connections to the others, and tells all of them.
@@ -115,6 +117,7 @@
     std::vector<std::uint64_t> Written;
     std::uint64_t Life = 0;
     std::size_t EntryBytes = 0;
+    std::size_t CallBytes = 0;
 
     void append(std::uint64_t ticket,
                 std::vector<consensus::wire::Record> records) override;
--- a/src/control/tests/RepeatedCallTest.cpp
+++ b/src/control/tests/RepeatedCallTest.cpp
@@ -70,6 +70,48 @@
   }
 }
 
+TEST_CASE("Control_LargeCallIsPassedOnOnce") {
+  FakeControls group(decodeRouteList);
+  group.run(milliseconds(1500));
+  const std::string document = routeListDocument(1, Routes, TimeoutMs);
+  const std::size_t follower = followerOf(group);
+  group.stallDisks(DiskStall);
+  const auto done = put(group, follower, 1, document);
+  group.run(CallTime);
+  CHECK(*done == true);
+  CHECK(group.callBytes(follower) < document.size() + SmallEntries);
+}
+
+TEST_CASE("Control_CallThatWasLostWithItsConnectionIsPassedOnAgain") {
+  FakeControls group(decodeRouteList);
+  group.run(milliseconds(1500));
+  const std::string document = routeListDocument(1, Routes, TimeoutMs);
+  const std::size_t follower = followerOf(group);
+  group.cutOff(follower);
+  const auto done = put(group, follower, 1, document);
+  group.run(milliseconds(100));
+  group.disconnect(follower);
+  group.rejoin(follower);
+  group.reconnect(follower);
+  group.run(milliseconds(100));
+  CHECK(*done == true);
+}
+
+TEST_CASE("Control_CallThatDiedWithItsLeaderIsPassedOnToTheNextOne") {
+  FakeControls group(decodeRouteList);
+  group.run(milliseconds(1500));
+  const std::string document = routeListDocument(1, Routes, TimeoutMs);
+  const std::size_t follower = followerOf(group);
+  const std::size_t old = group.leader();
+  group.cutOff(old);
+  // The others stand for election 0.5 to 1 s after its last word.
+  group.run(milliseconds(400));
+  const auto done = put(group, follower, 1, document);
+  group.run(milliseconds(840));
+  CHECK(*done == true);
+  CHECK(group.node(follower).document() == document);
+}
+
 TEST_CASE("Control_ConfigurationThatAllHoldIsAcknowledgedWithoutItsBytes") {
   FakeControls group(decodeRouteList);
   group.run(milliseconds(1500));
