Let a voter that was replaced out of reach join again; tell replaced connections as lost

Change: a voter that hears no leader for 2 s asks to join as a spare does, of the seeds too. The hub tells the loss of a connection before the one that replaces it. A connection whose other side doesn't read is closed after the send, not inside it: closing it there took it out of the list that the sender walks through.

--- a/src/consensus/ConsensusNode.cpp
+++ b/src/consensus/ConsensusNode.cpp
@@ -12,7 +12,8 @@
                              DurableState durable, std::uint64_t seed,
                              TimePoint now)
     : Self(std::move(self)), Options(options), Random(seed), Term(durable.Term),
-      VotedFor(durable.VotedFor), Base(std::move(durable.Snapshot)) {
+      VotedFor(durable.VotedFor), Base(std::move(durable.Snapshot)),
+      StartedAt(now) {
   for (auto &it : durable.Entries)
     Log.push_back(std::move(it));
   Commit = Base.index();
@@ -64,6 +65,11 @@
          Commit >= LeaderCommit;
 }
 
+bool ConsensusNode::needsToJoin(TimePoint now) const {
+  const TimePoint since = std::max(LeaderContact, StartedAt);
+  return !isVoter() || (!isLeader() && now - since > Options.RejoinAfter);
+}
+
 std::optional<wire::Member> ConsensusNode::leader() const {
   return isLeader() ? Self : Leader;
 }
--- a/src/consensus/ConsensusNode.h
+++ b/src/consensus/ConsensusNode.h
@@ -86,6 +86,9 @@
   /// The applied state holds all that a majority held a moment ago.
   bool isFresh(TimePoint now) const;
   bool isVoter() const { return isVoter(Self.number()); }
+  /// It is no voter, or its log may be too old to tell: it is to ask the others
+  /// for the log.
+  bool needsToJoin(TimePoint now) const;
   std::optional<wire::Member> leader() const;
   /// The leader was heard, or heard a majority, at this time.
   TimePoint leaderContact() const { return LeaderContact; }
@@ -191,6 +194,7 @@
   MemberRole Role = MemberRole::Follower;
   std::optional<wire::Member> Leader;
   TimePoint LeaderContact{};
+  TimePoint StartedAt{};
   /// The leader's commit index when it was last heard.
   std::uint64_t LeaderCommit = 0;
   TimePoint ElectionAt{};
--- a/src/consensus/internal/Replication.cpp
+++ b/src/consensus/internal/Replication.cpp
@@ -84,9 +84,12 @@
   followLeader(now, message);
   const auto &request = message.snapshot_request();
   if (request.snapshot().index() > Commit) {
-    Base = request.snapshot();
+    // NOTE: as the log stands now; with the new base the term would be compared
+    // with itself, and entries of a lost lead would stay, and count in votes.
     const bool keepsTail =
-        lastIndex() > Base.index() && termAt(Base.index()) == Base.term();
+        lastIndex() > request.snapshot().index() &&
+        termAt(request.snapshot().index()) == request.snapshot().term();
+    Base = request.snapshot();
     if (!keepsTail)
       Log.clear();
     while (!Log.empty() && Log.front().index() <= Base.index())
--- a/src/consensus/tests/SimulatedGroup.cpp
+++ b/src/consensus/tests/SimulatedGroup.cpp
@@ -135,7 +135,7 @@
       if (!it.Node)
         continue;
       it.Node->tick(Now);
-      if (!it.Node->isVoter() && Now >= it.JoinAt) {
+      if (it.Node->needsToJoin(Now) && Now >= it.JoinAt) {
         it.JoinAt = Now + milliseconds(500);
         for (std::size_t to = 0; to < Members.size(); ++to) {
           wire::Message join;
--- a/src/consensus/types/ConsensusOptions.h
+++ b/src/consensus/types/ConsensusOptions.h
@@ -30,6 +30,10 @@
   Duration ReplaceAfter = milliseconds(3000);
   /// A member that answered within this time counts as alive.
   Duration AliveLimit = milliseconds(1000);
+  /// A voter that hears no leader for so long asks to join as a spare does: it
+  /// may have been replaced while it was out of reach. Longer than elections
+  /// take. Without it such a voter never got an entry again.
+  Duration RejoinAfter = milliseconds(2000);
   /// A spare that stopped asking is forgotten.
   Duration SpareLifetime = milliseconds(3000);
   /// How many voters the group should have: 2f + 1.
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -77,7 +77,7 @@
   }
   for (const auto it : late)
     finishCall(it, false);
-  if (!Node.isVoter() && now >= JoinAt) {
+  if (Node.needsToJoin(now) && now >= JoinAt) {
     JoinAt = now + Options.JoinInterval;
     peer::wire::Message message;
     consensus::wire::Message join;
@@ -342,8 +342,9 @@
   KnownControls.clear();
   for (const auto &it : Node.membership().voters())
     KnownControls.insert(it.ip());
-  // NOTE: a process that isn't a voter can't tell whether it knows them all.
-  if (!Node.isVoter())
+  // NOTE: a process that isn't a voter can't tell whether it knows them all,
+  // nor can one whose log is too old.
+  if (Node.needsToJoin(Now))
     KnownControls.insert(Options.SeedIps.begin(), Options.SeedIps.end());
   KnownControls.erase(Options.Ip);
   Peers.keepConnected(KnownControls);
--- a/src/peer/PeerHub.cpp
+++ b/src/peer/PeerHub.cpp
@@ -59,8 +59,11 @@
         *ip = message.hello().ip();
         Unnamed.erase(self);
         auto old = std::exchange(IncomingLinks[*ip], Incoming{self, number});
-        if (old.Link)
+        if (old.Link) {
           old.Link->close(LinkEnd::Replaced);
+          // NOTE: its own end finds the newer one in its place, and is silent.
+          Listener.peerLost(*ip, LinkEnd::Replaced);
+        }
         Listener.peerConnected(*ip, message.hello());
       },
       [this, ip, number, holder](LinkEnd end) {
--- a/src/peer/internal/PeerLink.cpp
+++ b/src/peer/internal/PeerLink.cpp
@@ -90,10 +90,11 @@
 }
 
 void PeerLink::send(const wire::Message &message) {
-  if (IsClosed)
+  if (IsClosed || IsGivenUp)
     return;
-  if (!Queue.push(message.SerializeAsString(), orderOf(message)))
-    return close(LinkEnd::NotRead);
+  IsGivenUp = !Queue.push(message.SerializeAsString(), orderOf(message));
+  if (IsGivenUp)
+    return closeSoon(LinkEnd::NotRead);
   if (Writing.empty())
     write();
 }
@@ -112,6 +113,13 @@
       });
 }
 
+void PeerLink::closeSoon(LinkEnd end) {
+  // NOTE: not at once: the caller may be walking through the connections that
+  // the handler of the end takes this one out of.
+  asio::post(Socket.get_executor(),
+             [self = shared_from_this(), end] { self->close(end); });
+}
+
 void PeerLink::close(LinkEnd end) {
   if (std::exchange(IsClosed, true))
     return;
--- a/src/peer/internal/PeerLink.h
+++ b/src/peer/internal/PeerLink.h
@@ -40,6 +40,7 @@
   void read();
   void takeMessages();
   void write();
+  void closeSoon(LinkEnd end);
 
   asio::ip::tcp::socket Socket;
   OnMessage MessageHandler;
@@ -50,6 +51,8 @@
   FrameQueue Queue;
   std::string Writing;
   bool IsClosed = false;
+  /// The other side doesn't read, and the connection is about to be closed.
+  bool IsGivenUp = false;
 };
 
 /// Makes \p socket notice within seconds that its far end is gone.
--- a/src/peer/tests/PeerLinkTest.cpp
+++ b/src/peer/tests/PeerLinkTest.cpp
@@ -82,3 +82,19 @@
   CHECK(instances == std::vector<std::string>{"a", "b"});
   CHECK(wrong == 0);
 }
+
+TEST_CASE("PeerLink_EndIsToldAfterTheSendThatFoundNoRoom") {
+  asio::io_context context;
+  Ends ends(context);
+  std::vector<LinkEnd> told;
+  auto sender = std::make_shared<PeerLink>(
+      std::move(ends.One), [](const wire::Message &) {},
+      [&](LinkEnd end) { told.push_back(end); }, [] {});
+  sender->start();
+  // Nobody reads at the other end, and more than may wait is sent.
+  for (int i = 0; i < 20; ++i)
+    sender->send(instancesOf("a", LargeBytes));
+  CHECK(told.empty());
+  context.poll();
+  CHECK(told == std::vector<LinkEnd>{LinkEnd::NotRead});
+}
