Give the soak's proxies narrow links

Cause: the soak's links carry what a loopback carries, so a large document never stood in the way of anything there. Change: a proxy may choose a rate for each connection by the first bytes that its caller sends, which name the caller: all processes of a machine call from 127.0.0.1. All connections of one VM share two token buckets, one each way. A link without credit reads nothing and holds 32 KB at most. Conclusion: the soak can now lead processes through such links.

--- a/src/soak/LoopbackProxy.cpp
+++ b/src/soak/LoopbackProxy.cpp
@@ -15,6 +15,10 @@
 
 /// How often a silenced connection looks whether it may go on.
 constexpr std::chrono::milliseconds HoldTime(20);
+/// What a narrow link takes in ahead of its credit, in bytes, so that its
+/// sender is held up as by a full window; the system's own buffers take some
+/// MB.
+constexpr int NarrowBuffer = 32768;
 
 void closeWithReset(tcp::socket &socket) {
   std::error_code ec;
@@ -30,8 +34,8 @@
        const std::shared_ptr<State> &state)
       : Caller(std::move(caller)), Target(context), Owner(state),
         Luck(std::uniform_real_distribution<double>(0, 1)(state->Random)),
-        ToTarget{Caller, Target, asio::steady_timer(context), true, {}},
-        ToCaller{Target, Caller, asio::steady_timer(context), false, {}} {}
+        ToTarget{Caller, Target, asio::steady_timer(context), true, {}, {}},
+        ToCaller{Target, Caller, asio::steady_timer(context), false, {}, {}} {}
 
   void start(const tcp::endpoint &target) {
     Target.async_connect(
@@ -59,6 +63,7 @@
     tcp::socket &To;
     asio::steady_timer Timer;
     bool IsToTarget;
+    std::shared_ptr<TokenBucket> Bucket;
     std::array<char, 8192> Chunk{};
   };
 
@@ -70,12 +75,26 @@
                           : state->Harm.IsSilentToCaller;
   }
 
+  /// Reads once there is credit.
   void read(Way &way) {
+    const auto time = way.Bucket ? way.Bucket->waitAt(TokenBucket::Clock::now())
+                                 : TokenBucket::Clock::duration{};
+    if (time <= TokenBucket::Clock::duration{})
+      return readNow(way);
+    way.Timer.expires_after(time);
+    way.Timer.async_wait([self = shared_from_this(), &way](std::error_code ec) {
+      if (!ec)
+        self->read(way);
+    });
+  }
+
+  void readNow(Way &way) {
     way.From.async_read_some(
         asio::buffer(way.Chunk),
         [self = shared_from_this(), &way](std::error_code ec, std::size_t n) {
           if (ec)
             return self->end();
+          self->charge(way, n);
           const auto state = self->Owner.lock();
           const bool isHarmed = state && self->Luck < state->Harm.Share;
           self->wait(way, n,
@@ -84,6 +103,28 @@
         });
   }
 
+  void charge(Way &way, std::size_t n) {
+    if (way.IsToTarget && !std::exchange(HasCalled, true))
+      chooseRate({way.Chunk.data(), n});
+    if (way.Bucket)
+      way.Bucket->take(TokenBucket::Clock::now(), n);
+  }
+
+  void chooseRate(std::string_view firstBytes) {
+    const auto state = Owner.lock();
+    if (!state || !state->RateOf)
+      return;
+    const auto rate = state->RateOf(firstBytes);
+    ToTarget.Bucket = rate.ToTarget;
+    ToCaller.Bucket = rate.ToCaller;
+    const asio::socket_base::receive_buffer_size size(NarrowBuffer);
+    std::error_code ec;
+    if (rate.ToTarget)
+      Caller.set_option(size, ec);
+    if (rate.ToCaller)
+      Target.set_option(size, ec);
+  }
+
   void wait(Way &way, std::size_t n, std::chrono::milliseconds time) {
     if (time.count() == 0 && !isSilent(way))
       return write(way, n);
@@ -124,15 +165,17 @@
   std::weak_ptr<State> Owner;
   double Luck;
   bool IsEnding = false;
+  bool HasCalled = false;
   Way ToTarget;
   Way ToCaller;
 };
 
 LoopbackProxy::LoopbackProxy(asio::io_context &context,
                              const tcp::endpoint &address,
-                             const tcp::endpoint &target, std::uint64_t seed)
+                             const tcp::endpoint &target, std::uint64_t seed,
+                             ChooseRate rateOf)
     : Context(context), Acceptor(context, address), Target(target),
-      Shared(std::make_shared<State>(seed)) {
+      Shared(std::make_shared<State>(seed, std::move(rateOf))) {
   accept();
 }
 
--- a/src/soak/LoopbackProxy.h
+++ b/src/soak/LoopbackProxy.h
@@ -2,17 +2,22 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file Passes TCP connections on to one address, and harms them on request:
-/// delays, silences either way, or resets.
+/// delays, silences either way, resets, or a limit of bytes a second.
 
 #ifndef STEPLEDGE_SOAK_LOOPBACKPROXY_H
 #define STEPLEDGE_SOAK_LOOPBACKPROXY_H
 
+#include "soak/NarrowLinks.h"
+
 #include <asio.hpp>
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <random>
 #include <set>
+#include <string_view>
+#include <utility>
 
 namespace stepledge::soak {
 
@@ -27,9 +32,13 @@
 
 class LoopbackProxy {
 public:
+  /// The rate of a connection, by the first bytes that its caller sends.
+  using ChooseRate = std::function<LinkRate(std::string_view)>;
+
   LoopbackProxy(asio::io_context &context,
                 const asio::ip::tcp::endpoint &address,
-                const asio::ip::tcp::endpoint &target, std::uint64_t seed);
+                const asio::ip::tcp::endpoint &target, std::uint64_t seed,
+                ChooseRate rateOf = {});
   ~LoopbackProxy();
 
   /// From any thread.
@@ -39,10 +48,12 @@
 private:
   class Pipe;
   struct State {
-    explicit State(std::uint64_t seed) : Random(seed) {}
+    State(std::uint64_t seed, ChooseRate rateOf)
+        : Random(seed), RateOf(std::move(rateOf)) {}
     LinkHarm Harm;
     std::set<std::shared_ptr<Pipe>> Pipes;
     std::mt19937_64 Random;
+    ChooseRate RateOf;
   };
 
   void accept();
