--- a/src/soak/RouteJudge.cpp
+++ b/src/soak/RouteJudge.cpp
@@ -9,20 +9,23 @@
 
 namespace {
 
-/// A route is served this long after the acknowledgement of its change, and a
-/// VM refuses what it had for no longer: four seconds, from the users' rules.
-constexpr std::chrono::milliseconds Bound(4000);
+/// A route is served this long after the acknowledgement of its change: four
+/// seconds, from the users' rules.
+constexpr std::chrono::milliseconds ServedBound(4000);
+/// A VM refuses what it had for no longer than this, which is ten refusals in a
+/// row or more: a single one may come of a line that was full for a moment.
+constexpr std::chrono::milliseconds RefusedBound(1000);
 /// What the time since the look before counts at most. A machine that holds up
 /// the judge or the VMs so stretches the bound and changes no verdict.
 constexpr std::chrono::milliseconds MostOfLook(100);
 
 } // namespace
 
-bool RouteJudge::Count::isOver(Clock::time_point now) {
+bool RouteJudge::Count::isOver(Clock::time_point now, Clock::duration bound) {
   if (At != Clock::time_point{})
     Waited += std::min<Clock::duration>(now - At, MostOfLook);
   At = now;
-  if (Waited <= Bound)
+  if (Waited <= bound)
     return false;
   *this = {};
   return true;
@@ -30,9 +33,14 @@
 
 void RouteJudge::harmed(Clock::time_point now) {
   Missing = {now, {}};
-  Refused = {now, {}};
   Wanted = 0;
   Served = 0;
+  othersHarmed(now);
+}
+
+void RouteJudge::othersHarmed(Clock::time_point now) {
+  Refused = {now, {}};
+  WasUsed = false;
 }
 
 int RouteJudge::wanted(int acknowledged) {
@@ -48,7 +56,7 @@
     Missing = {now, {}};
     return std::nullopt;
   }
-  if (!Missing.isOver(now))
+  if (!Missing.isOver(now, ServedBound))
     return std::nullopt;
   return Vm + " doesn't serve route " + std::to_string(Wanted) +
          " four seconds after it was acknowledged";
@@ -59,12 +67,14 @@
                                                     const std::string &answer) {
   if (isDone) {
     Refused = {now, {}};
-    return std::nullopt;
+    WasUsed = true;
   }
-  if (!Refused.isOver(now))
+  if (!WasUsed || isDone)
+    return std::nullopt;
+  if (!Refused.isOver(now, RefusedBound))
     return std::nullopt;
-  return Vm + " has refused a route that it had for four seconds, at last: " +
-         answer;
+  return Vm +
+         " has refused a route that it had for a second, at last: " + answer;
 }
 
 } // namespace stepledge::soak
--- a/src/soak/RouteJudge.h
+++ b/src/soak/RouteJudge.h
@@ -24,7 +24,11 @@
   void harmed(Clock::time_point now);
   /// A look at the route that wanted() names; gives the fault, if it is one.
   std::optional<std::string> looked(Clock::time_point now, bool isServed);
-  /// A look at a route that the VM has had since its start.
+  /// A look while others are harmed whom a statement passes; what was used is
+  /// void.
+  void othersHarmed(Clock::time_point now);
+  /// A look at a route that the VM has had since its start; it is a fault to
+  /// refuse it for long once it was used without harm.
   std::optional<std::string> usedExisting(Clock::time_point now, bool isDone,
                                           const std::string &answer);
   /// The count of routes whose last one is looked for next: it stays until that
@@ -38,12 +42,13 @@
   struct Count {
     Clock::time_point At{};
     Clock::duration Waited{};
-    bool isOver(Clock::time_point now);
+    bool isOver(Clock::time_point now, Clock::duration bound);
   };
 
   std::string Vm;
   Count Missing;
   Count Refused;
+  bool WasUsed = false;
   int Wanted = 0;
   int Served = 0;
 };
--- a/src/soak/tests/RouteJudgeTest.cpp
+++ b/src/soak/tests/RouteJudgeTest.cpp
@@ -64,11 +64,30 @@
   CHECK(faultsOf(judge, now, 3, 10s) == 0);
 }
 
-TEST_CASE("RouteJudge_RefusedExistingRouteIsAFaultAfterFourSeconds") {
+TEST_CASE("RouteJudge_ExistingRouteRefusedForASecondIsAFault") {
   RouteJudge judge("entry-3");
+  int n = judge.usedExisting(Start, true, "").has_value();
+  for (int i = 1; i <= 20; ++i)
+    n += judge.usedExisting(Start + i * 50ms, false, "ERROR BUSY").has_value();
+  CHECK(n == 0);
+  CHECK(judge.usedExisting(Start + 1050ms, false, "ERROR BUSY"));
+}
+
+TEST_CASE("RouteJudge_ExistingRouteIsUsedBeforeItsRefusalsCount") {
+  RouteJudge judge("entry-3");
+  CHECK_FALSE(judge.usedExisting(Start, true, ""));
+  judge.othersHarmed(Start);
   int n = 0;
-  for (int i = 0; i <= 81; ++i)
+  for (int i = 1; i < 100; ++i)
     n += judge.usedExisting(Start + i * 50ms, false, "ERROR BUSY").has_value();
-  CHECK(n == 1);
-  CHECK_FALSE(judge.usedExisting(Start + 5s, true, ""));
+  CHECK(n == 0);
+}
+
+TEST_CASE("RouteJudge_ExistingRouteRefusedNowAndThenIsNone") {
+  RouteJudge judge("entry-3");
+  int n = 0;
+  for (int i = 0; i < 100; ++i)
+    n += judge.usedExisting(Start + i * 50ms, i % 5 == 0, "ERROR BUSY")
+             .has_value();
+  CHECK(n == 0);
 }
