Test that fails: a read that ran at two instances, answered by either

Both instances ran the read; the judge keeps the last signature only, and the client had the other one. Change: a test of the judge that answers such a read by either run, which fails; and one that mixes the two runs, which the judge already catches.

--- a/src/soak/tests/ReplicatedGroupTest.cpp
+++ b/src/soak/tests/ReplicatedGroupTest.cpp
@@ -92,6 +92,25 @@
   CHECK(it.isCaught());
 }
 
+TEST_CASE("Judge_TakesEitherAnswerOfAReadThatRanTwice") {
+  Fixture it;
+  it.send("r", "READ x");
+  const auto first = it.run(it.Primary, "r", "READ x");
+  const auto second = it.run(it.Replica, "r", "READ x");
+  it.Group.answered("r", first.Signature, first.Row);
+  it.Group.answered("r", second.Signature, second.Row);
+  CHECK(!it.isCaught());
+}
+
+TEST_CASE("Judge_CatchesOneRunsSignatureWithAnothersRow") {
+  Fixture it;
+  it.send("r", "READ x");
+  const auto first = it.run(it.Primary, "r", "READ x");
+  const auto second = it.run(it.Replica, "r", "READ x");
+  it.Group.answered("r", first.Signature, second.Row);
+  CHECK(it.isCaught());
+}
+
 TEST_CASE("Judge_CatchesOtherRows") {
   Fixture it;
   it.send("r", "READ x");
