Let the soak's judge take either answer of a read that ran twice

Change: it keeps each run's signature with that run's row. An answer still has to bear both of one run of its statement. Writes are held as before: one that is kept twice is a fault of its own.

--- a/src/soak/ReplicatedGroup.cpp
+++ b/src/soak/ReplicatedGroup.cpp
@@ -155,7 +155,7 @@
   session.Writes.clear();
   session.IsOpen = false;
   RunResult result{RunCode::Done, "s" + std::to_string(Random()), {}};
-  Signed[id] = {result.Signature, {}};
+  Signed[id][result.Signature] = {};
   return result;
 }
 
@@ -207,7 +207,7 @@
     fault("a stale read: " + id);
   RunResult result{RunCode::Done, "s" + std::to_string(Random()),
                    statement.IsWrite ? "" : "r" + std::to_string(Random())};
-  Signed[id] = {result.Signature, result.Row};
+  Signed[id][result.Signature] = result.Row;
   return result;
 }
 
@@ -259,10 +259,11 @@
                                const std::string &signature,
                                const std::string &row) {
   const std::lock_guard lock(Mutex);
-  const auto it = Signed.find(id);
-  if (it == Signed.end() || it->second.first != signature)
+  const auto &runs = Signed[id];
+  const auto it = runs.find(signature);
+  if (it == runs.end())
     fault("a success without the instance's signature: " + id);
-  else if (it->second.second != row)
+  else if (it->second != row)
     fault("a success with other rows: " + id);
 }
 
--- a/src/soak/ReplicatedGroup.h
+++ b/src/soak/ReplicatedGroup.h
@@ -130,7 +130,10 @@
   /// By term, where the history was cut when the next term began.
   std::map<std::uint64_t, Place> EndOf;
   std::map<std::string, SentStatement> Sent;
-  std::map<std::string, std::pair<std::string, std::string>> Signed;
+  /// The row of each run by its signature. A read may run at two instances, as
+  /// when the first is slow, and the client gets either answer; a write that
+  /// is kept twice is a fault of its own.
+  std::map<std::string, std::map<std::string, std::string>> Signed;
   std::vector<Ack> Acks;
   std::map<std::uint64_t, Place> OwnAcks;
   std::set<std::string> Promised;
