--- a/src/control/ClusterState.cpp
+++ b/src/control/ClusterState.cpp
@@ -43,18 +43,30 @@
 }
 
 void ClusterState::keep(const wire::KeepInstance &instance) {
-  const bool isGone = lifecycleOf(instance.instance()) == wire::GONE;
+  const auto held = Instances.find(instance.instance());
+  // NOTE: whoever proposed it hadn't heard of the later life yet.
+  if (held != Instances.end() && held->second.born_ms() > instance.born_ms())
+    return;
+  const bool isGone =
+      lifecycleOf(instance.instance(), instance.born_ms()) == wire::GONE;
   if (instance.record().empty() || isGone)
     Instances.erase(instance.instance());
   else
-    Instances[instance.instance()] = instance.record();
+    Instances[instance.instance()] = instance;
 }
 
 void ClusterState::mark(const wire::MarkInstance &mark) {
-  const auto [it, isNew] = Marks.try_emplace(mark.instance(), mark.state());
-  it->second = std::max(it->second, mark.state());
-  if (it->second == wire::GONE)
-    Instances.erase(mark.instance());
+  const auto [it, isNew] = Marks.try_emplace(mark.instance(), mark);
+  auto &held = it->second;
+  if (mark.born_ms() < held.born_ms())
+    return;
+  const bool isLaterLife = mark.born_ms() > held.born_ms();
+  if (isLaterLife || mark.state() > held.state())
+    held = mark;
+  const auto kept = Instances.find(mark.instance());
+  if (held.state() == wire::GONE && kept != Instances.end() &&
+      kept->second.born_ms() <= held.born_ms())
+    Instances.erase(kept);
   if (!isNew)
     return;
   MarkOrder.push_back(mark.instance());
@@ -64,27 +76,23 @@
   MarkOrder.pop_front();
 }
 
-wire::Lifecycle ClusterState::lifecycleOf(const std::string &instance) const {
+wire::Lifecycle ClusterState::lifecycleOf(const std::string &instance,
+                                          std::uint64_t bornMs) const {
   const auto it = Marks.find(instance);
-  return it == Marks.end() ? wire::READY : it->second;
+  const bool isMarked = it != Marks.end() && it->second.born_ms() >= bornMs;
+  return isMarked ? it->second.state() : wire::READY;
 }
 
 std::string ClusterState::serialize() const {
   wire::State state;
   state.set_index(AppliedIndex);
   *state.mutable_configuration() = Newest;
-  for (const auto &it : MarkOrder) {
-    auto &entry = *state.add_marks();
-    entry.set_instance(it);
-    entry.set_state(Marks.at(it));
-  }
+  for (const auto &it : MarkOrder)
+    *state.add_marks() = Marks.at(it);
   for (const auto &[service, it] : Promotions)
     *state.add_promotions() = it;
-  for (const auto &[instance, record] : Instances) {
-    auto &entry = *state.add_instances();
-    entry.set_instance(instance);
-    entry.set_record(record);
-  }
+  for (const auto &[instance, it] : Instances)
+    *state.add_instances() = it;
   return state.SerializeAsString();
 }
 
@@ -100,7 +108,7 @@
   for (const auto &it : state.promotions())
     Promotions[it.service()] = it;
   for (const auto &it : state.instances())
-    Instances[it.instance()] = it.record();
+    Instances[it.instance()] = it;
   return true;
 }
 
--- a/src/control/ClusterState.h
+++ b/src/control/ClusterState.h
@@ -27,14 +27,17 @@
   std::uint64_t appliedIndex() const { return AppliedIndex; }
   std::uint64_t configurationVersion() const { return Newest.version(); }
   const std::string &document() const { return Newest.document(); }
-  wire::Lifecycle lifecycleOf(const std::string &instance) const;
+  /// Whether the life of the instance that began at \p bornMs leaves or has
+  /// left.
+  wire::Lifecycle lifecycleOf(const std::string &instance,
+                              std::uint64_t bornMs) const;
   /// The newest promotion of each service.
   const std::map<std::string, wire::RecordPromotion> &promotions() const {
     return Promotions;
   }
 
   /// The kept records of instances, as they came.
-  const std::map<std::string, std::string> &instances() const {
+  const std::map<std::string, wire::KeepInstance> &instances() const {
     return Instances;
   }
 
@@ -44,10 +47,11 @@
 
   std::uint64_t AppliedIndex = 0;
   wire::PutConfiguration Newest;
-  std::map<std::string, wire::Lifecycle> Marks;
+  /// By instance, the mark of its latest life that has one.
+  std::map<std::string, wire::MarkInstance> Marks;
   std::deque<std::string> MarkOrder;
   std::map<std::string, wire::RecordPromotion> Promotions;
-  std::map<std::string, std::string> Instances;
+  std::map<std::string, wire::KeepInstance> Instances;
 };
 
 } // namespace stepledge::control
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -6,6 +6,7 @@
 #include "control/internal/Replacement.h"
 #include "peer/InstanceCodec.h"
 
+#include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
@@ -44,23 +45,43 @@
 
 void ControlNode::instanceSaid(TimePoint now, membership::InstanceRecord record,
                                OnDone onDone) {
-  const auto lifecycle = State.lifecycleOf(record.Id.str());
+  // NOTE: a word of an earlier life that was held back on its way.
+  if (record.BornMs < bornOf(record.Id))
+    return onDone(true);
+  const auto lifecycle = State.lifecycleOf(record.Id.str(), record.BornMs);
   record.State = std::max(record.State, static_cast<InstanceState>(lifecycle));
   learn(now, record, false);
   const bool isMarked = lifecycle != wire::READY;
   if (record.State == InstanceState::Ready || isMarked)
     return onDone(true);
   wire::Command command;
-  command.mutable_mark_instance()->set_instance(record.Id.str());
-  command.mutable_mark_instance()->set_state(wire::LEAVING);
+  auto &mark = *command.mutable_mark_instance();
+  mark.set_instance(record.Id.str());
+  mark.set_state(wire::LEAVING);
+  mark.set_born_ms(record.BornMs);
   startCall(now, std::move(command), false, std::move(onDone));
 }
 
+bool ControlNode::servesInstance(
+    const membership::InstanceRecord &record) const {
+  const auto &newest = Configurations.newest();
+  return newest.Version == 0 || newest.Services.contains(record.Service) ||
+         Directory.find(record.Id) != nullptr;
+}
+
+std::uint64_t ControlNode::bornOf(const InstanceId &id) const {
+  const auto *known = Directory.find(id);
+  return known ? known->BornMs : 0;
+}
+
 void ControlNode::instanceLeft(TimePoint now, const InstanceId &id,
+                               std::optional<std::uint64_t> bornMs,
                                OnDone onDone) {
   wire::Command command;
-  command.mutable_mark_instance()->set_instance(id.str());
-  command.mutable_mark_instance()->set_state(wire::GONE);
+  auto &mark = *command.mutable_mark_instance();
+  mark.set_instance(id.str());
+  mark.set_state(wire::GONE);
+  mark.set_born_ms(bornMs.value_or(bornOf(id)));
   startCall(now, std::move(command), false, std::move(onDone));
 }
 
@@ -101,7 +122,7 @@
       FullNoticeAt = now + Options.FullNoticeInterval;
     for (const auto &it : Directory.expire(now, Options.InstanceSilence))
       if (Node.canServe())
-        keepInstance(now, it);
+        keepInstance(now, it.Id, it.BornMs);
     updatePeers();
   }
   if (std::exchange(WasLeader, Node.isLeader()) != Node.isLeader()) {
@@ -238,7 +259,7 @@
         static_cast<InstanceState>(command.mark_instance().state());
     Log.decision(absl::StrCat("event=instance_marked instance=", id.str(),
                               " state=", static_cast<int>(state)));
-    if (Directory.raise(id, state)) {
+    if (Directory.raise(id, command.mark_instance().born_ms(), state)) {
       peer::wire::Message message;
       *message.mutable_instances()->add_instances() =
           peer::encode(*Directory.find(id));
@@ -262,32 +283,59 @@
 void ControlNode::learn(TimePoint now, const membership::InstanceRecord &record,
                         bool isFromPeer) {
   auto known = record;
-  known.State =
-      std::max(known.State,
-               static_cast<InstanceState>(State.lifecycleOf(known.Id.str())));
+  const auto lifecycle = State.lifecycleOf(known.Id.str(), known.BornMs);
+  known.State = std::max(known.State, static_cast<InstanceState>(lifecycle));
   const Change change = Directory.merge(now, known);
   if (change == Change::None)
     return;
+  if (change == Change::Restarted)
+    forgetEarlierLife(now, record);
+  const bool isChanged = change != Change::Alive;
   peer::wire::Message message;
   *message.mutable_instances()->add_instances() =
       peer::encode(*Directory.find(record.Id));
-  if (change == Change::Changed)
+  if (isChanged)
     tellEntries(message);
   auto &told = ToldAlive[record.Id];
-  const bool isDue =
-      change == Change::Changed || now - told > Options.AliveInterval;
+  const bool isDue = isChanged || now - told > Options.AliveInterval;
   if (isFromPeer || !isDue)
     return;
   told = now;
   tellControls(message);
-  if (change == Change::Changed)
-    keepInstance(now, record.Id);
+  if (isChanged)
+    keepInstance(now, record.Id, bornOf(record.Id));
 }
 
-void ControlNode::keepInstance(TimePoint now, const InstanceId &id) {
+void ControlNode::learnFromWire(TimePoint now,
+                                const peer::wire::Instance &instance) {
+  if (const auto record = peer::decode(instance))
+    return learn(now, *record, true);
+  if (const auto leftOut = UnreadableLines.take(now))
+    Log.decision(absl::StrCat("event=instance_unreadable instance=",
+                              absl::CHexEscape(instance.id().substr(0, 64)),
+                              " state=", instance.state(),
+                              " left_out=", *leftOut));
+}
+
+void ControlNode::forgetEarlierLife(TimePoint now,
+                                    const membership::InstanceRecord &record) {
+  Log.decision(
+      absl::StrCat("event=instance_restarted instance=", record.Id.str(),
+                   " service=", record.Service, " born_ms=", record.BornMs));
+  PingSentAt.erase(record.Id);
+  PingMissedSince.erase(record.Id);
+  PingedAt.erase(record.Id);
+  Watch.forget(record.Service, record.Id);
+  Probe.forget(record.Id);
+  Replacer->instanceRestarted(now, record);
+}
+
+void ControlNode::keepInstance(TimePoint now, const InstanceId &id,
+                               std::uint64_t bornMs) {
   wire::Command command;
   auto &keep = *command.mutable_keep_instance();
   keep.set_instance(id.str());
+  keep.set_born_ms(bornMs);
   if (const auto *known = Directory.find(id))
     keep.set_record(peer::encode(*known).SerializeAsString());
   // NOTE: nobody waits for it: the next heartbeats say the same again.
@@ -295,10 +343,14 @@
 }
 
 void ControlNode::learnKept(TimePoint now) {
-  for (const auto &[id, bytes] : State.instances()) {
+  for (const auto &[id, it] : State.instances()) {
+    const auto *known = Directory.find(InstanceId(id));
     peer::wire::Instance instance;
-    if (!Directory.find(InstanceId(id)) && instance.ParseFromString(bytes))
-      learn(now, peer::decode(instance), true);
+    if (known && known->BornMs >= it.born_ms())
+      continue;
+    // NOTE: the default instance is none that can be read, and is told so.
+    (void)instance.ParseFromString(it.record());
+    learnFromWire(now, instance);
   }
 }
 
@@ -327,6 +379,7 @@
     promotion.set_service(service);
     promotion.set_instance(it.instance());
     promotion.set_fence(it.fence());
+    promotion.set_born_ms(it.born_ms());
   }
   return message;
 }
@@ -392,7 +445,7 @@
       Node.receive(Now, inner);
   } else if (message.has_instances()) {
     for (const auto &it : message.instances().instances())
-      learn(Now, peer::decode(it), true);
+      learnFromWire(Now, it);
   } else if (message.has_configuration_request()) {
     sendConfiguration(ip, message.configuration_request());
   } else if (message.has_sights()) {
@@ -409,9 +462,13 @@
                            const peer::wire::PrimarySights &sights) {
   if (!sights.is_unchanged())
     LastSights[ip] = sights;
-  for (const auto &it : LastSights[ip].sights())
-    Watch.report(Now, ip, it.service(), InstanceId(it.instance()),
-                 milliseconds(static_cast<std::int64_t>(it.silent_ms())));
+  for (const auto &it : LastSights[ip].sights()) {
+    const auto *known = Directory.find(InstanceId(it.instance()));
+    const bool isOtherLife = known && known->BornMs != it.born_ms();
+    if (!isOtherLife)
+      Watch.report(Now, ip, it.service(), InstanceId(it.instance()),
+                   milliseconds(static_cast<std::int64_t>(it.silent_ms())));
+  }
 }
 
 void ControlNode::pingInstances(TimePoint now) {
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -7,6 +7,7 @@
 #ifndef STEPLEDGE_CONTROL_CONTROLNODE_H
 #define STEPLEDGE_CONTROL_CONTROLNODE_H
 
+#include "base/LineBudget.h"
 #include "consensus/ConsensusNode.h"
 #include "control/ClusterState.h"
 #include "control/EntryRoster.h"
@@ -24,6 +25,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -103,9 +105,18 @@
   std::uint64_t configurationVersion() const {
     return State.configurationVersion();
   }
+  /// False for an instance that isn't known yet, of a service that the
+  /// configuration doesn't name; before the first configuration none does.
+  bool servesInstance(const membership::InstanceRecord &record) const;
   void instanceSaid(TimePoint now, membership::InstanceRecord record,
                     OnDone onDone);
-  void instanceLeft(TimePoint now, const InstanceId &id, OnDone onDone);
+  /// The life that began at \p bornMs, or without it the one that is known, has
+  /// left.
+  void instanceLeft(TimePoint now, const InstanceId &id,
+                    std::optional<std::uint64_t> bornMs, OnDone onDone);
+  /// When the known life of the instance began, in Unix ms; 0 where it has told
+  /// nothing.
+  std::uint64_t bornOf(const InstanceId &id) const;
 
   void tick(TimePoint now);
   void persisted(TimePoint now, std::uint64_t ticket);
@@ -166,7 +177,12 @@
   void learn(TimePoint now, const membership::InstanceRecord &record,
              bool isFromPeer);
   /// Has the log keep what is known of the instance, or forget it.
-  void keepInstance(TimePoint now, const InstanceId &id);
+  void keepInstance(TimePoint now, const InstanceId &id, std::uint64_t bornMs);
+  /// The same as learn() for what another VM or the log says.
+  void learnFromWire(TimePoint now, const peer::wire::Instance &instance);
+  /// The instance has started again under its id.
+  void forgetEarlierLife(TimePoint now,
+                         const membership::InstanceRecord &record);
   /// Takes in the instances that only the log knows, as after a restart.
   void learnKept(TimePoint now);
   void tellEntries(const peer::wire::Message &message);
@@ -201,6 +217,7 @@
   std::map<std::uint64_t, RemoteCall> RemoteReads;
   CallsInLog Proposed;
   std::uint64_t LastCall = 0;
+  LineBudget UnreadableLines;
   std::map<InstanceId, TimePoint> ToldAlive;
   std::map<InstanceId, TimePoint> PingSentAt;
   std::map<InstanceId, TimePoint> PingMissedSince;
--- a/src/control/IPromoter.h
+++ b/src/control/IPromoter.h
@@ -66,6 +66,9 @@
   /// Whether it answers at all; takes none of its slots.
   virtual void ping(const membership::InstanceRecord &instance,
                     std::function<void(bool)> onDone) = 0;
+  /// The instance has started again: what its earlier life was asked has no
+  /// answer, and its connections are closed.
+  virtual void forget(const InstanceId &instance) = 0;
   /// Connections to instances other than these may be closed.
   virtual void keepOnly(const std::vector<InstanceId> &instances) = 0;
 };
--- a/src/control/PrimaryWatch.cpp
+++ b/src/control/PrimaryWatch.cpp
@@ -20,6 +20,14 @@
   it.Reports.clear();
 }
 
+void PrimaryWatch::forget(const std::string &service,
+                          const InstanceId &primary) {
+  if (const auto it = Services.find(service); it != Services.end())
+    std::erase_if(it->second.Reports, [&](const auto &report) {
+      return report.second.Primary == primary;
+    });
+}
+
 bool PrimaryWatch::isLost(TimePoint now, const std::string &service,
                           const InstanceId &primary) const {
   const auto it = Services.find(service);
--- a/src/control/PrimaryWatch.h
+++ b/src/control/PrimaryWatch.h
@@ -41,6 +41,8 @@
               const std::string &service, const InstanceId &primary,
               Duration silentFor);
   void noteReplaced(TimePoint now, const std::string &service);
+  /// What was reported on \p primary was of a life that is over.
+  void forget(const std::string &service, const InstanceId &primary);
   /// Whether enough of the VMs that report on \p primary miss it.
   bool isLost(TimePoint now, const std::string &service,
               const InstanceId &primary) const;
--- a/src/control/internal/Replacement.cpp
+++ b/src/control/internal/Replacement.cpp
@@ -43,13 +43,29 @@
   const InstanceRecord *primary = presentPrimary(now, service);
   if (!primary)
     return false;
-  isPlanned = primary->State == InstanceState::Leaving;
+  isPlanned =
+      primary->State == InstanceState::Leaving || hasLostItsLead(*primary);
   return isPlanned || Node.Watch.isLost(now, service, primary->Id);
 }
 
+bool Replacement::isNamed(const InstanceRecord &record) const {
+  const auto it = Node.State.promotions().find(record.Service);
+  return it != Node.State.promotions().end() &&
+         it->second.instance() == record.Id.str() &&
+         it->second.born_ms() == record.BornMs;
+}
+
+bool Replacement::hasLostItsLead(const InstanceRecord &primary) const {
+  if (!primary.HasRestarted || isNamed(primary))
+    return false;
+  const auto all = Node.Directory.ofService(primary.Service);
+  return std::any_of(all.begin(), all.end(), [](const auto *it) {
+    return it->State == InstanceState::Ready && !it->HasRestarted;
+  });
+}
+
 const InstanceRecord *
 Replacement::presentPrimary(TimePoint now, const std::string &service) const {
-  const auto promotion = Node.State.promotions().find(service);
   const auto orderedAt = OrderedAt.find(service);
   const bool isRecent =
       orderedAt != OrderedAt.end() && now - orderedAt->second < OrderTime;
@@ -57,15 +73,17 @@
   for (const auto *it : Node.Directory.ofService(service)) {
     if (it->State == InstanceState::Gone)
       continue;
-    const bool isNamed = promotion != Node.State.promotions().end() &&
-                         it->Id.str() == promotion->second.instance();
     // NOTE: an order that got no answer may never be carried out; then the
     // instance goes on calling itself a replica, and doesn't count.
-    if (isNamed && (isRecent || it->Role == InstanceRole::Primary))
+    if (isNamed(*it) && (isRecent || it->Role == InstanceRole::Primary))
       return it;
     const bool isPrimary = it->Role == InstanceRole::Primary;
-    // One that was replaced may still call itself primary.
-    if (isPrimary && (!primary || it->State < primary->State))
+    // One that was replaced, or has lost its data, may still call itself
+    // primary.
+    const auto rankOf = [](const InstanceRecord &record) {
+      return std::pair(record.HasRestarted, record.State);
+    };
+    if (isPrimary && (!primary || rankOf(*it) < rankOf(*primary)))
       primary = it;
   }
   return primary;
@@ -234,6 +252,8 @@
   run.Step = Stage::Ordering;
   OrderedAt[service] = now;
   run.StepAt = now;
+  run.Target = best->first;
+  run.TargetBornMs = Node.bornOf(best->first);
   const PromotionOrder order{service, best->first, Node.Options.NodeName,
                              run.Fence};
   Log.decision(absl::StrCat("event=promotion_ordered service=", service,
@@ -268,16 +288,38 @@
   promotion.set_service(service);
   promotion.set_instance(instance.str());
   promotion.set_fence(it->second.Fence);
+  promotion.set_born_ms(it->second.TargetBornMs);
   it->second.Step = Stage::Recording;
   Node.startCall(now, std::move(command), false,
                  [this, service](bool) { finish(Node.Now, service); });
 }
 
+void Replacement::instanceRestarted(TimePoint now,
+                                    const InstanceRecord &instance) {
+  const auto it = Running.find(instance.Service);
+  if (it == Running.end())
+    return;
+  it->second.Answers.erase(instance.Id);
+  if (it->second.Target != instance.Id)
+    return;
+  Log.decision(absl::StrCat("event=promotion_void service=", instance.Service,
+                            " instance=", instance.Id.str(),
+                            " fence=", it->second.Fence,
+                            " reason=\"it has started again\""));
+  // NOTE: the service rests after a replacement, but there was none: the next
+  // order, under a higher fence, must overtake this one.
+  end(now, instance.Service);
+}
+
 void Replacement::finish(TimePoint now, const std::string &service) {
   // NOTE: resuming one that was promoted or never paused does nothing.
   if (Node.syncReplicasOf(service) > 0)
     resumeReplicas(service);
   Node.Watch.noteReplaced(now, service);
+  end(now, service);
+}
+
+void Replacement::end(TimePoint now, const std::string &service) {
   Running.erase(service);
   FinishedAt[service] = now;
 }
--- a/src/control/internal/Replacement.h
+++ b/src/control/internal/Replacement.h
@@ -14,6 +14,7 @@
 #include "base/types/Time.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,10 @@
   /// An entry that takes a fence was committed at \p index.
   void fenceTaken(TimePoint now, const wire::Command &command,
                   std::uint64_t index);
+  /// The instance holds nothing of before: neither what it answered nor an
+  /// order that names it holds.
+  void instanceRestarted(TimePoint now,
+                         const membership::InstanceRecord &instance);
   /// This member leads no longer, or anew.
   void reset() {
     Running.clear();
@@ -51,6 +56,9 @@
     TimePoint StepAt{};
     int AwaitedAnswers = 0;
     std::map<InstanceId, InstanceStatus> Answers;
+    /// The one that was ordered to lead.
+    std::optional<InstanceId> Target;
+    std::uint64_t TargetBornMs = 0;
   };
 
   std::vector<std::string> services() const;
@@ -58,6 +66,11 @@
                         bool &isPlanned) const;
   const membership::InstanceRecord *
   presentPrimary(TimePoint now, const std::string &service) const;
+  /// Control has named this life of the instance.
+  bool isNamed(const membership::InstanceRecord &record) const;
+  /// It calls itself primary but has lost its data, and another instance of the
+  /// service has not.
+  bool hasLostItsLead(const membership::InstanceRecord &primary) const;
   void start(TimePoint now, const std::string &service, bool isPlanned);
   void askReplicas(TimePoint now, const std::string &service, Run &run);
   /// Where commits wait for replicas, none of these may receive more while one
@@ -72,6 +85,7 @@
   void ordered(const std::string &service, std::uint64_t number,
                const InstanceId &instance, PromotionResult result);
   void finish(TimePoint now, const std::string &service);
+  void end(TimePoint now, const std::string &service);
 
   ControlNode &Node;
   IPromoter &Promoter;
--- a/src/control/tests/FakeControls.h
+++ b/src/control/tests/FakeControls.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace stepledge::control::tests {
@@ -23,7 +24,9 @@
   void promote(const PromotionOrder &order,
                std::function<void(PromotionResult)> onDone) override {
     Orders.push_back(order);
-    if (Answers)
+    if (HoldsOrders)
+      HeldOrders.push_back(std::move(onDone));
+    else if (Answers)
       onDone(PromotionResult::Accepted);
     else
       onDone(PromotionResult::NoAnswer);
@@ -31,6 +34,10 @@
   void askStatus(
       const membership::InstanceRecord &instance,
       std::function<void(std::optional<InstanceStatus>)> onDone) override {
+    if (HoldsStatuses) {
+      HeldStatuses.emplace_back(instance.Id, std::move(onDone));
+      return;
+    }
     const auto it = Statuses.find(instance.Id);
     onDone(it == Statuses.end() ? std::nullopt : std::optional(it->second));
   }
@@ -47,6 +54,12 @@
             std::function<void(bool)> onDone) override {
     onDone(!Silent.contains(instance.Id));
   }
+  void forget(const InstanceId &instance) override {
+    Forgotten.insert(instance);
+    for (auto &[id, onDone] : HeldStatuses)
+      if (id == instance && onDone)
+        std::exchange(onDone, nullptr)(std::nullopt);
+  }
   void keepOnly(const std::vector<InstanceId> &instances) override {
     (void)instances;
   }
@@ -55,7 +68,15 @@
   std::map<InstanceId, InstanceStatus> Statuses;
   std::map<InstanceId, Term> Paused;
   std::set<InstanceId> Silent;
+  std::set<InstanceId> Forgotten;
   bool Answers = true;
+  /// Nothing is answered until the test does.
+  bool HoldsOrders = false;
+  bool HoldsStatuses = false;
+  std::vector<std::function<void(PromotionResult)>> HeldOrders;
+  std::vector<
+      std::pair<InstanceId, std::function<void(std::optional<InstanceStatus>)>>>
+      HeldStatuses;
 };
 
 /// Three control VMs whose disks and network work at once, or not at all.
--- /dev/null
+++ b/src/control/tests/RestartedInstanceTest.cpp
@@ -0,0 +1,213 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Instances that start again under their id: what was learned from the
+/// earlier life neither promotes nor names one, and marks and records of it
+/// leave the next one alone.
+
+#include "control/ClusterState.h"
+#include "control/tests/FakeControls.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace stepledge;
+using namespace stepledge::control;
+using control::tests::FakeControls;
+
+namespace {
+
+constexpr std::uint64_t FirstLife = 1'800'000'000'000;
+constexpr std::uint64_t SecondLife = FirstLife + 60'000;
+
+membership::InstanceRecord instanceOf(const char *id, bool isPrimary,
+                                      std::uint64_t bornMs,
+                                      std::uint64_t sequence) {
+  membership::InstanceRecord record;
+  record.Id = InstanceId(id);
+  record.Service = "db";
+  record.Address = std::string("10.1.0.1:") + id;
+  record.Role = isPrimary ? membership::InstanceRole::Primary
+                          : membership::InstanceRole::Replica;
+  record.BornMs = bornMs;
+  record.Sequence = sequence;
+  return record;
+}
+
+void say(FakeControls &group, const membership::InstanceRecord &record) {
+  group.node(group.leader()).instanceSaid(group.now(), record, [](bool) {});
+  group.run(milliseconds(60));
+}
+
+/// A group that knows a primary and two replicas; r1 has received the most.
+void prepare(FakeControls &group) {
+  group.run(milliseconds(1500));
+  say(group, instanceOf("p", true, FirstLife, 5));
+  say(group, instanceOf("r1", false, FirstLife, 5));
+  say(group, instanceOf("r2", false, FirstLife, 5));
+  group.Platform.Statuses = {
+      {InstanceId("r1"), {membership::InstanceRole::Replica, {{3}, {90}}, {3}}},
+      {InstanceId("r2"), {membership::InstanceRole::Replica, {{3}, {80}}, {3}}},
+      {InstanceId("p"), {membership::InstanceRole::Primary, {{3}, {99}}, {3}}}};
+}
+
+/// The primary is missed by all, as it is where it has crashed, until the
+/// leader asks the replicas or names one.
+void losePrimary(FakeControls &group) {
+  group.Platform.Statuses.erase(InstanceId("p"));
+  group.Platform.Silent.insert(InstanceId("p"));
+  auto &platform = group.Platform;
+  const auto orders = platform.Orders.size();
+  for (int i = 0; i < 12; ++i) {
+    if (!platform.HeldStatuses.empty() || platform.Orders.size() > orders)
+      return;
+    for (const char *ip : {"10.9.0.1", "10.9.0.2"}) {
+      peer::wire::Message message;
+      auto &sight = *message.mutable_sights()->add_sights();
+      sight.set_service("db");
+      sight.set_instance("p");
+      sight.set_born_ms(FirstLife);
+      sight.set_silent_ms(static_cast<std::uint64_t>(i) * 100);
+      group.sendFromOutside(ip, group.leader(), message);
+    }
+    group.run(milliseconds(100));
+  }
+}
+
+wire::Command markOf(std::uint64_t bornMs, wire::Lifecycle state) {
+  wire::Command command;
+  command.mutable_mark_instance()->set_instance("i");
+  command.mutable_mark_instance()->set_born_ms(bornMs);
+  command.mutable_mark_instance()->set_state(state);
+  return command;
+}
+
+wire::Command keepOf(std::uint64_t bornMs, const std::string &record) {
+  wire::Command command;
+  command.mutable_keep_instance()->set_instance("i");
+  command.mutable_keep_instance()->set_born_ms(bornMs);
+  command.mutable_keep_instance()->set_record(record);
+  return command;
+}
+
+} // namespace
+
+TEST_CASE("RestartedInstance_MarkHoldsForItsLifeAndThoseBefore") {
+  ClusterState state;
+  state.apply(1, markOf(FirstLife, wire::GONE));
+  CHECK(state.lifecycleOf("i", FirstLife) == wire::GONE);
+  CHECK(state.lifecycleOf("i", SecondLife) == wire::READY);
+  state.apply(2, markOf(SecondLife, wire::LEAVING));
+  CHECK(state.lifecycleOf("i", SecondLife) == wire::LEAVING);
+  // A late good-bye of the first life.
+  state.apply(3, markOf(FirstLife, wire::GONE));
+  CHECK(state.lifecycleOf("i", SecondLife) == wire::LEAVING);
+  ClusterState restored;
+  REQUIRE(restored.restore(state.serialize()));
+  CHECK(restored.lifecycleOf("i", SecondLife) == wire::LEAVING);
+  CHECK(restored.lifecycleOf("i", SecondLife + 1) == wire::READY);
+}
+
+TEST_CASE("RestartedInstance_LateRecordDoesNotReplaceTheNextLife") {
+  ClusterState state;
+  state.apply(1, keepOf(SecondLife, "second"));
+  state.apply(2, keepOf(FirstLife, "first"));
+  state.apply(3, keepOf(FirstLife, ""));
+  state.apply(4, markOf(FirstLife, wire::GONE));
+  REQUIRE(state.instances().contains("i"));
+  CHECK(state.instances().at("i").record() == "second");
+  state.apply(5, markOf(SecondLife, wire::GONE));
+  CHECK(state.instances().empty());
+}
+
+TEST_CASE("RestartedInstance_EntriesWithoutALifeStillRead") {
+  ClusterState state;
+  state.apply(1, keepOf(0, "old"));
+  state.apply(2, markOf(0, wire::LEAVING));
+  CHECK(state.lifecycleOf("i", 0) == wire::LEAVING);
+  CHECK(state.lifecycleOf("i", FirstLife) == wire::READY);
+  state.apply(3, keepOf(FirstLife, "new"));
+  CHECK(state.instances().at("i").record() == "new");
+}
+
+TEST_CASE("RestartedInstance_QuestionsToTheEarlierLifeAreForgotten") {
+  FakeControls group;
+  prepare(group);
+  say(group, instanceOf("r1", false, SecondLife, 1));
+  CHECK(group.Platform.Forgotten.contains(InstanceId("r1")));
+}
+
+TEST_CASE("RestartedInstance_AnswerOfTheEarlierLifePromotesNobody") {
+  FakeControls group;
+  prepare(group);
+  group.Platform.HoldsStatuses = true;
+  losePrimary(group);
+  REQUIRE(group.Platform.HeldStatuses.size() >= 2);
+  // r1 is furthest, answers, and starts again before the choice.
+  for (auto &[id, onDone] : group.Platform.HeldStatuses)
+    if (id == InstanceId("r1") && onDone)
+      std::exchange(onDone,
+                    nullptr)(group.Platform.Statuses.at(InstanceId("r1")));
+  group.Platform.Statuses[InstanceId("r1")].Received = {{3}, {0}};
+  say(group, instanceOf("r1", false, SecondLife, 1));
+  group.Platform.HoldsStatuses = false;
+  for (auto &[id, onDone] : group.Platform.HeldStatuses)
+    if (onDone && group.Platform.Statuses.contains(id))
+      std::exchange(onDone, nullptr)(group.Platform.Statuses.at(id));
+  group.run(milliseconds(1500));
+  REQUIRE(!group.Platform.Orders.empty());
+  for (const auto &it : group.Platform.Orders)
+    CHECK(it.Instance == InstanceId("r2"));
+}
+
+TEST_CASE("RestartedInstance_OrderForTheEarlierLifeIsGivenAnew") {
+  FakeControls group;
+  prepare(group);
+  group.Platform.HoldsOrders = true;
+  losePrimary(group);
+  REQUIRE(group.Platform.Orders.size() == 1);
+  REQUIRE(group.Platform.Orders[0].Instance == InstanceId("r1"));
+  // It starts again, empty, before the order is answered.
+  group.Platform.Statuses[InstanceId("r1")].Received = {{3}, {0}};
+  say(group, instanceOf("r1", false, SecondLife, 1));
+  group.Platform.HeldOrders[0](PromotionResult::Accepted);
+  group.Platform.HoldsOrders = false;
+  group.run(milliseconds(200));
+  losePrimary(group);
+  REQUIRE(group.Platform.Orders.size() >= 2);
+  CHECK(group.Platform.Orders[1].Instance == InstanceId("r2"));
+  CHECK(group.Platform.Orders[1].Fence > group.Platform.Orders[0].Fence);
+}
+
+TEST_CASE("RestartedInstance_EmptyPrimaryIsReplacedByOneThatHoldsTheData") {
+  FakeControls group;
+  prepare(group);
+  group.Platform.Statuses[InstanceId("p")].Received = {{3}, {0}};
+  say(group, instanceOf("p", true, SecondLife, 1));
+  group.run(milliseconds(1000));
+  REQUIRE(!group.Platform.Orders.empty());
+  CHECK(group.Platform.Orders[0].Instance == InstanceId("r1"));
+}
+
+TEST_CASE("RestartedInstance_GroupThatAllStartedAnewKeepsItsPrimary") {
+  FakeControls group;
+  prepare(group);
+  for (const char *id : {"r1", "r2"})
+    say(group, instanceOf(id, false, SecondLife, 1));
+  group.Platform.Orders.clear();
+  say(group, instanceOf("p", true, SecondLife, 1));
+  group.run(milliseconds(1000));
+  CHECK(group.Platform.Orders.empty());
+}
+
+TEST_CASE("RestartedInstance_SilenceSeenOfTheEarlierLifeDoesNotCount") {
+  FakeControls group;
+  prepare(group);
+  // All have started anew, so the empty primary leads by its own word.
+  for (const char *id : {"r1", "r2"})
+    say(group, instanceOf(id, false, SecondLife, 1));
+  say(group, instanceOf("p", true, SecondLife, 1));
+  losePrimary(group);
+  CHECK(group.Platform.Orders.empty());
+}
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -5,6 +5,7 @@
 
 #include "peer/InstanceCodec.h"
 
+#include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
@@ -71,6 +72,7 @@
     auto &sight = *message.mutable_sights()->add_sights();
     sight.set_service(it.Service);
     sight.set_instance(it.Primary.str());
+    sight.set_born_ms(it.BornMs);
     sight.set_silent_ms(
         static_cast<std::uint64_t>(toMilliseconds(it.SilentFor)));
   }
@@ -116,7 +118,18 @@
     onPart(ip, message.configuration_part());
   else if (message.has_instances())
     for (const auto &it : message.instances().instances())
-      Proxy.applyInstance(Now, peer::decode(it));
+      onInstance(ip, it);
+}
+
+void EntryNode::onInstance(const std::string &ip,
+                           const peer::wire::Instance &instance) {
+  if (const auto record = peer::decode(instance))
+    return Proxy.applyInstance(Now, *record);
+  if (const auto leftOut = UnreadableLines.take(Now))
+    Log.decision(absl::StrCat(
+        "event=instance_unreadable ip=", ip,
+        " instance=", absl::CHexEscape(instance.id().substr(0, 64)),
+        " state=", instance.state(), " left_out=", *leftOut));
 }
 
 void EntryNode::onNotice(const std::string &ip,
@@ -127,8 +140,8 @@
   if (Entries.take(ip, notice))
     shareEntries();
   for (const auto &it : notice.promotions())
-    Proxy.applyPromotion(Now, it.service(), InstanceId(it.instance()),
-                         it.fence());
+    Proxy.applyPromotion(Now, it.service(),
+                         {InstanceId(it.instance()), it.born_ms(), it.fence()});
   if (notice.control_ips_size() > 0) {
     std::set<std::string> ips(notice.control_ips().begin(),
                               notice.control_ips().end());
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -7,6 +7,7 @@
 #ifndef STEPLEDGE_ENTRY_ENTRYNODE_H
 #define STEPLEDGE_ENTRY_ENTRYNODE_H
 
+#include "base/LineBudget.h"
 #include "distribution/ConfigurationFetch.h"
 #include "entry/EntryLists.h"
 #include "peer/IPeerListener.h"
@@ -65,6 +66,7 @@
                 const peer::wire::Message &message) override;
 
 private:
+  void onInstance(const std::string &ip, const peer::wire::Instance &instance);
   void onNotice(const std::string &ip, const peer::wire::Notice &notice);
   void onPart(const std::string &ip, const peer::wire::ConfigurationPart &part);
   /// Takes the change that was fetched; false where it doesn't fit.
@@ -96,6 +98,7 @@
   std::optional<TimePoint> IsolatedSince;
   std::set<std::string> Connected;
   EntryLists Entries;
+  LineBudget UnreadableLines;
 };
 
 } // namespace stepledge::entry
--- a/src/gateway/InstanceProbe.cpp
+++ b/src/gateway/InstanceProbe.cpp
@@ -108,6 +108,12 @@
   questions.fail();
 }
 
+void InstanceProbe::forget(const InstanceId &instance) {
+  const auto it = Connections.find(instance);
+  if (it != Connections.end())
+    lost(instance, it->second.Number);
+}
+
 void InstanceProbe::keepOnly(const std::vector<InstanceId> &instances) {
   std::vector<std::pair<InstanceId, std::uint64_t>> unwanted;
   for (const auto &[id, it] : Connections) {
--- a/platform/JsonFields.h
+++ b/src/http/JsonFields.h
@@ -2,10 +2,10 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file Fields of JSON objects; one that is missing or of another kind is
-/// empty, since the platform's bodies may gain and lose fields.
+/// empty, since callers may be of another version.
 
-#ifndef STEPLEDGE_PLATFORM_JSONFIELDS_H
-#define STEPLEDGE_PLATFORM_JSONFIELDS_H
+#ifndef STEPLEDGE_HTTP_JSONFIELDS_H
+#define STEPLEDGE_HTTP_JSONFIELDS_H
 
 #include <nlohmann/json.hpp>
 
@@ -13,7 +13,7 @@
 #include <cstdint>
 #include <string>
 
-namespace stepledge::platform {
+namespace stepledge::http {
 
 using Json = nlohmann::json;
 
@@ -48,6 +48,6 @@
   return it != table.end() && it->is_object() ? *it : Json::object();
 }
 
-} // namespace stepledge::platform
+} // namespace stepledge::http
 
-#endif // STEPLEDGE_PLATFORM_JSONFIELDS_H
+#endif // STEPLEDGE_HTTP_JSONFIELDS_H
--- a/src/membership/InstanceDirectory.cpp
+++ b/src/membership/InstanceDirectory.cpp
@@ -7,33 +7,52 @@
 
 namespace stepledge::membership {
 
+InstanceRecord merged(const InstanceRecord &known, const InstanceRecord &word) {
+  if (word.BornMs < known.BornMs)
+    return known;
+  if (word.BornMs > known.BornMs) {
+    InstanceRecord next = word;
+    // NOTE: an instance that gives the time of its start only now may have
+    // started long ago.
+    next.HasRestarted |= known.BornMs != 0;
+    return next;
+  }
+  InstanceRecord next = word.isNewerThan(known) ? word : known;
+  next.State = std::max(word.State, known.State);
+  next.HasRestarted = word.HasRestarted || known.HasRestarted;
+  return next;
+}
+
 Change InstanceDirectory::merge(TimePoint now, const InstanceRecord &record) {
   const auto [it, isNew] = Instances.try_emplace(record.Id, Known{record, now});
   if (isNew)
     return Change::Changed;
   auto &known = it->second;
-  InstanceRecord next = known.Record;
-  if (record.Sequence > known.Record.Sequence)
-    next = record;
-  // A state is never undone, not even by a later word of another kind.
-  next.State = std::max(record.State, known.Record.State);
-  const bool isNewer = next.Sequence > known.Record.Sequence;
+  const InstanceRecord next = merged(known.Record, record);
+  const bool isLaterLife = next.BornMs > known.Record.BornMs;
+  const bool isNewer = next.isNewerThan(known.Record);
   InstanceRecord same = next;
   same.Sequence = known.Record.Sequence;
   const bool isChanged = same != known.Record;
   known.Record = next;
   if (isNewer)
     known.HeardAt = now;
+  if (isLaterLife)
+    return Change::Restarted;
   if (isChanged)
     return Change::Changed;
   return isNewer ? Change::Alive : Change::None;
 }
 
-bool InstanceDirectory::raise(const InstanceId &id, InstanceState state) {
+bool InstanceDirectory::raise(const InstanceId &id, std::uint64_t bornMs,
+                              InstanceState state) {
   const auto it = Instances.find(id);
-  if (it == Instances.end() || it->second.Record.State >= state)
+  if (it == Instances.end())
+    return false;
+  auto &record = it->second.Record;
+  if (record.BornMs != bornMs || record.State >= state)
     return false;
-  it->second.Record.State = state;
+  record.State = state;
   return true;
 }
 
@@ -58,14 +77,14 @@
   return records;
 }
 
-std::vector<InstanceId> InstanceDirectory::expire(TimePoint now,
-                                                  Duration silence) {
-  std::vector<InstanceId> dropped;
+std::vector<InstanceRecord> InstanceDirectory::expire(TimePoint now,
+                                                      Duration silence) {
+  std::vector<InstanceRecord> dropped;
   for (const auto &[id, it] : Instances)
     if (now - it.HeardAt > silence)
-      dropped.push_back(id);
+      dropped.push_back(it.Record);
   for (const auto &it : dropped)
-    Instances.erase(it);
+    Instances.erase(it.Id);
   return dropped;
 }
 
--- a/src/membership/InstanceDirectory.h
+++ b/src/membership/InstanceDirectory.h
@@ -22,21 +22,29 @@
   Alive,
   /// Something that others have to hear.
   Changed,
+  /// The same, and the instance has started again under its id: what was
+  /// learned from its earlier life holds no longer.
+  Restarted,
 };
 
+/// What is known once \p word has come after \p known of the same instance. A
+/// state is never undone within a life, not even by a later word.
+InstanceRecord merged(const InstanceRecord &known, const InstanceRecord &word);
+
 class InstanceDirectory {
 public:
   /// Takes in what was heard of an instance, here or elsewhere.
   Change merge(TimePoint now, const InstanceRecord &record);
-  /// The state is raised to \p state, for good.
-  bool raise(const InstanceId &id, InstanceState state);
+  /// The state of the life that began at \p bornMs is raised to \p state, for
+  /// good.
+  bool raise(const InstanceId &id, std::uint64_t bornMs, InstanceState state);
   const InstanceRecord *find(const InstanceId &id) const;
   std::vector<InstanceRecord> all() const;
   /// Valid until the next change.
   std::vector<const InstanceRecord *>
   ofService(const std::string &service) const;
   /// Drops instances that have long been silent, and tells which.
-  std::vector<InstanceId> expire(TimePoint now, Duration silence);
+  std::vector<InstanceRecord> expire(TimePoint now, Duration silence);
 
 private:
   struct Known {
--- a/src/membership/types/InstanceRecord.h
+++ b/src/membership/types/InstanceRecord.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 
 namespace stepledge::membership {
 
@@ -28,8 +29,21 @@
   InstanceState State = InstanceState::Ready;
   /// Statements that it runs at once.
   int Slots = 0;
-  /// Counts the instance's own heartbeats; a lower one is a late one.
+  /// When this life of the instance began, in Unix ms by its own clock; 0 where
+  /// it doesn't say. An instance that starts again under its id holds nothing
+  /// of before, and counts anew.
+  std::uint64_t BornMs = 0;
+  /// Counts the heartbeats of this life; a lower one is a late one.
   std::uint64_t Sequence = 0;
+  /// An earlier life under this id was known: it has lost its data, so its own
+  /// word that it is the primary isn't enough.
+  bool HasRestarted = false;
+
+  /// The word of a later life goes first, then the later word.
+  bool isNewerThan(const InstanceRecord &other) const {
+    return std::pair(BornMs, Sequence) >
+           std::pair(other.BornMs, other.Sequence);
+  }
 
   bool operator==(const InstanceRecord &) const = default;
 };
--- a/src/peer/InstanceCodec.cpp
+++ b/src/peer/InstanceCodec.cpp
@@ -3,7 +3,7 @@
 
 #include "peer/InstanceCodec.h"
 
-#include <algorithm>
+#include "membership/InstanceNames.h"
 
 namespace stepledge::peer {
 
@@ -21,10 +21,18 @@
   instance.set_state(static_cast<std::uint32_t>(record.State));
   instance.set_slots(static_cast<std::uint32_t>(record.Slots));
   instance.set_sequence(record.Sequence);
+  instance.set_born_ms(record.BornMs);
+  instance.set_has_restarted(record.HasRestarted);
   return instance;
 }
 
-InstanceRecord decode(const wire::Instance &instance) {
+std::optional<InstanceRecord> decode(const wire::Instance &instance) {
+  constexpr auto LastState = static_cast<std::uint32_t>(InstanceState::Gone);
+  const bool isNamed = membership::isName(instance.id()) &&
+                       membership::isName(instance.service()) &&
+                       membership::isName(instance.address());
+  if (!isNamed || instance.state() > LastState)
+    return std::nullopt;
   InstanceRecord record;
   record.Id = InstanceId(instance.id());
   record.Service = instance.service();
@@ -32,10 +40,11 @@
   record.Hall = HallId(instance.hall());
   record.Role =
       instance.is_primary() ? InstanceRole::Primary : InstanceRole::Replica;
-  constexpr auto Last = static_cast<std::uint32_t>(InstanceState::Gone);
-  record.State = static_cast<InstanceState>(std::min(instance.state(), Last));
+  record.State = static_cast<InstanceState>(instance.state());
   record.Slots = static_cast<int>(instance.slots());
   record.Sequence = instance.sequence();
+  record.BornMs = instance.born_ms();
+  record.HasRestarted = instance.has_restarted();
   return record;
 }
 
--- a/src/peer/InstanceCodec.h
+++ b/src/peer/InstanceCodec.h
@@ -9,10 +9,15 @@
 #include "membership/types/InstanceRecord.h"
 #include "peer/generated/Peer.pb.h"
 
+#include <optional>
+
 namespace stepledge::peer {
 
 wire::Instance encode(const membership::InstanceRecord &record);
-membership::InstanceRecord decode(const wire::Instance &instance);
+/// Nothing where the message names no instance that could be used: its id,
+/// service or address is no name, or this program doesn't know its state.
+std::optional<membership::InstanceRecord>
+decode(const wire::Instance &instance);
 
 } // namespace stepledge::peer
 
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -48,7 +48,8 @@
 
 void Proxy::applyInstance(TimePoint now,
                           const membership::InstanceRecord &record) {
-  tracker(record.Service).update(now, record);
+  if (tracker(record.Service).update(now, record))
+    dropEarlierLife(now, record);
   if (record.State == InstanceState::Gone) {
     std::vector<ConnectionId> unused;
     for (const auto &[id, it] : Pool.all())
@@ -60,9 +61,26 @@
   dispatchWaiting(now, record.Service);
 }
 
+void Proxy::dropEarlierLife(TimePoint now,
+                            const membership::InstanceRecord &record) {
+  Log.decision(
+      absl::StrCat("event=instance_restarted instance=", record.Id.str(),
+                   " service=", record.Service, " born_ms=", record.BornMs));
+  for (const auto id : Pool.idsOf(record.Id)) {
+    if (!Pool.find(id))
+      continue;
+    Io.closeConnection(id);
+    connectionLost(now, id);
+  }
+  // NOTE: the losses are no sign that the new life is silent.
+  tracker(record.Service).forgetSilence(record.Id);
+  Pool.refuseUntil(record.Id, {});
+  BadLenders.erase(record.Id);
+}
+
 void Proxy::applyPromotion(TimePoint now, const std::string &service,
-                           const InstanceId &primary, std::uint64_t fence) {
-  tracker(service).notePromotion(primary, fence);
+                           const Promotion &promotion) {
+  tracker(service).notePromotion(promotion);
   dispatchWaiting(now, service);
 }
 
@@ -328,8 +346,9 @@
     const auto primary = it->primary(now);
     if (!primary)
       continue;
-    PrimarySight sight{service, *primary, {}};
     const auto *instance = it->find(*primary);
+    PrimarySight sight{service, *primary,
+                       instance ? instance->Record.BornMs : 0, Duration{}};
     if (instance && instance->SilentSince)
       sight.SilentFor = now - *instance->SilentSince;
     sights.push_back(std::move(sight));
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -30,6 +30,8 @@
 struct PrimarySight {
   std::string Service;
   InstanceId Primary;
+  /// The life that is meant; as in membership::InstanceRecord.
+  std::uint64_t BornMs = 0;
   /// How long questions to it have stayed without an answer; 0 if none has.
   Duration SilentFor{};
 };
@@ -51,7 +53,7 @@
   void applyConfiguration(TimePoint now, control::Configuration configuration);
   void applyInstance(TimePoint now, const membership::InstanceRecord &record);
   void applyPromotion(TimePoint now, const std::string &service,
-                      const InstanceId &primary, std::uint64_t fence);
+                      const Promotion &promotion);
   /// The VMs that share the instances' connections; each may pass bytes on to
   /// an instance, or lend.
   void setEntries(std::vector<membership::EntryVm> entries);
@@ -95,6 +97,11 @@
   std::vector<PrimarySight> primarySights(TimePoint now) const;
 
 private:
+  /// Closes all connections to an instance that has started again: a connection
+  /// belongs to the life that was known when it was opened. One that was opened
+  /// to the new life before the word of it came is closed too, which costs a
+  /// new connection; one of the earlier life is never used.
+  void dropEarlierLife(TimePoint now, const membership::InstanceRecord &record);
   ClientSession *session(ClientId client);
   InstanceTracker &tracker(const std::string &service);
   const control::Route *routeOf(const ClientSession &session) const;
--- a/src/proxy/internal/ConnectionPool.h
+++ b/src/proxy/internal/ConnectionPool.h
@@ -50,6 +50,10 @@
   /// The instance has no room: no new connection before \p until.
   void refuseUntil(const InstanceId &instance, TimePoint until);
   int countOf(const InstanceId &instance) const;
+  /// A copy, since handling one may change the pool.
+  std::set<ConnectionId> idsOf(const InstanceId &instance) const {
+    return idsAt(instance);
+  }
   /// Connections that aren't borrowed.
   int ownAt(const InstanceId &instance) const;
   /// Since when this VM has had an own connection, if it has one.
--- a/src/proxy/internal/InstanceTracker.cpp
+++ b/src/proxy/internal/InstanceTracker.cpp
@@ -3,6 +3,8 @@
 
 #include "proxy/internal/InstanceTracker.h"
 
+#include "membership/InstanceDirectory.h"
+
 #include <algorithm>
 #include <cmath>
 #include <iterator>
@@ -64,25 +66,33 @@
   return !instance.LeavingSince || now - *instance.LeavingSince < LeavingUse;
 }
 
-void InstanceTracker::update(TimePoint now,
+bool InstanceTracker::update(TimePoint now,
                              const membership::InstanceRecord &record) {
-  auto &it = Instances[record.Id];
-  it.Record = record;
-  if (record.State != InstanceState::Ready && !it.LeavingSince)
+  const auto [found, isNew] = Instances.try_emplace(record.Id);
+  auto &it = found->second;
+  const auto next = isNew ? record : membership::merged(it.Record, record);
+  const bool isLaterLife = !isNew && next.BornMs > it.Record.BornMs;
+  if (isLaterLife) {
+    it = {};
+    if (ProvenLead == record.Id)
+      ProvenLead.reset();
+  }
+  it.Record = next;
+  if (next.State != InstanceState::Ready && !it.LeavingSince)
     it.LeavingSince = now;
-  if (record.State == InstanceState::Gone)
-    Instances.erase(record.Id);
+  if (next.State == InstanceState::Gone)
+    Instances.erase(found);
+  return isLaterLife;
 }
 
 void InstanceTracker::remove(const InstanceId &id) { Instances.erase(id); }
 
-void InstanceTracker::notePromotion(const InstanceId &id, std::uint64_t fence) {
-  if (fence <= PromotedFence)
+void InstanceTracker::notePromotion(const Promotion &promotion) {
+  if (promotion.Fence <= Promoted.Fence)
     return;
-  PromotedFence = fence;
-  Promoted = id;
+  Promoted = promotion;
   ProvenLead.reset();
-  if (auto *it = find(id))
+  if (auto *it = find(promotion.Instance))
     it->DeniedLeadUntil = {};
 }
 
@@ -91,6 +101,16 @@
   return it == Instances.end() ? nullptr : &it->second;
 }
 
+bool InstanceTracker::mayLead(const membership::InstanceRecord &record) const {
+  if (!record.HasRestarted || isPromoted(record))
+    return true;
+  return std::none_of(
+      Instances.begin(), Instances.end(), [](const auto &other) {
+        const auto &it = other.second.Record;
+        return it.State == InstanceState::Ready && !it.HasRestarted;
+      });
+}
+
 std::optional<InstanceId> InstanceTracker::primary(TimePoint now) const {
   if (ProvenLead) {
     const auto it = Instances.find(*ProvenLead);
@@ -101,17 +121,18 @@
   for (const auto &[id, it] : Instances) {
     if (it.DeniedLeadUntil > now)
       continue;
-    if (Promoted == id)
+    if (isPromoted(it.Record))
       return id;
-    if (it.Record.Role != InstanceRole::Primary)
+    if (it.Record.Role != InstanceRole::Primary || !mayLead(it.Record))
       continue;
     if (!best || it.Position > best->Position)
       best = &it;
   }
   if (best)
     return best->Record.Id;
-  if (Promoted && Instances.contains(*Promoted))
-    return Promoted;
+  const auto promoted = Instances.find(Promoted.Instance);
+  if (promoted != Instances.end() && isPromoted(promoted->second.Record))
+    return promoted->first;
   return std::nullopt;
 }
 
@@ -222,6 +243,8 @@
 
 void InstanceTracker::noteProof(TimePoint sentAt, const InstanceId &id,
                                 const Mark &position) {
+  if (const auto *it = find(id); it && !mayLead(it->Record))
+    return;
   ProvenLead = id;
   // A newer term starts a new history: older proofs may name lost commits.
   if (!Proofs.empty() && Proofs.back().Position.WrittenIn < position.WrittenIn)
@@ -272,6 +295,15 @@
     it->SilentSince = now;
 }
 
+void InstanceTracker::forgetSilence(const InstanceId &id) {
+  auto *it = find(id);
+  if (!it)
+    return;
+  it->SilentSince.reset();
+  it->AvoidUntil = {};
+  it->IsDirectBad = false;
+}
+
 void InstanceTracker::noteDeniedLead(TimePoint now, const InstanceId &id) {
   if (ProvenLead == id)
     ProvenLead.reset();
--- a/src/proxy/internal/InstanceTracker.h
+++ b/src/proxy/internal/InstanceTracker.h
@@ -80,16 +80,28 @@
   TimePoint DeniedLeadUntil{};
 };
 
+/// Control made this life of an instance the primary; the highest fence holds.
+struct Promotion {
+  InstanceId Instance;
+  /// As in membership::InstanceRecord.
+  std::uint64_t BornMs = 0;
+  std::uint64_t Fence = 0;
+};
+
 class InstanceTracker {
 public:
   explicit InstanceTracker(HallId ownHall) : OwnHall(std::move(ownHall)) {}
 
-  void update(TimePoint now, const membership::InstanceRecord &record);
+  /// True if the instance has started again since the last word of it: then
+  /// nothing is kept of what was learned.
+  bool update(TimePoint now, const membership::InstanceRecord &record);
   /// No new work goes to an instance that has been leaving for long.
   static bool mayStartAt(TimePoint now, const TrackedInstance &instance);
   void remove(const InstanceId &id);
-  /// Control replaced the primary by \p id; \p fence orders such notices.
-  void notePromotion(const InstanceId &id, std::uint64_t fence);
+  /// Control replaced the primary.
+  void notePromotion(const Promotion &promotion);
+  /// What was taken for silence of the instance was none.
+  void forgetSilence(const InstanceId &id);
 
   TrackedInstance *find(const InstanceId &id);
   std::map<InstanceId, TrackedInstance> &all() { return Instances; }
@@ -118,6 +130,12 @@
   void forgetProofs() { Proofs.clear(); }
 
 private:
+  bool isPromoted(const membership::InstanceRecord &record) const {
+    return Promoted.Instance == record.Id && Promoted.BornMs == record.BornMs;
+  }
+  /// An instance that has started again and lost its data doesn't lead by its
+  /// own word while another one holds what was acknowledged.
+  bool mayLead(const membership::InstanceRecord &record) const;
   Duration lagOf(TimePoint now, const Mark &position) const;
   bool isExpectedAt(TimePoint now, const TrackedInstance &instance,
                     const Mark &minimum) const;
@@ -131,8 +149,7 @@
   std::map<InstanceId, TrackedInstance> Instances;
   /// The last one that proved its lead, unless control named another since.
   std::optional<InstanceId> ProvenLead;
-  std::optional<InstanceId> Promoted;
-  std::uint64_t PromotedFence = 0;
+  Promotion Promoted;
   std::deque<PositionProof> Proofs;
 };
 
--- a/src/proxy/tests/ProxyBorrowingTest.cpp
+++ b/src/proxy/tests/ProxyBorrowingTest.cpp
@@ -119,7 +119,7 @@
   it.warmUp();
   it.Core.setEntries({{"10.9.9.1", HallId("a")}, {"10.9.9.2", HallId("a")}});
   it.addInstance("p2", membership::InstanceRole::Primary, "10.0.0.4:1");
-  it.Core.applyPromotion(it.Now, "db", InstanceId("p2"), 9);
+  it.Core.applyPromotion(it.Now, "db", {InstanceId("p2"), 0, 9});
   const auto client = it.connect("current");
   it.Ready.insert(ConnectionId{}); // Connections are taken by hand from here.
   ClientStatement statement;
--- /dev/null
+++ b/src/proxy/tests/RestartedInstanceTest.cpp
@@ -0,0 +1,134 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Instances that start again under their id, as the proxy sees them.
+
+#include "proxy/tests/ProxyFixture.h"
+
+using namespace stepledge;
+using namespace stepledge::proxy;
+using namespace stepledge::proxy::tests;
+
+namespace {
+
+constexpr std::uint64_t FirstLife = 1'800'000'000'000;
+constexpr std::uint64_t SecondLife = FirstLife + 60'000;
+
+membership::InstanceRecord recordOf(const char *id, bool isPrimary,
+                                    std::uint64_t bornMs,
+                                    std::uint64_t sequence) {
+  membership::InstanceRecord record;
+  record.Id = InstanceId(id);
+  record.Service = "db";
+  record.Address = "10.0.0.9:1";
+  record.Hall = HallId("a");
+  record.Role = isPrimary ? membership::InstanceRole::Primary
+                          : membership::InstanceRole::Replica;
+  record.Slots = 3;
+  record.BornMs = bornMs;
+  record.Sequence = sequence;
+  return record;
+}
+
+/// The proxy knows in which life its instances are.
+void tellLives(ProxyFixture &it) {
+  it.Core.applyInstance(it.Now, recordOf("p", true, FirstLife, 9));
+  it.Core.applyInstance(it.Now, recordOf("r1", false, FirstLife, 9));
+  it.Core.applyInstance(it.Now, recordOf("r2", false, FirstLife, 9));
+  it.warmUp();
+}
+
+std::set<ConnectionId> connectionsTo(ProxyFixture &it, const char *id) {
+  std::set<ConnectionId> ids;
+  for (const auto &[connection, target] : it.Io.Opened)
+    if (target.Instance == InstanceId(id))
+      ids.insert(connection);
+  return ids;
+}
+
+} // namespace
+
+TEST_CASE("RestartedInstance_NoConnectionOfTheEarlierLifeIsUsedAgain") {
+  ProxyFixture it;
+  tellLives(it);
+  const auto before = connectionsTo(it, "p");
+  REQUIRE(!before.empty());
+  it.Core.applyInstance(it.Now, recordOf("p", true, SecondLife, 1));
+  for (const auto id : connectionsTo(it, "p"))
+    CHECK(!before.contains(id));
+}
+
+TEST_CASE("RestartedInstance_TransactionOfTheEarlierLifeIsAborted") {
+  ProxyFixture it;
+  tellLives(it);
+  const auto client = it.connect("current");
+  it.beginTransaction(client);
+  it.Core.applyInstance(it.Now, recordOf("p", true, SecondLife, 1));
+  it.ask(client, StatementKind::Write, "WRITE x 2");
+  CHECK(it.lastAnswer(client).Code == ReplyCode::Aborted);
+  CHECK(!it.carrierOf("WRITE x 2"));
+}
+
+TEST_CASE("RestartedInstance_CommitUnderWayIsTold") {
+  ProxyFixture it;
+  tellLives(it);
+  const auto client = it.connect("current");
+  it.beginTransaction(client);
+  it.ask(client, StatementKind::Commit, "COMMIT");
+  REQUIRE(it.carrierOf("COMMIT"));
+  it.Core.applyInstance(it.Now, recordOf("p", true, SecondLife, 1));
+  CHECK(it.lastAnswer(client).Code == ReplyCode::OutcomeUnknown);
+}
+
+TEST_CASE("RestartedInstance_EmptyPrimaryIsNotBelievedByItsOwnWord") {
+  ProxyFixture it;
+  tellLives(it);
+  it.Core.applyInstance(it.Now, recordOf("p", true, SecondLife, 1));
+  CHECK(it.Core.primarySights(it.Now).empty());
+  // It runs the start of a plain transaction as well, which proves a lead
+  // otherwise; its log has nothing of what was acknowledged.
+  it.advance(milliseconds(150));
+  it.answerOwn(markOf(1, 0));
+  CHECK(it.Core.primarySights(it.Now).empty());
+  it.Core.applyPromotion(it.Now, "db", {InstanceId("r1"), FirstLife, 7});
+  REQUIRE(it.Core.primarySights(it.Now).size() == 1);
+  CHECK(it.Core.primarySights(it.Now)[0].Primary == InstanceId("r1"));
+}
+
+TEST_CASE("RestartedInstance_PromotionOfTheEarlierLifeNamesNobody") {
+  ProxyFixture it;
+  tellLives(it);
+  it.Core.applyPromotion(it.Now, "db", {InstanceId("r1"), FirstLife, 7});
+  REQUIRE(it.Core.primarySights(it.Now)[0].Primary == InstanceId("r1"));
+  it.Core.applyInstance(it.Now, recordOf("r1", false, SecondLife, 1));
+  const auto sights = it.Core.primarySights(it.Now);
+  CHECK((sights.empty() || sights[0].Primary != InstanceId("r1")));
+}
+
+TEST_CASE("RestartedInstance_LateWordOfAnotherVmChangesNothing") {
+  ProxyFixture it;
+  tellLives(it);
+  it.Core.applyInstance(it.Now, recordOf("r1", false, SecondLife, 4));
+  auto late = recordOf("r1", false, FirstLife, 30);
+  late.State = membership::InstanceState::Gone;
+  const auto before = connectionsTo(it, "r1");
+  it.Core.applyInstance(it.Now, late);
+  CHECK(connectionsTo(it, "r1") == before);
+  // An older word of the same life neither.
+  auto old = recordOf("p", false, FirstLife, 3);
+  it.Core.applyInstance(it.Now, old);
+  REQUIRE(it.Core.primarySights(it.Now).size() == 1);
+  CHECK(it.Core.primarySights(it.Now)[0].Primary == InstanceId("p"));
+}
+
+TEST_CASE("RestartedInstance_NewLifeIsNotTakenForSilent") {
+  ProxyFixture it;
+  tellLives(it);
+  for (const char *id : {"r1", "r2"})
+    it.Core.applyInstance(it.Now, recordOf(id, false, SecondLife, 1));
+  it.Core.applyInstance(it.Now, recordOf("p", true, SecondLife, 1));
+  const auto sights = it.Core.primarySights(it.Now);
+  REQUIRE(sights.size() == 1);
+  CHECK(sights[0].BornMs == SecondLife);
+  CHECK(sights[0].SilentFor == Duration{});
+}
--- a/src/proxy/tests/SimulatedInstances.cpp
+++ b/src/proxy/tests/SimulatedInstances.cpp
@@ -344,7 +344,7 @@
   for (auto &it : Instances)
     it.Held = std::min(it.Held, History.size());
   for (auto *proxy : Proxies)
-    proxy->applyPromotion(Now, "db", InstanceId(idOf(instance)), Term);
+    proxy->applyPromotion(Now, "db", {InstanceId(idOf(instance)), 0, Term});
 }
 
 void SimulatedInstances::resetConnections() {
