Report a primary as lost when another instance has its address

Change: the primary stays known and counts as silent, reached by nobody, as one that doesn't answer does; other instances are forgotten as before. Figures: the new test fails before.

--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -53,8 +53,17 @@
   const bool isAlone = Pool.ownAt(instance) == 0;
   Pool.refuseUntil(
       instance, now + (isAlone ? Options.FullPauseAlone : Options.FullPause));
-  if (reply.Code == ReplyCode::WrongInstance)
-    tracker(service).remove(instance);
+  if (reply.Code != ReplyCode::WrongInstance)
+    return;
+  auto &instances = tracker(service);
+  auto *known = instances.find(instance);
+  if (!known || instances.primary(now) != instance)
+    return instances.remove(instance);
+  // NOTE: a primary that has ended is replaced only once VMs report it as
+  // silent; forgotten here, it was missed by nobody until its record expired.
+  // Its service had no primary for 20 s (simulated day), as the test shows.
+  instances.noteSilence(now, instance);
+  noteDirectBad(now, *known);
 }
 
 void Proxy::connectionAnswered(TimePoint now, ConnectionId connection,
--- a/src/proxy/tests/ProxyPrimaryTest.cpp
+++ b/src/proxy/tests/ProxyPrimaryTest.cpp
@@ -80,3 +80,36 @@
   it.advance(milliseconds(100));
   CHECK(!it.carrierOf("WRITE y 1"));
 }
+
+TEST_CASE("Proxy_PrimaryWhoseAddressAnotherInstanceHasIsReportedAsLost") {
+  // It crashed and another one has its address. Once it was forgotten, nobody
+  // reported it, and its service had no primary until its record expired: 20 s
+  // on a simulated day, 1 s where it is reported.
+  Fixture it;
+  it.warmUp();
+  for (const auto &[id, target] : std::map(it.Io.Opened)) {
+    if (target.Instance != InstanceId("p"))
+      continue;
+    it.Io.closeConnection(id);
+    it.Core.connectionLost(it.Now, id);
+  }
+  const auto refuseAll = [&it] {
+    for (const auto &[id, target] : std::map(it.Io.Opened))
+      if (target.Instance == InstanceId("p") && it.Ready.insert(id).second)
+        it.Core.connectionReady(it.Now, id,
+                                Fixture::refusal(ReplyCode::WrongInstance));
+  };
+  for (int i = 0; i < 100; ++i) {
+    it.Now += milliseconds(10);
+    it.Core.tick(it.Now);
+    refuseAll();
+  }
+  const auto sights = it.Core.primarySights(it.Now);
+  REQUIRE(sights.size() == 1);
+  CHECK(sights[0].Primary == InstanceId("p"));
+  CHECK(sights[0].SilentFor >= milliseconds(600));
+  // Who borrows here hears that it can't be reached.
+  it.Core.lender().ask(it.Now, {"10.9.9.9", 1},
+                       {"db", InstanceId("p"), {InstanceCommand()}, {}, true});
+  CHECK(it.Io.Ended[{"10.9.9.9", 1}] == LendingEnd::Unreachable);
+}
