--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -61,7 +61,7 @@
     return instances.remove(instance);
   // NOTE: a primary that has ended is replaced only once VMs report it as
   // silent; forgotten here, it was missed by nobody until its record expired.
-  // Its service had no primary for 20 s (simulated day), as the test shows.
+  // Its service had no primary for 20 s (simulated day).
   instances.noteSilence(now, instance);
   noteDirectBad(now, *known);
 }
