--- /dev/null
+++ b/src/control/internal/Instances.cpp
@@ -0,0 +1,173 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The part of ControlNode that keeps what is known of the instances:
+/// their heartbeats, their lives, and whether they answer.
+
+#include "control/ControlNode.h"
+
+#include "control/internal/Replacement.h"
+#include "peer/InstanceCodec.h"
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace stepledge::control {
+
+using membership::Change;
+using membership::InstanceRole;
+using membership::InstanceState;
+
+void ControlNode::instanceSaid(TimePoint now, membership::InstanceRecord record,
+                               OnDone onDone) {
+  // NOTE: a word of an earlier life that was held back on its way.
+  if (record.BornMs < bornOf(record.Id))
+    return onDone(true);
+  const auto lifecycle = State.lifecycleOf(record.Id.str(), record.BornMs);
+  record.State = std::max(record.State, static_cast<InstanceState>(lifecycle));
+  learn(now, record, false);
+  const bool isMarked = lifecycle != wire::READY;
+  if (record.State == InstanceState::Ready || isMarked)
+    return onDone(true);
+  wire::Command command;
+  auto &mark = *command.mutable_mark_instance();
+  mark.set_instance(record.Id.str());
+  mark.set_state(wire::LEAVING);
+  mark.set_born_ms(record.BornMs);
+  startCall(now, std::move(command), false, std::move(onDone));
+}
+
+bool ControlNode::servesInstance(
+    const membership::InstanceRecord &record) const {
+  const auto &newest = Configurations.newest();
+  return newest.Version == 0 || newest.Services.contains(record.Service) ||
+         Directory.find(record.Id) != nullptr;
+}
+
+std::uint64_t ControlNode::bornOf(const InstanceId &id) const {
+  const auto *known = Directory.find(id);
+  return known ? known->BornMs : 0;
+}
+
+void ControlNode::instanceLeft(TimePoint now, const InstanceId &id,
+                               std::optional<std::uint64_t> bornMs,
+                               OnDone onDone) {
+  wire::Command command;
+  auto &mark = *command.mutable_mark_instance();
+  mark.set_instance(id.str());
+  mark.set_state(wire::GONE);
+  mark.set_born_ms(bornMs.value_or(bornOf(id)));
+  startCall(now, std::move(command), false, std::move(onDone));
+}
+
+void ControlNode::learn(TimePoint now, const membership::InstanceRecord &record,
+                        bool isFromPeer) {
+  auto known = record;
+  const auto lifecycle = State.lifecycleOf(known.Id.str(), known.BornMs);
+  known.State = std::max(known.State, static_cast<InstanceState>(lifecycle));
+  const Change change = Directory.merge(now, known);
+  if (change == Change::None)
+    return;
+  if (change == Change::Restarted)
+    forgetEarlierLife(now, record);
+  const bool isChanged = change != Change::Alive;
+  peer::wire::Message message;
+  *message.mutable_instances()->add_instances() =
+      peer::encode(*Directory.find(record.Id));
+  if (isChanged)
+    tellEntries(message);
+  auto &told = ToldAlive[record.Id];
+  const bool isDue = isChanged || now - told > Options.AliveInterval;
+  if (isFromPeer || !isDue)
+    return;
+  told = now;
+  tellControls(message);
+  if (isChanged)
+    keepInstance(now, record.Id, bornOf(record.Id));
+}
+
+void ControlNode::learnFromWire(TimePoint now,
+                                const peer::wire::Instance &instance) {
+  if (const auto record = peer::decode(instance))
+    return learn(now, *record, true);
+  if (const auto leftOut = UnreadableLines.take(now))
+    Log.decision(absl::StrCat("event=instance_unreadable instance=",
+                              absl::CHexEscape(instance.id().substr(0, 64)),
+                              " state=", instance.state(),
+                              " left_out=", *leftOut));
+}
+
+void ControlNode::forgetEarlierLife(TimePoint now,
+                                    const membership::InstanceRecord &record) {
+  Log.decision(
+      absl::StrCat("event=instance_restarted instance=", record.Id.str(),
+                   " service=", record.Service, " born_ms=", record.BornMs));
+  PingSentAt.erase(record.Id);
+  PingMissedSince.erase(record.Id);
+  PingedAt.erase(record.Id);
+  Watch.forget(record.Service, record.Id);
+  Probe.forget(record.Id);
+  Replacer->instanceRestarted(now, record);
+}
+
+void ControlNode::keepInstance(TimePoint now, const InstanceId &id,
+                               std::uint64_t bornMs) {
+  wire::Command command;
+  auto &keep = *command.mutable_keep_instance();
+  keep.set_instance(id.str());
+  keep.set_born_ms(bornMs);
+  if (const auto *known = Directory.find(id))
+    keep.set_record(peer::encode(*known).SerializeAsString());
+  // NOTE: nobody waits for it: the next heartbeats say the same again.
+  startCall(now, std::move(command), false, [](bool) {});
+}
+
+void ControlNode::learnKept(TimePoint now) {
+  for (const auto &[id, it] : State.instances()) {
+    const auto *known = Directory.find(InstanceId(id));
+    peer::wire::Instance instance;
+    if (known && known->BornMs >= it.born_ms())
+      continue;
+    // NOTE: the default instance is none that can be read, and is told so.
+    (void)instance.ParseFromString(it.record());
+    learnFromWire(now, instance);
+  }
+}
+
+void ControlNode::pingInstances(TimePoint now) {
+  if (now < PingAt)
+    return;
+  PingAt = now + Options.PingInterval;
+  std::vector<InstanceId> known;
+  for (const auto &it : Directory.all()) {
+    if (it.State == InstanceState::Gone)
+      continue;
+    const InstanceId id = it.Id;
+    known.push_back(id);
+    const bool isPrimary = it.Role == InstanceRole::Primary;
+    const auto missed = PingMissedSince.find(id);
+    if (isPrimary)
+      Watch.report(now, Options.Ip, it.Service, id,
+                   missed == PingMissedSince.end() ? Duration{}
+                                                   : now - missed->second);
+    // NOTE: a replica is asked so that the connection is there when its status
+    // is needed; a full instance would refuse a new one.
+    auto &pingedAt = PingedAt[id];
+    const bool isDue = isPrimary || now - pingedAt >= Options.IdlePingInterval;
+    if (!isDue || !PingSentAt.try_emplace(id, now).second)
+      continue;
+    pingedAt = now;
+    Probe.ping(it, [this, id](bool isAlive) {
+      const auto sent = PingSentAt.extract(id);
+      if (isAlive)
+        PingMissedSince.erase(id);
+      else if (!sent.empty())
+        PingMissedSince.try_emplace(id, sent.mapped());
+    });
+  }
+  Probe.keepOnly(known);
+}
+} // namespace stepledge::control
