--- a/src/base/types/Ids.h
+++ b/src/base/types/Ids.h
@@ -36,6 +36,8 @@
 using InstanceId = NamedId<struct InstanceTag>;
 using VmId = NamedId<struct VmTag>;
 using HallId = NamedId<struct HallTag>;
+/// A customer of the operator, for whom a connection to an instance is opened.
+using OrganisationId = NamedId<struct OrganisationTag>;
 /// Names a decision or request across VMs: "<vm>-<number>".
 using DecisionId = NamedId<struct DecisionTag>;
 /// Names an open transaction and its owner: "<vm>.<number>.<nonce>".
--- a/src/distribution/ChangeCodec.cpp
+++ b/src/distribution/ChangeCodec.cpp
@@ -18,7 +18,7 @@
 auto settingsOf(const Route &route) {
   return std::make_tuple(route.Service, route.Policy, route.StatementTimeout,
                          route.LatencyObjective, route.MaxStaleness,
-                         route.Priority);
+                         route.Priority, route.IsPublic);
 }
 
 void encodeSettings(const Route &route, wire::RouteGroup &out) {
@@ -28,6 +28,7 @@
   out.set_latency_objective_us(route.LatencyObjective.count());
   out.set_max_staleness_us(route.MaxStaleness.count());
   out.set_priority(route.Priority);
+  out.set_is_public(route.IsPublic);
 }
 
 Route decodeSettings(const wire::RouteGroup &group) {
@@ -38,6 +39,7 @@
   route.LatencyObjective = Duration(group.latency_objective_us());
   route.MaxStaleness = Duration(group.max_staleness_us());
   route.Priority = group.priority();
+  route.IsPublic = group.is_public();
   return route;
 }
 
@@ -70,6 +72,43 @@
     out.add_removed_services(it);
 }
 
+void encodeOrganisations(const ConfigurationChange &change, wire::Change &out) {
+  for (const auto &[id, organisation] : change.Organisations) {
+    auto &it = *out.add_organisations();
+    it.set_id(id.str());
+    for (const auto &key : organisation.Keys)
+      it.add_keys(key.toBytes());
+    it.set_priority(organisation.Priority);
+    it.set_rate_per_second(organisation.RatePerSecond);
+    it.set_burst(organisation.Burst);
+  }
+  for (const auto &it : change.RemovedOrganisations)
+    out.add_removed_organisations(it.str());
+  out.set_has_organisations(change.HasOrganisations);
+}
+
+/// False where a key is no digest.
+bool decodeOrganisations(const wire::Change &in, ConfigurationChange &change) {
+  for (const auto &it : in.organisations()) {
+    control::Organisation organisation;
+    organisation.Id = OrganisationId(it.id());
+    for (const auto &bytes : it.keys()) {
+      const auto key = KeyDigest::fromBytes(bytes);
+      if (!key)
+        return false;
+      organisation.Keys.insert(*key);
+    }
+    organisation.Priority = it.priority();
+    organisation.RatePerSecond = it.rate_per_second();
+    organisation.Burst = it.burst();
+    change.Organisations.insert_or_assign(organisation.Id, organisation);
+  }
+  for (const auto &it : in.removed_organisations())
+    change.RemovedOrganisations.insert(OrganisationId(it));
+  change.HasOrganisations = in.has_organisations();
+  return true;
+}
+
 } // namespace
 
 std::string encodeChange(const ConfigurationChange &change) {
@@ -78,6 +117,7 @@
   out.set_to(change.To);
   encodeRoutes(change, out);
   encodeServices(change, out);
+  encodeOrganisations(change, out);
   out.set_transaction_idle_limit_us(change.TransactionIdleLimit.count());
   out.set_digest(change.Digest);
   return out.SerializeAsString();
@@ -106,6 +146,8 @@
                                   it.sync_replicas()};
   change.RemovedServices.insert(in.removed_services().begin(),
                                 in.removed_services().end());
+  if (!decodeOrganisations(in, change))
+    return std::nullopt;
   change.TransactionIdleLimit = Duration(in.transaction_idle_limit_us());
   change.Digest = in.digest();
   return change;
--- a/src/distribution/tests/ConfigurationChangeTest.cpp
+++ b/src/distribution/tests/ConfigurationChangeTest.cpp
@@ -42,14 +42,27 @@
     route.Policy = static_cast<control::ReadPolicy>(pick(3));
     route.StatementTimeout = milliseconds(pick(3));
     route.Priority = pick(2);
+    route.IsPublic = pick(2) == 0;
     configuration.Routes[route.Database] = route;
   }
+  configuration.HasOrganisations = pick(2) == 0;
+  for (int i = pick(8); i > 0; --i) {
+    control::Organisation organisation;
+    organisation.Id = OrganisationId("o" + std::to_string(pick(9)));
+    for (int n = pick(3); n > 0; --n)
+      organisation.Keys.insert(KeyDigest::of(std::to_string(pick(1000))));
+    organisation.Priority = pick(2);
+    organisation.RatePerSecond = pick(3) / 2.0;
+    organisation.Burst = pick(2);
+    configuration.Organisations[organisation.Id] = organisation;
+  }
   return configuration;
 }
 
 bool isAlike(const Configuration &a, const Configuration &b) {
   return a.Version == b.Version && a.Routes == b.Routes &&
-         a.Services == b.Services &&
+         a.Services == b.Services && a.Organisations == b.Organisations &&
+         a.HasOrganisations == b.HasOrganisations &&
          a.TransactionIdleLimit == b.TransactionIdleLimit;
 }
 
@@ -101,3 +114,38 @@
   const auto one = changeBetween(routes(2, 1400), routes(3, 1400, 900));
   CHECK(encodeChange(one).size() < 60);
 }
+
+TEST_CASE("ConfigurationChange_OfOneKeySendsOneOrganisation") {
+  Configuration from;
+  from.Version = 1;
+  from.HasOrganisations = true;
+  for (int i = 0; i < 78; ++i) {
+    auto &it = from.Organisations[OrganisationId("o" + std::to_string(i))];
+    it.Id = OrganisationId("o" + std::to_string(i));
+    it.Keys = {KeyDigest::of(std::to_string(i))};
+  }
+  Configuration to = from;
+  to.Version = 2;
+  to.Organisations[OrganisationId("o7")].Keys.clear();
+  const auto change = changeBetween(from, to);
+  CHECK(change.Organisations.size() == 1);
+  CHECK(encodeChange(change).size() < 64);
+  REQUIRE(applyChange(from, change));
+  CHECK(isAlike(from, to));
+}
+
+TEST_CASE("ConfigurationChange_KeyOfAnotherLengthIsRefused") {
+  ConfigurationChange change;
+  control::Organisation organisation;
+  organisation.Id = OrganisationId("o");
+  organisation.Keys = {KeyDigest::of("k")};
+  change.Organisations[organisation.Id] = organisation;
+  std::string bytes = encodeChange(change);
+  const auto at = bytes.find(KeyDigest::of("k").toBytes());
+  REQUIRE(at != std::string::npos);
+  // One byte less in the key, the organisation and its field.
+  bytes.erase(at, 1);
+  --bytes[at - 1];
+  --bytes[at - 6];
+  CHECK_FALSE(decodeChange(bytes));
+}
--- a/src/distribution/types/ConfigurationChange.cpp
+++ b/src/distribution/types/ConfigurationChange.cpp
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include <array>
+#include <bit>
 
 namespace stepledge::distribution {
 
@@ -59,10 +60,13 @@
 }
 
 std::uint64_t hashOf(const control::Route &route) {
-  const std::array<std::int64_t, 5> numbers{
-      static_cast<std::int64_t>(route.Policy), route.StatementTimeout.count(),
-      route.LatencyObjective.count(), route.MaxStaleness.count(),
-      route.Priority};
+  const std::array<std::int64_t, 6> numbers{
+      static_cast<std::int64_t>(route.Policy),
+      route.StatementTimeout.count(),
+      route.LatencyObjective.count(),
+      route.MaxStaleness.count(),
+      route.Priority,
+      route.IsPublic};
   const auto names = hashOf(route.Database.str(), hashOf(route.Service, 0));
   return hashOf(numbers, names);
 }
@@ -73,6 +77,17 @@
   return hashOf(numbers, hashOf(service.Name, 0));
 }
 
+std::uint64_t hashOf(const control::Organisation &organisation) {
+  const std::array<std::int64_t, 3> numbers{
+      organisation.Priority,
+      std::bit_cast<std::int64_t>(organisation.RatePerSecond),
+      std::bit_cast<std::int64_t>(organisation.Burst)};
+  std::uint64_t hash = hashOf(numbers, hashOf(organisation.Id.str(), 0));
+  for (const auto &it : organisation.Keys)
+    hash = hashOf(it.toBytes(), hash);
+  return hash;
+}
+
 } // namespace
 
 ConfigurationChange changeBetween(const control::Configuration &from,
@@ -82,6 +97,9 @@
   change.To = to.Version;
   compare(from.Routes, to.Routes, change.Routes, change.RemovedRoutes);
   compare(from.Services, to.Services, change.Services, change.RemovedServices);
+  compare(from.Organisations, to.Organisations, change.Organisations,
+          change.RemovedOrganisations);
+  change.HasOrganisations = to.HasOrganisations;
   change.TransactionIdleLimit = to.TransactionIdleLimit;
   change.Digest = digestOf(to);
   return change;
@@ -92,6 +110,9 @@
   extend(change.Routes, change.RemovedRoutes, next.Routes, next.RemovedRoutes);
   extend(change.Services, change.RemovedServices, next.Services,
          next.RemovedServices);
+  extend(change.Organisations, change.RemovedOrganisations, next.Organisations,
+         next.RemovedOrganisations);
+  change.HasOrganisations = next.HasOrganisations;
   change.To = next.To;
   change.TransactionIdleLimit = next.TransactionIdleLimit;
   change.Digest = next.Digest;
@@ -106,20 +127,26 @@
     configuration = {};
   apply(configuration.Routes, change.Routes, change.RemovedRoutes);
   apply(configuration.Services, change.Services, change.RemovedServices);
+  apply(configuration.Organisations, change.Organisations,
+        change.RemovedOrganisations);
+  configuration.HasOrganisations = change.HasOrganisations;
   configuration.Version = change.To;
   configuration.TransactionIdleLimit = change.TransactionIdleLimit;
   return digestOf(configuration) == change.Digest;
 }
 
 std::uint64_t digestOf(const control::Configuration &configuration) {
-  const std::array<std::int64_t, 2> numbers{
+  const std::array<std::int64_t, 3> numbers{
       static_cast<std::int64_t>(configuration.Version),
-      configuration.TransactionIdleLimit.count()};
+      configuration.TransactionIdleLimit.count(),
+      configuration.HasOrganisations};
   std::uint64_t digest = hashOf(numbers, 0);
   for (const auto &[database, route] : configuration.Routes)
     digest += hashOf(route);
   for (const auto &[name, service] : configuration.Services)
     digest += hashOf(service);
+  for (const auto &[id, organisation] : configuration.Organisations)
+    digest += hashOf(organisation);
   return digest;
 }
 
--- a/src/distribution/types/ConfigurationChange.h
+++ b/src/distribution/types/ConfigurationChange.h
@@ -25,6 +25,9 @@
   std::set<DatabaseId> RemovedRoutes;
   std::map<std::string, control::ServiceSettings> Services;
   std::set<std::string> RemovedServices;
+  std::map<OrganisationId, control::Organisation> Organisations;
+  std::set<OrganisationId> RemovedOrganisations;
+  bool HasOrganisations = false;
   Duration TransactionIdleLimit{};
   /// Of the configuration that it leads to.
   std::uint64_t Digest = 0;
--- a/src/entry/BorrowedConnections.cpp
+++ b/src/entry/BorrowedConnections.cpp
@@ -21,6 +21,7 @@
   it.LenderIp = target.LenderIp;
   it.Service = target.Service;
   it.Instance = target.Instance;
+  it.Organisation = target.Organisation;
   it.IsReady = isLenderConnected(target.LenderIp);
   if (States.try_emplace(target.LenderIp).second)
     keepLenders();
@@ -46,6 +47,8 @@
   if (call.is_first()) {
     call.set_service(it.Service);
     call.set_instance(it.Instance.str());
+    if (it.Organisation)
+      call.set_organisation(it.Organisation->str());
   }
   for (const auto &command : commands)
     encodeCommand(command, *call.add_commands());
--- a/src/entry/BorrowedConnections.h
+++ b/src/entry/BorrowedConnections.h
@@ -80,6 +80,7 @@
     std::string LenderIp;
     std::string Service;
     InstanceId Instance;
+    std::optional<OrganisationId> Organisation;
     bool IsReady = false;
     /// Commands without a reply.
     int Outstanding = 0;
--- a/src/entry/internal/BorrowCodec.cpp
+++ b/src/entry/internal/BorrowCodec.cpp
@@ -50,6 +50,8 @@
   proxy::BorrowRequest request;
   request.Service = call.service();
   request.Instance = InstanceId(call.instance());
+  if (call.has_organisation())
+    request.Organisation = OrganisationId(call.organisation());
   request.IsFirst = call.is_first();
   for (const auto &it : call.commands()) {
     proxy::InstanceCommand command;
--- a/src/gateway/EntrySockets.cpp
+++ b/src/gateway/EntrySockets.cpp
@@ -61,7 +61,8 @@
   auto &client = Clients[id];
   if (const auto *connect = std::get_if<ConnectCall>(&call)) {
     if (!std::exchange(client.IsConnected, true))
-      Proxy->clientConnected(Clock(), id, DatabaseId(connect->Database));
+      Proxy->clientConnected(Clock(), id, DatabaseId(connect->Database),
+                             connect->Key);
     return;
   }
   if (std::holds_alternative<QuitCall>(call))
@@ -129,7 +130,9 @@
   auto link =
       std::make_shared<InstanceLink>(Context, Codec, std::move(handlers));
   Links[connection] = link;
-  link->open(target.Address, target.Service, target.Instance.str());
+  link->open(target.Address, target.Service,
+             target.Organisation.value_or(OrganisationId()),
+             target.Instance.str());
 }
 
 void EntrySockets::send(ConnectionId connection,
--- a/src/gateway/ILineCodec.h
+++ b/src/gateway/ILineCodec.h
@@ -43,7 +43,10 @@
   virtual std::string
   formatRejected(const proxy::StatementReply &reply) const = 0;
 
+  /// The greeting to an instance; an empty \p organisation stands for the
+  /// product itself.
   virtual std::string formatConnect(const std::string &service,
+                                    const OrganisationId &organisation,
                                     const std::string &instance) const = 0;
   virtual std::string
   formatCommand(const proxy::InstanceCommand &command) const = 0;
--- a/src/gateway/InstanceProbe.cpp
+++ b/src/gateway/InstanceProbe.cpp
@@ -83,7 +83,8 @@
   handlers.Lost = [this, id, number] { lost(id, number); };
   connection.Link =
       std::make_shared<InstanceLink>(Context, Codec, std::move(handlers));
-  connection.Link->open(instance.Address, instance.Service, id.str());
+  connection.Link->open(instance.Address, instance.Service, OrganisationId(),
+                        id.str());
 }
 
 void InstanceProbe::watch(const InstanceId &id, std::uint64_t number) {
--- a/src/gateway/internal/InstanceLink.cpp
+++ b/src/gateway/internal/InstanceLink.cpp
@@ -29,9 +29,11 @@
 } // namespace
 
 void InstanceLink::open(const std::string &address, const std::string &service,
+                        const OrganisationId &organisation,
                         const std::string &instance) {
   const auto target = lines::splitAddress(address);
-  const std::string greeting = Codec.formatConnect(service, instance);
+  const std::string greeting =
+      Codec.formatConnect(service, organisation, instance);
   std::error_code ec;
   const auto ip =
       asio::ip::make_address(target.ok() ? target->Ip : std::string(), ec);
--- a/src/gateway/internal/InstanceLink.h
+++ b/src/gateway/internal/InstanceLink.h
@@ -30,7 +30,7 @@
         On(std::move(handlers)), Replies(codec.makeReplyReader()) {}
 
   void open(const std::string &address, const std::string &service,
-            const std::string &instance);
+            const OrganisationId &organisation, const std::string &instance);
   void send(const std::string &lines);
   /// Nothing is told after this.
   void close();
--- a/src/gateway/tests/PlainCodec.cpp
+++ b/src/gateway/tests/PlainCodec.cpp
@@ -44,7 +44,7 @@
 
 ClientCall PlainCodec::parseClientLine(const std::string &line) const {
   if (const auto database = behind(line, "connect"))
-    return ConnectCall{*database};
+    return ConnectCall{*database, {}};
   if (line == "quit")
     return QuitCall{};
   const auto text = behind(line, "write");
@@ -67,8 +67,10 @@
 }
 
 std::string PlainCodec::formatConnect(const std::string &service,
+                                      const OrganisationId &organisation,
                                       const std::string &instance) const {
-  return "hello " + service + " " + instance + "\r\n";
+  const std::string user = organisation.empty() ? "" : " " + organisation.str();
+  return "hello " + service + user + " " + instance + "\r\n";
 }
 
 std::string
--- a/src/gateway/types/ClientCall.h
+++ b/src/gateway/types/ClientCall.h
@@ -6,6 +6,7 @@
 #ifndef STEPLEDGE_GATEWAY_TYPES_CLIENTCALL_H
 #define STEPLEDGE_GATEWAY_TYPES_CLIENTCALL_H
 
+#include "base/KeyDigest.h"
 #include "proxy/types/ClientStatement.h"
 
 #include <string>
@@ -15,6 +16,8 @@
 
 struct ConnectCall {
   std::string Database;
+  /// Of the key that the client shows.
+  KeyDigest Key;
 };
 struct QuitCall {};
 /// A line that isn't understood.
--- a/src/membership/HomeTable.cpp
+++ b/src/membership/HomeTable.cpp
@@ -83,6 +83,23 @@
   return ranking(instance, hall, share).Lenders;
 }
 
+std::vector<std::string>
+HomeTable::homesOf(const InstanceId &instance, const HallId &hall,
+                   const HomeShare &share, const OrganisationId &organisation) {
+  std::vector<std::string> homes = ranking(instance, hall, share).Homes;
+  const std::string pair = instance.str() + '/' + organisation.str();
+  std::sort(homes.begin(), homes.end(), [&](const auto &a, const auto &b) {
+    return weightOf(a, pair) < weightOf(b, pair);
+  });
+  return homes;
+}
+
+const std::vector<std::string> &HomeTable::guests(const InstanceId &instance,
+                                                  const HallId &hall,
+                                                  const HomeShare &share) {
+  return ranking(instance, hall, share).Guests;
+}
+
 const HomeTable::Ranking &HomeTable::ranking(const InstanceId &instance,
                                              const HallId &hall,
                                              const HomeShare &share) {
@@ -118,6 +135,7 @@
   ranking.Share = share;
   for (auto it = ranked.begin(); it != ranked.end(); ++it) {
     const auto &ip = std::get<std::string>(*it);
+    (it < end ? ranking.Homes : ranking.Guests).push_back(ip);
     if (ip != OwnIp)
       ranking.Lenders.push_back(ip);
     else
--- a/src/membership/HomeTable.h
+++ b/src/membership/HomeTable.h
@@ -64,11 +64,24 @@
                                           const HallId &hall,
                                           const HomeShare &share);
 
+  /// The homes in \p organisation's own order, this VM among them if it is one:
+  /// all VMs with the same list ask the same home first, so that the
+  /// organisation needs a connection only there.
+  std::vector<std::string> homesOf(const InstanceId &instance,
+                                   const HallId &hall, const HomeShare &share,
+                                   const OrganisationId &organisation);
+  /// VMs that are no homes and may hold one connection.
+  const std::vector<std::string> &guests(const InstanceId &instance,
+                                         const HallId &hall,
+                                         const HomeShare &share);
+
 private:
   struct Ranking {
     HomeShare Share;
     bool IsHome = false;
     std::vector<std::string> Lenders;
+    std::vector<std::string> Homes;
+    std::vector<std::string> Guests;
   };
   /// How many VMs come before this one where connections to the instance are
   /// left over.
--- a/src/proxy/IBorrowerIo.h
+++ b/src/proxy/IBorrowerIo.h
@@ -13,6 +13,7 @@
 #include <array>
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
 struct BorrowRequest {
   std::string Service;
   InstanceId Instance;
+  /// Whose connection it has to be; any will do for the proxy's own questions.
+  std::optional<OrganisationId> Organisation;
   std::vector<InstanceCommand> Commands;
   BorrowNeeds Needs;
   /// The use begins with these commands.
--- a/src/proxy/IProxyIo.h
+++ b/src/proxy/IProxyIo.h
@@ -13,6 +13,7 @@
 #include "proxy/types/WaitRank.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,8 @@
   std::string Address;
   std::string Service;
   InstanceId Instance;
+  /// For whom; none for a borrowed one that carries the proxy's own questions.
+  std::optional<OrganisationId> Organisation;
   /// The VM that lends a connection of its own for each use; empty for an own
   /// connection.
   std::string LenderIp;
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -18,6 +18,8 @@
 /// A statement's limit where the route names none.
 constexpr Duration DefaultStatementTimeout = milliseconds(1000);
 
+constexpr const char *UnknownKey = "no organisation has this key";
+
 StatementReply localSuccess(SessionState state) {
   StatementReply reply;
   reply.State = state;
@@ -40,10 +42,11 @@
   Configuration = std::move(configuration);
   for (const auto &[name, service] : Configuration.Services)
     tracker(name);
+  reviewSessions(now);
   for (const auto &[name, service] : Configuration.Services)
     dispatchWaiting(now, name);
   for (const auto &it : std::exchange(Unconfigured, {}))
-    clientConnected(now, it.Client, it.Database);
+    clientConnected(now, it.Client, it.Database, it.Key);
 }
 
 void Proxy::applyInstance(TimePoint now,
@@ -85,17 +88,25 @@
 }
 
 void Proxy::clientConnected(TimePoint now, ClientId client,
-                            const DatabaseId &database) {
+                            const DatabaseId &database, const KeyDigest &key) {
   if (!isConfigured()) {
-    Unconfigured.push_back({client, database, now});
+    Unconfigured.push_back({client, database, key, now});
     return;
   }
-  if (!Configuration.Routes.contains(database)) {
+  const auto route = Configuration.Routes.find(database);
+  const bool isRouted = route != Configuration.Routes.end();
+  const auto organisation =
+      isRouted ? organisationOf(route->second, key) : std::nullopt;
+  if (!organisation) {
     StatementReply reply;
-    reply.Code = ReplyCode::UnknownDatabase;
-    reply.Detail = absl::StrCat("no route for database ", database.str());
+    reply.Code =
+        isRouted ? ReplyCode::Unauthorised : ReplyCode::UnknownDatabase;
+    reply.Detail = isRouted
+                       ? UnknownKey
+                       : absl::StrCat("no route for database ", database.str());
     Log.decision(absl::StrCat("event=connect_refused client=", client.Number,
                               " database=", database.str(),
+                              " code=", std::string(nameOf(reply.Code)),
                               " config=", Configuration.Version));
     Io.rejectClient(client, reply);
     return;
@@ -103,6 +114,8 @@
   auto &it = Sessions[client];
   it.Id = client;
   it.Database = database;
+  it.Key = key;
+  it.Organisation = *organisation;
   it.LastActive = now;
   Io.acceptClient(client);
 }
@@ -165,6 +178,8 @@
   const StatementKind kind = statement.Kind;
   if (kind == StatementKind::Rollback)
     return handleRollback(now, session);
+  if (session.IsWithdrawn)
+    return refuse(now, session, ReplyCode::Unauthorised, UnknownKey);
   if (session.State == SessionState::Failed) {
     if (kind == StatementKind::Commit) {
       session.State = SessionState::Idle;
@@ -225,6 +240,7 @@
   session.Mode = TransactionMode::None;
   session.WasAbortedAtRest = false;
   Io.answerClient(session.Id, localSuccess(SessionState::Idle));
+  endIfWithdrawn(now, session.Id);
 }
 
 void Proxy::startWork(TimePoint now, ClientSession &session,
@@ -285,7 +301,9 @@
   session.LastActive = now;
   reply.State = session.State;
   Io.answerClient(session.Id, reply);
+  const ClientId id = session.Id;
   handleNext(now, session);
+  endIfWithdrawn(now, id);
 }
 
 void Proxy::refuse(TimePoint now, ClientSession &session, ReplyCode code,
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -68,7 +68,7 @@
   void lenderRefused(TimePoint now, ConnectionId connection, LendingEnd reason);
 
   void clientConnected(TimePoint now, ClientId client,
-                       const DatabaseId &database);
+                       const DatabaseId &database, const KeyDigest &key = {});
   void clientAsked(TimePoint now, ClientId client, ClientStatement statement);
   void clientLeft(TimePoint now, ClientId client);
 
@@ -103,6 +103,20 @@
   /// new connection; one of the earlier life is never used.
   void dropEarlierLife(TimePoint now, const membership::InstanceRecord &record);
   ClientSession *session(ClientId client);
+  /// Whose client it is that shows \p key; none if the route asks for a key
+  /// and this isn't one.
+  std::optional<OrganisationId> organisationOf(const control::Route &route,
+                                               const KeyDigest &key) const;
+  /// Whose connections the proxy's own questions need at a lender: anybody's.
+  std::optional<OrganisationId> ofQuestions() const;
+  /// Judges the sessions by the keys of a new configuration.
+  void reviewSessions(TimePoint now);
+  void reviewSession(TimePoint now, ClientSession &session);
+  /// The client's key is no longer valid: nothing more of it is run.
+  void withdraw(TimePoint now, ClientSession &session);
+  /// Rolls back the open transaction of a withdrawn session that rests, and
+  /// ends the session once it is outside of one.
+  void endIfWithdrawn(TimePoint now, ClientId client);
   InstanceTracker &tracker(const std::string &service);
   const control::Route *routeOf(const ClientSession &session) const;
   int usableConnections(const std::string &service) const;
@@ -115,6 +129,13 @@
   /// How many connections a home may hold, so that the rest stays free.
   int homeConnections(const std::string &service) const;
   bool isHomeOf(const membership::InstanceRecord &record);
+  /// Whether this VM is the one that holds the organisation's connection.
+  bool isHomeFor(TimePoint now, const membership::InstanceRecord &record,
+                 const std::optional<OrganisationId> &organisation);
+  membership::HomeShare homeShare(const std::string &service) const;
+  /// The lender isn't asked for the instance for now.
+  bool isBadLender(TimePoint now, const InstanceId &instance,
+                   const std::string &lender) const;
   ConnectionShare shareOf(TimePoint now,
                           const membership::InstanceRecord &record);
   /// Only borrowed connections are left, and an own one may be had again.
@@ -122,8 +143,10 @@
                        const membership::InstanceRecord &record) const;
   /// Gives up a use of a borrowed connection.
   void endBorrowed(InstanceConnection &connection);
-  InstanceConnection *findLendable(TimePoint now, const std::string &service,
-                                   const InstanceId &instance) override;
+  InstanceConnection *
+  findLendable(TimePoint now, const std::string &service,
+               const InstanceId &instance,
+               const std::optional<OrganisationId> &organisation) override;
   bool reaches(const std::string &service, const InstanceId &instance) override;
   bool expectsFree(const InstanceId &instance) override;
   InstanceConnection *connection(ConnectionId id) override {
@@ -163,18 +186,21 @@
   InstanceConnection *acquire(TimePoint now, const ClientSession &session,
                               const InstanceId &instance);
   /// As many statements of this VM as it should have at once are there.
-  bool isAtLimit(const TrackedInstance &instance);
+  bool isAtLimit(TimePoint now, const TrackedInstance &instance,
+                 const OrganisationId &organisation);
   /// Opens one more connection if the wait for one that is in use may be long.
-  void openIfWorthIt(TimePoint now, const Work &work,
+  void openIfWorthIt(TimePoint now, const ClientSession &session,
                      const membership::InstanceRecord &record);
   /// Opens one more connection to the instance, or borrows one where this VM
   /// can't have its own; with \p mayBorrowBeyond also where all that it may
   /// have are in use.
   bool openTo(TimePoint now, const membership::InstanceRecord &record,
+              const std::optional<OrganisationId> &organisation,
               bool mayBorrowBeyond = false);
   /// The VM to borrow a connection to the instance from.
   std::optional<std::string>
-  lenderFor(TimePoint now, const membership::InstanceRecord &record);
+  lenderFor(TimePoint now, const membership::InstanceRecord &record,
+            const std::optional<OrganisationId> &organisation);
   void noteDirectBad(TimePoint now, TrackedInstance &instance);
   void sendBegin(TimePoint now, ClientSession &session,
                  InstanceConnection &connection,
@@ -267,6 +293,7 @@
   struct EarlyClient {
     ClientId Client;
     DatabaseId Database;
+    KeyDigest Key;
     TimePoint ConnectedAt{};
   };
   std::vector<EarlyClient> Unconfigured;
--- /dev/null
+++ b/src/proxy/internal/Access.cpp
@@ -0,0 +1,100 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The part of Proxy that knows whose client a session is, and what
+/// becomes of it when its key is taken away.
+
+#include "proxy/Proxy.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <vector>
+
+namespace stepledge::proxy {
+
+std::optional<OrganisationId>
+Proxy::organisationOf(const control::Route &route, const KeyDigest &key) const {
+  if (!Configuration.HasOrganisations)
+    return OrganisationId();
+  if (const auto *it = Configuration.findByKey(key))
+    return it->Id;
+  return route.IsPublic ? std::optional(OrganisationId()) : std::nullopt;
+}
+
+std::optional<OrganisationId> Proxy::ofQuestions() const {
+  return Configuration.HasOrganisations ? std::nullopt
+                                        : std::optional(OrganisationId());
+}
+
+void Proxy::reviewSessions(TimePoint now) {
+  std::vector<ClientId> ids;
+  ids.reserve(Sessions.size());
+  for (const auto &[id, it] : Sessions)
+    ids.push_back(id);
+  for (const auto id : ids)
+    if (auto *it = session(id))
+      reviewSession(now, *it);
+}
+
+void Proxy::reviewSession(TimePoint now, ClientSession &session) {
+  const auto route = Configuration.Routes.find(session.Database);
+  // NOTE: without a route the next statement is refused, whoever asks.
+  if (route == Configuration.Routes.end())
+    return;
+  const auto organisation = organisationOf(route->second, session.Key);
+  if (!organisation)
+    return session.IsWithdrawn ? void() : withdraw(now, session);
+  session.IsWithdrawn = false;
+  if (*organisation == session.Organisation)
+    return;
+  session.Organisation = *organisation;
+  const bool isSent =
+      session.Current && session.Current->Stage != WorkStage::Waiting;
+  if (!session.Pinned || isSent)
+    return;
+  // NOTE: the transaction is on a connection of the organisation that the key
+  // belonged to.
+  if (session.Current)
+    return refuse(now, session, ReplyCode::Aborted,
+                  "the key belongs to another organisation now");
+  releasePinned(now, session);
+  session.State = SessionState::Failed;
+  session.WasAbortedAtRest = true;
+}
+
+void Proxy::withdraw(TimePoint now, ClientSession &session) {
+  session.IsWithdrawn = true;
+  Log.decision(absl::StrCat("event=key_withdrawn client=", session.Id.Number,
+                            " organisation=", session.Organisation.str(),
+                            " config=", Configuration.Version));
+  const ClientId id = session.Id;
+  const bool isSent =
+      session.Current && session.Current->Stage != WorkStage::Waiting;
+  // NOTE: what an instance already has is answered, so that the client knows
+  // its outcome; a transaction goes no further than that.
+  if (isSent)
+    return;
+  if (session.Current)
+    return refuse(now, session, ReplyCode::Unauthorised,
+                  "the key was taken away");
+  endIfWithdrawn(now, id);
+}
+
+void Proxy::endIfWithdrawn(TimePoint now, ClientId client) {
+  auto *it = session(client);
+  if (!it || !it->IsWithdrawn || it->Current || !it->Queue.empty())
+    return;
+  if (it->State == SessionState::InTransaction) {
+    releasePinned(now, *it);
+    it->State = SessionState::Failed;
+  }
+  if (it->State != SessionState::Idle)
+    return;
+  clientLeft(now, client);
+  StatementReply reply;
+  reply.Code = ReplyCode::Unauthorised;
+  reply.Detail = "the key was taken away";
+  Io.rejectClient(client, reply);
+}
+
+} // namespace stepledge::proxy
--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -129,6 +129,15 @@
                           InstanceConnection &connection,
                           const StatementReply &reply, TimePoint sentAt) {
   const InstanceId instance = connection.Instance;
+  const bool isOthers = connection.Organisation != session.Organisation;
+  if (session.IsWithdrawn || isOthers) {
+    connection.giveUp();
+    rollBack(now, connection);
+    return session.IsWithdrawn
+               ? refuse(now, session, ReplyCode::Unauthorised,
+                        "the key was taken away")
+               : notRun(now, session, ReplyCode::Aborted, instance);
+  }
   if (reply.Code == ReplyCode::Success) {
     const bool isProof = session.Current->PrimaryOnly;
     if (isProof && reply.Position)
--- a/src/proxy/internal/ClientSession.h
+++ b/src/proxy/internal/ClientSession.h
@@ -55,6 +55,11 @@
 struct ClientSession {
   ClientId Id;
   DatabaseId Database;
+  KeyDigest Key;
+  /// Whose client it is; its statements run only on connections of this one.
+  OrganisationId Organisation;
+  /// The client's key has been taken away.
+  bool IsWithdrawn = false;
   SessionValues Values;
   std::map<std::string, PreparedShape> Prepared;
   SessionState State = SessionState::Idle;
--- a/src/proxy/internal/ConnectionPool.cpp
+++ b/src/proxy/internal/ConnectionPool.cpp
@@ -22,9 +22,9 @@
   return it == ByInstance.end() ? none : it->second;
 }
 
-template <typename SecondKey>
+template <typename Predicate, typename SecondKey>
 InstanceConnection *ConnectionPool::findFirstFree(const InstanceId &instance,
-                                                  bool usesDirect,
+                                                  Predicate isAllowed,
                                                   SecondKey secondKey) {
   // NOTE: a borrowed one is the second choice: it costs another VM's time.
   const auto key = [&](const InstanceConnection &it) {
@@ -33,58 +33,90 @@
   InstanceConnection *found = nullptr;
   for (const auto id : idsAt(instance)) {
     auto &it = Connections.at(id);
-    const bool isAllowed = usesDirect || it.isBorrowed();
-    if (it.isFree() && isAllowed && (!found || key(it) < key(*found)))
+    if (it.isFree() && isAllowed(it) && (!found || key(it) < key(*found)))
       found = &it;
   }
   return found;
 }
 
 InstanceConnection *ConnectionPool::findFree(const InstanceId &instance,
+                                             const OrganisationId &organisation,
                                              const SessionValues &values,
                                              bool usesDirect) {
+  const auto isAllowed = [&](const InstanceConnection &it) {
+    return it.Organisation == organisation && (usesDirect || it.isBorrowed());
+  };
   // NOTE: the lender of a borrowed one sets it up, whatever its values are.
-  return findFirstFree(instance, usesDirect, [&](const auto &it) {
+  return findFirstFree(instance, isAllowed, [&](const auto &it) {
     return !it.isBorrowed() && it.Values != values;
   });
 }
 
-InstanceConnection *
-ConnectionPool::findLongestUnused(const InstanceId &instance, bool usesDirect) {
-  return findFirstFree(instance, usesDirect,
+InstanceConnection *ConnectionPool::findForQuestion(
+    const InstanceId &instance, bool usesDirect,
+    const std::optional<OrganisationId> &borrowedFor) {
+  const auto isAllowed = [&](const InstanceConnection &it) {
+    return it.isBorrowed() ? it.Organisation == borrowedFor : usesDirect;
+  };
+  return findFirstFree(instance, isAllowed,
                        [](const auto &it) { return it.LastUsed; });
 }
 
-InstanceConnection *ConnectionPool::findFreeDirect(const InstanceId &instance) {
+InstanceConnection *ConnectionPool::findFreeDirect(
+    const InstanceId &instance,
+    const std::optional<OrganisationId> &organisation) {
   for (const auto id : idsAt(instance)) {
     auto &it = Connections.at(id);
-    if (it.isFree() && !it.isBorrowed())
+    const bool isMatch = !organisation || it.Organisation == organisation;
+    if (it.isFree() && !it.isBorrowed() && isMatch)
       return &it;
   }
   return nullptr;
 }
 
-bool ConnectionPool::openOne(TimePoint now,
-                             const membership::InstanceRecord &instance,
-                             const ConnectionShare &share,
-                             const std::string &lenderIp) {
+bool ConnectionPool::makeRoom(
+    const InstanceId &instance, bool isBorrowed,
+    const std::optional<OrganisationId> &organisation) {
+  const InstanceConnection *oldest = nullptr;
+  for (const auto id : idsAt(instance)) {
+    const auto &it = Connections.at(id);
+    const bool isOther =
+        it.isBorrowed() == isBorrowed && it.Organisation != organisation;
+    const bool isOlder = !oldest || it.LastServed < oldest->LastServed;
+    if (it.isFree() && isOther && isOlder)
+      oldest = &it;
+  }
+  if (!oldest)
+    return false;
+  close(oldest->Id);
+  return true;
+}
+
+bool ConnectionPool::openOne(
+    TimePoint now, const membership::InstanceRecord &instance,
+    const ConnectionShare &share, const std::string &lenderIp,
+    const std::optional<OrganisationId> &organisation) {
+  const bool isBorrowed = !lenderIp.empty();
+  if (!isBorrowed && isFull(now, instance.Id))
+    return false;
   const int own = ownAt(instance.Id);
-  const int open = !lenderIp.empty() ? countOf(instance.Id) - own : own;
-  if (open >= share.Limit || (lenderIp.empty() && isFull(now, instance.Id)))
+  const int open = isBorrowed ? countOf(instance.Id) - own : own;
+  if (open >= share.Limit && !makeRoom(instance.Id, isBorrowed, organisation))
     return false;
   const ConnectionId id{++LastId};
   auto &it = Connections[id];
   it.Id = id;
   it.Service = instance.Service;
   it.Instance = instance.Id;
+  it.Organisation = organisation;
   it.OpenedAt = now;
   it.LastUsed = now;
   it.LastServed = now;
   it.LenderIp = lenderIp;
-  it.IsReady = !lenderIp.empty() && Io.isLenderConnected(lenderIp);
+  it.IsReady = isBorrowed && Io.isLenderConnected(lenderIp);
   ByInstance[instance.Id].insert(id);
-  Io.openConnection(
-      id, {instance.Address, instance.Service, instance.Id, lenderIp});
+  Io.openConnection(id, {instance.Address, instance.Service, instance.Id,
+                         organisation, lenderIp});
   return true;
 }
 
@@ -92,6 +124,14 @@
   return countIf(instance, [](const auto &it) { return !it.IsReady; }) > 0;
 }
 
+bool ConnectionPool::isOpening(
+    const InstanceId &instance,
+    const std::optional<OrganisationId> &organisation) const {
+  return countIf(instance, [&](const auto &it) {
+           return !it.IsReady && it.Organisation == organisation;
+         }) > 0;
+}
+
 void ConnectionPool::close(ConnectionId id) {
   const bool isKnown = Connections.contains(id);
   forget(id);
@@ -128,10 +168,24 @@
   return static_cast<int>(idsAt(instance).size());
 }
 
+int ConnectionPool::countOf(const InstanceId &instance,
+                            const OrganisationId &organisation) const {
+  return countIf(instance, [&](const auto &it) {
+    return it.Organisation == organisation;
+  });
+}
+
 int ConnectionPool::ownAt(const InstanceId &instance) const {
   return countIf(instance, [](const auto &it) { return !it.isBorrowed(); });
 }
 
+int ConnectionPool::ownAt(const InstanceId &instance,
+                          const OrganisationId &organisation) const {
+  return countIf(instance, [&](const auto &it) {
+    return !it.isBorrowed() && it.Organisation == organisation;
+  });
+}
+
 std::optional<TimePoint>
 ConnectionPool::ownSince(const InstanceId &instance) const {
   std::optional<TimePoint> since;
@@ -149,8 +203,11 @@
   return refused != RefusedUntil.end() && refused->second > now;
 }
 
-int ConnectionPool::pinnedAt(const InstanceId &instance) const {
-  return countIf(instance, [](const auto &it) { return it.IsPinned; });
+int ConnectionPool::pinnedAt(const InstanceId &instance,
+                             const OrganisationId &organisation) const {
+  return countIf(instance, [&](const auto &it) {
+    return it.IsPinned && it.Organisation == organisation;
+  });
 }
 
 int ConnectionPool::busyAt(const InstanceId &instance) const {
--- a/src/proxy/internal/ConnectionPool.h
+++ b/src/proxy/internal/ConnectionPool.h
@@ -29,22 +29,33 @@
   explicit ConnectionPool(IProxyIo &io) : Io(io) {}
 
   InstanceConnection *find(ConnectionId id);
-  /// A free connection to \p instance; one with \p values already set is
-  /// preferred, since it needs no set-up. Those that \p usesDirect rules out
-  /// are own ones.
+  /// A free connection of \p organisation to \p instance; one with \p values
+  /// already set is preferred, since it needs no set-up. Those that
+  /// \p usesDirect rules out are own ones.
   InstanceConnection *findFree(const InstanceId &instance,
+                               const OrganisationId &organisation,
                                const SessionValues &values, bool usesDirect);
-  /// The free connection that has rested longest, so that questions find out
-  /// which of them have gone silent; \p usesDirect as for findFree.
-  InstanceConnection *findLongestUnused(const InstanceId &instance,
-                                        bool usesDirect);
-  /// A free connection of this VM's own.
-  InstanceConnection *findFreeDirect(const InstanceId &instance);
-  /// Opens one more, unless the share or an earlier refusal forbids it.
+  /// The free connection for the proxy's own questions that has rested longest,
+  /// so that they find out which have gone silent; \p usesDirect as for
+  /// findFree. Any own one will do, and a borrowed one if it was borrowed for
+  /// \p borrowedFor.
+  InstanceConnection *
+  findForQuestion(const InstanceId &instance, bool usesDirect,
+                  const std::optional<OrganisationId> &borrowedFor);
+  /// A free connection of this VM's own, of \p organisation; without one, any.
+  InstanceConnection *
+  findFreeDirect(const InstanceId &instance,
+                 const std::optional<OrganisationId> &organisation);
+  /// Opens one more for \p organisation, unless the share or an earlier refusal
+  /// forbids it. At the share's limit a free one of another organisation makes
+  /// room: the one that has served nobody for longest.
   bool openOne(TimePoint now, const membership::InstanceRecord &instance,
-               const ConnectionShare &share, const std::string &lenderIp);
+               const ConnectionShare &share, const std::string &lenderIp,
+               const std::optional<OrganisationId> &organisation);
   /// Whether one that was asked for is still on its way.
   bool isOpening(const InstanceId &instance) const;
+  bool isOpening(const InstanceId &instance,
+                 const std::optional<OrganisationId> &organisation) const;
   void close(ConnectionId id);
   void forget(ConnectionId id);
   /// The instance has no room: no new connection before \p until.
@@ -54,14 +65,20 @@
   std::set<ConnectionId> idsOf(const InstanceId &instance) const {
     return idsAt(instance);
   }
+  /// Connections of \p organisation, own and borrowed.
+  int countOf(const InstanceId &instance,
+              const OrganisationId &organisation) const;
   /// Connections that aren't borrowed.
   int ownAt(const InstanceId &instance) const;
+  int ownAt(const InstanceId &instance,
+            const OrganisationId &organisation) const;
   /// Since when this VM has had an own connection, if it has one.
   std::optional<TimePoint> ownSince(const InstanceId &instance) const;
   /// The instance lately had no room for a new connection.
   bool isFull(TimePoint now, const InstanceId &instance) const;
-  /// Connections that open transactions hold.
-  int pinnedAt(const InstanceId &instance) const;
+  /// Connections that open transactions of \p organisation hold.
+  int pinnedAt(const InstanceId &instance,
+               const OrganisationId &organisation) const;
   /// Connections on which \p instance owes an answer.
   int busyAt(const InstanceId &instance) const;
   /// The connections that \p lender lends.
@@ -73,11 +90,15 @@
   const std::set<ConnectionId> &idsAt(const InstanceId &instance) const;
   template <typename Predicate>
   int countIf(const InstanceId &instance, Predicate predicate) const;
-  /// Of the free connections that \p usesDirect allows, an own one with the
-  /// least \p secondKey; a borrowed one only where there is no own one.
-  template <typename SecondKey>
-  InstanceConnection *findFirstFree(const InstanceId &instance, bool usesDirect,
-                                    SecondKey secondKey);
+  /// Of the free connections that \p isAllowed, an own one with the least
+  /// \p secondKey; a borrowed one only where there is no own one.
+  template <typename Predicate, typename SecondKey>
+  InstanceConnection *findFirstFree(const InstanceId &instance,
+                                    Predicate isAllowed, SecondKey secondKey);
+  /// Closes a free connection that isn't \p organisation's; false if there is
+  /// none.
+  bool makeRoom(const InstanceId &instance, bool isBorrowed,
+                const std::optional<OrganisationId> &organisation);
 
   IProxyIo &Io;
   std::map<ConnectionId, InstanceConnection> Connections;
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -164,34 +164,43 @@
 InstanceConnection *Proxy::acquire(TimePoint now, const ClientSession &session,
                                    const InstanceId &instance) {
   const auto *known = tracker(session.Route.Service).find(instance);
-  if (known && isAtLimit(*known))
+  const auto &organisation = session.Organisation;
+  if (known && isAtLimit(now, *known, organisation))
     return nullptr;
   const bool usesDirect = !known || !known->IsDirectBad;
-  if (auto *it = Pool.findFree(instance, session.Values, usesDirect))
+  if (auto *it =
+          Pool.findFree(instance, organisation, session.Values, usesDirect))
     return it;
-  if (!known || Pool.isOpening(instance))
+  if (!known || Pool.isOpening(instance, organisation))
     return nullptr;
-  openIfWorthIt(now, *session.Current, known->Record);
+  openIfWorthIt(now, session, known->Record);
   // NOTE: one that is borrowed from a connected VM can be used at once. VMs
   // with some statements a second for 60 instances have none left from the last
   // one, and waited for their next tick, 10 to 40 ms away.
-  return Pool.findFree(instance, session.Values, usesDirect);
+  return Pool.findFree(instance, organisation, session.Values, usesDirect);
 }
 
-bool Proxy::isAtLimit(const TrackedInstance &instance) {
+bool Proxy::isAtLimit(TimePoint now, const TrackedInstance &instance,
+                      const OrganisationId &organisation) {
   const auto &record = instance.Record;
   // NOTE: the homes limit what runs at once, and the time that a statement
   // waits there says nothing of the instance.
-  const bool isLimited = !usesHomes(record.Service) || isHomeOf(record);
+  const bool isLimited =
+      !usesHomes(record.Service) || isHomeFor(now, record, organisation);
   return isLimited && Pool.busyAt(record.Id) >= instance.Running.limit();
 }
 
-void Proxy::openIfWorthIt(TimePoint now, const Work &work,
+void Proxy::openIfWorthIt(TimePoint now, const ClientSession &session,
                           const membership::InstanceRecord &record) {
-  const int own = Pool.ownAt(record.Id);
-  const int open = own > 0 ? own : Pool.countOf(record.Id);
+  const auto &work = *session.Current;
+  const auto &organisation = session.Organisation;
+  const int own = Pool.ownAt(record.Id, organisation);
+  const int open = own > 0 ? own : Pool.countOf(record.Id, organisation);
+  const int kept = Configuration.HasOrganisations && own > 0
+                       ? 1
+                       : shareOf(now, record).Floor;
   const bool isShort =
-      open < shareOf(now, record).Floor || Pool.pinnedAt(record.Id) == open;
+      open < kept || Pool.pinnedAt(record.Id, organisation) == open;
   // NOTE: one that serves a single statement is free again about as soon as a
   // new one would be open, so it is worth a short wait.
   const bool hasWaited = now - work.ArrivedAt >= Options.BorrowDelay;
@@ -200,7 +209,7 @@
   // clients. A read has other instances to turn to.
   const bool mayBorrow = work.PrimaryOnly;
   if (isShort || hasWaited)
-    openTo(now, record, mayBorrow);
+    openTo(now, record, organisation, mayBorrow);
 }
 
 } // namespace stepledge::proxy
--- a/src/proxy/internal/InstanceConnection.h
+++ b/src/proxy/internal/InstanceConnection.h
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace stepledge::proxy {
@@ -47,6 +48,9 @@
   ConnectionId Id;
   std::string Service;
   InstanceId Instance;
+  /// Whose statements it may carry, and nobody else's. Without one it carries
+  /// only the proxy's own questions.
+  std::optional<OrganisationId> Organisation;
   /// The VM that lends one of its own, if any; what that one is set to is known
   /// there.
   std::string LenderIp;
--- a/src/proxy/internal/Lender.cpp
+++ b/src/proxy/internal/Lender.cpp
@@ -42,6 +42,7 @@
   const bool needsFreeNow = request.Needs.NeedsFreeNow;
   use.Service = request.Service;
   use.Instance = request.Instance;
+  use.Organisation = request.Organisation;
   use.ArrivedAt = now;
   use.Waiting = std::move(request);
   const std::string service = use.Service;
@@ -147,46 +148,58 @@
   return use != Uses.end() && use->second.Waiting;
 }
 
-BorrowKey Lender::takeNext(TimePoint now, std::deque<BorrowKey> &queue) {
-  const bool isOverloaded =
-      std::any_of(queue.begin(), queue.end(), [&](const BorrowKey &it) {
-        return isWaiting(it) && now - Uses[it].Waiting->Needs.Rank.ArrivedAt >
-                                    Options.OverloadAge;
-      });
-  auto next = queue.begin();
-  for (auto it = std::next(next); it != queue.end(); ++it)
-    if (isWaiting(*it) &&
-        goesBefore(now, isOverloaded, Uses[*it].Waiting->Needs.Rank,
-                   Uses[*next].Waiting->Needs.Rank))
-      next = it;
-  BorrowKey key = *next;
-  queue.erase(next);
-  return key;
+std::vector<BorrowKey>
+Lender::waitingInOrder(TimePoint now, const std::deque<BorrowKey> &queue) {
+  std::vector<std::pair<WaitRank, BorrowKey>> waiters;
+  bool isOverloaded = false;
+  for (const auto &it : queue) {
+    const auto &rank = Uses[it].Waiting->Needs.Rank;
+    isOverloaded |= now - rank.ArrivedAt > Options.OverloadAge;
+    waiters.emplace_back(rank, it);
+  }
+  std::stable_sort(waiters.begin(), waiters.end(),
+                   [&](const auto &a, const auto &b) {
+                     return goesBefore(now, isOverloaded, a.first, b.first);
+                   });
+  std::vector<BorrowKey> keys;
+  keys.reserve(waiters.size());
+  for (const auto &[rank, key] : waiters)
+    keys.push_back(key);
+  return keys;
+}
+
+void Lender::bind(TimePoint now, const BorrowKey &key,
+                  InstanceConnection &connection) {
+  auto &use = Uses[key];
+  connection.Borrower = key;
+  use.Bound = connection.Id;
+  const auto request = std::exchange(use.Waiting, std::nullopt);
+  send(now, use, *request);
 }
 
 void Lender::pump(TimePoint now, const std::string &service,
                   const InstanceId &instance) {
-  while (true) {
-    const auto queue = Queues.find(instance);
-    if (queue == Queues.end())
-      return;
-    // NOTE: a use may have ended, and its number may stand for a new one.
-    while (!queue->second.empty() && !isWaiting(queue->second.front()))
-      queue->second.pop_front();
-    if (queue->second.empty()) {
-      Queues.erase(queue);
-      return;
-    }
-    auto *connection = Pool.findLendable(now, service, instance);
-    if (!connection)
-      return;
-    const BorrowKey key = takeNext(now, queue->second);
-    auto &use = Uses[key];
-    connection->Borrower = key;
-    use.Bound = connection->Id;
-    const auto request = std::exchange(use.Waiting, std::nullopt);
-    send(now, use, *request);
+  const auto queue = Queues.find(instance);
+  if (queue == Queues.end())
+    return;
+  // NOTE: a use may have ended, and its number may stand for a new one.
+  std::erase_if(queue->second, [&](const auto &it) { return !isWaiting(it); });
+  // NOTE: those of one organisation that find no connection don't hold up the
+  // others.
+  std::set<std::optional<OrganisationId>> unserved;
+  for (const auto &key : waitingInOrder(now, queue->second)) {
+    const auto organisation = Uses[key].Organisation;
+    if (unserved.contains(organisation))
+      continue;
+    if (auto *connection =
+            Pool.findLendable(now, service, instance, organisation))
+      bind(now, key, *connection);
+    else
+      unserved.insert(organisation);
   }
+  std::erase_if(queue->second, [&](const auto &it) { return !isWaiting(it); });
+  if (queue->second.empty())
+    Queues.erase(queue);
 }
 
 std::set<std::string> Lender::borrowers() const {
--- a/src/proxy/internal/Lender.h
+++ b/src/proxy/internal/Lender.h
@@ -31,11 +31,12 @@
 public:
   virtual ~ILendablePool() = default;
 
-  /// A free connection of this VM's own; opens one for later where there is
-  /// none and the share allows it.
-  virtual InstanceConnection *findLendable(TimePoint now,
-                                           const std::string &service,
-                                           const InstanceId &instance) = 0;
+  /// A free connection of this VM's own for \p organisation, or any without
+  /// one; opens one for later where there is none and the share allows it.
+  virtual InstanceConnection *
+  findLendable(TimePoint now, const std::string &service,
+               const InstanceId &instance,
+               const std::optional<OrganisationId> &organisation) = 0;
   /// This VM has a path to the instance, as far as it knows.
   virtual bool reaches(const std::string &service,
                        const InstanceId &instance) = 0;
@@ -98,6 +99,7 @@
   struct Use {
     std::string Service;
     InstanceId Instance;
+    std::optional<OrganisationId> Organisation;
     std::optional<ConnectionId> Bound;
     /// Sent once there is a connection.
     std::optional<BorrowRequest> Waiting;
@@ -107,8 +109,11 @@
   /// The use has commands that aren't sent yet.
   bool isWaiting(const BorrowKey &key) const;
   void send(TimePoint now, Use &use, const BorrowRequest &request);
-  /// Of a line whose first use waits, the one to serve next.
-  BorrowKey takeNext(TimePoint now, std::deque<BorrowKey> &queue);
+  /// The uses that wait, the one to serve first in front.
+  std::vector<BorrowKey> waitingInOrder(TimePoint now,
+                                        const std::deque<BorrowKey> &queue);
+  void bind(TimePoint now, const BorrowKey &key,
+            InstanceConnection &connection);
   void refuse(const BorrowKey &key, LendingEnd reason);
 
   ILendablePool &Pool;
--- a/src/proxy/internal/Sending.cpp
+++ b/src/proxy/internal/Sending.cpp
@@ -54,7 +54,9 @@
   auto begin = commandOf(minimum ? CommandKind::BeginRead : CommandKind::Begin);
   begin.MinimumPosition = minimum;
   transmit(now, connection, {{std::move(begin), Purpose::Begin}},
-           {{}, rankOf(session), Pool.ownAt(connection.Instance) > 0});
+           {{},
+            rankOf(session),
+            Pool.ownAt(connection.Instance, session.Organisation) > 0});
 }
 
 void Proxy::sendStatement(TimePoint now, ClientSession &session,
@@ -83,9 +85,9 @@
   work.SentAt = now;
   work.Connection = connection.Id;
   connection.Owner = session.Id;
-  transmit(
-      now, connection, batch,
-      {session.Values, rankOf(session), Pool.ownAt(connection.Instance) > 0});
+  transmit(now, connection, batch,
+           {session.Values, rankOf(session),
+            Pool.ownAt(connection.Instance, session.Organisation) > 0});
 }
 
 void Proxy::sendProbe(TimePoint now, InstanceConnection &connection) {
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -32,11 +32,53 @@
 }
 
 bool Proxy::usesHomes(const std::string &service) const {
-  return Homes.isNeeded(usableConnections(service));
+  // NOTE: a VM needs one for each organisation that asks it.
+  const int organisations =
+      std::max(1, static_cast<int>(Configuration.Organisations.size()));
+  return Homes.isNeeded(usableConnections(service) / organisations);
+}
+
+membership::HomeShare Proxy::homeShare(const std::string &service) const {
+  if (!Configuration.HasOrganisations)
+    return Homes.share(usableConnections(service));
+  const int pooled = pooledConnections(service);
+  membership::HomeShare share;
+  share.Guests = std::max(1, pooled / Options.OrganisationGuestShare);
+  const int forHomes = std::max(1, pooled - share.Guests);
+  share.Homes = std::clamp(forHomes / Options.OrganisationHomeConnections, 1,
+                           Options.MostOrganisationHomes);
+  share.Connections = std::max(1, forHomes / share.Homes);
+  return share;
+}
+
+bool Proxy::isBadLender(TimePoint now, const InstanceId &instance,
+                        const std::string &lender) const {
+  const auto bad = BadLenders.find(instance);
+  if (bad == BadLenders.end())
+    return false;
+  const auto failed = bad->second.find(lender);
+  return failed != bad->second.end() && failed->second > now;
+}
+
+bool Proxy::isHomeFor(TimePoint now, const membership::InstanceRecord &record,
+                      const std::optional<OrganisationId> &organisation) {
+  if (!Configuration.HasOrganisations || !organisation)
+    return isHomeOf(record);
+  const auto share = homeShare(record.Service);
+  if (!isHomeOf(record))
+    return false;
+  for (const auto &it :
+       Homes.homesOf(record.Id, record.Hall, share, *organisation)) {
+    if (it == Options.OwnIp)
+      return true;
+    if (!isBadLender(now, record.Id, it))
+      return false;
+  }
+  return false;
 }
 
 bool Proxy::isHomeOf(const membership::InstanceRecord &record) {
-  const auto share = Homes.share(usableConnections(record.Service));
+  const auto share = homeShare(record.Service);
   return Homes.isHome(record.Id, record.Hall, share);
 }
 
@@ -46,7 +88,9 @@
   // s: 0.795 of the worth was earned so, and 0.821 with this share and the
   // closing of those that only questions use (simulated days of 70 VMs, means
   // of six).
-  const auto share = Homes.share(usableConnections(service));
+  const auto share = homeShare(service);
+  if (Configuration.HasOrganisations)
+    return share.Connections;
   const int pooled = pooledConnections(service) - share.Guests;
   return std::clamp(pooled / share.Homes, 1, share.Connections);
 }
@@ -61,7 +105,9 @@
       return {Options.BorrowLimit, Options.BorrowLimit};
     const int own = homeConnections(record.Service);
     const int limit = isCautious ? std::max(1, own / 2) : own;
-    return {std::max(1, limit / 2), limit};
+    // NOTE: one that rests is the only one of its organisation.
+    const int kept = Configuration.HasOrganisations ? limit : limit / 2;
+    return {std::max(1, kept), limit};
   }
   const int own = Homes.evenShare(record.Id, record.Hall,
                                   pooledConnections(record.Service));
@@ -78,24 +124,28 @@
 }
 
 bool Proxy::openTo(TimePoint now, const membership::InstanceRecord &record,
+                   const std::optional<OrganisationId> &organisation,
                    bool mayBorrowBeyond) {
   const auto *known = tracker(record.Service).find(record.Id);
   const bool isDirectBad = known && known->IsDirectBad;
   const bool isHomes = usesHomes(record.Service);
-  const bool isDirect = !isDirectBad && (!isHomes || isHomeOf(record));
+  const bool isDirect =
+      !isDirectBad && (!isHomes || isHomeFor(now, record, organisation));
   const auto share = shareOf(now, record);
   // NOTE: one without any connection to a full instance borrows, since others
   // have some.
   const bool mustBorrow =
       isDirect && Pool.ownAt(record.Id) == 0 && Pool.isFull(now, record.Id);
-  if (isDirect && !mustBorrow && Pool.openOne(now, record, share, ""))
+  if (isDirect && !mustBorrow &&
+      Pool.openOne(now, record, share, "", organisation))
     return true;
   if (isDirect && !mustBorrow && !mayBorrowBeyond)
     return false;
-  const auto lender = lenderFor(now, record);
+  const auto lender = lenderFor(now, record, organisation);
   if (!lender)
     return false;
-  return Pool.openOne(now, record, {0, Options.BorrowLimit}, *lender);
+  return Pool.openOne(now, record, {0, Options.BorrowLimit}, *lender,
+                      organisation);
 }
 
 void Proxy::noteDirectBad(TimePoint now, TrackedInstance &instance) {
@@ -114,15 +164,22 @@
 }
 
 std::optional<std::string>
-Proxy::lenderFor(TimePoint now, const membership::InstanceRecord &record) {
-  const auto &bad = BadLenders[record.Id];
-  const auto share = Homes.share(usableConnections(record.Service));
-  for (const auto &it : Homes.lenders(record.Id, record.Hall, share)) {
-    const auto failed = bad.find(it);
-    if (failed == bad.end() || failed->second <= now)
-      return it;
+Proxy::lenderFor(TimePoint now, const membership::InstanceRecord &record,
+                 const std::optional<OrganisationId> &organisation) {
+  const auto share = homeShare(record.Service);
+  const bool usesOwnOrder = Configuration.HasOrganisations && organisation;
+  auto lenders =
+      usesOwnOrder ? Homes.homesOf(record.Id, record.Hall, share, *organisation)
+                   : Homes.lenders(record.Id, record.Hall, share);
+  if (usesOwnOrder) {
+    const auto &guests = Homes.guests(record.Id, record.Hall, share);
+    lenders.insert(lenders.end(), guests.begin(), guests.end());
   }
-  return std::nullopt;
+  const auto found =
+      std::find_if(lenders.begin(), lenders.end(), [&](const auto &it) {
+        return it != Options.OwnIp && !isBadLender(now, record.Id, it);
+      });
+  return found == lenders.end() ? std::nullopt : std::optional(*found);
 }
 
 void Proxy::lenderRefused(TimePoint now, ConnectionId connection,
@@ -154,21 +211,24 @@
   Pool.close(connection.Id);
 }
 
-InstanceConnection *Proxy::findLendable(TimePoint now,
-                                        const std::string &service,
-                                        const InstanceId &instance) {
+InstanceConnection *
+Proxy::findLendable(TimePoint now, const std::string &service,
+                    const InstanceId &instance,
+                    const std::optional<OrganisationId> &organisation) {
   auto *known = tracker(service).find(instance);
   if (!known || Pool.busyAt(instance) >= known->Running.limit())
     return nullptr;
-  if (auto *it = Pool.findFreeDirect(instance))
+  if (auto *it = Pool.findFreeDirect(instance, organisation))
     return it;
   // NOTE: one that is no home lends all the same: its borrowers may know of a
   // loss that this VM hasn't heard of, or reach the instance only by it.
   const bool isGuest = usesHomes(service) && !isHomeOf(known->Record);
   const ConnectionShare share =
       isGuest ? ConnectionShare{0, 1} : shareOf(now, known->Record);
-  if (!Pool.isOpening(instance) || Pool.countOf(instance) == 0)
-    Pool.openOne(now, known->Record, share, {});
+  const bool isOpening = organisation ? Pool.isOpening(instance, organisation)
+                                      : Pool.isOpening(instance);
+  if (!isOpening || Pool.countOf(instance) == 0)
+    Pool.openOne(now, known->Record, share, {}, organisation);
   return nullptr;
 }
 
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -223,13 +223,14 @@
   if (now - probedAt < Options.ProofInterval / 2)
     return;
   const InstanceId &id = instance.Record.Id;
-  if (auto *it = Pool.findLongestUnused(id, !instance.IsDirectBad)) {
+  if (auto *it =
+          Pool.findForQuestion(id, !instance.IsDirectBad, ofQuestions())) {
     probedAt = now;
     return sendProbe(now, *it);
   }
   const bool isAlone = instance.IsDirectBad || Pool.ownAt(id) == 0;
   if (isAlone && !Pool.isOpening(id))
-    openTo(now, instance.Record);
+    openTo(now, instance.Record, ofQuestions());
 }
 
 void Proxy::restoreOwnConnections(TimePoint now) {
@@ -238,7 +239,7 @@
       if (instance.IsDirectBad)
         probeDirectPath(now, instance);
       else if (mustReturnToOwn(now, instance.Record))
-        openTo(now, instance.Record);
+        openTo(now, instance.Record, ofQuestions());
     }
 }
 
@@ -249,11 +250,11 @@
     return;
   probedAt = now;
   for (auto &[id, it] : instances.all()) {
-    auto *connection = Pool.findFree(id, {}, !it.IsDirectBad);
+    auto *connection = Pool.findForQuestion(id, !it.IsDirectBad, ofQuestions());
     if (connection)
       sendProbe(now, *connection);
     else if (!Pool.isOpening(id) && (it.IsDirectBad || Pool.countOf(id) == 0))
-      openTo(now, it.Record);
+      openTo(now, it.Record, ofQuestions());
   }
 }
 
@@ -262,10 +263,10 @@
     return;
   instance.DirectProbedAt = now;
   const auto &record = instance.Record;
-  if (auto *connection = Pool.findFreeDirect(record.Id))
+  if (auto *connection = Pool.findFreeDirect(record.Id, std::nullopt))
     sendProbe(now, *connection);
   else if (!Pool.isOpening(record.Id))
-    Pool.openOne(now, record, shareOf(now, record), "");
+    Pool.openOne(now, record, shareOf(now, record), "", ofQuestions());
 }
 
 bool Proxy::isUnneeded(TimePoint now, const InstanceConnection &connection) {
--- a/src/proxy/tests/LenderTest.cpp
+++ b/src/proxy/tests/LenderTest.cpp
@@ -17,11 +17,15 @@
 /// One connection to one instance.
 class OnePool : public ILendablePool {
 public:
-  InstanceConnection *findLendable(TimePoint now, const std::string &service,
-                                   const InstanceId &instance) override {
+  InstanceConnection *
+  findLendable(TimePoint now, const std::string &service,
+               const InstanceId &instance,
+               const std::optional<OrganisationId> &organisation) override {
     (void)now;
     (void)service;
     (void)instance;
+    if (organisation && Connection.Organisation != organisation)
+      return nullptr;
     return HasConnection && Connection.isFree() ? &Connection : nullptr;
   }
   bool reaches(const std::string &service,
--- /dev/null
+++ b/src/proxy/tests/OrganisationFixture.h
@@ -0,0 +1,78 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file A proxy before one service, with clients of three organisations.
+
+#ifndef STEPLEDGE_PROXY_TESTS_ORGANISATIONFIXTURE_H
+#define STEPLEDGE_PROXY_TESTS_ORGANISATIONFIXTURE_H
+
+#include "proxy/tests/ProxyFixture.h"
+
+#include <string>
+
+namespace stepledge::proxy::tests {
+
+/// Organisations red, blue and green; the key of each is its name and "-key".
+struct OrganisationFixture : ProxyFixture {
+  OrganisationFixture() : Next(Core.configuration()) {
+    Next.HasOrganisations = true;
+    for (const char *name : {"red", "blue", "green"}) {
+      auto &it = Next.Organisations[OrganisationId(name)];
+      it.Id = OrganisationId(name);
+      it.Keys = {KeyDigest::of(std::string(name) + "-key")};
+    }
+    applyNext();
+    warmUp();
+  }
+
+  void applyNext() {
+    ++Next.Version;
+    Core.applyConfiguration(Now, Next);
+    connectAll();
+  }
+
+  void removeKey(const char *organisation) {
+    Next.Organisations[OrganisationId(organisation)].Keys.clear();
+    applyNext();
+  }
+
+  ClientId connectWith(const char *database, const std::string &key) {
+    const ClientId client{++LastClient};
+    Core.clientConnected(Now, client, DatabaseId(database), KeyDigest::of(key));
+    return client;
+  }
+
+  /// Gives the connection that carries the write.
+  ConnectionId sendWrite(ClientId client, const char *text) {
+    ask(client, StatementKind::Write, text);
+    answerOwn(markOf(3, 100));
+    const auto carrier = carrierOf(text);
+    REQUIRE(carrier);
+    return *carrier;
+  }
+
+  void losePrimary() {
+    membership::InstanceRecord record;
+    record.Id = InstanceId("p");
+    record.Service = "db";
+    record.Address = "10.0.0.1:1";
+    record.Hall = HallId("a");
+    record.State = membership::InstanceState::Gone;
+    record.Sequence = 2;
+    Core.applyInstance(Now, record);
+  }
+
+  int ownOpen(const std::string &instance) const {
+    int n = 0;
+    for (const auto &[id, target] : Io.Opened)
+      n += target.Instance.str() == instance && !target.isBorrowed();
+    return n;
+  }
+
+  /// What applyNext() makes the configuration.
+  control::Configuration Next;
+};
+
+} // namespace stepledge::proxy::tests
+
+#endif // STEPLEDGE_PROXY_TESTS_ORGANISATIONFIXTURE_H
--- /dev/null
+++ b/src/proxy/tests/OrganisationTest.cpp
@@ -0,0 +1,179 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Clients of organisations: whose connections carry their statements,
+/// and what becomes of them when a key is taken away.
+
+#include "proxy/tests/OrganisationFixture.h"
+
+using namespace stepledge;
+using namespace stepledge::proxy;
+using namespace stepledge::proxy::tests;
+
+TEST_CASE("Organisation_UnknownKeyIsRefusedAtOnce") {
+  OrganisationFixture it;
+  const auto client = it.connectWith("current", "nobody's");
+  REQUIRE(it.Io.Rejected.contains(client));
+  CHECK(it.Io.Rejected[client].Code == ReplyCode::Unauthorised);
+  CHECK(it.Io.Rejected[client].Detail.find("nobody's") == std::string::npos);
+  CHECK(it.Core.sessionCount() == 0);
+}
+
+TEST_CASE("Organisation_PublicRouteAsksForNoKey") {
+  OrganisationFixture it;
+  it.Next.Routes[DatabaseId("current")].IsPublic = true;
+  it.applyNext();
+  const auto client = it.connectWith("current", "nobody's");
+  CHECK(it.Io.Accepted.contains(client));
+  it.ask(client, StatementKind::Write, "WRITE x 1");
+  const auto carrier = it.carrierOf("WRITE x 1");
+  REQUIRE(carrier);
+  CHECK(it.Io.Opened.at(*carrier).Organisation == OrganisationId());
+}
+
+TEST_CASE("Organisation_StatementsRunOnItsOwnConnectionsOnly") {
+  OrganisationFixture it;
+  for (int i = 0; i < 40; ++i) {
+    const std::string name = i % 3 == 0 ? "red" : i % 3 == 1 ? "blue" : "green";
+    const std::string text = "WRITE x " + std::to_string(i);
+    it.ask(it.connectWith("current", name + "-key"), StatementKind::Write,
+           text.c_str());
+    for (int step = 0; step < 10 && !it.carrierOf(text); ++step) {
+      it.advance(milliseconds(10));
+      it.answerOwn(markOf(3, 100));
+    }
+    const auto carrier = it.carrierOf(text);
+    REQUIRE(carrier);
+    CHECK(it.Io.Opened.at(*carrier).Organisation == OrganisationId(name));
+    it.answer(*carrier, it.replyAt(markOf(3, 100)));
+  }
+}
+
+TEST_CASE("Organisation_ItsConnectionMakesRoomForOthers") {
+  OrganisationFixture it;
+  // One connection an instance for this VM.
+  it.Next.Services["db"].MaxConnections = 1;
+  it.applyNext();
+  for (const char *name : {"red", "blue", "green", "red"}) {
+    const std::string text = std::string("WRITE by ") + name;
+    it.ask(it.connectWith("current", std::string(name) + "-key"),
+           StatementKind::Write, text.c_str());
+    it.answerOwn(markOf(3, 100));
+    it.advance(milliseconds(30));
+    it.answerOwn(markOf(3, 100));
+    const auto carrier = it.carrierOf(text);
+    REQUIRE(carrier);
+    CHECK(it.ownOpen("p") == 1);
+    it.answer(*carrier, it.replyAt(markOf(3, 100)));
+  }
+}
+
+TEST_CASE("Organisation_RestingSessionIsClosedWithItsKey") {
+  OrganisationFixture it;
+  const auto red = it.connectWith("current", "red-key");
+  const auto blue = it.connectWith("current", "blue-key");
+  it.removeKey("red");
+  REQUIRE(it.Io.Rejected.contains(red));
+  CHECK(it.Io.Rejected[red].Code == ReplyCode::Unauthorised);
+  CHECK_FALSE(it.Io.Rejected.contains(blue));
+  CHECK(it.Io.Rejected.contains(it.connectWith("current", "red-key")));
+}
+
+TEST_CASE("Organisation_WaitingStatementIsRefusedWithItsKey") {
+  OrganisationFixture it;
+  it.losePrimary();
+  const auto red = it.connectWith("current", "red-key");
+  it.ask(red, StatementKind::Write, "WRITE x 1");
+  REQUIRE(it.Io.Answers[red].empty());
+  it.removeKey("red");
+  CHECK(it.lastAnswer(red).Code == ReplyCode::Unauthorised);
+  CHECK(it.Core.sessionCount() == 0);
+}
+
+TEST_CASE("Organisation_StatementUnderWayIsAnsweredThenTheSessionEnds") {
+  OrganisationFixture it;
+  const auto red = it.connectWith("current", "red-key");
+  const auto carrier = it.sendWrite(red, "WRITE x 1");
+  it.removeKey("red");
+  CHECK(it.Io.Answers[red].empty());
+  it.answer(carrier, it.replyAt(markOf(3, 101)));
+  CHECK(it.lastAnswer(red).Code == ReplyCode::Success);
+  CHECK(it.Io.Rejected.contains(red));
+}
+
+TEST_CASE("Organisation_OpenTransactionIsRolledBackWithItsKey") {
+  OrganisationFixture it;
+  const auto red = it.connectWith("current", "red-key");
+  const auto carrier = it.beginTransaction(red);
+  it.removeKey("red");
+  REQUIRE_FALSE(it.Io.Sent[carrier].empty());
+  CHECK(it.Io.Sent[carrier].back().Kind == CommandKind::Rollback);
+  it.answerOwn(markOf(3, 100));
+  it.ask(red, StatementKind::Commit, "COMMIT");
+  CHECK(it.lastAnswer(red).Code == ReplyCode::Unauthorised);
+  CHECK_FALSE(it.carrierOf("COMMIT"));
+  it.ask(red, StatementKind::Rollback, "ROLLBACK");
+  CHECK(it.lastAnswer(red).Code == ReplyCode::Success);
+  CHECK(it.Io.Rejected.contains(red));
+}
+
+TEST_CASE("Organisation_CommitUnderWayIsToldAsItEnded") {
+  OrganisationFixture it;
+  const auto red = it.connectWith("current", "red-key");
+  const auto carrier = it.beginTransaction(red);
+  it.ask(red, StatementKind::Commit, "COMMIT");
+  it.removeKey("red");
+  it.answer(carrier, it.replyAt(markOf(3, 101)));
+  CHECK(it.lastAnswer(red).Code == ReplyCode::Success);
+  CHECK(it.Io.Rejected.contains(red));
+}
+
+TEST_CASE("Organisation_KeyThatComesBackServesAgain") {
+  OrganisationFixture it;
+  const auto red = it.connectWith("current", "red-key");
+  it.beginTransaction(red);
+  it.removeKey("red");
+  it.Next.Organisations[OrganisationId("red")].Keys = {
+      KeyDigest::of("red-key")};
+  it.applyNext();
+  it.answerOwn(markOf(3, 100));
+  it.ask(red, StatementKind::Rollback, "ROLLBACK");
+  CHECK_FALSE(it.Io.Rejected.contains(red));
+  it.sendWrite(red, "WRITE x 2");
+}
+
+TEST_CASE("Organisation_KeyThatMovesTakesNewConnections") {
+  OrganisationFixture it;
+  const auto client = it.connectWith("current", "red-key");
+  const auto before = it.beginTransaction(client);
+  CHECK(it.Io.Opened.at(before).Organisation == OrganisationId("red"));
+  it.Next.Organisations[OrganisationId("red")].Keys.clear();
+  it.Next.Organisations[OrganisationId("blue")].Keys.insert(
+      KeyDigest::of("red-key"));
+  it.applyNext();
+  it.answerOwn(markOf(3, 100));
+  it.ask(client, StatementKind::Write, "WRITE x 2");
+  CHECK(it.lastAnswer(client).Code == ReplyCode::Aborted);
+  it.ask(client, StatementKind::Rollback, "ROLLBACK");
+  const auto after = it.sendWrite(client, "WRITE x 3");
+  CHECK(it.Io.Opened.at(after).Organisation == OrganisationId("blue"));
+}
+
+TEST_CASE("Organisation_BorrowerGetsAConnectionOfItsOrganisationOnly") {
+  OrganisationFixture it;
+  it.sendWrite(it.connectWith("current", "red-key"), "WRITE x 1");
+  BorrowRequest request;
+  request.Service = "db";
+  request.Instance = InstanceId("p");
+  request.Organisation = OrganisationId("blue");
+  request.IsFirst = true;
+  InstanceCommand command;
+  command.Id = "b1";
+  command.Text = "WRITE b 1";
+  request.Commands = {command};
+  it.Core.lender().ask(it.Now, {"10.9.9.9", 1}, request);
+  it.advance(milliseconds(10));
+  const auto carrier = it.carrierOf("WRITE b 1");
+  REQUIRE(carrier);
+  CHECK(it.Io.Opened.at(*carrier).Organisation == OrganisationId("blue"));
+}
--- a/src/proxy/tests/ProxyPrimaryTest.cpp
+++ b/src/proxy/tests/ProxyPrimaryTest.cpp
@@ -109,7 +109,11 @@
   CHECK(sights[0].Primary == InstanceId("p"));
   CHECK(sights[0].SilentFor >= milliseconds(600));
   // Who borrows here hears that it can't be reached.
-  it.Core.lender().ask(it.Now, {"10.9.9.9", 1},
-                       {"db", InstanceId("p"), {InstanceCommand()}, {}, true});
+  BorrowRequest request;
+  request.Service = "db";
+  request.Instance = InstanceId("p");
+  request.Commands = {InstanceCommand()};
+  request.IsFirst = true;
+  it.Core.lender().ask(it.Now, {"10.9.9.9", 1}, request);
   CHECK(it.Io.Ended[{"10.9.9.9", 1}] == LendingEnd::Unreachable);
 }
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -94,6 +94,13 @@
   /// In the two seconds after such a loss 0.57 was served instead of 0.07 to
   /// 0.17 (simulated days).
   double PooledFraction = 0.625;
+  /// Where connections belong to organisations, how many of one instance a home
+  /// should hold.
+  int OrganisationHomeConnections = 4;
+  /// Then the most homes of one instance.
+  int MostOrganisationHomes = 6;
+  /// Then one in so many of the connections is left to VMs that are no homes.
+  int OrganisationGuestShare = 6;
   /// Connections to an instance left to the control VMs.
   int ReservedConnections = 4;
 };
--- a/src/proxy/types/StatementReply.h
+++ b/src/proxy/types/StatementReply.h
@@ -41,6 +41,8 @@
   UnknownStatement,
   UnknownDatabase,
   Malformed,
+  /// Not run: no organisation has the client's key.
+  Unauthorised,
   /// A code that this version doesn't know; nothing is assumed of it.
   Other,
 };
@@ -60,6 +62,7 @@
     {ReplyCode::UnknownStatement, "unknown_statement"},
     {ReplyCode::UnknownDatabase, "unknown_database"},
     {ReplyCode::Malformed, "malformed"},
+    {ReplyCode::Unauthorised, "unauthorised"},
     {ReplyCode::Other, "other"},
 });
 
