Count organisations' operations over all VMs

Ways weighed: a home for the whole fleet (a cut hall then has nothing, or a second home grants the same twice); shares that follow exchanged counts (safe only while all counts arrive); fixed parts by hall, from the settings, each kept by one VM of the hall, lent for a second by need, with halls borrowing from each other. The last holds whatever is cut, stands still or starts again, so it was built. A hall's part doesn't follow the list of VMs, since halls that are cut off from each other hold different ones.

--- a/src/entry/BorrowedConnections.cpp
+++ b/src/entry/BorrowedConnections.cpp
@@ -154,12 +154,19 @@
 }
 
 void BorrowedConnections::keepLenders() {
-  std::set<std::string> ips;
+  std::set<std::string> ips = AlsoKept;
   for (const auto &[ip, state] : States)
     ips.insert(ip);
   Lenders.keepConnected(ips);
 }
 
+void BorrowedConnections::keepAlso(std::set<std::string> ips) {
+  if (ips == AlsoKept)
+    return;
+  AlsoKept = std::move(ips);
+  keepLenders();
+}
+
 void BorrowedConnections::dropUnusedLenders() {
   std::set<std::string> needed;
   for (const auto &[id, it] : Connections)
--- a/src/entry/BorrowedConnections.h
+++ b/src/entry/BorrowedConnections.h
@@ -38,6 +38,8 @@
       : Sockets(sockets), Lenders(lenders), Log(log), Options(options) {}
 
   void setProxy(proxy::Proxy &proxy) { Proxy = &proxy; }
+  /// VMs to stay connected to beside the lenders, by the same connections.
+  void keepAlso(std::set<std::string> ips);
   void tick(TimePoint now);
   /// Of lenders.
   void peerConnected(const std::string &ip,
@@ -115,6 +117,7 @@
   proxy::Proxy *Proxy = nullptr;
   std::map<ConnectionId, Borrowed> Connections;
   std::map<std::string, LenderState> States;
+  std::set<std::string> AlsoKept;
   TimePoint Now{};
 };
 
--- a/src/entry/EntryModule.cpp
+++ b/src/entry/EntryModule.cpp
@@ -21,6 +21,13 @@
   return out;
 }
 
+quota::QuotaOptions quotaOptions(const EntryModuleOptions &options) {
+  quota::QuotaOptions out = options.Quota;
+  out.OwnIp = options.Node.Ip;
+  out.OwnHall = HallId(options.Node.Hall);
+  return out;
+}
+
 peer::wire::Hello helloOf(const EntryOptions &options, peer::wire::Kind kind) {
   peer::wire::Hello hello;
   hello.set_ip(options.Ip);
@@ -36,18 +43,23 @@
                          ReadClock clock)
     : Options(std::move(options)), Log(log), Clock(std::move(clock)),
       LenderEvents(Borrowed, Clock), BorrowerEvents(Lending, Clock),
-      ControlEvents(Node, Clock),
+      ControlEvents(Node, Clock), QuotaAskers(Quota),
+      QuotaHomeEvents(Quota, Clock), QuotaAskEvents(QuotaAskers, Clock),
+      ToPartners(LenderEvents, QuotaHomeEvents),
+      FromPartners(BorrowerEvents, QuotaAskEvents),
       LenderHub(context, helloOf(Options.Node, peer::wire::BORROWER),
-                Options.LendingPort, LenderEvents),
+                Options.LendingPort, ToPartners),
       BorrowerHub(context, helloOf(Options.Node, peer::wire::BORROWER),
-                  Options.LendingPort, BorrowerEvents),
+                  Options.LendingPort, FromPartners),
       Borrowed(io, LenderHub, log), Lending(BorrowerHub, log),
-      Core(proxyOptions(Options.Node), Borrowed, log, Lending),
+      Quota(quotaOptions(Options), LenderHub, BorrowerHub),
+      Core(proxyOptions(Options.Node), Borrowed, log, Lending, Quota.ledger()),
       Hub(context, helloOf(Options.Node, peer::wire::ENTRY), Options.PeerPort,
           ControlEvents),
       Node(Options.Node, Core, Hub, log) {
   Borrowed.setProxy(Core);
   Lending.setProxy(Core);
+  Quota.wire(Core, Borrowed);
 }
 
 void EntryModule::start() {
@@ -61,6 +73,7 @@
     return;
   Stop = StopPlan{Clock(), Options.StopLimit};
   Core.lender().stop();
+  Quota.ledger().stop();
   Log.decision(absl::StrCat("event=stopping sessions=", Core.sessionCount()));
 }
 
@@ -70,6 +83,7 @@
   LenderHub.tick(now);
   Borrowed.tick(now);
   Lending.tick(now);
+  Quota.tick(now);
   Node.tick(now);
   return Stop && continueStop(now);
 }
--- a/src/entry/EntryModule.h
+++ b/src/entry/EntryModule.h
@@ -10,7 +10,9 @@
 #include "entry/BorrowedConnections.h"
 #include "entry/EntryNode.h"
 #include "entry/LendingService.h"
+#include "entry/QuotaService.h"
 #include "entry/StopPlan.h"
+#include "peer/ListenerPair.h"
 #include "peer/PeerHub.h"
 #include "peer/TimedListener.h"
 
@@ -23,6 +25,7 @@
 
 struct EntryModuleOptions {
   EntryOptions Node;
+  quota::QuotaOptions Quota;
   /// Where this process listens; others may know it by another address.
   std::string ListenIp;
   std::uint16_t PeerPort = 0;
@@ -58,12 +61,18 @@
   /// Of the connections that borrowers opened to this VM.
   peer::TimedListener<LendingService> BorrowerEvents;
   peer::TimedListener<EntryNode> ControlEvents;
+  QuotaAskerEvents QuotaAskers;
+  peer::TimedListener<QuotaService> QuotaHomeEvents;
+  peer::TimedListener<QuotaAskerEvents> QuotaAskEvents;
+  peer::ListenerPair ToPartners;
+  peer::ListenerPair FromPartners;
   // NOTE: two hubs, so that the replies to one VM's calls all come by the
   // connection that it opened, in their order.
   peer::PeerHub LenderHub;
   peer::PeerHub BorrowerHub;
   BorrowedConnections Borrowed;
   LendingService Lending;
+  QuotaService Quota;
   proxy::Proxy Core;
   peer::PeerHub Hub;
   EntryNode Node;
--- /dev/null
+++ b/src/entry/QuotaService.cpp
@@ -0,0 +1,107 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "entry/QuotaService.h"
+
+namespace stepledge::entry {
+
+void QuotaAskerEvents::setTime(TimePoint now) { Service.setTime(now); }
+
+void QuotaAskerEvents::peerConnected(const std::string &ip,
+                                     const peer::wire::Hello &hello) {
+  (void)ip;
+  (void)hello;
+}
+
+void QuotaAskerEvents::peerLost(const std::string &ip, peer::LinkEnd end) {
+  (void)ip;
+  (void)end;
+}
+
+void QuotaAskerEvents::peerHeard(const std::string &ip) { (void)ip; }
+
+void QuotaAskerEvents::peerSaid(const std::string &ip,
+                                const peer::wire::Message &message) {
+  if (message.has_quota_ask())
+    Service.takeAsk(ip, message.quota_ask());
+}
+
+void QuotaService::wire(proxy::Proxy &proxy, BorrowedConnections &connections) {
+  Proxy = &proxy;
+  Connections = &connections;
+}
+
+void QuotaService::tick(TimePoint now) {
+  Now = now;
+  Ledger.tick(now);
+  keepHomes();
+}
+
+void QuotaService::keepHomes() {
+  auto ips = Ledger.homesToKeep();
+  if (ips.empty())
+    FarHomes.clear();
+  ips.insert(FarHomes.begin(), FarHomes.end());
+  Connections->keepAlso(std::move(ips));
+}
+
+void QuotaService::peerConnected(const std::string &ip,
+                                 const peer::wire::Hello &hello) {
+  (void)ip;
+  (void)hello;
+}
+
+void QuotaService::peerLost(const std::string &ip, peer::LinkEnd end) {
+  (void)end;
+  Ledger.homeLost(Now, ip);
+}
+
+void QuotaService::peerHeard(const std::string &ip) { (void)ip; }
+
+void QuotaService::peerSaid(const std::string &ip,
+                            const peer::wire::Message &message) {
+  if (!message.has_quota_grant())
+    return;
+  const auto &in = message.quota_grant();
+  Ledger.answered(Now, ip,
+                  {in.number(), OrganisationId(in.organisation()),
+                   static_cast<quota::GrantResult>(in.result()),
+                   in.operations(), Duration(in.retry_after_us())});
+}
+
+void QuotaService::takeAsk(const std::string &ip,
+                           const peer::wire::QuotaAsk &ask) {
+  Ledger.asked(Now, ip,
+               {ask.number(), OrganisationId(ask.organisation()),
+                ask.operations(), ask.is_from_other_hall()});
+}
+
+bool QuotaService::askHome(const std::string &ip, const quota::QuotaAsk &ask) {
+  peer::wire::Message message;
+  auto &out = *message.mutable_quota_ask();
+  out.set_number(ask.Number);
+  out.set_organisation(ask.Organisation.str());
+  out.set_operations(ask.Operations);
+  out.set_is_from_other_hall(ask.IsFromOtherHall);
+  if (ask.IsFromOtherHall && FarHomes.insert(ip).second)
+    keepHomes();
+  return Homes.send(ip, message);
+}
+
+void QuotaService::answerAsker(const std::string &ip,
+                               const quota::QuotaGrant &grant) {
+  peer::wire::Message message;
+  auto &out = *message.mutable_quota_grant();
+  out.set_number(grant.Number);
+  out.set_organisation(grant.Organisation.str());
+  out.set_result(static_cast<std::uint32_t>(grant.Result));
+  out.set_operations(grant.Operations);
+  out.set_retry_after_us(grant.RetryAfter.count());
+  Askers.send(ip, message);
+}
+
+void QuotaService::quotaChanged(const OrganisationId &organisation) {
+  Proxy->quotaChanged(Now, organisation);
+}
+
+} // namespace stepledge::entry
--- a/src/entry/tests/BorrowedConnectionsTest.cpp
+++ b/src/entry/tests/BorrowedConnectionsTest.cpp
@@ -7,6 +7,8 @@
 
 #include "proxy/tests/FakeIo.h"
 
+#include "quota/tests/NoQuota.h"
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -39,7 +41,7 @@
 
 /// A use whose first command the lender has been sent.
 struct Fixture {
-  Fixture() : Borrowed(Io, Hub, Io), Core({}, Borrowed, Io, Io) {
+  Fixture() : Borrowed(Io, Hub, Io), Core({}, Borrowed, Io, Io, Quota) {
     Borrowed.setProxy(Core);
     Borrowed.tick(Now);
     open(Use);
@@ -70,6 +72,7 @@
   FakeHub Hub;
   proxy::tests::FakeIo Io;
   BorrowedConnections Borrowed;
+  quota::tests::NoQuota Quota;
   proxy::Proxy Core;
   TimePoint Now = TimePoint(std::chrono::seconds(5));
 };
--- a/src/entry/tests/EntryTest.cpp
+++ b/src/entry/tests/EntryTest.cpp
@@ -10,6 +10,8 @@
 #include "distribution/ChangeCodec.h"
 #include "proxy/tests/FakeIo.h"
 
+#include "quota/tests/NoQuota.h"
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -40,7 +42,7 @@
 };
 
 struct Fixture {
-  Fixture() : Core({}, Io, Io, Io), Node(options(), Core, Control, Io) {
+  Fixture() : Core({}, Io, Io, Io, Quota), Node(options(), Core, Control, Io) {
     Node.tick(Now);
   }
 
@@ -111,6 +113,7 @@
   proxy::tests::FakeIo Io;
   SentToControl Control;
   TimePoint Now = TimePoint(std::chrono::seconds(5));
+  quota::tests::NoQuota Quota;
   proxy::Proxy Core;
   EntryNode Node;
 };
--- a/src/entry/tests/LendingScheduleTest.cpp
+++ b/src/entry/tests/LendingScheduleTest.cpp
@@ -9,6 +9,8 @@
 #include "entry/LendingService.h"
 #include "proxy/tests/ScheduledClients.h"
 
+#include "quota/tests/NoQuota.h"
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -158,7 +160,7 @@
       : ToLenders(links, number, true, now),
         ToBorrowers(links, number, false, now), Sockets(group, number),
         Borrowed(Sockets, ToLenders, group), Lending(ToBorrowers, group),
-        Core(options(number), Borrowed, group, Lending) {
+        Core(options(number), Borrowed, group, Lending, Quota) {
     Borrowed.setProxy(Core);
     Lending.setProxy(Core);
   }
@@ -175,6 +177,7 @@
   NumberedSockets Sockets;
   BorrowedConnections Borrowed;
   LendingService Lending;
+  quota::tests::NoQuota Quota;
   proxy::Proxy Core;
 };
 
--- a/src/entry/tests/NarrowFleet.cpp
+++ b/src/entry/tests/NarrowFleet.cpp
@@ -46,7 +46,7 @@
 } // namespace
 
 NarrowFleet::EntryVm::EntryVm(NarrowFleet &fleet)
-    : Fleet(fleet), Core({}, Io, Io, Io),
+    : Fleet(fleet), Core({}, Io, Io, Io, Quota),
       Node(entryOptions(), Core, *this, Io) {}
 
 bool NarrowFleet::EntryVm::send(const std::string &ip,
--- a/src/entry/tests/NarrowFleet.h
+++ b/src/entry/tests/NarrowFleet.h
@@ -12,6 +12,8 @@
 #include "entry/tests/NarrowLink.h"
 #include "proxy/tests/FakeIo.h"
 
+#include "quota/tests/NoQuota.h"
+
 #include <map>
 #include <memory>
 #include <string>
@@ -57,6 +59,7 @@
 
     NarrowFleet &Fleet;
     proxy::tests::FakeIo Io;
+    quota::tests::NoQuota Quota;
     proxy::Proxy Core;
     EntryNode Node;
   };
--- a/src/gateway/tests/EntrySocketsTest.cpp
+++ b/src/gateway/tests/EntrySocketsTest.cpp
@@ -9,6 +9,8 @@
 #include "gateway/tests/PlainCodec.h"
 #include "proxy/tests/FakeIo.h"
 
+#include "quota/tests/NoQuota.h"
+
 #include <doctest/doctest.h>
 
 using namespace stepledge;
@@ -76,7 +78,8 @@
   proxy::tests::FakeIo Log;
   NoPeers Peers;
   entry::BorrowedConnections Connections{Sockets, Peers, Log};
-  proxy::Proxy Core{{}, Connections, Log, Log};
+  quota::tests::NoQuota Quota;
+  proxy::Proxy Core{{}, Connections, Log, Log, Quota};
 };
 
 } // namespace
--- a/src/membership/HomeTable.cpp
+++ b/src/membership/HomeTable.cpp
@@ -3,7 +3,7 @@
 
 #include "membership/HomeTable.h"
 
-#include <xxhash.h>
+#include "membership/Rendezvous.h"
 
 #include <algorithm>
 #include <tuple>
@@ -11,15 +11,6 @@
 
 namespace stepledge::membership {
 
-namespace {
-
-std::uint64_t weightOf(const std::string &first, const std::string &second) {
-  return XXH64(first.data(), first.size(),
-               XXH64(second.data(), second.size(), 0));
-}
-
-} // namespace
-
 void HomeTable::setEntries(std::vector<EntryVm> entries) {
   std::sort(entries.begin(), entries.end());
   if (entries == Entries)
@@ -57,7 +48,8 @@
   if (!isNew)
     return known->second;
   const auto rankOf = [&](const EntryVm &it) {
-    return std::tuple(it.Hall != hall, weightOf(instance.str(), it.Ip), it.Ip);
+    return std::tuple(it.Hall != hall, rendezvousWeight(instance.str(), it.Ip),
+                      it.Ip);
   };
   const auto own =
       std::find_if(Entries.begin(), Entries.end(),
@@ -89,7 +81,7 @@
   std::vector<std::string> homes = ranking(instance, hall, share).Homes;
   const std::string pair = instance.str() + '/' + organisation.str();
   std::sort(homes.begin(), homes.end(), [&](const auto &a, const auto &b) {
-    return weightOf(a, pair) < weightOf(b, pair);
+    return rendezvousWeight(a, pair) < rendezvousWeight(b, pair);
   });
   return homes;
 }
@@ -111,8 +103,8 @@
   std::vector<std::tuple<bool, std::uint64_t, std::string>> ranked;
   ranked.reserve(Entries.size());
   for (const auto &it : Entries)
-    ranked.emplace_back(it.Hall != hall, weightOf(instance.str(), it.Ip),
-                        it.Ip);
+    ranked.emplace_back(it.Hall != hall,
+                        rendezvousWeight(instance.str(), it.Ip), it.Ip);
   std::sort(ranked.begin(), ranked.end());
   const auto count =
       std::min(ranked.size(), static_cast<std::size_t>(share.Homes));
@@ -128,8 +120,8 @@
   ranked.erase(end + static_cast<std::ptrdiff_t>(guests), ranked.end());
   // Each VM has its own first choice, so that the homes share the work.
   std::sort(ranked.begin(), end, [&](const auto &a, const auto &b) {
-    return weightOf(std::get<std::string>(a), OwnIp) <
-           weightOf(std::get<std::string>(b), OwnIp);
+    return rendezvousWeight(std::get<std::string>(a), OwnIp) <
+           rendezvousWeight(std::get<std::string>(b), OwnIp);
   });
   Ranking ranking;
   ranking.Share = share;
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -29,8 +29,8 @@
 } // namespace
 
 Proxy::Proxy(ProxyOptions options, IProxyIo &io, IProxyLog &log,
-             IBorrowerIo &borrowers)
-    : Options(std::move(options)), Io(io), Log(log), Pool(io),
+             IBorrowerIo &borrowers, quota::IOperationQuota &quota)
+    : Options(std::move(options)), Io(io), Log(log), Quota(quota), Pool(io),
       Homes(Options.OwnIp), Lending(*this, borrowers, log) {}
 
 void Proxy::applyConfiguration(TimePoint now,
@@ -42,6 +42,7 @@
   Configuration = std::move(configuration);
   for (const auto &[name, service] : Configuration.Services)
     tracker(name);
+  Quota.setOrganisations(Configuration.Organisations);
   reviewSessions(now);
   for (const auto &[name, service] : Configuration.Services)
     dispatchWaiting(now, name);
@@ -217,6 +218,7 @@
                        : TransactionMode::ReadOnly;
     session.HasRunInTransaction = false;
     session.HasWritten = false;
+    session.IsAdmitted = false;
     return true;
   }
   case StatementKind::Set:
@@ -286,8 +288,10 @@
                      session.Mode == TransactionMode::ReadWrite;
   work.IsWrapped = !isOpen && work.PrimaryOnly && work.Mode == AccessMode::Read;
   work.Statement = std::move(statement);
-  if (!isOpen)
+  if (!isOpen) {
     session.Route = *route;
+    session.IsAdmitted = false;
+  }
   session.Current = std::move(work);
   dispatch(now, session);
 }
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -19,6 +19,7 @@
 #include "proxy/internal/LoadShedder.h"
 #include "proxy/internal/RouteWork.h"
 #include "proxy/types/ProxyOptions.h"
+#include "quota/IOperationQuota.h"
 
 #include <map>
 #include <memory>
@@ -46,9 +47,10 @@
 
 class Proxy : private ILendablePool {
 public:
-  /// Other VMs that borrow connections are answered by \p borrowers.
+  /// Other VMs that borrow connections are answered by \p borrowers; how often
+  /// organisations may ask is \p quota's.
   Proxy(ProxyOptions options, IProxyIo &io, IProxyLog &log,
-        IBorrowerIo &borrowers);
+        IBorrowerIo &borrowers, quota::IOperationQuota &quota);
 
   void applyConfiguration(TimePoint now, control::Configuration configuration);
   void applyInstance(TimePoint now, const membership::InstanceRecord &record);
@@ -80,6 +82,8 @@
 
   /// Timeouts, retries and probes; call it every few milliseconds.
   void tick(TimePoint now);
+  /// What waits for the organisation's quota may go on, or is beyond it.
+  void quotaChanged(TimePoint now, const OrganisationId &organisation);
   /// After the clock jumped, what was known is too old to rely on.
   void forgetProofs();
 
@@ -169,6 +173,9 @@
                  ClientStatement statement);
 
   void dispatch(TimePoint now, ClientSession &session);
+  /// Whether the quota lets the session's operation be sent; if not, it waits
+  /// or is refused.
+  bool isAdmitted(TimePoint now, ClientSession &session);
   bool dispatchToPrimary(TimePoint now, ClientSession &session);
   bool dispatchRead(TimePoint now, ClientSession &session);
   bool isInOwnHall(InstanceTracker &instances,
@@ -285,6 +292,7 @@
   ProxyOptions Options;
   IProxyIo &Io;
   IProxyLog &Log;
+  quota::IOperationQuota &Quota;
   control::Configuration Configuration;
   std::map<std::string, std::unique_ptr<InstanceTracker>> Trackers;
   std::map<std::string, TimePoint> ProbedAt;
--- a/src/proxy/internal/Access.cpp
+++ b/src/proxy/internal/Access.cpp
@@ -97,4 +97,38 @@
   Io.rejectClient(client, reply);
 }
 
+bool Proxy::isAdmitted(TimePoint now, ClientSession &session) {
+  if (session.IsAdmitted)
+    return true;
+  switch (Quota.admit(now, session.Organisation)) {
+  case quota::QuotaVerdict::Granted:
+    session.IsAdmitted = true;
+    return true;
+  case quota::QuotaVerdict::Pending:
+    session.Current->LastRefusal = "the organisation's quota isn't known";
+    wait(session, session.Current->NotBefore);
+    return false;
+  case quota::QuotaVerdict::Exhausted:
+    break;
+  }
+  const auto pause = Quota.retryAfter(now, session.Organisation);
+  refuse(now, session, ReplyCode::Busy,
+         absl::StrCat("the organisation's quota is used up; retry after ",
+                      toMilliseconds(pause), " ms"));
+  return false;
+}
+
+void Proxy::quotaChanged(TimePoint now, const OrganisationId &organisation) {
+  std::vector<ClientId> waiting;
+  for (const auto &[id, it] : Sessions)
+    if (it.Current && it.Organisation == organisation && !it.IsAdmitted &&
+        it.Current->Stage == WorkStage::Waiting)
+      waiting.push_back(id);
+  for (const auto id : waiting) {
+    auto *it = session(id);
+    if (it && it->Current && it->Current->Stage == WorkStage::Waiting)
+      dispatch(now, *it);
+  }
+}
+
 } // namespace stepledge::proxy
--- a/src/proxy/internal/ClientSession.h
+++ b/src/proxy/internal/ClientSession.h
@@ -68,6 +68,9 @@
   control::Route Route;
   /// The connection that holds the transaction.
   std::optional<ConnectionId> Pinned;
+  /// The operation, a statement or an open transaction, is counted in its
+  /// organisation's quota.
+  bool IsAdmitted = false;
   /// An instance has run a statement of the open transaction.
   bool HasRunInTransaction = false;
   bool HasWritten = false;
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -31,6 +31,8 @@
     sendStatement(now, session, *connection, std::nullopt);
     return;
   }
+  if (!isAdmitted(now, session))
+    return;
   const bool isSent = work.PrimaryOnly ? dispatchToPrimary(now, session)
                                        : dispatchRead(now, session);
   if (!isSent)
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -15,6 +15,7 @@
 namespace stepledge::proxy {
 
 void Proxy::setEntries(std::vector<membership::EntryVm> entries) {
+  Quota.setEntries(entries);
   Homes.setEntries(std::move(entries));
 }
 
--- a/src/proxy/tests/ProxyFixture.h
+++ b/src/proxy/tests/ProxyFixture.h
@@ -7,6 +7,7 @@
 #define STEPLEDGE_PROXY_TESTS_PROXYFIXTURE_H
 
 #include "proxy/tests/FakeIo.h"
+#include "quota/tests/NoQuota.h"
 
 #include <doctest/doctest.h>
 
@@ -22,7 +23,7 @@
 
 /// One service with a primary and two replicas, and a proxy before it.
 struct ProxyFixture {
-  ProxyFixture() : Core(options(), Io, Io, Io) {
+  ProxyFixture() : Core(options(), Io, Io, Io, Quota) {
     control::Configuration configuration;
     configuration.Version = 1;
     configuration.Services["db"] = {"db", 40, 0};
@@ -195,6 +196,7 @@
   }
 
   FakeIo Io;
+  quota::tests::NoQuota Quota;
   TimePoint Now = TimePoint(std::chrono::seconds(10));
   Proxy Core;
   std::set<ConnectionId> Ready;
--- a/src/proxy/tests/ProxyScheduleTest.cpp
+++ b/src/proxy/tests/ProxyScheduleTest.cpp
@@ -7,6 +7,8 @@
 
 #include "proxy/tests/ScheduledClients.h"
 
+#include "quota/tests/NoQuota.h"
+
 #include <doctest/doctest.h>
 
 #include <cstdlib>
@@ -25,7 +27,7 @@
 class Play {
 public:
   explicit Play(std::uint64_t seed)
-      : Group(seed, 3), Core(options(), Group, Group, Group) {
+      : Group(seed, 3), Core(options(), Group, Group, Group, Quota) {
     Group.setProxy(Core);
     Core.applyConfiguration(Now, tests::scheduleConfiguration(40));
     Group.announceAll();
@@ -111,6 +113,7 @@
 
   TimePoint Now = TimePoint(std::chrono::seconds(10));
   SimulatedInstances Group;
+  quota::tests::NoQuota Quota;
   Proxy Core;
   tests::ScheduledClients Clients{Group};
   int Steps = 0;
--- a/src/proxy/tests/ProxyTest.cpp
+++ b/src/proxy/tests/ProxyTest.cpp
@@ -27,7 +27,8 @@
 
 TEST_CASE("Proxy_ClientBeforeTheFirstConfigurationWaits") {
   FakeIo io;
-  Proxy core(Fixture::options(), io, io, io);
+  quota::tests::NoQuota quota;
+  Proxy core(Fixture::options(), io, io, io, quota);
   const TimePoint now(std::chrono::seconds(10));
   core.clientConnected(now, ClientId{1}, DatabaseId("current"));
   CHECK(io.Rejected.empty());
@@ -41,7 +42,8 @@
 
 TEST_CASE("Proxy_ClientWithoutAConfigurationIsSentAwayInTime") {
   FakeIo io;
-  Proxy core(Fixture::options(), io, io, io);
+  quota::tests::NoQuota quota;
+  Proxy core(Fixture::options(), io, io, io, quota);
   const TimePoint now(std::chrono::seconds(10));
   core.clientConnected(now, ClientId{1}, DatabaseId("current"));
   core.tick(now + milliseconds(1000));
--- /dev/null
+++ b/src/quota/tests/QuotaScheduleTest.cpp
@@ -0,0 +1,74 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Seeded schedules: whatever is cut, stands still, starts again or holds
+/// another list, no more operations run in any window than the operator
+/// tolerates.
+
+#include "quota/tests/SimulatedQuotas.h"
+
+#include <doctest/doctest.h>
+
+using namespace stepledge;
+using namespace stepledge::quota::tests;
+
+namespace {
+
+constexpr Duration Window = milliseconds(5000);
+
+/// What the operator tolerates in one window: a tenth and 20 operations more.
+double allowed(double rate, double burst) {
+  const std::chrono::duration<double> window = Window;
+  return (rate * window.count() + burst) * 1.1 + 20;
+}
+
+void disturb(SimulatedQuotas &it, bool &isCut) {
+  const std::size_t vm = it.random()() % it.size();
+  switch (it.random()() % 6) {
+  case 0:
+    isCut = !isCut;
+    return it.cutFirstHall(isCut);
+  case 1:
+    return it.restart(vm);
+  case 2:
+    return it.freeze(vm, milliseconds(200 + it.random()() % 4000));
+  case 3:
+    return it.setListed(vm, false);
+  case 4:
+    return it.setListed(vm, true);
+  default:
+    return it.restartAll();
+  }
+}
+
+} // namespace
+
+TEST_CASE("QuotaSchedule_FloodNeverPassesTheLimit") {
+  for (std::uint64_t seed = 1; seed <= 24; ++seed) {
+    const double rate = seed % 3 == 0 ? 6 : seed % 3 == 1 ? 30 : 150;
+    CAPTURE(seed);
+    CAPTURE(rate);
+    SimulatedQuotas it(seed, 3, 5, rate, rate);
+    bool isCut = false;
+    it.play(milliseconds(4000), 0);
+    for (int i = 0; i < 12; ++i) {
+      it.play(milliseconds(300 + it.random()() % 1500), 3 * rate);
+      disturb(it, isCut);
+    }
+    CHECK(it.mostIn(Window) <= allowed(rate, rate));
+  }
+}
+
+TEST_CASE("QuotaSchedule_AllVmsStartAgainUnderAFlood") {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    CAPTURE(seed);
+    SimulatedQuotas it(seed, 3, 5, 100, 100);
+    it.play(milliseconds(4000), 0);
+    for (int i = 0; i < 5; ++i) {
+      it.play(milliseconds(900), 300);
+      it.restartAll();
+    }
+    it.play(milliseconds(3000), 300);
+    CHECK(it.mostIn(Window) <= allowed(100, 100));
+  }
+}
--- /dev/null
+++ b/src/quota/tests/SimulatedQuotas.cpp
@@ -0,0 +1,222 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "quota/tests/SimulatedQuotas.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace stepledge::quota::tests {
+
+namespace {
+
+constexpr Duration Step = milliseconds(2);
+constexpr Duration Delay = milliseconds(1);
+/// How long a statement waits for its quota.
+constexpr Duration Patience = milliseconds(700);
+/// How long a VM is away when it starts again.
+constexpr Duration Away = milliseconds(500);
+const OrganisationId TheOrganisation("o");
+
+std::string ipOf(std::size_t vm) { return "10.0.0." + std::to_string(vm); }
+
+} // namespace
+
+struct SimulatedQuotas::Vm : IQuotaIo {
+  Vm(SimulatedQuotas &owner, std::size_t number, HallId hall, int halls)
+      : All(owner), Number(number), Hall(std::move(hall)), Halls(halls) {
+    begin();
+  }
+
+  void begin() {
+    QuotaOptions options;
+    options.OwnIp = ipOf(Number);
+    options.OwnHall = Hall;
+    options.Halls = Halls;
+    options.Tolerance = 20;
+    Ledger = std::make_unique<QuotaLedger>(options, *this);
+  }
+
+  bool askHome(const std::string &ip, const QuotaAsk &ask) override {
+    All.send(Number, ip, ask);
+    return true;
+  }
+  void answerAsker(const std::string &ip, const QuotaGrant &grant) override {
+    All.send(Number, ip, grant);
+  }
+  void quotaChanged(const OrganisationId &organisation) override {
+    (void)organisation;
+    MustPump = true;
+  }
+
+  SimulatedQuotas &All;
+  std::size_t Number;
+  HallId Hall;
+  int Halls;
+  std::unique_ptr<QuotaLedger> Ledger;
+  std::deque<TimePoint> Waiting;
+  bool MustPump = false;
+  bool IsListed = true;
+  /// Standing still or away until then.
+  TimePoint StillUntil{};
+  int Life = 0;
+};
+
+SimulatedQuotas::SimulatedQuotas(std::uint64_t seed, int halls, int vmsPerHall,
+                                 double rate, double burst)
+    : Random(seed), Halls(halls) {
+  for (int i = 0; i < halls * vmsPerHall; ++i)
+    Vms.push_back(std::make_unique<Vm>(
+        *this, static_cast<std::size_t>(i),
+        HallId("h" + std::to_string(i / vmsPerHall)), halls));
+  for (auto &it : Vms)
+    it->Ledger->setEntries(entries());
+  setLimit(rate, burst);
+}
+
+SimulatedQuotas::~SimulatedQuotas() = default;
+
+std::vector<membership::EntryVm> SimulatedQuotas::entries() const {
+  std::vector<membership::EntryVm> entries;
+  for (const auto &it : Vms)
+    if (it->IsListed)
+      entries.push_back({ipOf(it->Number), it->Hall});
+  return entries;
+}
+
+void SimulatedQuotas::setLimit(double rate, double burst) {
+  auto &it = Organisations[TheOrganisation];
+  it.Id = TheOrganisation;
+  it.RatePerSecond = rate;
+  it.Burst = burst;
+  for (auto &vm : Vms)
+    vm->Ledger->setOrganisations(Organisations);
+}
+
+void SimulatedQuotas::setListed(std::size_t vm, bool isListed) {
+  Vms[vm]->IsListed = isListed;
+  // NOTE: not all hear of it at once.
+  for (auto &it : Vms)
+    if (Random() % 4 != 0)
+      it->Ledger->setEntries(entries());
+}
+
+void SimulatedQuotas::restart(std::size_t vm) {
+  auto &it = *Vms[vm];
+  ++it.Life;
+  it.Waiting.clear();
+  it.begin();
+  it.Ledger->setEntries(entries());
+  it.Ledger->setOrganisations(Organisations);
+  it.StillUntil = Now + Away;
+}
+
+void SimulatedQuotas::restartAll() {
+  for (std::size_t i = 0; i < Vms.size(); ++i)
+    restart(i);
+}
+
+void SimulatedQuotas::freeze(std::size_t vm, Duration time) {
+  Vms[vm]->StillUntil = std::max(Vms[vm]->StillUntil, Now + time);
+}
+
+bool SimulatedQuotas::isLinked(std::size_t a, std::size_t b) const {
+  const bool isSameHall = Vms[a]->Hall == Vms[b]->Hall;
+  const auto &first = Vms.front()->Hall;
+  const bool touchesFirst = Vms[a]->Hall == first || Vms[b]->Hall == first;
+  return isSameHall || !IsFirstHallCut || !touchesFirst;
+}
+
+void SimulatedQuotas::send(std::size_t from, const std::string &ip,
+                           std::variant<QuotaAsk, QuotaGrant> body) {
+  ++Messages;
+  const auto to = static_cast<std::size_t>(std::stoi(ip.substr(7)));
+  if (isLinked(from, to))
+    Parcels.push_back(
+        {Now + Delay, from, to, Vms[from]->Life, std::move(body)});
+}
+
+void SimulatedQuotas::deliver() {
+  std::deque<Parcel> kept;
+  for (auto &it : std::exchange(Parcels, {})) {
+    auto &to = *Vms[it.To];
+    if (it.At > Now || to.StillUntil > Now) {
+      kept.push_back(std::move(it));
+      continue;
+    }
+    // NOTE: the connection to an earlier life is gone.
+    if (it.Life != Vms[it.From]->Life)
+      continue;
+    if (const auto *ask = std::get_if<QuotaAsk>(&it.Body))
+      to.Ledger->asked(Now, ipOf(it.From), *ask);
+    else
+      to.Ledger->answered(Now, ipOf(it.From), std::get<QuotaGrant>(it.Body));
+  }
+  for (auto &it : Parcels)
+    kept.push_back(std::move(it));
+  Parcels = std::move(kept);
+}
+
+void SimulatedQuotas::ask(std::size_t vm) {
+  // NOTE: the balancer sends clients to VMs that answer.
+  while (Vms[vm]->StillUntil > Now)
+    vm = Random() % Vms.size();
+  ++Asked;
+  Vms[vm]->Waiting.push_back(Now);
+  pump(*Vms[vm]);
+}
+
+void SimulatedQuotas::pump(Vm &vm) {
+  vm.MustPump = false;
+  std::deque<TimePoint> kept;
+  for (const auto since : std::exchange(vm.Waiting, {})) {
+    const auto verdict = vm.Ledger->admit(Now, TheOrganisation);
+    if (verdict == QuotaVerdict::Granted)
+      GrantedAt.push_back(Now);
+    else if (verdict == QuotaVerdict::Exhausted || Now - since > Patience)
+      ++Refused;
+    else
+      kept.push_back(since);
+  }
+  vm.Waiting = std::move(kept);
+}
+
+void SimulatedQuotas::step() {
+  Now += Step;
+  deliver();
+  for (auto &it : Vms) {
+    if (it->StillUntil > Now)
+      continue;
+    it->Ledger->tick(Now);
+    const bool isTickDue = (Now.time_since_epoch() / Step) % 5 == 0;
+    if (it->MustPump || isTickDue)
+      pump(*it);
+  }
+}
+
+void SimulatedQuotas::play(Duration time, double perSecond, double toFirst) {
+  const std::chrono::duration<double> perStep = Step;
+  std::bernoulli_distribution isToFirst(toFirst);
+  for (const TimePoint end = Now + time; Now < end;) {
+    step();
+    std::poisson_distribution<int> count(perSecond * perStep.count());
+    const bool areAllStill =
+        std::all_of(Vms.begin(), Vms.end(),
+                    [&](const auto &it) { return it->StillUntil > Now; });
+    for (int n = perSecond > 0 ? count(Random) : 0; n > 0 && !areAllStill; --n)
+      ask(isToFirst(Random) ? 0 : Random() % Vms.size());
+  }
+}
+
+int SimulatedQuotas::mostIn(Duration window) const {
+  std::size_t most = 0;
+  std::size_t first = 0;
+  for (std::size_t last = 0; last < GrantedAt.size(); ++last) {
+    while (GrantedAt[last] - GrantedAt[first] > window)
+      ++first;
+    most = std::max(most, last - first + 1);
+  }
+  return static_cast<int>(most);
+}
+
+} // namespace stepledge::quota::tests
