--- a/src/membership/HomeTable.cpp
+++ b/src/membership/HomeTable.cpp
@@ -11,6 +11,21 @@
 
 namespace stepledge::membership {
 
+namespace {
+
+/// \p ips in the order in which \p organisation asks them for \p instance.
+std::vector<std::string> ordered(std::vector<std::string> ips,
+                                 const InstanceId &instance,
+                                 const OrganisationId &organisation) {
+  const std::string pair = instance.str() + '/' + organisation.str();
+  std::sort(ips.begin(), ips.end(), [&](const auto &a, const auto &b) {
+    return rendezvousWeight(a, pair) < rendezvousWeight(b, pair);
+  });
+  return ips;
+}
+
+} // namespace
+
 void HomeTable::setEntries(std::vector<EntryVm> entries) {
   std::sort(entries.begin(), entries.end());
   if (entries == Entries)
@@ -78,18 +93,14 @@
 std::vector<std::string>
 HomeTable::homesOf(const InstanceId &instance, const HallId &hall,
                    const HomeShare &share, const OrganisationId &organisation) {
-  std::vector<std::string> homes = ranking(instance, hall, share).Homes;
-  const std::string pair = instance.str() + '/' + organisation.str();
-  std::sort(homes.begin(), homes.end(), [&](const auto &a, const auto &b) {
-    return rendezvousWeight(a, pair) < rendezvousWeight(b, pair);
-  });
-  return homes;
+  return ordered(ranking(instance, hall, share).Homes, instance, organisation);
 }
 
-const std::vector<std::string> &HomeTable::guests(const InstanceId &instance,
-                                                  const HallId &hall,
-                                                  const HomeShare &share) {
-  return ranking(instance, hall, share).Guests;
+std::vector<std::string>
+HomeTable::guestsOf(const InstanceId &instance, const HallId &hall,
+                    const HomeShare &share,
+                    const OrganisationId &organisation) {
+  return ordered(ranking(instance, hall, share).Guests, instance, organisation);
 }
 
 const HomeTable::Ranking &HomeTable::ranking(const InstanceId &instance,
--- a/src/membership/HomeTable.h
+++ b/src/membership/HomeTable.h
@@ -70,10 +70,11 @@
   std::vector<std::string> homesOf(const InstanceId &instance,
                                    const HallId &hall, const HomeShare &share,
                                    const OrganisationId &organisation);
-  /// VMs that are no homes and may hold one connection.
-  const std::vector<std::string> &guests(const InstanceId &instance,
-                                         const HallId &hall,
-                                         const HomeShare &share);
+  /// VMs that are no homes and may hold one connection, in \p organisation's
+  /// own order, so that not all turn to the same one.
+  std::vector<std::string> guestsOf(const InstanceId &instance,
+                                    const HallId &hall, const HomeShare &share,
+                                    const OrganisationId &organisation);
 
 private:
   struct Ranking {
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -45,11 +45,11 @@
     return Homes.share(usableConnections(service));
   const int pooled = pooledConnections(service);
   membership::HomeShare share;
-  share.Guests = std::max(1, pooled / Options.OrganisationGuestShare);
-  const int forHomes = std::max(1, pooled - share.Guests);
-  share.Homes = std::clamp(forHomes / Options.OrganisationHomeConnections, 1,
+  // NOTE: guests use what is kept free only while homes are out of reach.
+  share.Guests = std::max(1, usableConnections(service) - pooled);
+  share.Homes = std::clamp(pooled / Options.OrganisationHomeConnections, 1,
                            Options.MostOrganisationHomes);
-  share.Connections = std::max(1, forHomes / share.Homes);
+  share.Connections = std::max(1, pooled / share.Homes);
   return share;
 }
 
@@ -174,7 +174,8 @@
       usesOwnOrder ? Homes.homesOf(record.Id, record.Hall, share, *organisation)
                    : Homes.lenders(record.Id, record.Hall, share);
   if (usesOwnOrder) {
-    const auto &guests = Homes.guests(record.Id, record.Hall, share);
+    const auto guests =
+        Homes.guestsOf(record.Id, record.Hall, share, *organisation);
     lenders.insert(lenders.end(), guests.begin(), guests.end());
   }
   const auto found =
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -99,8 +99,6 @@
   int OrganisationHomeConnections = 4;
   /// Then the most homes of one instance.
   int MostOrganisationHomes = 6;
-  /// Then one in so many of the connections is left to VMs that are no homes.
-  int OrganisationGuestShare = 6;
   /// Connections to an instance left to the control VMs.
   int ReservedConnections = 4;
 };
