--- a/src/consensus/LogStore.cpp
+++ b/src/consensus/LogStore.cpp
@@ -177,7 +177,10 @@
   end.set_is_complete(true);
   const std::string bytes = frameAll(records) + frame(end);
   const std::string path = fileOf(number).string();
-  const int descriptor = ::open(path.c_str(), O_RDWR | O_CREAT | O_TRUNC, 0644);
+  // NOTE: the configuration holds the clients' keys.
+  constexpr mode_t OwnerOnly = 0600;
+  const int descriptor =
+      ::open(path.c_str(), O_RDWR | O_CREAT | O_TRUNC, OwnerOnly);
   if (descriptor < 0)
     return failure("cannot make a log file");
   if (!writeAll(descriptor, bytes, 0) || ::fsync(descriptor) != 0) {
--- a/src/consensus/tests/LogStoreTest.cpp
+++ b/src/consensus/tests/LogStoreTest.cpp
@@ -85,6 +85,16 @@
   CHECK(!loaded->has_value());
 }
 
+TEST_CASE("LogStore_IsReadableByItsOwnerOnly") {
+  TemporaryFolder folder;
+  LogStore store(folder.Path);
+  REQUIRE(store.load().ok());
+  REQUIRE(store.rewrite(beginning(7)).ok());
+  for (const auto &it : fs::directory_iterator(folder.Path))
+    CHECK((it.status().permissions() &
+           (fs::perms::group_all | fs::perms::others_all)) == fs::perms::none);
+}
+
 TEST_CASE("LogStore_WhatWasAppendedIsThere") {
   const TemporaryFolder folder;
   {
