--- a/src/gateway/EntrySockets.cpp
+++ b/src/gateway/EntrySockets.cpp
@@ -50,10 +50,14 @@
     const auto it = Clients.find(id);
     if (it == Clients.end() || !it->second.Socket->isOpen())
       return;
-    const auto line = it->second.Socket->lines().next();
+    auto line = it->second.Socket->lines().next();
     if (!line)
       return;
-    handle(id, Codec.parseClientLine(*line));
+    auto call = Codec.parseClientLine(*line);
+    // NOTE: it holds the client's key.
+    if (std::holds_alternative<ConnectCall>(call))
+      wipe(*line);
+    handle(id, std::move(call));
   }
 }
 
