--- a/src/proxy/tests/ServiceWatchTest.cpp
+++ b/src/proxy/tests/ServiceWatchTest.cpp
@@ -16,6 +16,7 @@
 
 std::vector<membership::EntryVm> entries() {
   std::vector<membership::EntryVm> all;
+  all.reserve(VmCount);
   for (int i = 0; i < VmCount; ++i)
     all.push_back(
         {"10.0.0." + std::to_string(i), HallId("h" + std::to_string(i % 3))});
--- a/src/quota/tests/QuotaScheduleTest.cpp
+++ b/src/quota/tests/QuotaScheduleTest.cpp
@@ -22,6 +22,13 @@
   return (rate * window.count() + burst) * 1.1 + 20;
 }
 
+/// At least \p leastMs, and less than \p spreadMs more.
+Duration drawnTime(SimulatedQuotas &it, std::int64_t leastMs,
+                   std::uint64_t spreadMs) {
+  return milliseconds(leastMs +
+                      static_cast<std::int64_t>(it.random()() % spreadMs));
+}
+
 void disturb(SimulatedQuotas &it, bool &isCut) {
   const std::size_t vm = it.random()() % it.size();
   switch (it.random()() % 6) {
@@ -31,7 +38,7 @@
   case 1:
     return it.restart(vm);
   case 2:
-    return it.freeze(vm, milliseconds(200 + it.random()() % 4000));
+    return it.freeze(vm, drawnTime(it, 200, 4000));
   case 3:
     return it.setListed(vm, false);
   case 4:
@@ -52,7 +59,7 @@
     bool isCut = false;
     it.play(milliseconds(4000), 0);
     for (int i = 0; i < 12; ++i) {
-      it.play(milliseconds(300 + it.random()() % 1500), 3 * rate);
+      it.play(drawnTime(it, 300, 1500), 3 * rate);
       disturb(it, isCut);
     }
     CHECK(it.mostIn(Window) <= allowed(rate, rate));
--- a/src/quota/tests/SimulatedQuotas.cpp
+++ b/src/quota/tests/SimulatedQuotas.cpp
@@ -64,7 +64,7 @@
 
 SimulatedQuotas::SimulatedQuotas(std::uint64_t seed, int halls, int vmsPerHall,
                                  double rate, double burst)
-    : Random(seed), Halls(halls) {
+    : Random(seed) {
   for (int i = 0; i < halls * vmsPerHall; ++i)
     Vms.push_back(std::make_unique<Vm>(
         *this, static_cast<std::size_t>(i),
--- a/src/quota/tests/SimulatedQuotas.h
+++ b/src/quota/tests/SimulatedQuotas.h
@@ -74,13 +74,11 @@
   std::vector<membership::EntryVm> entries() const;
 
   std::mt19937_64 Random;
-  int Halls;
   TimePoint Now = TimePoint(std::chrono::seconds(10));
   std::vector<std::unique_ptr<Vm>> Vms;
   std::deque<Parcel> Parcels;
   std::map<OrganisationId, control::Organisation> Organisations;
   bool IsFirstHallCut = false;
-  double Owed = 0;
   std::vector<TimePoint> GrantedAt;
   int Asked = 0;
   int Refused = 0;
