--- a/src/control/tests/ControlNodeTest.cpp
+++ b/src/control/tests/ControlNodeTest.cpp
@@ -209,6 +209,54 @@
   CHECK(group.Platform.Orders.front().Fence > 0);
 }
 
+TEST_CASE("Control_PingsKeepWithinTheirBudgetAndSuspectsGoFirst") {
+  // Each would be asked four times a second: 2,400 questions.
+  constexpr int Services = 600;
+  FakeControls group;
+  group.run(milliseconds(1500));
+  for (int i = 0; i < Services; ++i) {
+    const std::string name = std::to_string(i);
+    auto record = instanceOf(name.c_str(), true, 1);
+    record.Service = "db" + name;
+    group.node(group.leader()).instanceSaid(group.now(), record, [](bool) {});
+  }
+  group.run(milliseconds(300));
+  const InstanceId suspect("7");
+  group.Platform.Silent.insert(suspect);
+  group.run(milliseconds(4000));
+  group.Platform.Pings.clear();
+  group.run(milliseconds(4000));
+  int all = 0;
+  for (const auto &[id, n] : group.Platform.Pings)
+    all += n;
+  CHECK(group.Platform.Pings.size() == Services);
+  CHECK(group.Platform.Pings[suspect] >= 14);
+  CHECK(all - group.Platform.Pings[suspect] <= 4 * 200 + 50);
+}
+
+TEST_CASE("Control_PrimaryIsLostByThoseThatWatchItsService") {
+  FakeControls group;
+  group.run(milliseconds(1500));
+  sayAll(group, 1);
+  group.Platform.Statuses[InstanceId("r1")] = {
+      membership::InstanceRole::Replica, {{3}, {100}}, {3}};
+  // Many have watched the service, and no longer do.
+  for (int i = 10; i < 20; ++i) {
+    const std::string ip = "10.5.1." + std::to_string(i);
+    reportSight(group, ip, 0);
+    peer::wire::Message none;
+    none.mutable_sights();
+    group.node(group.leader()).peerSaid(ip, none);
+  }
+  group.Platform.Silent.insert(InstanceId("p"));
+  for (int i = 0; i < 15; ++i) {
+    reportSight(group, "10.5.0.1", static_cast<std::uint64_t>(i) * 100);
+    reportSight(group, "10.5.0.2", static_cast<std::uint64_t>(i) * 100);
+    group.run(milliseconds(100));
+  }
+  CHECK_FALSE(group.Platform.Orders.empty());
+}
+
 TEST_CASE("Control_PrimaryThatMostVmsReachIsLeftAlone") {
   FakeControls group;
   group.run(milliseconds(1500));
--- a/src/control/tests/FakeControls.h
+++ b/src/control/tests/FakeControls.h
@@ -52,6 +52,7 @@
   }
   void ping(const membership::InstanceRecord &instance,
             std::function<void(bool)> onDone) override {
+    ++Pings[instance.Id];
     onDone(!Silent.contains(instance.Id));
   }
   void forget(const InstanceId &instance) override {
@@ -68,6 +69,7 @@
   std::map<InstanceId, InstanceStatus> Statuses;
   std::map<InstanceId, Term> Paused;
   std::set<InstanceId> Silent;
+  std::map<InstanceId, int> Pings;
   std::set<InstanceId> Forgotten;
   bool Answers = true;
   /// Nothing is answered until the test does.
--- a/src/proxy/tests/OrganisationTest.cpp
+++ b/src/proxy/tests/OrganisationTest.cpp
@@ -177,3 +177,50 @@
   REQUIRE(carrier);
   CHECK(it.Io.Opened.at(*carrier).Organisation == OrganisationId("blue"));
 }
+
+TEST_CASE("Organisation_ExhaustedQuotaIsRefusedAtOnceWithATimeToComeBack") {
+  OrganisationFixture it;
+  const auto red = it.connectWith("current", "red-key");
+  it.Quota.Verdict = quota::QuotaVerdict::Exhausted;
+  it.ask(red, StatementKind::Write, "WRITE x 1");
+  CHECK(it.lastAnswer(red).Code == ReplyCode::Busy);
+  CHECK(it.lastAnswer(red).Detail.find("70 ms") != std::string::npos);
+  CHECK_FALSE(it.carrierOf("WRITE x 1"));
+}
+
+TEST_CASE("Organisation_StatementWaitsUntilItsQuotaIsKnown") {
+  OrganisationFixture it;
+  const auto red = it.connectWith("current", "red-key");
+  it.Quota.Verdict = quota::QuotaVerdict::Pending;
+  it.ask(red, StatementKind::Write, "WRITE x 1");
+  it.advance(milliseconds(20));
+  CHECK(it.Io.Answers[red].empty());
+  CHECK_FALSE(it.carrierOf("WRITE x 1"));
+  it.Quota.Verdict = quota::QuotaVerdict::Granted;
+  it.Core.quotaChanged(it.Now, OrganisationId("red"));
+  it.connectAll();
+  it.answerOwn(markOf(3, 100));
+  CHECK(it.carrierOf("WRITE x 1"));
+}
+
+TEST_CASE("Organisation_TransactionCountsOnceAndNotForItsRetries") {
+  OrganisationFixture it;
+  const auto red = it.connectWith("current", "red-key");
+  it.Quota.Asked.clear();
+  it.beginTransaction(red);
+  it.ask(red, StatementKind::Write, "WRITE x 2");
+  it.answerOwn(markOf(3, 100));
+  CHECK(it.Quota.Asked == std::vector<OrganisationId>{OrganisationId("red")});
+  const auto carrier = it.carrierOf("WRITE x 2");
+  REQUIRE(carrier);
+  it.answer(*carrier, it.refusal(ReplyCode::Busy, SessionState::InTransaction));
+  it.advance(milliseconds(30));
+  CHECK(it.Quota.Asked.size() == 1);
+  const auto blue = it.connectWith("current", "blue-key");
+  const auto single = it.sendWrite(blue, "WRITE y 1");
+  it.answer(single, it.refusal(ReplyCode::Busy));
+  it.advance(milliseconds(30));
+  it.advance(milliseconds(30));
+  CHECK(it.carrierOf("WRITE y 1"));
+  CHECK(it.Quota.Asked.size() == 2);
+}
