Refuse to lend a negative number of operations

A home that was asked for -7 operations added seven to its part of the quota, and one that was asked for none answered with none. An answer that this version doesn't know is now taken for none.

--- a/src/entry/QuotaService.cpp
+++ b/src/entry/QuotaService.cpp
@@ -5,6 +5,17 @@
 
 namespace stepledge::entry {
 
+namespace {
+
+/// One that this version doesn't know says nothing of the quota.
+quota::GrantResult resultOf(std::uint32_t result) {
+  const auto last = static_cast<std::uint32_t>(quota::GrantResult::Stopping);
+  return result <= last ? static_cast<quota::GrantResult>(result)
+                        : quota::GrantResult::Unknown;
+}
+
+} // namespace
+
 void QuotaAskerEvents::setTime(TimePoint now) { Service.setTime(now); }
 
 void QuotaAskerEvents::peerConnected(const std::string &ip,
@@ -65,8 +76,8 @@
   const auto &in = message.quota_grant();
   Ledger.answered(Now, ip,
                   {in.number(), OrganisationId(in.organisation()),
-                   static_cast<quota::GrantResult>(in.result()),
-                   in.operations(), Duration(in.retry_after_us())});
+                   resultOf(in.result()), in.operations(),
+                   Duration(in.retry_after_us())});
 }
 
 void QuotaService::takeAsk(const std::string &ip,
--- a/src/quota/QuotaLedger.cpp
+++ b/src/quota/QuotaLedger.cpp
@@ -200,13 +200,15 @@
 }
 
 int QuotaLedger::giveTo(TimePoint now, const QuotaAsk &ask, Account &account) {
+  // NOTE: whatever a VM of another version asks, it can't add to the part.
+  const int most = std::max(1, ask.Operations);
   if (!ask.IsFromOtherHall)
-    return takeLocal(now, ask.Organisation, account, ask.Operations);
+    return takeLocal(now, ask.Organisation, account, most);
   if (!isHome(now, ask.Organisation))
     return 0;
   // NOTE: what other halls have lent goes to nobody else.
   const double reserve = account.HallLimit.TokensPerSecond * ReserveSeconds;
-  return partOf(now, account).take(ask.Operations, reserve);
+  return partOf(now, account).take(most, reserve);
 }
 
 void QuotaLedger::asked(TimePoint now, const std::string &ip,
@@ -255,7 +257,7 @@
     // NOTE: counted from the question, so that an answer that waited while this
     // VM stood still is worth nothing.
     account.Leases.push_back(
-        {grant.Operations, ask.AskedAt + Options.LeaseTime});
+        {std::max(0, grant.Operations), ask.AskedAt + Options.LeaseTime});
     break;
   case GrantResult::Unknown:
     account.NextAskAt = now + Options.AskPause;
--- a/src/quota/tests/QuotaLedgerTest.cpp
+++ b/src/quota/tests/QuotaLedgerTest.cpp
@@ -12,6 +12,82 @@
 using namespace stepledge::quota;
 using namespace stepledge::quota::tests;
 
+namespace {
+
+/// Keeps what one VM says to others.
+class RecordedIo : public IQuotaIo {
+public:
+  bool askHome(const std::string &ip, const QuotaAsk &ask) override {
+    Asks.emplace_back(ip, ask);
+    return true;
+  }
+  void answerAsker(const std::string &ip, const QuotaGrant &grant) override {
+    (void)ip;
+    Grants.push_back(grant);
+  }
+  void quotaChanged(const OrganisationId &organisation) override {
+    (void)organisation;
+  }
+
+  std::vector<std::pair<std::string, QuotaAsk>> Asks;
+  std::vector<QuotaGrant> Grants;
+};
+
+const OrganisationId TheOrganisation("o");
+const TimePoint Start(std::chrono::seconds(10));
+
+/// A VM among \p vms of one hall, with a quota of 100 operations a second.
+QuotaLedger ledgerOf(IQuotaIo &io, const std::vector<std::string> &vms) {
+  QuotaOptions options;
+  options.OwnIp = vms.front();
+  options.OwnHall = HallId("h");
+  QuotaLedger ledger(options, io);
+  std::vector<membership::EntryVm> entries;
+  entries.reserve(vms.size());
+  for (const auto &it : vms)
+    entries.push_back({it, HallId("h")});
+  ledger.setEntries(entries);
+  control::Organisation organisation;
+  organisation.Id = TheOrganisation;
+  organisation.RatePerSecond = 100;
+  organisation.Burst = 100;
+  ledger.setOrganisations({{TheOrganisation, organisation}});
+  return ledger;
+}
+
+} // namespace
+
+TEST_CASE("QuotaLedger_AskForNoneOrTooManyIsAnAskForSome") {
+  RecordedIo io;
+  auto home = ledgerOf(io, {"10.0.0.1"});
+  home.tick(Start);
+  home.tick(Start + milliseconds(2000));
+  for (const int operations : {0, -7, 2000000000}) {
+    home.asked(Start + milliseconds(2000), "10.0.0.2",
+               {1, TheOrganisation, operations, false});
+    CHECK(io.Grants.back().Operations >= 1);
+    CHECK(io.Grants.back().Operations <= 100);
+  }
+}
+
+TEST_CASE("QuotaLedger_GrantOfNoneLendsNothing") {
+  RecordedIo io;
+  // By the order of the homes one of the two others is asked.
+  auto asker = ledgerOf(io, {"10.0.0.1", "10.0.0.2", "10.0.0.3"});
+  const bool isOwnHome =
+      asker.admit(Start, TheOrganisation) == QuotaVerdict::Granted;
+  REQUIRE_FALSE(isOwnHome);
+  REQUIRE(io.Asks.size() == 1);
+  const auto &[ip, ask] = io.Asks.front();
+  asker.answered(Start, ip,
+                 {ask.Number, TheOrganisation, GrantResult::Lent, -3, {}});
+  CHECK(asker.admit(Start, TheOrganisation) != QuotaVerdict::Granted);
+  asker.answered(
+      Start, ip,
+      {ask.Number + 1, TheOrganisation, static_cast<GrantResult>(99), 5, {}});
+  CHECK(asker.admit(Start, TheOrganisation) != QuotaVerdict::Granted);
+}
+
 TEST_CASE("QuotaLedger_WithoutALimitEverythingIsGranted") {
   SimulatedQuotas it(1, 3, 4, 0, 0);
   it.play(milliseconds(2000), 500);
