Schedules of lending with organisations, and the order of homes

20 seeds of seven VMs with fourteen organisations before six to twelve connections an instance, under losses, cuts and kills: no statement runs on another organisation's connection, no promise is broken, and clients are served.

--- a/src/entry/tests/LendingScheduleTest.cpp
+++ b/src/entry/tests/LendingScheduleTest.cpp
@@ -248,7 +248,8 @@
 
 class Play {
 public:
-  explicit Play(std::uint64_t seed) : Group(seed, 3), Net(Group.random()) {
+  explicit Play(std::uint64_t seed, int organisations = 0)
+      : Group(seed, 3), Net(Group.random()) {
     Net.setVms(&Vms);
     // From two to eight connections for seven VMs, so that homes are needed.
     const int most = 6 + static_cast<int>(seed % 7);
@@ -264,7 +265,8 @@
       else
         Group.addProxy(core);
       core.setEntries(entries);
-      core.applyConfiguration(Now, proxy::tests::scheduleConfiguration(most));
+      core.applyConfiguration(
+          Now, proxy::tests::scheduleConfiguration(most, organisations));
     }
     Group.announceAll();
     for (std::size_t i = 0; i < 2 * VmCount; ++i)
@@ -379,3 +381,13 @@
     Play(seed).run(1500);
   }
 }
+
+TEST_CASE("Lending_SchedulesKeepConnectionsToTheirOrganisations") {
+  const std::uint64_t first = numberFrom("STEPLEDGE_FIRST_SEED", 1);
+  const std::uint64_t count = numberFrom("STEPLEDGE_SEEDS", 20);
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    CAPTURE(seed);
+    // More than an instance has connections, so that they change hands.
+    Play(seed, 14).run(1500);
+  }
+}
--- a/src/membership/tests/HomeTableTest.cpp
+++ b/src/membership/tests/HomeTableTest.cpp
@@ -8,6 +8,10 @@
 
 #include <doctest/doctest.h>
 
+#include <vector>
+
+#include <set>
+
 #include <algorithm>
 #include <map>
 #include <random>
@@ -187,3 +191,31 @@
   }
   CHECK(sum == 42);
 }
+
+TEST_CASE("HomeTable_AllVmsAskTheSameHomeForAnOrganisation") {
+  const auto entries = vms(30, 3);
+  const HallId hall = entries.front().Hall;
+  const HomeShare share{4, 4, 7};
+  std::map<std::string, int> firstFor;
+  for (int i = 0; i < 80; ++i) {
+    const OrganisationId organisation("o" + std::to_string(i));
+    std::set<std::vector<std::string>> homes;
+    std::set<std::vector<std::string>> guests;
+    for (const auto &it : entries) {
+      HomeTable table(it.Ip);
+      table.setEntries(entries);
+      homes.insert(table.homesOf(InstanceId("i-1"), hall, share, organisation));
+      guests.insert(
+          table.guestsOf(InstanceId("i-1"), hall, share, organisation));
+    }
+    REQUIRE(homes.size() == 1);
+    REQUIRE(guests.size() == 1);
+    CHECK(homes.begin()->size() == 4);
+    CHECK(guests.begin()->size() == 7);
+    ++firstFor[homes.begin()->front()];
+  }
+  // Each of the four is the first for a good part of the organisations.
+  CHECK(firstFor.size() == 4);
+  for (const auto &[ip, n] : firstFor)
+    CHECK(n >= 10);
+}
--- a/src/proxy/tests/ScheduledClients.cpp
+++ b/src/proxy/tests/ScheduledClients.cpp
@@ -22,7 +22,8 @@
 
 } // namespace
 
-control::Configuration scheduleConfiguration(int mostConnections) {
+control::Configuration scheduleConfiguration(int mostConnections,
+                                             int organisations) {
   control::Configuration configuration;
   configuration.Version = 1;
   configuration.Services["db"] = {"db", mostConnections, 0};
@@ -37,6 +38,13 @@
     route.MaxStaleness = Staleness;
     configuration.Routes[route.Database] = route;
   }
+  configuration.HasOrganisations = organisations > 0;
+  for (int i = 0; i < organisations; ++i) {
+    control::Organisation organisation;
+    organisation.Id = OrganisationId("o" + std::to_string(i));
+    organisation.Keys = {KeyDigest::of(organisation.Id.str())};
+    configuration.Organisations[organisation.Id] = organisation;
+  }
   return configuration;
 }
 
@@ -48,7 +56,12 @@
   client.Front = &proxy;
   client.View.Client = i + 1;
   client.Policy = policy;
-  proxy.clientConnected(now, client.Id, DatabaseId(name));
+  const auto organisations = proxy.configuration().Organisations.size();
+  if (organisations > 0)
+    client.View.Organisation =
+        OrganisationId("o" + std::to_string(i % organisations));
+  proxy.clientConnected(now, client.Id, DatabaseId(name),
+                        KeyDigest::of(client.View.Organisation.str()));
   Clients.push_back(client);
 }
 
--- a/src/proxy/tests/ScheduledClients.h
+++ b/src/proxy/tests/ScheduledClients.h
@@ -16,7 +16,9 @@
 namespace stepledge::proxy::tests {
 
 /// The configuration of all schedules: one service, one route for each policy.
-control::Configuration scheduleConfiguration(int mostConnections);
+/// Without \p organisations anybody may ask.
+control::Configuration scheduleConfiguration(int mostConnections,
+                                             int organisations = 0);
 
 class ScheduledClients {
 public:
--- a/src/proxy/tests/SimulatedInstances.cpp
+++ b/src/proxy/tests/SimulatedInstances.cpp
@@ -103,6 +103,7 @@
   const std::size_t instance =
       static_cast<std::size_t>(std::stoi(target.Instance.str().substr(1)));
   Connections[connection].Instance = instance;
+  Connections[connection].Organisation = target.Organisation;
   Event event;
   event.At = Now + draw(5, 20);
   event.Target = connection;
@@ -250,6 +251,9 @@
   const bool isLead = connection.Instance == Lead;
   checkView(connection, command);
   const std::uint64_t client = Views[command.Id].Client;
+  if (connection.Organisation != Views[command.Id].Organisation)
+    Fault =
+        "a statement runs on another organisation's connection: " + command.Id;
   if (connection.IsOpen && !connection.Owner)
     connection.Owner = client;
   if (connection.IsOpen && connection.Owner != client)
--- a/src/proxy/tests/SimulatedInstances.h
+++ b/src/proxy/tests/SimulatedInstances.h
@@ -68,6 +68,7 @@
     SessionValues Values;
     std::map<std::string, PreparedShape> Prepared;
     std::uint64_t Client = 0;
+    OrganisationId Organisation;
   };
   std::map<std::string, ClientView> Views;
   /// By statement id: the commits that its read must see.
@@ -122,6 +123,7 @@
   };
   struct Connection {
     std::size_t Instance = 0;
+    std::optional<OrganisationId> Organisation;
     TimePoint FreeAt{};
     /// Replies come in turn.
     TimePoint RepliedAt{};
