Let two control VMs tell an entry VM of the instances, not all of them

Change: an entry VM asks two of the control VMs that it is connected to, and another in place of one that is lost or has long not been fresh. Two ways were weighed: one control VM (a word is late while it is replaced) and two.

Tests that connect an entry VM to a control VM now ask as entry VMs do; what they check is as before. Control_EntryVmsThatAskHearOfInstances failed before.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -218,7 +218,7 @@
       peer::wire::Message message;
       *message.mutable_instances()->add_instances() =
           peer::encode(*Directory.find(id));
-      tellEntries(message);
+      tellListeners(message);
     }
   }
   if (command.has_take_fence())
@@ -240,6 +240,11 @@
     Peers.send(ip, message);
 }
 
+void ControlNode::tellListeners(const peer::wire::Message &message) {
+  for (const auto &ip : Entries.instanceListeners())
+    Peers.send(ip, message);
+}
+
 void ControlNode::tellControls(const peer::wire::Message &message) {
   for (const auto &it : KnownControls)
     if (it != Options.Ip)
@@ -290,7 +295,8 @@
   const bool isEntry = !hello.ip().empty() && hello.kind() == peer::wire::ENTRY;
   if (isEntry)
     Entries.join(ip, hello.hall());
-  Peers.send(ip, allInstances());
+  else
+    Peers.send(ip, allInstances());
   // NOTE: the other side's connection may have been there all the time, and a
   // copy of what is on its way there would be sent for nothing.
   if (Unreached.erase(ip) > 0) {
@@ -330,6 +336,10 @@
       learnFromWire(Now, it);
   } else if (message.has_configuration_request()) {
     sendConfiguration(ip, message.configuration_request());
+  } else if (message.has_instances_wanted()) {
+    Entries.setWantsInstances(ip, message.instances_wanted().is_wanted());
+    if (message.instances_wanted().is_wanted())
+      Peers.send(ip, allInstances());
   } else if (message.has_sights()) {
     onSights(ip, message.sights());
   } else if (message.has_call()) {
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -192,6 +192,8 @@
   /// Takes in the instances that only the log knows, as after a restart.
   void learnKept(TimePoint now);
   void tellEntries(const peer::wire::Message &message);
+  /// The entry VMs that hear of the instances from this VM.
+  void tellListeners(const peer::wire::Message &message);
   void tellControls(const peer::wire::Message &message);
   /// A full one also names the control VMs and the promotions.
   peer::wire::Message notice(bool isFull) const;
--- a/src/control/EntryRoster.cpp
+++ b/src/control/EntryRoster.cpp
@@ -17,9 +17,21 @@
 
 void EntryRoster::join(const std::string &ip, const std::string &hall) {
   Halls[ip] = hall;
+  // NOTE: it says anew on each connection what it wants.
+  InstanceListeners.erase(ip);
 }
 
-void EntryRoster::leave(const std::string &ip) { Halls.erase(ip); }
+void EntryRoster::leave(const std::string &ip) {
+  Halls.erase(ip);
+  InstanceListeners.erase(ip);
+}
+
+void EntryRoster::setWantsInstances(const std::string &ip, bool isWanted) {
+  if (isWanted && Halls.contains(ip))
+    InstanceListeners.insert(ip);
+  else
+    InstanceListeners.erase(ip);
+}
 
 void EntryRoster::tellAll(peer::wire::Notice &notice) const {
   for (const auto &[ip, hall] : Halls)
--- a/src/control/EntryRoster.h
+++ b/src/control/EntryRoster.h
@@ -10,6 +10,7 @@
 #include "peer/generated/Peer.pb.h"
 
 #include <map>
+#include <set>
 #include <string>
 
 namespace stepledge::control {
@@ -21,6 +22,12 @@
   /// By address, the halls of those that are connected.
   const std::map<std::string, std::string> &halls() const { return Halls; }
 
+  /// Whether \p ip wants to hear of the instances; while it is connected.
+  void setWantsInstances(const std::string &ip, bool isWanted);
+  const std::set<std::string> &instanceListeners() const {
+    return InstanceListeners;
+  }
+
   /// Names all of them, for one that has just connected.
   void tellAll(peer::wire::Notice &notice) const;
   /// Names those that came or went since the last call, for all the others.
@@ -31,6 +38,7 @@
 
 private:
   std::map<std::string, std::string> Halls;
+  std::set<std::string> InstanceListeners;
   /// As of the last change that was told.
   std::map<std::string, std::string> Told;
 };
--- a/src/control/internal/Instances.cpp
+++ b/src/control/internal/Instances.cpp
@@ -78,7 +78,7 @@
   *message.mutable_instances()->add_instances() =
       peer::encode(*Directory.find(record.Id));
   if (isChanged)
-    tellEntries(message);
+    tellListeners(message);
   auto &told = ToldAlive[record.Id];
   const bool isDue = isChanged || now - told > Options.AliveInterval;
   if (isFromPeer || !isDue)
--- a/src/control/tests/ControlNodeTest.cpp
+++ b/src/control/tests/ControlNodeTest.cpp
@@ -9,6 +9,7 @@
 #include <doctest/doctest.h>
 
 #include <optional>
+#include <utility>
 
 using namespace stepledge;
 using namespace stepledge::control;
@@ -164,6 +165,7 @@
   hello.set_ip("10.5.0.1");
   group.sentTo("10.5.0.1").clear();
   group.node(1).peerConnected("10.5.0.1", hello);
+  group.wantInstances("10.5.0.1", 1, true);
   bool isLeaving = false;
   for (const auto &message : group.sentTo("10.5.0.1"))
     for (const auto &it : message.instances().instances())
@@ -183,6 +185,7 @@
   peer::wire::Hello hello;
   hello.set_ip("10.5.0.1");
   group.node(group.leader()).peerConnected("10.5.0.1", hello);
+  group.wantInstances("10.5.0.1", group.leader(), true);
   std::set<std::string> known;
   for (const auto &message : group.sentTo("10.5.0.1"))
     for (const auto &it : message.instances().instances())
@@ -209,6 +212,43 @@
   CHECK(group.Platform.Orders.front().Fence > 0);
 }
 
+TEST_CASE("Control_EntryVmsThatAskHearOfInstances") {
+  FakeControls group;
+  group.run(milliseconds(1500));
+  const auto vm = group.leader();
+  const auto heard = [&](const std::string &ip) {
+    int n = 0;
+    for (const auto &message : std::exchange(group.sentTo(ip), {}))
+      n += message.instances().instances_size();
+    return n;
+  };
+  peer::wire::Hello hello;
+  for (const char *ip : {"10.5.0.1", "10.5.0.2"}) {
+    hello.set_ip(ip);
+    group.connectFromOutside(ip, vm, hello);
+  }
+  group.wantInstances("10.5.0.1", vm, true);
+  sayAll(group, 1);
+  CHECK(heard("10.5.0.1") == 3);
+  CHECK(heard("10.5.0.2") == 0);
+  // One that asks later is told of all of them.
+  group.wantInstances("10.5.0.2", vm, true);
+  CHECK(heard("10.5.0.2") == 3);
+  group.wantInstances("10.5.0.1", vm, false);
+  group.node(vm).instanceSaid(group.now(), instanceOf("r1", true, 2),
+                              [](bool) {});
+  group.run(milliseconds(300));
+  CHECK(heard("10.5.0.1") == 0);
+  CHECK(heard("10.5.0.2") == 1);
+  // A new connection asks anew.
+  group.loseFromOutside("10.5.0.2", vm);
+  group.connectFromOutside("10.5.0.2", vm, hello);
+  group.node(vm).instanceSaid(group.now(), instanceOf("r1", false, 3),
+                              [](bool) {});
+  group.run(milliseconds(300));
+  CHECK(heard("10.5.0.2") == 0);
+}
+
 TEST_CASE("Control_PingsKeepWithinTheirBudgetAndSuspectsGoFirst") {
   // Each would be asked four times a second: 2,400 questions.
   constexpr int Services = 600;
--- a/src/control/tests/FakeControls.cpp
+++ b/src/control/tests/FakeControls.cpp
@@ -175,6 +175,13 @@
   Vms[vm].Node->peerSaid(ip, message);
 }
 
+void FakeControls::wantInstances(const std::string &ip, std::size_t vm,
+                                 bool isWanted) {
+  peer::wire::Message message;
+  message.mutable_instances_wanted()->set_is_wanted(isWanted);
+  sendFromOutside(ip, vm, message);
+}
+
 void FakeControls::loseFromOutside(const std::string &ip, std::size_t vm) {
   Vms[vm].Node->setTime(Now);
   Vms[vm].Node->peerLost(ip, peer::LinkEnd::Silent);
--- a/src/control/tests/FakeControls.h
+++ b/src/control/tests/FakeControls.h
@@ -118,6 +118,8 @@
                           const peer::wire::Hello &hello);
   void sendFromOutside(const std::string &ip, std::size_t vm,
                        const peer::wire::Message &message);
+  /// The entry VM at \p ip wants to hear of the instances from \p vm.
+  void wantInstances(const std::string &ip, std::size_t vm, bool isWanted);
   void loseFromOutside(const std::string &ip, std::size_t vm);
   static std::string ipOf(std::size_t vm) {
     return "10.0.0." + std::to_string(vm + 1);
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -33,6 +33,7 @@
   if (StartedAt == TimePoint{})
     StartedAt = now;
   Proxy.tick(now);
+  reviewSources();
   const auto sights = Proxy.primarySights(now);
   checkIsolation(sights);
   const bool isAlarmed =
@@ -90,17 +91,33 @@
   }
 }
 
+void EntryNode::reviewSources() {
+  const auto change = Sources.review(Now);
+  const auto tell = [this](const std::string &ip, bool isWanted) {
+    peer::wire::Message message;
+    message.mutable_instances_wanted()->set_is_wanted(isWanted);
+    Peers.send(ip, message);
+  };
+  for (const auto &it : change.Wanted)
+    tell(it, true);
+  for (const auto &it : change.Unwanted)
+    tell(it, false);
+}
+
 void EntryNode::peerConnected(const std::string &ip,
                               const peer::wire::Hello &hello) {
   (void)hello;
   Connected.insert(ip);
   ToldSights.erase(ip);
+  Sources.connected(Now, ip);
+  reviewSources();
   Log.decision(absl::StrCat("event=control_connected ip=", ip));
 }
 
 void EntryNode::peerLost(const std::string &ip, peer::LinkEnd end) {
   Connected.erase(ip);
   ToldSights.erase(ip);
+  Sources.lost(ip);
   Entries.lost(ip);
   Fetch.lost(ip);
   if (ip == AnnouncerIp)
@@ -134,8 +151,10 @@
 void EntryNode::onNotice(const std::string &ip,
                          const peer::wire::Notice &notice) {
   // NOTE: the control VM of a hall that is cut off goes on speaking.
-  if (notice.is_fresh())
+  if (notice.is_fresh()) {
     HeardAt = Now;
+    Sources.heardFresh(Now, ip);
+  }
   if (Entries.take(ip, notice))
     shareEntries();
   for (const auto &it : notice.promotions())
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -10,6 +10,7 @@
 #include "base/LineBudget.h"
 #include "distribution/ConfigurationFetch.h"
 #include "entry/EntryLists.h"
+#include "entry/InstanceSources.h"
 #include "peer/IPeerListener.h"
 #include "peer/IPeerSender.h"
 #include "proxy/Proxy.h"
@@ -75,6 +76,8 @@
   void tellSights(const std::vector<proxy::PrimarySight> &all);
   void checkIsolation(const std::vector<proxy::PrimarySight> &sights);
   void shareEntries();
+  /// Tells control VMs from which of them it wants to hear of the instances.
+  void reviewSources();
 
   EntryOptions Options;
   proxy::Proxy &Proxy;
@@ -97,6 +100,7 @@
   std::optional<TimePoint> IsolatedSince;
   std::set<std::string> Connected;
   EntryLists Entries;
+  InstanceSources Sources;
   LineBudget UnreadableLines;
 };
 
--- a/src/peer/TrafficCount.h
+++ b/src/peer/TrafficCount.h
@@ -35,6 +35,7 @@
     {MessageKind::kStillHere, "still_here"},
     {MessageKind::kQuotaAsk, "quota_ask"},
     {MessageKind::kQuotaGrant, "quota_grant"},
+    {MessageKind::kInstancesWanted, "instances_wanted"},
     {MessageKind::BODY_NOT_SET, "none"},
 });
 
