--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -53,6 +53,7 @@
   }
   for (const auto it : late)
     finishCall(it, false);
+  tellUntold();
   if (Node.needsToJoin(now) && now >= JoinAt) {
     JoinAt = now + Options.JoinInterval;
     peer::wire::Message message;
@@ -214,12 +215,8 @@
         static_cast<InstanceState>(command.mark_instance().state());
     Log.decision(absl::StrCat("event=instance_marked instance=", id.str(),
                               " state=", static_cast<int>(state)));
-    if (Directory.raise(id, command.mark_instance().born_ms(), state)) {
-      peer::wire::Message message;
-      *message.mutable_instances()->add_instances() =
-          peer::encode(*Directory.find(id));
-      tellListeners(message);
-    }
+    if (Directory.raise(id, command.mark_instance().born_ms(), state))
+      Untold.insert(id);
   }
   if (command.has_take_fence())
     Replacer->fenceTaken(now, command, entry.index());
@@ -240,7 +237,13 @@
     Peers.send(ip, message);
 }
 
-void ControlNode::tellListeners(const peer::wire::Message &message) {
+void ControlNode::tellUntold() {
+  if (Untold.empty())
+    return;
+  peer::wire::Message message;
+  for (const auto &id : std::exchange(Untold, {}))
+    if (const auto *known = Directory.find(id))
+      *message.mutable_instances()->add_instances() = peer::encode(*known);
   for (const auto &ip : Entries.instanceListeners())
     Peers.send(ip, message);
 }
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -192,8 +192,11 @@
   /// Takes in the instances that only the log knows, as after a restart.
   void learnKept(TimePoint now);
   void tellEntries(const peer::wire::Message &message);
-  /// The entry VMs that hear of the instances from this VM.
-  void tellListeners(const peer::wire::Message &message);
+  /// Tells the entry VMs that listen of the instances that have changed since
+  /// the last tick. Told one by one, 3,600 instances before 290 entry VMs were
+  /// a million messages of a control VM in the ten seconds of a start
+  /// (simulated day).
+  void tellUntold();
   void tellControls(const peer::wire::Message &message);
   /// A full one also names the control VMs and the promotions.
   peer::wire::Message notice(bool isFull) const;
@@ -234,6 +237,8 @@
   std::uint64_t LastCall = 0;
   LineBudget UnreadableLines;
   std::map<InstanceId, TimePoint> ToldAlive;
+  /// Instances that have changed since entry VMs were told last.
+  std::set<InstanceId> Untold;
   std::map<InstanceId, TimePoint> PingSentAt;
   std::map<InstanceId, TimePoint> PingMissedSince;
   std::map<InstanceId, TimePoint> PingedAt;
--- a/src/control/internal/Instances.cpp
+++ b/src/control/internal/Instances.cpp
@@ -74,16 +74,16 @@
   if (change == Change::Restarted)
     forgetEarlierLife(now, record);
   const bool isChanged = change != Change::Alive;
-  peer::wire::Message message;
-  *message.mutable_instances()->add_instances() =
-      peer::encode(*Directory.find(record.Id));
   if (isChanged)
-    tellListeners(message);
+    Untold.insert(record.Id);
   auto &told = ToldAlive[record.Id];
   const bool isDue = isChanged || now - told > Options.AliveInterval;
   if (isFromPeer || !isDue)
     return;
   told = now;
+  peer::wire::Message message;
+  *message.mutable_instances()->add_instances() =
+      peer::encode(*Directory.find(record.Id));
   tellControls(message);
   if (isChanged)
     keepInstance(now, record.Id, bornOf(record.Id));
--- a/src/control/tests/ControlNodeTest.cpp
+++ b/src/control/tests/ControlNodeTest.cpp
@@ -249,6 +249,32 @@
   CHECK(heard("10.5.0.2") == 0);
 }
 
+TEST_CASE("Control_ManyInstancesAreToldInFewMessages") {
+  // One by one they were 1,000 messages to each entry VM.
+  FakeControls group;
+  group.run(milliseconds(1500));
+  const auto vm = group.leader();
+  peer::wire::Hello hello;
+  hello.set_ip("10.5.0.1");
+  group.connectFromOutside("10.5.0.1", vm, hello);
+  group.wantInstances("10.5.0.1", vm, true);
+  group.sentTo("10.5.0.1").clear();
+  for (int i = 0; i < 1000; ++i)
+    group.node(vm).instanceSaid(
+        group.now(), instanceOf(std::to_string(i).c_str(), i % 3 == 0, 1),
+        [](bool) {});
+  group.run(milliseconds(300));
+  std::set<std::string> known;
+  int messages = 0;
+  for (const auto &message : group.sentTo("10.5.0.1")) {
+    messages += message.has_instances();
+    for (const auto &it : message.instances().instances())
+      known.insert(it.id());
+  }
+  CHECK(known.size() == 1000);
+  CHECK(messages <= 5);
+}
+
 TEST_CASE("Control_PingsKeepWithinTheirBudgetAndSuspectsGoFirst") {
   // Each would be asked four times a second: 2,400 questions.
   constexpr int Services = 600;
