--- a/src/quota/tests/QuotaLedgerTest.cpp
+++ b/src/quota/tests/QuotaLedgerTest.cpp
@@ -78,7 +78,8 @@
       asker.admit(Start, TheOrganisation) == QuotaVerdict::Granted;
   REQUIRE_FALSE(isOwnHome);
   REQUIRE(io.Asks.size() == 1);
-  const auto &[ip, ask] = io.Asks.front();
+  // A copy: asking again makes the list grow.
+  const auto [ip, ask] = io.Asks.front();
   asker.answered(Start, ip,
                  {ask.Number, TheOrganisation, GrantResult::Lent, -3, {}});
   CHECK(asker.admit(Start, TheOrganisation) != QuotaVerdict::Granted);
