Leave the room at instances to the homes right after a start

Each instance counts 16 to 18 lost connections for 3 s more; homes that were full sent their borrowers to guests, whose connections then kept homes out, and a home that was refused opened nothing for a second, not even in the place of one that it closed.

Change: for the 3.3 s after its start a VM asks no guest and isn't one, and at a full instance a connection may take the place of another. Both only where connections belong to organisations. Organisation_GuestsAreLeftAloneRightAfterAStart and ConnectionPool_HomeOfAFullInstanceServesWhoeverComes failed before.

--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -142,6 +142,9 @@
   /// The lender isn't asked for the instance for now.
   bool isBadLender(TimePoint now, const InstanceId &instance,
                    const std::string &lender) const;
+  /// This VM has started a moment ago. If all VMs have lost their power
+  /// together, the instances count the lost connections for some seconds more.
+  bool isCautious(TimePoint now) const;
   ConnectionShare shareOf(TimePoint now,
                           const membership::InstanceRecord &record);
   /// Only borrowed connections are left, and an own one may be had again.
--- a/src/proxy/internal/ConnectionPool.cpp
+++ b/src/proxy/internal/ConnectionPool.cpp
@@ -111,12 +111,12 @@
     const ConnectionShare &share, const std::string &lenderIp,
     const std::optional<OrganisationId> &organisation) {
   const bool isBorrowed = !lenderIp.empty();
-  if (!isBorrowed && isFull(now, instance.Id))
-    return false;
   const int own = ownAt(instance.Id);
   const int open = isBorrowed ? countOf(instance.Id) - own : own;
-  if (open >= share.Limit &&
-      !makeRoom(now, instance.Id, isBorrowed, organisation))
+  // NOTE: one that takes the place of another needs no room at the instance.
+  const bool hasRoom =
+      (isBorrowed || !isFull(now, instance.Id)) && open < share.Limit;
+  if (!hasRoom && !makeRoom(now, instance.Id, isBorrowed, organisation))
     return false;
   const ConnectionId id{++LastId};
   auto &it = Connections[id];
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -97,16 +97,17 @@
   return std::clamp(pooled / share.Homes, 1, share.Connections);
 }
 
+bool Proxy::isCautious(TimePoint now) const {
+  return now - StartedAt < Options.CautiousStart;
+}
+
 ConnectionShare Proxy::shareOf(TimePoint now,
                                const membership::InstanceRecord &record) {
-  // NOTE: if all VMs have lost their power together, the instances count the
-  // lost connections for some seconds more.
-  const bool isCautious = now - StartedAt < Options.CautiousStart;
   if (usesHomes(record.Service)) {
     if (!isHomeOf(record))
       return {Options.BorrowLimit, Options.BorrowLimit};
     const int own = homeConnections(record.Service);
-    const int limit = isCautious ? std::max(1, own / 2) : own;
+    const int limit = isCautious(now) ? std::max(1, own / 2) : own;
     // NOTE: one that rests is the only one of its organisation.
     const int kept = Configuration.HasOrganisations ? limit : limit / 2;
     return {std::max(1, kept), limit};
@@ -116,7 +117,7 @@
   ConnectionShare share{std::max(1, own / 2), own};
   // NOTE: each VM should get one of the connections that are left before any
   // gets two, so the share grows by one at a time after a start.
-  if (isCautious) {
+  if (isCautious(now)) {
     const auto since = Pool.ownSince(record.Id);
     const auto grown =
         since ? static_cast<int>((now - *since) / Options.GrowthInterval) : 0;
@@ -173,7 +174,9 @@
   auto lenders =
       usesOwnOrder ? Homes.homesOf(record.Id, record.Hall, share, *organisation)
                    : Homes.lenders(record.Id, record.Hall, share);
-  if (usesOwnOrder) {
+  // NOTE: after a loss of power homes are soon full, and the connections of
+  // guests would keep them from opening theirs.
+  if (usesOwnOrder && !isCautious(now)) {
     const auto guests =
         Homes.guestsOf(record.Id, record.Hall, share, *organisation);
     lenders.insert(lenders.end(), guests.begin(), guests.end());
@@ -228,6 +231,8 @@
   // NOTE: one that is no home lends all the same: its borrowers may know of a
   // loss that this VM hasn't heard of, or reach the instance only by it.
   const bool isGuest = usesHomes(service) && !isHomeOf(known->Record);
+  if (isGuest && Configuration.HasOrganisations && isCautious(now))
+    return nullptr;
   const ConnectionShare share =
       isGuest ? ConnectionShare{0, 1} : shareOf(now, known->Record);
   const bool isOpening = organisation ? Pool.isOpening(instance, organisation)
--- a/src/proxy/tests/ConnectionPoolTest.cpp
+++ b/src/proxy/tests/ConnectionPoolTest.cpp
@@ -134,6 +134,26 @@
     CHECK(home.holds(organisation(n)));
 }
 
+TEST_CASE("ConnectionPool_HomeOfAFullInstanceServesWhoeverComes") {
+  Home home;
+  home.use(organisation(1));
+  home.use(organisation(2));
+  // After a loss of power the instance has no room for some seconds.
+  home.Pool.refuseUntil(home.Instance.Id, home.Now + milliseconds(1000));
+  CHECK(home.use(organisation(3)));
+  CHECK(home.Pool.ownAt(home.Instance.Id) == 2);
+  CHECK(home.holds(organisation(3)));
+}
+
+TEST_CASE("ConnectionPool_VmWithoutOneWaitsForRoomAtAFullInstance") {
+  Home home;
+  home.Pool.refuseUntil(home.Instance.Id, home.Now + milliseconds(1000));
+  CHECK_FALSE(home.Pool.openOne(home.Now, home.Instance,
+                                {HomeConnections, HomeConnections}, "",
+                                organisation(1)));
+  CHECK(home.Io.Opened.empty());
+}
+
 TEST_CASE("UseRates_WhoNoLongerAsksIsForgotten") {
   UseRates rates;
   TimePoint now(std::chrono::seconds(1));
--- a/src/proxy/tests/OrganisationTest.cpp
+++ b/src/proxy/tests/OrganisationTest.cpp
@@ -6,6 +6,10 @@
 
 #include "proxy/tests/OrganisationFixture.h"
 
+#include <set>
+#include <string>
+#include <vector>
+
 using namespace stepledge;
 using namespace stepledge::proxy;
 using namespace stepledge::proxy::tests;
@@ -224,3 +228,71 @@
   CHECK(it.carrierOf("WRITE y 1"));
   CHECK(it.Quota.Asked.size() == 2);
 }
+
+namespace {
+
+/// Forty VMs in two halls before instances that allow 29 connections; this one
+/// is no home.
+void shareWithFortyVms(OrganisationFixture &it) {
+  it.Next.Services["db"].MaxConnections = 29;
+  it.applyNext();
+  std::vector<membership::EntryVm> entries;
+  for (int i = 1; i <= 40; ++i)
+    entries.push_back(
+        {"10.9.9." + std::to_string(i), HallId(i <= 20 ? "a" : "b")});
+  it.Core.setEntries(entries);
+}
+
+/// The VMs that a write asks in turn, each of which has nothing free.
+std::set<std::string> askedForAWrite(OrganisationFixture &it,
+                                     const char *text) {
+  std::set<std::string> asked;
+  it.ask(it.connectWith("current", "red-key"), StatementKind::Write, text);
+  for (int i = 0; i < 60; ++i) {
+    it.advance(milliseconds(10));
+    for (const auto &[id, target] : std::map(it.Io.Opened)) {
+      if (!target.isBorrowed() || target.Instance != InstanceId("p"))
+        continue;
+      // NOTE: the proxy's own questions have another order.
+      if (target.Organisation == OrganisationId("red"))
+        asked.insert(target.LenderIp);
+      it.Core.lenderRefused(it.Now, id, LendingEnd::Full);
+      while (!it.Io.Sent[id].empty())
+        it.answer(id, OrganisationFixture::refusal(ReplyCode::Busy));
+    }
+  }
+  return asked;
+}
+
+/// This VM, which is no home, is asked to lend; true if it opens a connection.
+bool opensForABorrower(OrganisationFixture &it, std::uint64_t use) {
+  for (const auto &[id, target] : std::map(it.Io.Opened))
+    if (target.Instance == InstanceId("p"))
+      it.Core.connectionLost(it.Now, id);
+  std::erase_if(it.Io.Opened, [](const auto &each) {
+    return each.second.Instance == InstanceId("p");
+  });
+  BorrowRequest request;
+  request.Service = "db";
+  request.Instance = InstanceId("p");
+  request.Organisation = OrganisationId("blue");
+  request.IsFirst = true;
+  request.Commands = {InstanceCommand()};
+  it.Core.lender().ask(it.Now, {"10.9.9.9", use}, request);
+  return it.ownOpen("p") > 0;
+}
+
+} // namespace
+
+TEST_CASE("Organisation_GuestsAreLeftAloneRightAfterAStart") {
+  // After a loss of power the instances count the lost connections for 3 s
+  // more, and what guests open then the homes can't.
+  OrganisationFixture it;
+  shareWithFortyVms(it);
+  const auto homes = askedForAWrite(it, "WRITE x 1");
+  CHECK(homes.size() == 4);
+  CHECK_FALSE(opensForABorrower(it, 1));
+  it.advance(milliseconds(4000));
+  CHECK(askedForAWrite(it, "WRITE x 2").size() > homes.size());
+  CHECK(opensForABorrower(it, 2));
+}
