Look for no room where a VM has no connection

A VM without a connection to a full instance made an empty table of rates for it, which nothing dropped again: the table is kept for instances with connections only. What is decided stays the same; all tests of the proxy passed.

--- a/src/proxy/internal/ConnectionPool.cpp
+++ b/src/proxy/internal/ConnectionPool.cpp
@@ -83,6 +83,9 @@
 bool ConnectionPool::makeRoom(
     TimePoint now, const InstanceId &instance, bool isBorrowed,
     const std::optional<OrganisationId> &organisation) {
+  const auto &ids = idsAt(instance);
+  if (ids.empty())
+    return false;
   // NOTE: the connection that has served nobody for longest would often be that
   // of an organisation which is back in a moment: where few organisations ask
   // for much, 59 openings for 100 uses then, and 46 by the rate of use
@@ -93,7 +96,7 @@
     return std::pair(rate, it.LastServed);
   };
   const InstanceConnection *least = nullptr;
-  for (const auto id : idsAt(instance)) {
+  for (const auto id : ids) {
     const auto &it = Connections.at(id);
     const bool isOther =
         it.isBorrowed() == isBorrowed && it.Organisation != organisation;
