Reads after a start wait for the primary's position instead of meeting there

Cause: a read that came before any position was known was bound to the primary for good, and so did all reads of all VMs at once after a loss of power.

--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -286,10 +286,6 @@
   const bool hasTimeout = route->StatementTimeout > Duration{};
   work.Deadline =
       now + (hasTimeout ? route->StatementTimeout : DefaultStatementTimeout);
-  work.PrimaryOnly = route->Policy == ReadPolicy::Current ||
-                     work.Mode == AccessMode::Write ||
-                     session.Mode == TransactionMode::ReadWrite;
-  work.IsWrapped = !isOpen && work.PrimaryOnly && work.Mode == AccessMode::Read;
   work.Statement = std::move(statement);
   if (!isOpen) {
     session.Route = *route;
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -181,6 +181,12 @@
   /// Whether the quota lets the session's operation be sent; if not, it waits
   /// or is refused.
   bool isAdmitted(TimePoint now, ClientSession &session);
+  /// Whether only the primary may run the statement, and by which proof.
+  static void chooseTargets(ClientSession &session);
+  /// A read that replicas could run if a position were known, and one is on its
+  /// way: after a start the reads of all VMs would otherwise meet at the
+  /// primary.
+  bool awaitsProof(TimePoint now, const ClientSession &session);
   bool dispatchToPrimary(TimePoint now, ClientSession &session);
   bool dispatchRead(TimePoint now, ClientSession &session);
   bool isInOwnHall(InstanceTracker &instances,
--- a/src/proxy/internal/ConnectionPool.cpp
+++ b/src/proxy/internal/ConnectionPool.cpp
@@ -230,6 +230,15 @@
   });
 }
 
+bool ConnectionPool::isProving(const InstanceId &instance) const {
+  return countIf(instance, [](const auto &it) {
+           if (it.Sent.empty())
+             return false;
+           const Purpose reason = it.Sent.front().Reason;
+           return reason == Purpose::Begin || reason == Purpose::Probe;
+         }) > 0;
+}
+
 int ConnectionPool::busyAt(const InstanceId &instance) const {
   return countIf(instance, [](const auto &it) { return !it.Sent.empty(); });
 }
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -26,6 +26,7 @@
   if (work.NotBefore > now)
     return wait(session, work.NotBefore);
   work.IsShed = false;
+  chooseTargets(session);
   if (session.Pinned) {
     auto *connection = Pool.find(*session.Pinned);
     sendStatement(now, session, *connection, std::nullopt);
@@ -39,6 +40,21 @@
     wait(session, work.NotBefore);
 }
 
+void Proxy::chooseTargets(ClientSession &session) {
+  auto &work = *session.Current;
+  const bool isOpen = session.State == SessionState::InTransaction;
+  work.PrimaryOnly = session.Route.Policy == ReadPolicy::Current ||
+                     work.Mode == AccessMode::Write ||
+                     session.Mode == TransactionMode::ReadWrite;
+  work.IsWrapped = !isOpen && work.PrimaryOnly && work.Mode == AccessMode::Read;
+}
+
+bool Proxy::awaitsProof(TimePoint now, const ClientSession &session) {
+  const auto primary = tracker(session.Route.Service).primary(now);
+  return primary && Pool.isProving(*primary) &&
+         now - session.Current->ArrivedAt < Options.ProofWait;
+}
+
 bool Proxy::dispatchToPrimary(TimePoint now, ClientSession &session) {
   auto &work = *session.Current;
   auto &instances = tracker(session.Route.Service);
@@ -82,6 +98,10 @@
   const auto candidates =
       minimum ? instances.readCandidates(now, *minimum, work.Tried)
               : std::vector<InstanceId>{};
+  if (!minimum && awaitsProof(now, session)) {
+    work.LastRefusal = "the primary's position isn't known yet";
+    return false;
+  }
   if (candidates.empty()) {
     // Only the primary can prove that it is current enough.
     work.PrimaryOnly = true;
