--- a/src/entry/internal/BorrowCodec.cpp
+++ b/src/entry/internal/BorrowCodec.cpp
@@ -69,7 +69,8 @@
   for (const auto &it : call.values())
     request.Needs.Values[it.name()] = it.value();
   request.Needs.Rank = {call.priority(), Duration(call.objective_us()),
-                        now - Duration(call.age_us())};
+                        now - Duration(call.age_us()),
+                        request.Organisation.value_or(OrganisationId())};
   request.Needs.NeedsFreeNow = call.needs_free_now();
   return request;
 }
--- a/src/proxy/IProxyIo.h
+++ b/src/proxy/IProxyIo.h
@@ -10,7 +10,7 @@
 #include "base/types/Time.h"
 #include "proxy/types/InstanceCommand.h"
 #include "proxy/types/StatementReply.h"
-#include "proxy/types/WaitRank.h"
+#include "scheduling/types/WaitRank.h"
 
 #include <map>
 #include <optional>
@@ -27,7 +27,7 @@
   /// Set before a client's statement.
   SessionValues Values;
   /// Its place among those that wait.
-  WaitRank Rank;
+  scheduling::WaitRank Rank;
   /// The borrower has connections of its own to wait for, so the lender refuses
   /// at once unless one of its connections is free.
   bool NeedsFreeNow = false;
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -10,6 +10,7 @@
 #include "control/types/Configuration.h"
 #include "membership/HomeTable.h"
 #include "membership/types/InstanceRecord.h"
+#include "overload/WaitPolicy.h"
 #include "proxy/IBorrowerIo.h"
 #include "proxy/IProxyIo.h"
 #include "proxy/internal/ClientSession.h"
@@ -21,6 +22,7 @@
 #include "proxy/internal/ServiceWatch.h"
 #include "proxy/types/ProxyOptions.h"
 #include "quota/IOperationQuota.h"
+#include "scheduling/ServingLine.h"
 
 #include <map>
 #include <memory>
@@ -273,7 +275,7 @@
   void releasePinned(TimePoint now, ClientSession &session);
   void abandonStatement(TimePoint now, ClientSession &session);
   void freeConnection(TimePoint now, InstanceConnection &connection);
-  static WaitRank rankOf(const ClientSession &session);
+  static scheduling::WaitRank rankOf(const ClientSession &session);
   std::vector<ClientId> waitingInOrder(TimePoint now,
                                        const std::string &service) const;
   void dispatchWaiting(TimePoint now, const std::string &service);
@@ -317,6 +319,8 @@
     TimePoint ConnectedAt{};
   };
   std::vector<EarlyClient> Unconfigured;
+  scheduling::ServingLine Line;
+  overload::WaitPolicy Patience;
   RouteWork UsualWork;
   LoadShedder Shedder;
   /// By service, the statements that need a connection.
--- a/src/proxy/internal/Lender.cpp
+++ b/src/proxy/internal/Lender.cpp
@@ -150,11 +150,11 @@
 
 std::vector<BorrowKey>
 Lender::waitingInOrder(TimePoint now, const std::deque<BorrowKey> &queue) {
-  std::vector<std::pair<WaitRank, BorrowKey>> waiters;
+  std::vector<std::pair<scheduling::WaitRank, BorrowKey>> waiters;
   waiters.reserve(queue.size());
   for (const auto &it : queue)
     waiters.emplace_back(Uses[it].Waiting->Needs.Rank, it);
-  return inServingOrder(now, Options.OverloadAge, std::move(waiters));
+  return Line.inOrder(now, std::move(waiters));
 }
 
 void Lender::bind(TimePoint now, const BorrowKey &key,
--- a/src/proxy/internal/Lender.h
+++ b/src/proxy/internal/Lender.h
@@ -10,6 +10,7 @@
 
 #include "proxy/IBorrowerIo.h"
 #include "proxy/internal/InstanceConnection.h"
+#include "scheduling/ServingLine.h"
 
 #include <deque>
 #include <map>
@@ -57,9 +58,6 @@
   /// that its borrower can ask another home in time: about the tightest
   /// latency objective.
   Duration QueueLimit = milliseconds(150);
-  /// Where statements have waited for longer, the line is overloaded; as at
-  /// the VM that their clients asked.
-  Duration OverloadAge = milliseconds(100);
   /// The most uses that wait for one instance.
   std::size_t QueueLength = 64;
 };
@@ -67,8 +65,8 @@
 class Lender {
 public:
   Lender(ILendablePool &pool, IBorrowerIo &io, IProxyLog &log,
-         LenderOptions options = {})
-      : Pool(pool), Io(io), Log(log), Options(options) {}
+         const scheduling::ServingLine &line, LenderOptions options = {})
+      : Pool(pool), Io(io), Log(log), Line(line), Options(options) {}
 
   void ask(TimePoint now, const BorrowKey &key, BorrowRequest request);
   /// The borrower gives up the use.
@@ -119,6 +117,7 @@
   ILendablePool &Pool;
   IBorrowerIo &Io;
   IProxyLog &Log;
+  const scheduling::ServingLine &Line;
   LenderOptions Options;
   bool IsStopping = false;
   std::map<BorrowKey, Use> Uses;
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -17,9 +17,6 @@
 /// A question unanswered for this long counts as silence: above the time that
 /// a full queue of an instance takes.
 constexpr Duration SilenceLimit = milliseconds(300);
-/// A statement that an overloaded primary is spared waits for this part of its
-/// objective, in case the overload ends at once: one or two statement times.
-constexpr int ShedPatienceDivisor = 8;
 /// A statement that gets no answer is sent this often in all: two waits of
 /// ReadRetryAfter are a good part of the latency objectives, which are some 150
 /// to 600 ms.
@@ -91,18 +88,19 @@
 
 Duration Proxy::queueLimit(TimePoint now, const ClientSession &session) {
   const auto &work = *session.Current;
+  overload::WaitFacts facts;
+  facts.Priority = session.Route.Priority;
+  facts.Objective = session.Route.LatencyObjective;
+  facts.StatementTimeout = session.Route.StatementTimeout;
+  facts.IsUnderWay = session.HasRunInTransaction &&
+                     session.State == SessionState::InTransaction;
+  facts.IsShed = work.IsShed;
   // NOTE: without control nobody may tell this VM of a new primary, but others
   // may know it.
-  const bool isHopeless =
+  facts.IsHopeless =
       IsIsolated || (IsControlLost && work.PrimaryOnly &&
                      !tracker(session.Route.Service).primary(now));
-  const Duration limit =
-      isHopeless ? Options.IsolatedQueueLimit : Options.QueueLimit;
-  // NOTE: an overload outlasts a single statement, and the sooner the client is
-  // told, the more time its other tries have.
-  return work.IsShed ? std::min(limit, session.Route.LatencyObjective /
-                                           ShedPatienceDivisor)
-                     : limit;
+  return Patience.limit(facts);
 }
 
 void Proxy::expireWork(TimePoint now, ClientSession &session) {
--- a/src/proxy/internal/Waiting.cpp
+++ b/src/proxy/internal/Waiting.cpp
@@ -27,9 +27,9 @@
       {session.Route.Priority, session.Current->ArrivedAt, session.Id});
 }
 
-WaitRank Proxy::rankOf(const ClientSession &session) {
+scheduling::WaitRank Proxy::rankOf(const ClientSession &session) {
   return {session.Route.Priority, session.Route.LatencyObjective,
-          session.Current->ArrivedAt};
+          session.Current->ArrivedAt, session.Organisation};
 }
 
 std::vector<ClientId> Proxy::waitingInOrder(TimePoint now,
@@ -37,13 +37,13 @@
   const auto queue = Waiting.find(service);
   if (queue == Waiting.end())
     return {};
-  std::vector<std::pair<WaitRank, ClientId>> waiters;
+  std::vector<std::pair<scheduling::WaitRank, ClientId>> waiters;
   waiters.reserve(queue->second.size());
   for (const auto &it : queue->second)
     if (const auto found = Sessions.find(it.Client);
         found != Sessions.end() && found->second.Current)
       waiters.emplace_back(rankOf(found->second), it.Client);
-  return inServingOrder(now, Options.OverloadAge, std::move(waiters));
+  return Line.inOrder(now, std::move(waiters));
 }
 
 void Proxy::dispatchWaiting(TimePoint now, const std::string &service) {
--- a/src/proxy/tests/LenderTest.cpp
+++ b/src/proxy/tests/LenderTest.cpp
@@ -95,7 +95,8 @@
 
   tests::FakeIo Io;
   OnePool Pool;
-  Lender Lending{Pool, Io, Io};
+  scheduling::ServingLine Line;
+  Lender Lending{Pool, Io, Io, Line};
   TimePoint Now = TimePoint(std::chrono::seconds(1));
 };
 
@@ -222,7 +223,7 @@
     request.IsFirst = true;
     request.Commands.emplace_back();
     request.Commands.back().Id = std::to_string(use);
-    request.Needs.Rank = {priority, objective, it.Now - age};
+    request.Needs.Rank = {priority, objective, it.Now - age, {}};
     it.Lending.ask(it.Now, {"10.0.0.9", use}, request);
   };
   ask(1, 2, milliseconds(500), milliseconds(140));
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -17,15 +17,6 @@
   HallId OwnHall;
   /// The address by which other VMs know this one.
   std::string OwnIp;
-  /// A statement that could not be sent anywhere waits this long at most
-  /// before it is refused as not run: a replaced primary is back sooner, and
-  /// the client still has time for two more tries.
-  Duration QueueLimit = milliseconds(700);
-  /// Where statements have waited for longer, the newest go first: a good part
-  /// of the latency objectives, which are some 150 to 600 ms.
-  Duration OverloadAge = milliseconds(100);
-  /// The same while this VM is cut off: others may serve the client sooner.
-  Duration IsolatedQueueLimit = milliseconds(40);
   /// A read that got no answer for this long is sent to another instance:
   /// some five times the usual answer time.
   Duration ReadRetryAfter = milliseconds(180);
--- /dev/null
+++ b/src/scheduling/tests/ServingLineTest.cpp
@@ -0,0 +1,39 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The order of waiting statements.
+
+#include "scheduling/ServingLine.h"
+
+#include <doctest/doctest.h>
+
+using namespace stepledge;
+using namespace stepledge::scheduling;
+
+namespace {
+
+constexpr TimePoint Now = TimePoint(std::chrono::seconds(10));
+
+WaitRank rankOf(int priority, Duration objective, Duration age) {
+  return {priority, objective, Now - age, OrganisationId()};
+}
+
+} // namespace
+
+TEST_CASE("ServingLine_FirstComeFirstServedWithinAPriority") {
+  const ServingLine line;
+  const auto order =
+      line.order(Now, {rankOf(1, milliseconds(200), milliseconds(30)),
+                       rankOf(1, milliseconds(200), milliseconds(20)),
+                       rankOf(0, milliseconds(200), milliseconds(10))});
+  CHECK(order == std::vector<std::size_t>{2, 0, 1});
+}
+
+TEST_CASE("ServingLine_LateOnesGoLastInAnOverload") {
+  const ServingLine line;
+  const auto order =
+      line.order(Now, {rankOf(0, milliseconds(200), milliseconds(250)),
+                       rankOf(1, milliseconds(200), milliseconds(120)),
+                       rankOf(1, milliseconds(200), milliseconds(10))});
+  CHECK(order == std::vector<std::size_t>{2, 1, 0});
+}
