Homes use the room that is left at an instance right after a start

Cause: after a loss of power each of six homes held one connection for 3.3 s, six for an instance of four slots; transactions whose clients pause held them, and lenders refused (300 a tenth of a second in one hall of the duty-free site) while instances were idle. Change: a home may hold its part of the room beside the connections that all VMs have lost, 18 of 46 there: three instead of one. Guests hold back for that time on sites without organisations too. Test: Proxy_HomeUsesTheRoomThatIsLeftRightAfterAStart fails before (1 == 3).

--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -136,6 +136,10 @@
   bool usesHomes(const std::string &service) const;
   /// How many connections a home may hold, so that the rest stays free.
   int homeConnections(const std::string &service) const;
+  /// How many it may hold right after a start: its part of the room that an
+  /// instance has left while it still counts the connections that all VMs have
+  /// lost.
+  int startConnections(const std::string &service) const;
   bool isHomeOf(const membership::InstanceRecord &record);
   /// Whether this VM is the one that holds the organisation's connection.
   bool isHomeFor(TimePoint now, const membership::InstanceRecord &record,
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -97,6 +97,11 @@
   return std::clamp(pooled / share.Homes, 1, share.Connections);
 }
 
+int Proxy::startConnections(const std::string &service) const {
+  const int free = maxConnections(service) - pooledConnections(service);
+  return std::max(1, free / homeShare(service).Homes);
+}
+
 bool Proxy::isCautious(TimePoint now) const {
   return now - StartedAt < Options.CautiousStart;
 }
@@ -107,7 +112,8 @@
     if (!isHomeOf(record))
       return {Options.BorrowLimit, Options.BorrowLimit};
     const int own = homeConnections(record.Service);
-    const int limit = isCautious(now) ? std::max(1, own / 2) : own;
+    const int limit =
+        isCautious(now) ? std::min(own, startConnections(record.Service)) : own;
     // NOTE: one that rests is the only one of its organisation.
     const int kept = Configuration.HasOrganisations ? limit : limit / 2;
     return {std::max(1, kept), limit};
@@ -233,7 +239,8 @@
   // NOTE: one that is no home lends all the same: its borrowers may know of a
   // loss that this VM hasn't heard of, or reach the instance only by it.
   const bool isGuest = usesHomes(service) && !isHomeOf(known->Record);
-  if (isGuest && Configuration.HasOrganisations && isCautious(now))
+  // NOTE: after a loss of power the homes need all the room that is left.
+  if (isGuest && isCautious(now))
     return nullptr;
   const ConnectionShare share =
       isGuest ? ConnectionShare{0, 1} : shareOf(now, known->Record);
--- a/src/proxy/tests/ProxyBorrowingTest.cpp
+++ b/src/proxy/tests/ProxyBorrowingTest.cpp
@@ -94,6 +94,43 @@
   CHECK(own == 4);
 }
 
+TEST_CASE("Proxy_HomeUsesTheRoomThatIsLeftRightAfterAStart") {
+  Fixture it;
+  control::Configuration configuration;
+  configuration.Version = 2;
+  configuration.Services["db"] = {"db", 46, 0};
+  Fixture::addRoute(configuration, "current", ReadPolicy::Current);
+  it.Core.applyConfiguration(it.Now, configuration);
+  std::vector<membership::EntryVm> entries{{"", HallId("a")}};
+  for (int i = 1; i < 67; ++i)
+    entries.push_back({"10.9.9." + std::to_string(i), HallId("b")});
+  it.Core.setEntries(entries);
+  it.advance(milliseconds(10));
+  const auto own = [&it] {
+    return std::count_if(it.Io.Opened.begin(), it.Io.Opened.end(),
+                         [](const auto &target) {
+                           return target.second.Instance == InstanceId("p") &&
+                                  !target.second.isBorrowed();
+                         });
+  };
+  // Clients come back with transactions and rest inside them.
+  for (int i = 0; i < 6; ++i) {
+    const auto client = it.connect("current");
+    const std::string text = "WRITE x " + std::to_string(i);
+    it.ask(client, StatementKind::Begin, "BEGIN");
+    it.ask(client, StatementKind::Write, text.c_str());
+    for (int n = 0; n < 5; ++n) {
+      it.advance(milliseconds(10));
+      it.answerOwn(markOf(3, 100));
+    }
+    if (const auto carrier = it.carrierOf(text))
+      it.answer(*carrier,
+                Fixture::replyAt(markOf(3, 100), SessionState::InTransaction));
+  }
+  // The instance counts 28 lost connections still: 18 are left for six homes.
+  CHECK(own() == 3);
+}
+
 TEST_CASE("Proxy_StatementGoesToAConnectedLenderWithoutATick") {
   Fixture it;
   shareWithSixVms(it);
