Reads wait for a position that was asked for, however long ago they came

Cause: the wait was counted from the read's arrival, and after a loss of power reads come before any connection is there: as soon as a lender was connected each of them borrowed one and met the others at the primary. Change: counted from the question that is on its way. A question has an objective in a lender's line; without one it counted as late at once and went last. Test: Proxy_ReadsThatCameBeforeTheFirstLenderWaitToo fails before (6 == 1).

--- a/src/proxy/internal/ConnectionPool.cpp
+++ b/src/proxy/internal/ConnectionPool.cpp
@@ -230,13 +230,18 @@
   });
 }
 
-bool ConnectionPool::isProving(const InstanceId &instance) const {
-  return countIf(instance, [](const auto &it) {
-           if (it.Sent.empty())
-             return false;
-           const Purpose reason = it.Sent.front().Reason;
-           return reason == Purpose::Begin || reason == Purpose::Probe;
-         }) > 0;
+std::optional<TimePoint>
+ConnectionPool::provingSince(const InstanceId &instance) const {
+  std::optional<TimePoint> since;
+  for (const auto id : idsAt(instance)) {
+    const auto &sent = Connections.at(id).Sent;
+    const bool isProving =
+        !sent.empty() && (sent.front().Reason == Purpose::Begin ||
+                          sent.front().Reason == Purpose::Probe);
+    if (isProving && (!since || sent.front().SentAt < *since))
+      since = sent.front().SentAt;
+  }
+  return since;
 }
 
 int ConnectionPool::busyAt(const InstanceId &instance) const {
--- a/src/proxy/internal/ConnectionPool.h
+++ b/src/proxy/internal/ConnectionPool.h
@@ -82,8 +82,8 @@
   /// Connections that open transactions of \p organisation hold.
   int pinnedAt(const InstanceId &instance,
                const OrganisationId &organisation) const;
-  /// An answer is on its way that proves whether \p instance leads.
-  bool isProving(const InstanceId &instance) const;
+  /// Since when an answer is owed that proves whether \p instance leads.
+  std::optional<TimePoint> provingSince(const InstanceId &instance) const;
   /// Connections on which \p instance owes an answer.
   int busyAt(const InstanceId &instance) const;
   /// The connections that \p lender lends.
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -51,8 +51,8 @@
 
 bool Proxy::awaitsProof(TimePoint now, const ClientSession &session) {
   const auto primary = tracker(session.Route.Service).primary(now);
-  return primary && Pool.isProving(*primary) &&
-         now - session.Current->ArrivedAt < Options.ProofWait;
+  const auto since = primary ? Pool.provingSince(*primary) : std::nullopt;
+  return since && now - *since < Options.ProofWait;
 }
 
 bool Proxy::dispatchToPrimary(TimePoint now, ClientSession &session) {
--- a/src/proxy/internal/Sending.cpp
+++ b/src/proxy/internal/Sending.cpp
@@ -92,9 +92,14 @@
 
 void Proxy::sendProbe(TimePoint now, InstanceConnection &connection) {
   connection.IsAbandoned = true;
+  // NOTE: reads wait for the answer, and it takes no slot of the instance; with
+  // no objective it would count as late at once in a lender's line.
+  BorrowNeeds needs;
+  needs.Rank = {0, Options.ProofInterval, now, {}};
   transmit(now, connection,
            {{commandOf(CommandKind::Begin), Purpose::Probe},
-            {commandOf(CommandKind::Rollback), Purpose::End}});
+            {commandOf(CommandKind::Rollback), Purpose::End}},
+           needs);
 }
 
 void Proxy::transmit(TimePoint now, InstanceConnection &connection,
--- a/src/proxy/tests/ProxyStartTest.cpp
+++ b/src/proxy/tests/ProxyStartTest.cpp
@@ -62,6 +62,38 @@
   CHECK(carriedBy(it, texts, "r2") > 0);
 }
 
+TEST_CASE("Proxy_ReadsThatCameBeforeTheFirstLenderWaitToo") {
+  Fixture it;
+  // Too few connections for all VMs; this one borrows.
+  control::Configuration configuration;
+  configuration.Version = 2;
+  configuration.Services["db"] = {"db", 12, 0};
+  Fixture::addRoute(configuration, "bounded",
+                    control::ReadPolicy::BoundedStaleness);
+  it.Core.applyConfiguration(it.Now, configuration);
+  std::vector<membership::EntryVm> entries;
+  for (const char *ip : {"1", "2", "3", "4", "5", "6"})
+    entries.push_back({std::string("10.9.9.") + ip, HallId("a")});
+  it.Core.setEntries(entries);
+  for (const auto &[id, target] : std::map(it.Io.Opened))
+    it.Core.connectionLost(it.Now, id);
+  it.Io.Opened.clear();
+  for (int i = 0; i < 6; ++i) {
+    ClientStatement statement;
+    statement.Id = statement.Text = "READ r" + std::to_string(i);
+    statement.Kind = StatementKind::Read;
+    it.Core.clientAsked(it.Now, it.connect("bounded"), statement);
+  }
+  for (int i = 0; i < 20; ++i) {
+    it.Now += milliseconds(10);
+    it.Core.tick(it.Now);
+  }
+  for (const auto &[id, target] : it.Io.Opened)
+    it.Io.ConnectedLenders.insert(target.LenderIp);
+  it.connectAll();
+  CHECK(beginsAt(it, "p") == 1);
+}
+
 TEST_CASE("Proxy_ReadsTurnToThePrimaryWhereNoPositionComes") {
   Fixture it;
   it.warmUp();
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -28,8 +28,8 @@
   /// How often all instances of a service are asked whether they lead, while
   /// none is known to: some answer times.
   Duration SearchInterval = milliseconds(100);
-  /// A read waits so long for a position that is on its way before it turns to
-  /// the primary: an opening of a connection and some round trips.
+  /// Reads wait for a position that was asked for less than this ago, and turn
+  /// to the primary beyond it: some round trips and a short line at a lender.
   Duration ProofWait = milliseconds(80);
   /// Taken off a route's staleness for the time a read waits in queues.
   Duration StalenessMargin = milliseconds(250);
