A VM of a cut hall notices it by the control VMs that it doesn't hear

Change: contact with the control group needs word of a majority of its members within the same 0.75 s as before, besides a fresh one.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -16,7 +16,7 @@
 EntryNode::EntryNode(EntryOptions options, proxy::Proxy &proxy,
                      peer::IPeerSender &peers, proxy::IProxyLog &log)
     : Options(std::move(options)), Proxy(proxy), Peers(peers), Log(log),
-      Fetch(peers) {
+      Fetch(peers), Contact(Options.IsolationLimit) {
   Peers.keepConnected(Options.SeedIps);
 }
 
@@ -52,7 +52,7 @@
   for (const auto &it : sights)
     silent += it.SilentFor > Duration{};
   const bool isMostSilent = 2 * silent > static_cast<int>(sights.size());
-  const bool isControlLost = Now - HeardAt > Options.IsolationLimit;
+  const bool isControlLost = Contact.isLost(Now);
   const bool isIsolated = isControlLost && isMostSilent;
   Proxy.setControlLost(isControlLost);
   if (isIsolated != IsolatedSince.has_value()) {
@@ -117,6 +117,7 @@
 void EntryNode::peerLost(const std::string &ip, peer::LinkEnd end) {
   Connected.erase(ip);
   ToldSights.erase(ip);
+  Contact.lost(ip);
   Sources.lost(ip);
   Entries.lost(ip);
   Fetch.lost(ip);
@@ -151,10 +152,9 @@
 void EntryNode::onNotice(const std::string &ip,
                          const peer::wire::Notice &notice) {
   // NOTE: the control VM of a hall that is cut off goes on speaking.
-  if (notice.is_fresh()) {
-    HeardAt = Now;
+  Contact.heard(Now, ip, notice.is_fresh());
+  if (notice.is_fresh())
     Sources.heardFresh(Now, ip);
-  }
   if (Entries.take(ip, notice))
     shareEntries();
   for (const auto &it : notice.promotions())
@@ -163,6 +163,8 @@
   if (notice.control_ips_size() > 0) {
     std::set<std::string> ips(notice.control_ips().begin(),
                               notice.control_ips().end());
+    if (notice.is_fresh())
+      Contact.setMembers(ips);
     // NOTE: the one that says so stays connected until it goes by itself: the
     // voters it names may be those of an older state.
     ips.insert(Options.SeedIps.begin(), Options.SeedIps.end());
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -9,6 +9,7 @@
 
 #include "base/LineBudget.h"
 #include "distribution/ConfigurationFetch.h"
+#include "entry/ControlContact.h"
 #include "entry/EntryLists.h"
 #include "entry/InstanceSources.h"
 #include "peer/IPeerListener.h"
@@ -96,7 +97,7 @@
   std::uint64_t AnnouncedVersion = 0;
   /// The last change didn't fit: the next fetch is for the whole.
   bool NeedsWhole = false;
-  TimePoint HeardAt{};
+  ControlContact Contact;
   std::optional<TimePoint> IsolatedSince;
   std::set<std::string> Connected;
   EntryLists Entries;
