Transactions on an instance that has fallen silent are aborted in time

Cause: a transaction whose statement waits on a cut path was held until the statement's limit, which leaves the client no time: an own connection only told silence if the instance had answered others, a borrowed one never. Commits and single writes go on waiting, since they may have run. Tests: SilentConnection_TransactionOfACutPrimaryIsAbortedInTime fails before; Lender_TellsABorrowerThatTheInstanceIsSilent and three of the proxy need the new message.

--- a/src/entry/BorrowedConnections.cpp
+++ b/src/entry/BorrowedConnections.cpp
@@ -146,6 +146,8 @@
 void BorrowedConnections::takeEnd(const peer::wire::BorrowEnd &end) {
   const ConnectionId id{end.use()};
   const auto reason = static_cast<proxy::LendingEnd>(end.reason());
+  if (reason == proxy::LendingEnd::Silent)
+    return Proxy->lenderSilent(Now, id);
   // NOTE: a refusal's replies follow, and the proxy closes the connection.
   if (reason != proxy::LendingEnd::Lost)
     return Proxy->lenderRefused(Now, id, reason);
--- a/src/proxy/IBorrowerIo.h
+++ b/src/proxy/IBorrowerIo.h
@@ -50,6 +50,9 @@
   Full,
   /// Nothing was sent: this VM is about to stop.
   Stopping,
+  /// The use goes on, but the instance has fallen silent: what was sent may
+  /// have run, and its answer may never come.
+  Silent,
 };
 
 constexpr auto LendingEndNames = std::to_array<NameEntry<LendingEnd>>({
@@ -57,6 +60,7 @@
     {LendingEnd::Unreachable, "unreachable"},
     {LendingEnd::Full, "full"},
     {LendingEnd::Stopping, "stopping"},
+    {LendingEnd::Silent, "silent"},
 });
 
 constexpr std::string_view nameOf(LendingEnd end) {
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -72,6 +72,9 @@
   /// The VM that \p connection is borrowed from can't lend for now.
   void lenderRefused(TimePoint now, ConnectionId connection, LendingEnd reason);
 
+  /// The VM that \p connection is borrowed from hears nothing of the instance.
+  void lenderSilent(TimePoint now, ConnectionId connection);
+
   void clientConnected(TimePoint now, ClientId client,
                        const DatabaseId &database, const KeyDigest &key = {});
   void clientAsked(TimePoint now, ClientId client, ClientStatement statement);
--- a/src/proxy/internal/Lender.cpp
+++ b/src/proxy/internal/Lender.cpp
@@ -214,7 +214,21 @@
   return text;
 }
 
+void Lender::tellSilence() {
+  for (auto &[key, use] : Uses) {
+    if (!use.Bound || use.IsToldSilent ||
+        Pool.reaches(use.Service, use.Instance))
+      continue;
+    const auto *connection = Pool.connection(*use.Bound);
+    if (!connection || connection->Sent.empty())
+      continue;
+    use.IsToldSilent = true;
+    Io.endBorrower(key, LendingEnd::Silent);
+  }
+}
+
 void Lender::tick(TimePoint now) {
+  tellSilence();
   std::vector<std::pair<BorrowKey, LendingEnd>> refused;
   std::vector<std::pair<std::string, InstanceId>> waiting;
   for (const auto &[instance, queue] : Queues) {
--- a/src/proxy/internal/Lender.h
+++ b/src/proxy/internal/Lender.h
@@ -102,6 +102,8 @@
     /// Sent once there is a connection.
     std::optional<BorrowRequest> Waiting;
     TimePoint ArrivedAt{};
+    /// The borrower has been told that the instance is silent.
+    bool IsToldSilent = false;
   };
 
   /// The use has commands that aren't sent yet.
@@ -113,6 +115,8 @@
   void bind(TimePoint now, const BorrowKey &key,
             InstanceConnection &connection);
   void refuse(const BorrowKey &key, LendingEnd reason);
+  /// Tells the borrowers that wait for an instance which has fallen silent.
+  void tellSilence();
 
   ILendablePool &Pool;
   IBorrowerIo &Io;
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -225,6 +225,36 @@
   Pool.close(connection.Id);
 }
 
+void Proxy::lenderSilent(TimePoint now, ConnectionId connection) {
+  auto *it = Pool.find(connection);
+  if (!it)
+    return;
+  const InstanceId instance = it->Instance;
+  BadLenders[instance][it->LenderIp] = now + Options.BadLenderPause;
+  auto *owner = it->Owner ? session(*it->Owner) : nullptr;
+  if (!owner || !owner->Current || owner->Current->Connection != connection)
+    return;
+  const auto &work = *owner->Current;
+  const bool isOpen = owner->State == SessionState::InTransaction;
+  const bool isCommit = work.Statement.Kind == StatementKind::Commit;
+  if (isOpen && owner->HasRunInTransaction) {
+    // NOTE: a commit may have run; all else is rolled back with the connection,
+    // and the client still has the time to repeat it.
+    if (isCommit)
+      return;
+    Io.closeConnection(connection);
+    return connectionLost(now, connection);
+  }
+  const bool isUnsent = work.Stage == WorkStage::Beginning;
+  if (!isUnsent && work.Mode == AccessMode::Write)
+    return;
+  if (isOpen && owner->Pinned)
+    releasePinned(now, *owner);
+  else
+    abandonStatement(now, *owner);
+  notRun(now, *owner, ReplyCode::TimedOut, instance);
+}
+
 InstanceConnection *
 Proxy::findLendable(TimePoint now, const std::string &service,
                     const InstanceId &instance,
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -155,8 +155,10 @@
   const Duration limit =
       std::max(Options.SilentTransactionLimit,
                Options.SilentTransactionFactor * instance.ServiceTime);
-  if (isCommit || connection.isBorrowed() ||
-      !instance.hasAnsweredLater(work.SentAt) || now - work.SentAt < limit)
+  const bool isSilent =
+      instance.hasAnsweredLater(work.SentAt) || instance.IsDirectBad;
+  if (isCommit || connection.isBorrowed() || !isSilent ||
+      now - work.SentAt < limit)
     return;
   // NOTE: the instance rolls back once the connection is closed, so the client
   // may try again whole, and still has the time for it.
--- a/src/proxy/tests/LenderTest.cpp
+++ b/src/proxy/tests/LenderTest.cpp
@@ -131,6 +131,23 @@
   CHECK(it.Io.Ended[{"10.0.0.9", 1}] == LendingEnd::Lost);
 }
 
+TEST_CASE("Lender_TellsABorrowerThatTheInstanceIsSilent") {
+  Fixture it;
+  it.ask(1, true, "", CommandKind::Begin);
+  it.answer(SessionState::InTransaction);
+  it.Pool.IsReached = false;
+  it.Lending.tick(it.Now);
+  // Nothing is owed, so nobody waits.
+  CHECK(it.Io.Ended.empty());
+  it.ask(1, false, "a");
+  it.Lending.tick(it.Now);
+  CHECK(it.Io.Ended[{"10.0.0.9", 1}] == LendingEnd::Silent);
+  // The answer may come all the same, and the borrower decides.
+  const auto answers = it.Io.Lent[{"10.0.0.9", 1}].size();
+  it.answer(SessionState::InTransaction);
+  CHECK(it.Io.Lent[{"10.0.0.9", 1}].size() == answers + 1);
+}
+
 TEST_CASE("Lender_RefusesAsNotRunWhatItNeverSent") {
   Fixture it;
   it.Pool.HasConnection = false;
--- a/src/proxy/tests/ProxyBorrowingTest.cpp
+++ b/src/proxy/tests/ProxyBorrowingTest.cpp
@@ -218,3 +218,52 @@
   // Control replaces a primary that most VMs miss for this long.
   CHECK(sights.front().SilentFor >= milliseconds(700));
 }
+
+namespace {
+
+/// A transaction on a connection that another VM lends, whose first write has
+/// been answered.
+ConnectionId borrowForATransaction(Fixture &it, ClientId client) {
+  shareWithSixVms(it);
+  for (const char *ip : {"1", "2", "3", "4", "5", "6"})
+    it.Io.ConnectedLenders.insert(std::string("10.9.9.") + ip);
+  const ConnectionId carrier = it.beginTransaction(client);
+  REQUIRE(it.Io.Opened.at(carrier).isBorrowed());
+  return carrier;
+}
+
+} // namespace
+
+TEST_CASE("Proxy_TransactionIsAbortedWhereTheLenderHearsNothing") {
+  Fixture it;
+  const auto client = it.connect("current");
+  const auto carrier = borrowForATransaction(it, client);
+  it.ask(client, StatementKind::Write, "WRITE y 1");
+  it.Core.lenderSilent(it.Now, carrier);
+  CHECK(it.lastAnswer(client).Code == ReplyCode::Aborted);
+  CHECK(!it.Io.Opened.contains(carrier));
+}
+
+TEST_CASE("Proxy_CommitGoesOnWhereTheLenderHearsNothing") {
+  Fixture it;
+  const auto client = it.connect("current");
+  const auto carrier = borrowForATransaction(it, client);
+  it.ask(client, StatementKind::Commit, "COMMIT");
+  const auto answers = it.Io.Answers[client].size();
+  it.Core.lenderSilent(it.Now, carrier);
+  CHECK(it.Io.Answers[client].size() == answers);
+  it.answer(carrier, Fixture::replyAt(markOf(3, 101)));
+  CHECK(it.lastAnswer(client).Code == ReplyCode::Success);
+}
+
+TEST_CASE("Proxy_SingleWriteGoesOnWhereTheLenderHearsNothing") {
+  Fixture it;
+  const auto client = it.connect("current");
+  borrowForATransaction(it, client);
+  const auto other = it.connect("current");
+  it.ask(other, StatementKind::Write, "WRITE z 1");
+  const auto carrier = it.carrierOf("WRITE z 1");
+  REQUIRE(carrier);
+  it.Core.lenderSilent(it.Now, *carrier);
+  CHECK(it.Io.Answers[other].empty());
+}
--- a/src/proxy/tests/SilentConnectionTest.cpp
+++ b/src/proxy/tests/SilentConnectionTest.cpp
@@ -131,6 +131,19 @@
   CHECK(!it.Io.Opened.contains(silent));
 }
 
+TEST_CASE("SilentConnection_TransactionOfACutPrimaryIsAbortedInTime") {
+  Fixture it;
+  it.warmUp();
+  const auto client = it.connect("current");
+  it.beginTransaction(client);
+  it.ask(client, StatementKind::Write, "WRITE y 1");
+  // The primary answers nobody any more.
+  for (int i = 0; i < 16; ++i)
+    it.advance(milliseconds(30));
+  CHECK(it.lastAnswer(client).Code == ReplyCode::Aborted);
+  CHECK(it.lastAnswer(client).State == SessionState::Failed);
+}
+
 TEST_CASE("SilentConnection_CommitOnItIsNotGivenUpEarly") {
   Fixture it;
   it.warmUp();
