A home holds more connections while transactions rest on its own

Cause: clients that rest inside transactions hold a home's connections for seconds (up to the idle limit), and single statements and commits of others find none free although the instance has slots and room. Change: the limit of a home grows by the transactions that have rested for 0.7 s, within a part of the room that is kept free. Test: Proxy_HomeServesOthersWhileTransactionsRest fails before (4, wants more); Proxy_HomesLeaveRoomAtTheInstance stays as it was.

--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -143,6 +143,9 @@
   /// instance has left while it still counts the connections that all VMs have
   /// lost.
   int startConnections(const std::string &service) const;
+  /// How many more it may hold while transactions at rest hold as many: a part
+  /// of the room that is kept free.
+  int spareConnections(const std::string &service) const;
   bool isHomeOf(const membership::InstanceRecord &record);
   /// Whether this VM is the one that holds the organisation's connection.
   bool isHomeFor(TimePoint now, const membership::InstanceRecord &record,
--- a/src/proxy/internal/ConnectionPool.cpp
+++ b/src/proxy/internal/ConnectionPool.cpp
@@ -230,6 +230,15 @@
   });
 }
 
+int ConnectionPool::restingAt(const InstanceId &instance,
+                              TimePoint since) const {
+  return countIf(instance, [&](const auto &it) {
+    const bool isHeld = it.IsPinned || it.Borrower;
+    return isHeld && !it.isBorrowed() && it.Sent.empty() &&
+           it.LastUsed <= since;
+  });
+}
+
 std::optional<TimePoint>
 ConnectionPool::provingSince(const InstanceId &instance) const {
   std::optional<TimePoint> since;
--- a/src/proxy/internal/ConnectionPool.h
+++ b/src/proxy/internal/ConnectionPool.h
@@ -82,6 +82,9 @@
   /// Connections that open transactions of \p organisation hold.
   int pinnedAt(const InstanceId &instance,
                const OrganisationId &organisation) const;
+  /// Own connections that open transactions have held without a statement since
+  /// \p since.
+  int restingAt(const InstanceId &instance, TimePoint since) const;
   /// Since when an answer is owed that proves whether \p instance leads.
   std::optional<TimePoint> provingSince(const InstanceId &instance) const;
   /// Connections on which \p instance owes an answer.
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -102,6 +102,13 @@
   return std::max(1, free / homeShare(service).Homes);
 }
 
+int Proxy::spareConnections(const std::string &service) const {
+  const auto share = homeShare(service);
+  if (!Configuration.HasOrganisations)
+    return share.Connections - homeConnections(service);
+  return share.Guests / (2 * share.Homes);
+}
+
 bool Proxy::isCautious(TimePoint now) const {
   return now - StartedAt < Options.CautiousStart;
 }
@@ -113,7 +120,10 @@
       return {Options.BorrowLimit, Options.BorrowLimit};
     const int own = homeConnections(record.Service);
     const int limit =
-        isCautious(now) ? std::min(own, startConnections(record.Service)) : own;
+        isCautious(now)
+            ? std::min(own, startConnections(record.Service))
+            : own + std::min(spareConnections(record.Service),
+                             Pool.restingAt(record.Id, now - Options.RestTime));
     // NOTE: one that rests is the only one of its organisation.
     const int kept = Configuration.HasOrganisations ? limit : limit / 2;
     return {std::max(1, kept), limit};
--- a/src/proxy/tests/ProxyBorrowingTest.cpp
+++ b/src/proxy/tests/ProxyBorrowingTest.cpp
@@ -94,6 +94,50 @@
   CHECK(own == 4);
 }
 
+TEST_CASE("Proxy_HomeServesOthersWhileTransactionsRest") {
+  Fixture it;
+  it.warmUp();
+  control::Configuration configuration;
+  configuration.Version = 2;
+  configuration.Services["db"] = {"db", 53, 0};
+  Fixture::addRoute(configuration, "current", ReadPolicy::Current);
+  it.Core.applyConfiguration(it.Now, configuration);
+  std::vector<membership::EntryVm> entries{{"", HallId("a")}};
+  for (int i = 1; i < 70; ++i)
+    entries.push_back({"10.9.9." + std::to_string(i), HallId("b")});
+  it.Core.setEntries(entries);
+  it.advance(milliseconds(3500));
+  const auto own = [&it] {
+    return std::count_if(it.Io.Opened.begin(), it.Io.Opened.end(),
+                         [](const auto &target) {
+                           return target.second.Instance == InstanceId("p") &&
+                                  !target.second.isBorrowed();
+                         });
+  };
+  const auto begin = [&it](int i) {
+    const auto client = it.connect("current");
+    const std::string text = "WRITE x " + std::to_string(i);
+    it.ask(client, StatementKind::Begin, "BEGIN");
+    it.ask(client, StatementKind::Write, text.c_str());
+    for (int n = 0; n < 5; ++n) {
+      it.advance(milliseconds(10));
+      it.answerOwn(markOf(3, 100));
+    }
+    if (const auto carrier = it.carrierOf(text))
+      it.answer(*carrier,
+                Fixture::replyAt(markOf(3, 100), SessionState::InTransaction));
+  };
+  for (int i = 0; i < 4; ++i)
+    begin(i);
+  REQUIRE(own() == 4);
+  it.advance(milliseconds(800));
+  for (int i = 4; i < 12; ++i)
+    begin(i);
+  // Seven is what six homes and seven guests may have of 49 usable ones.
+  CHECK(own() > 4);
+  CHECK(own() <= 7);
+}
+
 TEST_CASE("Proxy_HomeUsesTheRoomThatIsLeftRightAfterAStart") {
   Fixture it;
   control::Configuration configuration;
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -70,6 +70,9 @@
   Duration CautiousStart = milliseconds(3300);
   /// By one after each such time: some tries of a VM that has none.
   Duration GrowthInterval = milliseconds(400);
+  /// A transaction without a statement for this long rests: well above the
+  /// pauses of clients that are at work.
+  Duration RestTime = milliseconds(700);
   /// No new connection for this long after an instance had no room.
   Duration FullPause = milliseconds(1000);
   /// The same for a VM that has no connection to that instance at all.
