Hold back an instance that answers reads worse than its siblings

Cause: a read's instance was chosen by this VM's own statements in flight times a smoothed answer time. A failed or refused statement taught nothing, and since its quick answer counted as answer time, an instance that fails at once drew all reads. One that had been slow was hardly asked again after it was well.

Change: balancing::OutlierDetector compares the smoothed rate of failures and the slowness of shared reads at each instance with the median of its siblings. One that stands out keeps a share of its reads that falls by halves to one in twenty; these are the probes, and the share returns over 3 s. One in three is held back at most, nobody for a sibling that lacks the position, and none where all look bad. A read that has waited as long as the held-back one takes may still go there. A failure or refusal no longer counts as answer time. Reads outside of transactions leave a slow outlier after three times their usual time within a budget of one in twenty; other moves stay at 180 ms and spend of the same budget. State is each VM's own, so that a bad link moves only its VM.

Failed before the change: UnevenInstances_SlowReplica, Failing, QuickLiar and OnlyTheVmWithTheBadLink. Passed before as well: Flapping (avoiding an instance for 1 s did it), GroupThatIsSlow, ManyVms; they guard the new choice.

--- a/src/node/EntryProgram.cpp
+++ b/src/node/EntryProgram.cpp
@@ -64,6 +64,8 @@
   page.set("sessions", static_cast<double>(proxy.sessionCount()));
   page.set("configuration_version",
            static_cast<double>(proxy.configurationVersion()));
+  page.set("instances_held_back",
+           static_cast<double>(proxy.heldBackInstances()));
   setTraffic(Entry.traffic(), page);
 }
 
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -31,8 +31,9 @@
 Proxy::Proxy(ProxyOptions options, IProxyIo &io, IProxyLog &log,
              IBorrowerIo &borrowers, quota::IOperationQuota &quota)
     : Options(std::move(options)), Io(io), Log(log), Quota(quota),
-      Watch(Options.OwnIp, Options.OwnHall), Pool(io), Homes(Options.OwnIp),
-      Lending(*this, borrowers, log, Line) {}
+      Watch(Options.OwnIp, Options.OwnHall),
+      SecondTries(Options.SecondTryShare, Options.SecondTryReserve), Pool(io),
+      Homes(Options.OwnIp), Lending(*this, borrowers, log, Line) {}
 
 void Proxy::applyConfiguration(TimePoint now,
                                control::Configuration configuration) {
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -7,6 +7,7 @@
 #ifndef STEPLEDGE_PROXY_PROXY_H
 #define STEPLEDGE_PROXY_PROXY_H
 
+#include "admission/RetryBudget.h"
 #include "control/types/Configuration.h"
 #include "membership/HomeTable.h"
 #include "membership/types/InstanceRecord.h"
@@ -101,6 +102,9 @@
   bool canServe() const;
   std::uint64_t configurationVersion() const { return Configuration.Version; }
   const control::Configuration &configuration() const { return Configuration; }
+  /// The instances that get fewer reads, since they answer them worse than
+  /// their siblings.
+  int heldBackInstances() const;
   /// Of the services that this VM watches.
   std::vector<PrimarySight> primarySights(TimePoint now);
 
@@ -191,6 +195,9 @@
   bool awaitsProof(TimePoint now, const ClientSession &session);
   bool dispatchToPrimary(TimePoint now, ClientSession &session);
   bool dispatchRead(TimePoint now, ClientSession &session);
+  /// A number from 0 to 1 that differs by statement and VM, so that VMs that
+  /// see the same at the same moment don't all turn to the same instance.
+  double chanceOf(const ClientSession &session) const;
   bool isInOwnHall(InstanceTracker &instances,
                    const InstanceId &instance) const;
   /// Replicas could run the statement as well if they were not behind, and it
@@ -239,8 +246,15 @@
                      InstanceConnection &connection,
                      const StatementReply &reply, TimePoint sentAt);
   /// Learns what the route's statements take, and how busy the instance is.
-  void noteWork(const ClientSession &session, const InstanceId &instance,
-                Duration took);
+  void noteWork(TimePoint now, const ClientSession &session,
+                const InstanceId &instance, Duration took);
+  /// A read outside of a transaction that replicas may run.
+  static bool isSharedRead(const ClientSession &session);
+  /// The instance failed or refused the read, or gave no answer to it.
+  void noteReadFailure(TimePoint now, const ClientSession &session,
+                       const InstanceId &instance);
+  /// Tells which instances are held back from now on, or have returned.
+  void reviewOutliers(TimePoint now);
   void singleAnswered(TimePoint now, ClientSession &session,
                       const InstanceId &instance, StatementReply reply);
   void transactionAnswered(TimePoint now, ClientSession &session,
@@ -265,6 +279,9 @@
   static bool isMovable(const ClientSession &session,
                         const InstanceConnection &connection,
                         const TrackedInstance &instance);
+  /// A sibling should answer the read sooner than the slow instance that has
+  /// it now.
+  bool isWorthMoving(TimePoint now, const ClientSession &session);
   void moveSlowStatement(TimePoint now, ClientSession &session);
   void lostWork(TimePoint now, ClientSession &session,
                 const InstanceId &instance);
@@ -322,6 +339,8 @@
   scheduling::ServingLine Line;
   overload::WaitPolicy Patience;
   RouteWork UsualWork;
+  /// Of reads that are sent twice since the instance that has them is slow.
+  admission::RetryBudget SecondTries;
   LoadShedder Shedder;
   /// By service, the statements that need a connection.
   std::map<std::string, std::set<WaitKey>> Waiting;
--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -90,8 +90,13 @@
       instance && !it->isBorrowed())
     instance->NewestAnsweredSentAt =
         std::max(instance->NewestAnsweredSentAt, sent.SentAt);
-  if (sent.Reason == Purpose::Statement && isFromInstance)
-    instances.noteAnswer(now, it->Instance, now - sent.SentAt);
+  if (sent.Reason == Purpose::Statement && isFromInstance) {
+    // NOTE: an instance that fails at once would seem to be the fastest.
+    if (reply.Code == ReplyCode::Failed || reply.Code == ReplyCode::Busy)
+      instances.noteRefusal(now, it->Instance);
+    else
+      instances.noteAnswer(now, it->Instance, now - sent.SentAt);
+  }
   if (reply.Position)
     instances.notePosition(now, it->Instance, *reply.Position);
 
@@ -166,7 +171,7 @@
   const TimePoint sentAt = session.Current->SentAt;
   if (reply.Code == ReplyCode::Success) {
     noteSuccess(session, instance, reply, sentAt);
-    noteWork(session, instance, now - sentAt);
+    noteWork(now, session, instance, now - sentAt);
   }
   if (session.State == SessionState::InTransaction)
     return transactionAnswered(now, session, instance, std::move(reply));
@@ -178,14 +183,32 @@
   singleAnswered(now, session, instance, std::move(reply));
 }
 
-void Proxy::noteWork(const ClientSession &session, const InstanceId &instance,
-                     Duration took) {
-  auto *known = tracker(session.Route.Service).find(instance);
+bool Proxy::isSharedRead(const ClientSession &session) {
+  const auto &work = *session.Current;
+  return session.State == SessionState::Idle && work.Mode == AccessMode::Read &&
+         !work.PrimaryOnly;
+}
+
+void Proxy::noteReadFailure(TimePoint now, const ClientSession &session,
+                            const InstanceId &instance) {
+  auto &instances = tracker(session.Route.Service);
+  if (isSharedRead(session) && instances.find(instance))
+    instances.outliers().noteFailure(now, instance);
+}
+
+void Proxy::noteWork(TimePoint now, const ClientSession &session,
+                     const InstanceId &instance, Duration took) {
+  auto &instances = tracker(session.Route.Service);
+  auto *known = instances.find(instance);
   // NOTE: a commit or a statement of a transaction has work of its own kind.
   if (!known || session.State != SessionState::Idle)
     return;
-  known->Running.noteAnswer(UsualWork.slowness(session.Route, took),
-                            Pool.busyAt(instance) + 1);
+  const double slowness = UsualWork.slowness(session.Route, took);
+  known->Running.noteAnswer(slowness, Pool.busyAt(instance) + 1);
+  if (isSharedRead(session)) {
+    instances.outliers().noteAnswer(now, instance, slowness);
+    SecondTries.noteRequest();
+  }
   UsualWork.note(session.Route, took, known->Running.congestion());
 }
 
@@ -194,6 +217,10 @@
   auto &work = *session.Current;
   if (reply.Code == ReplyCode::Success)
     return answer(now, session, std::move(reply));
+  const bool isRefusal =
+      reply.Code == ReplyCode::Busy && !work.IsRefusedByLender;
+  if (isRefusal || reply.Code == ReplyCode::Failed)
+    noteReadFailure(now, session, instance);
   const bool failedRead = reply.Code == ReplyCode::Failed &&
                           work.Mode == AccessMode::Read &&
                           work.Sendings < MostReadTries;
@@ -298,8 +325,11 @@
   auto *owner = lost.Owner ? session(*lost.Owner) : nullptr;
   if (!owner)
     return dispatchWaiting(now, lost.Service);
-  if (owner->Current && owner->Current->Connection == connection)
+  if (owner->Current && owner->Current->Connection == connection) {
+    if (!lost.isBorrowed())
+      noteReadFailure(now, *owner, lost.Instance);
     return lostWork(now, *owner, lost.Instance);
+  }
   if (owner->Pinned == connection) {
     owner->Pinned.reset();
     // NOTE: a statement that waits to be repeated there must not run elsewhere.
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -4,11 +4,13 @@
 /// \file The part of Proxy that chooses the instance and the connection on
 /// which a statement runs.
 
+#include "membership/Rendezvous.h"
 #include "proxy/Proxy.h"
 
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace stepledge::proxy {
 
@@ -96,8 +98,10 @@
   const bool isOpen = session.State == SessionState::InTransaction;
   const auto minimum = minimumPosition(now, session);
   const auto candidates =
-      minimum ? instances.readCandidates(now, *minimum, work.Tried)
-              : std::vector<InstanceId>{};
+      minimum
+          ? instances.readCandidates(now, *minimum, work.Tried,
+                                     {chanceOf(session), now - work.ArrivedAt})
+          : std::vector<InstanceId>{};
   if (!minimum && awaitsProof(now, session)) {
     work.LastRefusal = "the primary's position isn't known yet";
     return false;
@@ -136,6 +140,15 @@
   return false;
 }
 
+double Proxy::chanceOf(const ClientSession &session) const {
+  const auto &work = *session.Current;
+  const std::uint64_t n = membership::rendezvousWeight(
+      absl::StrCat(Options.OwnIp, " ", session.Id.Number),
+      absl::StrCat(work.Statement.Id, " ",
+                   work.ArrivedAt.time_since_epoch().count()));
+  return std::ldexp(static_cast<double>(n), -64);
+}
+
 bool Proxy::isInOwnHall(InstanceTracker &instances,
                         const InstanceId &instance) const {
   const auto *known = instances.find(instance);
--- a/src/proxy/internal/InstanceTracker.cpp
+++ b/src/proxy/internal/InstanceTracker.cpp
@@ -74,18 +74,26 @@
   const bool isLaterLife = !isNew && next.BornMs > it.Record.BornMs;
   if (isLaterLife) {
     it = {};
+    Outliers.remove(record.Id);
     if (ProvenLead == record.Id)
       ProvenLead.reset();
   }
   it.Record = next;
   if (next.State != InstanceState::Ready && !it.LeavingSince)
     it.LeavingSince = now;
+  if (next.State == InstanceState::Ready)
+    Outliers.add(record.Id);
+  else
+    Outliers.remove(record.Id);
   if (next.State == InstanceState::Gone)
     Instances.erase(found);
   return isLaterLife;
 }
 
-void InstanceTracker::remove(const InstanceId &id) { Instances.erase(id); }
+void InstanceTracker::remove(const InstanceId &id) {
+  Instances.erase(id);
+  Outliers.remove(id);
+}
 
 void InstanceTracker::notePromotion(const Promotion &promotion) {
   if (promotion.Fence <= Promoted.Fence)
@@ -187,7 +195,7 @@
                                  const Mark &minimum) const {
   const int slots = std::max(1, instance.Record.Slots);
   const double rounds = 1.0 + static_cast<double>(instance.Statements) / slots;
-  double cost = toMilliseconds(instance.ServiceTime) * rounds;
+  double cost = toMilliseconds(presumedTime(instance)) * rounds;
   if (instance.Record.Hall != OwnHall)
     cost += OtherHallCost;
   if (!isExpectedAt(now, instance, minimum))
@@ -198,9 +206,39 @@
   return cost;
 }
 
+Duration InstanceTracker::presumedTime(const TrackedInstance &instance) const {
+  Duration time = instance.ServiceTime;
+  if (Outliers.weight(instance.Record.Id) < 1.0)
+    for (const auto &[id, it] : Instances)
+      time = std::min(time, it.ServiceTime);
+  return time;
+}
+
+void InstanceTracker::passOver(TimePoint now, const Mark &minimum,
+                               const ReadDraw &draw,
+                               std::vector<InstanceId> &ids) const {
+  const auto isGiven = [&](const InstanceId &id) {
+    return draw.Chance < Outliers.weight(id);
+  };
+  // NOTE: nobody is passed over for one that lacks the position.
+  const bool hasSibling = std::any_of(ids.begin(), ids.end(), [&](auto &id) {
+    return isGiven(id) && isExpectedAt(now, Instances.at(id), minimum);
+  });
+  if (!hasSibling)
+    return;
+  const auto passed = std::stable_partition(ids.begin(), ids.end(), isGiven);
+  // NOTE: a read that has waited as long as it takes there gains by it.
+  ids.erase(std::remove_if(passed, ids.end(),
+                           [&](const InstanceId &id) {
+                             return draw.Waited < Instances.at(id).ServiceTime;
+                           }),
+            ids.end());
+}
+
 std::vector<InstanceId>
 InstanceTracker::readCandidates(TimePoint now, const Mark &minimum,
-                                const std::set<InstanceId> &tried) const {
+                                const std::set<InstanceId> &tried,
+                                const ReadDraw &draw) const {
   std::vector<std::pair<double, InstanceId>> ranked;
   // NOTE: one that failed lately is still better than none.
   for (const bool avoided : {false, true}) {
@@ -220,6 +258,7 @@
   ids.reserve(ranked.size());
   for (auto &it : ranked)
     ids.push_back(std::move(it.second));
+  passOver(now, minimum, draw, ids);
   return ids;
 }
 
@@ -286,6 +325,11 @@
   it->ServiceTime = Duration(static_cast<std::int64_t>(smoothed));
 }
 
+void InstanceTracker::noteRefusal(TimePoint now, const InstanceId &id) {
+  if (auto *it = find(id))
+    it->AvoidUntil = std::min(it->AvoidUntil, now);
+}
+
 void InstanceTracker::noteSilence(TimePoint now, const InstanceId &id) {
   auto *it = find(id);
   if (!it)
--- a/src/proxy/internal/InstanceTracker.h
+++ b/src/proxy/internal/InstanceTracker.h
@@ -7,6 +7,7 @@
 #ifndef STEPLEDGE_PROXY_INTERNAL_INSTANCETRACKER_H
 #define STEPLEDGE_PROXY_INTERNAL_INSTANCETRACKER_H
 
+#include "balancing/OutlierDetector.h"
 #include "base/types/LogPosition.h"
 #include "base/types/Time.h"
 #include "membership/types/InstanceRecord.h"
@@ -88,6 +89,15 @@
   std::uint64_t Fence = 0;
 };
 
+/// What decides whether a read is one of the few that an instance that is held
+/// back still gets.
+struct ReadDraw {
+  /// From 0 to 1, the same whenever the read is looked at again.
+  double Chance = 0.0;
+  /// How long it has waited for a connection.
+  Duration Waited{};
+};
+
 class InstanceTracker {
 public:
   explicit InstanceTracker(HallId ownHall) : OwnHall(std::move(ownHall)) {}
@@ -111,10 +121,15 @@
   /// The one that should lead said lately that it doesn't, and no other has
   /// proved to.
   bool isLeadDenied(TimePoint now) const;
-  /// The best instance for a read that needs \p minimum, best first.
-  std::vector<InstanceId>
-  readCandidates(TimePoint now, const Mark &minimum,
-                 const std::set<InstanceId> &tried) const;
+  /// The instances for a read that needs \p minimum, best first. One that is
+  /// held back is left out where a sibling should have the position, unless
+  /// \p draw gives it the read.
+  std::vector<InstanceId> readCandidates(TimePoint now, const Mark &minimum,
+                                         const std::set<InstanceId> &tried,
+                                         const ReadDraw &draw = {}) const;
+  /// How reads that siblings could run as well do at each instance.
+  balancing::OutlierDetector &outliers() { return Outliers; }
+  const balancing::OutlierDetector &outliers() const { return Outliers; }
 
   void notePosition(TimePoint now, const InstanceId &id, const Mark &position);
   /// \p id ran the start of a plain transaction, which only a primary does.
@@ -123,6 +138,9 @@
   std::optional<Mark> coveringPosition(TimePoint time) const;
   std::optional<TimePoint> newestProofAt() const;
   void noteAnswer(TimePoint now, const InstanceId &id, Duration took);
+  /// It answered that a statement failed or was refused, which says nothing of
+  /// the time that work takes there.
+  void noteRefusal(TimePoint now, const InstanceId &id);
   void noteSilence(TimePoint now, const InstanceId &id);
   void noteDeniedLead(TimePoint now, const InstanceId &id);
   /// \p id refused a read that needs \p minimum, which its log lacks.
@@ -144,8 +162,15 @@
                             const Mark &minimum);
   double readCost(TimePoint now, const TrackedInstance &instance,
                   const Mark &minimum) const;
+  /// The answer time to judge it by: one that is held back is tried as if it
+  /// were as fast as the fastest, since else no read would find out.
+  Duration presumedTime(const TrackedInstance &instance) const;
+  /// Moves those that \p draw keeps the read from behind the others, or out.
+  void passOver(TimePoint now, const Mark &minimum, const ReadDraw &draw,
+                std::vector<InstanceId> &ids) const;
 
   HallId OwnHall;
+  balancing::OutlierDetector Outliers;
   std::map<InstanceId, TrackedInstance> Instances;
   /// The last one that proved its lead, unless control named another since.
   std::optional<InstanceId> ProvenLead;
--- a/src/proxy/internal/RouteWork.cpp
+++ b/src/proxy/internal/RouteWork.cpp
@@ -29,6 +29,14 @@
     it->second += (sample - it->second) * SampleWeight;
 }
 
+std::optional<Duration> RouteWork::usual(const control::Route &route) const {
+  const auto it = Usual.find(route.Database);
+  if (it == Usual.end())
+    return std::nullopt;
+  constexpr double MicrosecondsPerMs = 1000.0;
+  return Duration(static_cast<std::int64_t>(it->second * MicrosecondsPerMs));
+}
+
 double RouteWork::slowness(const control::Route &route, Duration took) const {
   const auto it = Usual.find(route.Database);
   if (it == Usual.end() || it->second <= 0)
--- a/src/proxy/internal/RouteWork.h
+++ b/src/proxy/internal/RouteWork.h
@@ -11,6 +11,7 @@
 #include "control/types/Configuration.h"
 
 #include <map>
+#include <optional>
 
 namespace stepledge::proxy {
 
@@ -19,6 +20,8 @@
   /// A statement of \p route took \p took at an instance that takes
   /// \p congestion times as long as usual.
   void note(const control::Route &route, Duration took, double congestion);
+  /// What a statement of \p route usually takes; none while that isn't known.
+  std::optional<Duration> usual(const control::Route &route) const;
   /// How many times as long as usual \p took is for a statement of \p route; 1
   /// while that isn't known.
   double slowness(const control::Route &route, Duration took) const;
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -21,6 +21,10 @@
 /// ReadRetryAfter are a good part of the latency objectives, which are some 150
 /// to 600 ms.
 constexpr int MostSlowSendings = 2;
+/// A read at an instance that is much slower than its siblings is moved after
+/// this many times its usual time: its answer there would take longer than
+/// waiting so long and asking a sibling.
+constexpr int EarlyMoveFactor = 3;
 
 } // namespace
 
@@ -29,6 +33,7 @@
   sweepConnections(now);
   sweepSessions(now);
   Lending.tick(now);
+  reviewOutliers(now);
   probePrimaries(now);
   restoreOwnConnections(now);
   std::vector<std::string> waiting;
@@ -39,6 +44,23 @@
     dispatchWaiting(now, service);
 }
 
+void Proxy::reviewOutliers(TimePoint now) {
+  for (auto &[service, instances] : Trackers)
+    for (const auto &it : instances->outliers().review(now))
+      Log.decision(absl::StrCat(
+          "event=instance_outlier instance=", it.Instance.str(),
+          " service=", service, " held_back=", it.IsHeldBack,
+          " slowness=", it.Slowness, " siblings=", it.SiblingSlowness,
+          " failing=", it.FailureRate, " siblings=", it.SiblingFailureRate));
+}
+
+int Proxy::heldBackInstances() const {
+  int n = 0;
+  for (const auto &[service, instances] : Trackers)
+    n += instances->outliers().heldBack();
+  return n;
+}
+
 void Proxy::forgetProofs() {
   for (auto &[service, it] : Trackers)
     it->forgetProofs();
@@ -123,6 +145,8 @@
   const auto &work = *session.Current;
   const bool isOpen = session.State == SessionState::InTransaction;
   const bool isCommit = work.Statement.Kind == StatementKind::Commit;
+  if (const auto *it = work.Connection ? Pool.find(*work.Connection) : nullptr)
+    noteReadFailure(now, session, it->Instance);
   abandonStatement(now, session);
   if (isOpen && isCommit)
     return expireCommit(now, session);
@@ -180,10 +204,29 @@
   return !connection.isBorrowed() && isPathBad && (isRead || isUnsent);
 }
 
+bool Proxy::isWorthMoving(TimePoint now, const ClientSession &session) {
+  const auto &work = *session.Current;
+  const auto usual = UsualWork.usual(session.Route);
+  if (!isSharedRead(session) || !work.Minimum || !usual ||
+      now - work.SentAt < EarlyMoveFactor * *usual)
+    return false;
+  const auto *connection = Pool.find(*work.Connection);
+  auto &instances = tracker(session.Route.Service);
+  if (!connection || !instances.outliers().isSlow(now, connection->Instance))
+    return false;
+  auto tried = work.Tried;
+  tried.insert(connection->Instance);
+  return !instances.readCandidates(now, *work.Minimum, tried).empty();
+}
+
 void Proxy::moveSlowStatement(TimePoint now, ClientSession &session) {
   const auto &work = *session.Current;
   const bool isOpen = session.State == SessionState::InTransaction;
-  if (!work.Connection || now - work.SentAt < Options.ReadRetryAfter)
+  if (!work.Connection)
+    return;
+  const Duration waited = now - work.SentAt;
+  const bool isEarly = waited < Options.ReadRetryAfter;
+  if (isEarly && !isWorthMoving(now, session))
     return;
   auto *connection = Pool.find(*work.Connection);
   const auto *instance =
@@ -196,8 +239,18 @@
   if (work.Sendings >= MostSlowSendings ||
       !isMovable(session, *connection, *instance))
     return;
+  const bool hasBudget = SecondTries.take();
+  if (isEarly && !hasBudget)
+    return;
   const InstanceId slow = connection->Instance;
-  tracker(connection->Service).noteSilence(now, slow);
+  auto &instances = tracker(connection->Service);
+  if (isEarly) {
+    instances.outliers().noteAnswer(now, slow,
+                                    UsualWork.slowness(session.Route, waited));
+  } else {
+    instances.noteSilence(now, slow);
+    noteReadFailure(now, session, slow);
+  }
   if (isOpen && session.Pinned)
     releasePinned(now, session);
   else
--- /dev/null
+++ b/src/proxy/tests/UnevenGroup.h
@@ -0,0 +1,91 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file VMs before one group of instances that have a few slots each and
+/// become slow, fail or go down as the test says; callers ask for single reads,
+/// and what they get is counted.
+
+#ifndef STEPLEDGE_PROXY_TESTS_UNEVENGROUP_H
+#define STEPLEDGE_PROXY_TESTS_UNEVENGROUP_H
+
+#include "proxy/Proxy.h"
+#include "quota/tests/NoQuota.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace stepledge::proxy::tests {
+
+/// What the callers of some time got.
+struct ReadTally {
+  int Asked = 0;
+  /// Answered within their objective.
+  int Good = 0;
+  int Failed = 0;
+  double goodShare() const {
+    return Asked == 0 ? 0 : static_cast<double>(Good) / Asked;
+  }
+};
+
+class UnevenGroup {
+public:
+  struct Instance {
+    std::string Name;
+    bool IsUp = true;
+    /// Times its usual service time.
+    double Slowness = 1.0;
+    double FailingShare = 0.0;
+    /// Failures are answered at once.
+    bool FailsFast = false;
+    std::vector<TimePoint> SlotsFreeAt;
+    /// Reads that came to it.
+    int Reads = 0;
+  };
+
+  UnevenGroup(std::uint64_t seed, std::size_t vms);
+  ~UnevenGroup();
+
+  /// Time passes, with \p rate reads a second over all VMs. The tally goes on
+  /// counting what has no answer yet.
+  const ReadTally &play(Duration time, double rate);
+  /// An instance that goes down loses its connections.
+  void setUp(const std::string &name, bool isUp);
+  Instance &instance(const std::string &name);
+  Proxy &vm(std::size_t n);
+  /// Answers that reach this VM from the instance take longer by so much.
+  void setLink(std::size_t vm, const std::string &instance, Duration extra);
+  /// Reads that were sent in all, second tries included.
+  int sendings() const;
+  void forgetCounts();
+
+private:
+  class Vm;
+  struct Asked {
+    TimePoint At{};
+    ReadTally *Tally = nullptr;
+  };
+  using Action = std::function<void()>;
+
+  void at(TimePoint time, Action action) { Events.emplace(time, action); }
+  void runUntil(TimePoint time);
+  void startRead(Vm &vm, ReadTally &tally);
+  Duration draw(int least, int most);
+  bool chance(double share);
+
+  TimePoint Now = TimePoint(std::chrono::seconds(10));
+  std::multimap<TimePoint, Action> Events;
+  std::mt19937_64 Random;
+  std::vector<Instance> Instances;
+  std::vector<std::unique_ptr<Vm>> Vms;
+  std::deque<ReadTally> Tallies;
+};
+
+} // namespace stepledge::proxy::tests
+
+#endif // STEPLEDGE_PROXY_TESTS_UNEVENGROUP_H
--- /dev/null
+++ b/src/proxy/tests/UnevenInstancesTest.cpp
@@ -0,0 +1,240 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file What callers get while instances are slow, fail or go up and down.
+
+#include "proxy/tests/UnevenGroup.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <random>
+#include <utility>
+#include <vector>
+
+using namespace stepledge;
+using namespace stepledge::proxy;
+using proxy::tests::ReadTally;
+using proxy::tests::UnevenGroup;
+
+namespace {
+
+/// Reads a second; two instances serve 600, so the siblings of one have room.
+constexpr double Rate = 300;
+/// Of reads, from two seconds after the trouble begins.
+constexpr double GoodShare = 0.95;
+/// Of reads that were sent twice, with the trouble's first moment.
+constexpr double SecondTryShare = 0.05;
+constexpr Duration Warm = milliseconds(4000);
+constexpr Duration Notice = milliseconds(2000);
+/// For answers that are still owed.
+constexpr Duration Rest = milliseconds(1500);
+
+double secondTries(const UnevenGroup &group, const ReadTally &tally) {
+  return static_cast<double>(group.sendings() - tally.Asked) / tally.Asked;
+}
+
+} // namespace
+
+TEST_CASE("UnevenInstances_EqualInstancesAreChosenByCostAlone") {
+  // The order of expected answer times, with the prices of another hall and of
+  // the primary in ms; nothing that a draw says changes it.
+  constexpr double OtherHall = 12.0;
+  constexpr double Primary = 5.0;
+  const TimePoint now(std::chrono::seconds(10));
+  std::mt19937_64 random(8);
+  const auto draw = [&random](int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(random);
+  };
+  for (int round = 0; round < 500; ++round) {
+    InstanceTracker tracker{HallId("a")};
+    std::vector<std::pair<double, InstanceId>> expected;
+    for (const char *name : {"p", "r1", "r2", "r3"}) {
+      membership::InstanceRecord record;
+      record.Id = InstanceId(name);
+      record.Service = "db";
+      record.Hall = HallId(draw(0, 1) ? "a" : "b");
+      const bool isPrimary = record.Id.str() == "p";
+      record.Role = isPrimary ? membership::InstanceRole::Primary
+                              : membership::InstanceRole::Replica;
+      record.Slots = draw(1, 4);
+      tracker.update(now, record);
+      auto &it = *tracker.find(record.Id);
+      it.ServiceTime = milliseconds(draw(5, 60));
+      it.Statements = draw(0, 6);
+      for (int n = draw(0, 20); n > 0; --n)
+        tracker.outliers().noteAnswer(now, record.Id, draw(8, 14) / 10.0);
+      const double rounds =
+          1.0 + static_cast<double>(it.Statements) / record.Slots;
+      expected.emplace_back(toMilliseconds(it.ServiceTime) * rounds +
+                                (record.Hall.str() == "b" ? OtherHall : 0) +
+                                (isPrimary ? Primary : 0),
+                            record.Id);
+    }
+    std::sort(expected.begin(), expected.end());
+    tracker.outliers().review(now);
+    const ReadDraw last{draw(0, 999) / 1000.0, {}};
+    const auto ids = tracker.readCandidates(now, {}, {}, last);
+    REQUIRE(ids.size() == expected.size());
+    for (std::size_t i = 0; i < ids.size(); ++i)
+      CHECK(ids[i] == expected[i].second);
+  }
+}
+
+TEST_CASE("UnevenInstances_PositionDecidesBeforeWhoStandsOut") {
+  const TimePoint now(std::chrono::seconds(10));
+  const Mark needed{{3}, {100}};
+  InstanceTracker tracker{HallId("a")};
+  for (const char *name : {"r1", "r2"}) {
+    membership::InstanceRecord record;
+    record.Id = InstanceId(name);
+    record.Hall = HallId("a");
+    record.Slots = 3;
+    tracker.update(now, record);
+  }
+  const InstanceId slow("r1");
+  const InstanceId behind("r2");
+  for (int i = 0; i < 20; ++i)
+    tracker.outliers().noteAnswer(now, slow, 6.0);
+  const ReadDraw notDrawn{0.9, {}};
+  CHECK(tracker.readCandidates(now, needed, {}, notDrawn) ==
+        std::vector{behind});
+  // A read that has waited as long as it takes there may go.
+  const ReadDraw waited{0.9, milliseconds(100)};
+  CHECK(tracker.readCandidates(now, needed, {}, waited) ==
+        std::vector{behind, slow});
+  tracker.notePosition(now, slow, needed);
+  tracker.notePosition(now, behind, {{3}, {50}});
+  CHECK(tracker.readCandidates(now, needed, {}, notDrawn) ==
+        std::vector{slow, behind});
+  tracker.noteBehind(now, behind, needed);
+  CHECK(tracker.readCandidates(now, needed, {}, notDrawn) == std::vector{slow});
+}
+
+TEST_CASE("UnevenInstances_SlowReplicaIsLeftToItsSiblings") {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    UnevenGroup group(seed, 4);
+    group.play(Warm, Rate);
+    group.forgetCounts();
+    group.instance("r1").Slowness = 6;
+    const auto &first = group.play(Notice, Rate);
+    CHECK(secondTries(group, first) <= SecondTryShare);
+    group.forgetCounts();
+    const auto &tally = group.play(milliseconds(4000), Rate);
+    CHECK(secondTries(group, tally) <= SecondTryShare);
+    group.instance("r1").Slowness = 1;
+    group.play(milliseconds(8000), Rate);
+    group.forgetCounts();
+    const auto &after = group.play(milliseconds(2000), Rate);
+    const int back = group.instance("r1").Reads;
+    group.play(Rest, 0);
+    INFO("seed ", seed, " first ", first.goodShare(), " then ",
+         tally.goodShare(), " back ", back, " of ", after.Asked);
+    CHECK(tally.goodShare() >= GoodShare);
+    // It has its share again.
+    CHECK(back > after.Asked / 5);
+  }
+}
+
+TEST_CASE("UnevenInstances_FailingReplicaIsLeftToItsSiblings") {
+  for (const bool isQuick : {false, true})
+    for (const std::uint64_t seed : {1, 2, 3}) {
+      UnevenGroup group(seed, 4);
+      group.play(Warm, Rate);
+      group.instance("r1").FailingShare = 0.4;
+      group.instance("r1").FailsFast = isQuick;
+      group.play(Notice, Rate);
+      group.forgetCounts();
+      const auto &tally = group.play(milliseconds(4000), Rate);
+      const double tries = secondTries(group, tally);
+      const int there = group.instance("r1").Reads;
+      group.play(Rest, 0);
+      INFO("seed ", seed, " quick ", isQuick, " good ", tally.goodShare(),
+           " twice ", tries, " there ", there, " of ", tally.Asked);
+      CHECK(tally.goodShare() >= GoodShare);
+      CHECK(tries <= SecondTryShare);
+    }
+}
+
+TEST_CASE("UnevenInstances_QuickLiarDrawsNoReads") {
+  UnevenGroup group(4, 4);
+  group.play(Warm, Rate);
+  group.instance("r1").FailingShare = 1.0;
+  group.instance("r1").FailsFast = true;
+  group.play(Notice, Rate);
+  group.forgetCounts();
+  const auto &tally = group.play(milliseconds(4000), Rate);
+  const double tries = secondTries(group, tally);
+  const int there = group.instance("r1").Reads;
+  group.play(Rest, 0);
+  INFO("good ", tally.goodShare(), " twice ", tries, " there ", there, " of ",
+       tally.Asked);
+  CHECK(tally.goodShare() >= GoodShare);
+  CHECK(tries <= SecondTryShare);
+}
+
+TEST_CASE("UnevenInstances_FlappingReplicaIsLeftToItsSiblings") {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    UnevenGroup group(seed, 4);
+    group.play(Warm, Rate);
+    const auto flap = [&group](int times) {
+      ReadTally all;
+      for (int i = 0; i < times; ++i)
+        for (const bool isUp : {false, true}) {
+          group.setUp("r1", isUp);
+          const auto &it = group.play(milliseconds(400), Rate);
+          all.Asked += it.Asked;
+        }
+      return all;
+    };
+    flap(3);
+    group.forgetCounts();
+    const auto tally = flap(5);
+    const double tries = secondTries(group, tally);
+    INFO("seed ", seed, " twice ", tries, " there ", group.instance("r1").Reads,
+         " of ", tally.Asked);
+    CHECK(tries <= SecondTryShare);
+  }
+}
+
+TEST_CASE("UnevenInstances_OnlyTheVmWithTheBadLinkTurnsAway") {
+  UnevenGroup group(5, 4);
+  group.play(Warm, Rate);
+  group.setLink(0, "r1", milliseconds(60));
+  group.play(Notice, Rate);
+  CHECK(group.vm(0).heldBackInstances() == 1);
+  for (const std::size_t other : {1, 2, 3})
+    CHECK(group.vm(other).heldBackInstances() == 0);
+  const auto &tally = group.play(milliseconds(2000), Rate);
+  group.play(Rest, 0);
+  CHECK(tally.goodShare() >= GoodShare);
+}
+
+TEST_CASE("UnevenInstances_GroupThatIsSlowAsAWholeKeepsAll") {
+  UnevenGroup group(6, 4);
+  group.play(Warm, Rate);
+  for (const char *name : {"p", "r1", "r2"})
+    group.instance(name).Slowness = 2.5;
+  for (int i = 0; i < 20; ++i) {
+    group.play(milliseconds(200), Rate / 2);
+    for (const std::size_t vm : {0, 1, 2, 3})
+      CHECK(group.vm(vm).heldBackInstances() == 0);
+  }
+}
+
+TEST_CASE("UnevenInstances_ManyVmsDontTurnToOneSiblingAtOnce") {
+  UnevenGroup group(7, 70);
+  group.play(Warm, Rate);
+  group.instance("r1").Slowness = 6;
+  group.play(Notice, Rate);
+  group.forgetCounts();
+  const auto &tally = group.play(milliseconds(4000), Rate);
+  const double tries = secondTries(group, tally);
+  group.play(Rest, 0);
+  INFO("good ", tally.goodShare(), " twice ", tries, " p ",
+       group.instance("p").Reads, " r1 ", group.instance("r1").Reads, " r2 ",
+       group.instance("r2").Reads);
+  CHECK(tally.goodShare() >= GoodShare);
+  CHECK(tries <= SecondTryShare);
+}
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -20,6 +20,12 @@
   /// A read that got no answer for this long is sent to another instance:
   /// some five times the usual answer time.
   Duration ReadRetryAfter = milliseconds(180);
+  /// The part of reads that may be sent a second time before that, so that
+  /// second tries can't fill the siblings.
+  double SecondTryShare = 0.05;
+  /// As many of them may come at once: a VM that asks little has some, and many
+  /// VMs together fill nobody.
+  double SecondTryReserve = 2;
   /// The pause before the same instance is asked again.
   Duration RetryPause = milliseconds(25);
   /// How often the primary is asked for its position when no statement
