Leave a held back instance one read in forty

Change: the least share is half of the bound. New tests: the primary keeps what only it can run; an instance alone keeps its reads.

--- a/src/balancing/types/OutlierOptions.h
+++ b/src/balancing/types/OutlierOptions.h
@@ -37,10 +37,10 @@
   /// What was seen counts half after this time without an answer, so that an
   /// instance that nobody asks is tried again.
   Duration HalfLife = milliseconds(2000);
-  /// The least share of its usual reads that an instance keeps: these are the
-  /// probes, real reads that may be moved on, so no more of them than the
-  /// second tries that the budget allows.
-  double LeastWeight = 0.05;
+  /// The least share of the reads that an instance keeps: these are the probes,
+  /// real reads that may have to be sent again, so half of what second tries
+  /// may be of all reads, one in twenty.
+  double LeastWeight = 0.025;
   /// A bad answer of an instance that stands out takes this part of its weight.
   double Backoff = 0.5;
   /// From no weight back to the whole one: each VM gives more by degrees, so
--- a/src/proxy/tests/UnevenInstancesTest.cpp
+++ b/src/proxy/tests/UnevenInstancesTest.cpp
@@ -26,9 +26,9 @@
 constexpr double GoodShare = 0.95;
 /// Of reads that were sent twice, with the trouble's first moment.
 constexpr double SecondTryShare = 0.05;
-/// Of reads within the tightest objective: those that probe an instance may
-/// cost so many others at most.
-constexpr double PromptShare = 0.99;
+/// Of reads within the tightest objective: of the reads that probe an instance,
+/// one in five at most may be beyond it, which is one in 200 of all.
+constexpr double PromptShare = 0.995;
 constexpr Duration Warm = milliseconds(4000);
 constexpr Duration Notice = milliseconds(2000);
 /// For answers that are still owed.
@@ -115,6 +115,35 @@
   CHECK(tracker.readCandidates(now, needed, {}, notDrawn) == std::vector{slow});
 }
 
+TEST_CASE("UnevenInstances_PrimaryKeepsWhatOnlyItCanRun") {
+  const TimePoint now(std::chrono::seconds(10));
+  InstanceTracker tracker{HallId("a")};
+  const InstanceId primary("p");
+  for (const char *name : {"p", "r1", "r2"}) {
+    membership::InstanceRecord record;
+    record.Id = InstanceId(name);
+    record.Role = record.Id == primary ? membership::InstanceRole::Primary
+                                       : membership::InstanceRole::Replica;
+    tracker.update(now, record);
+  }
+  for (int i = 0; i < 20; ++i)
+    tracker.outliers().noteFailure(now, primary);
+  REQUIRE(tracker.outliers().weight(primary) < 0.1);
+  CHECK(tracker.primary(now) == primary);
+}
+
+TEST_CASE("UnevenInstances_AnInstanceAloneKeepsAllReads") {
+  const TimePoint now(std::chrono::seconds(10));
+  InstanceTracker tracker{HallId("a")};
+  membership::InstanceRecord record;
+  record.Id = InstanceId("p");
+  tracker.update(now, record);
+  for (int i = 0; i < 20; ++i)
+    tracker.outliers().noteFailure(now, record.Id);
+  const ReadDraw last{0.999, {}};
+  CHECK(tracker.readCandidates(now, {}, {}, last) == std::vector{record.Id});
+}
+
 TEST_CASE("UnevenInstances_SlowReplicaIsLeftToItsSiblings") {
   for (const std::uint64_t seed : {1, 2, 3}) {
     UnevenGroup group(seed, 4);
@@ -182,20 +211,23 @@
 }
 
 TEST_CASE("UnevenInstances_QuickLiarDrawsNoReads") {
-  UnevenGroup group(4, 4);
-  group.play(Warm, Rate);
-  group.instance("r1").FailingShare = 1.0;
-  group.instance("r1").FailsFast = true;
-  group.play(Notice, Rate);
-  group.forgetCounts();
-  const auto &tally = group.play(milliseconds(4000), Rate);
-  const double tries = secondTries(group, tally);
-  const int there = group.instance("r1").Reads;
-  group.play(Rest, 0);
-  INFO("good ", tally.goodShare(), " twice ", tries, " there ", there, " of ",
-       tally.Asked);
-  CHECK(tally.goodShare() >= GoodShare);
-  CHECK(tries <= SecondTryShare);
+  for (const std::uint64_t seed :
+       {4, 101, 102, 103, 104, 105, 106, 107, 108, 109, 110}) {
+    UnevenGroup group(seed, 4);
+    group.play(Warm, Rate);
+    group.instance("r1").FailingShare = 1.0;
+    group.instance("r1").FailsFast = true;
+    group.play(Notice, Rate);
+    group.forgetCounts();
+    const auto &tally = group.play(milliseconds(4000), Rate);
+    const double tries = secondTries(group, tally);
+    const int there = group.instance("r1").Reads;
+    group.play(Rest, 0);
+    INFO("seed ", seed, " good ", tally.goodShare(), " twice ", tries,
+         " there ", there, " of ", tally.Asked);
+    CHECK(tally.goodShare() >= GoodShare);
+    CHECK(tries <= SecondTryShare);
+  }
 }
 
 TEST_CASE("UnevenInstances_FlappingReplicaIsLeftToItsSiblings") {
