Quotas go to an organisation's most urgent requests first

Cause: an organisation at eight times its usual use, its orders at 2.4 times, had its orders refused like its browsing: homes and VMs didn't know what an operation was for. A caller beyond its quota was told to come back after 20 ms whatever stood before it. Where all use came from one hall, its home asked the same other hall again and again, since that always had an operation or two, and a whole hall's part was wasted.

Change: admit takes the route's priority, and so does QuotaAsk. While more is asked of a home than its rate, it keeps a second of the more urgent use from less urgent asks, of its own hall and of others. The time to come back comes from the refill and from those who were told a time before. Other halls are asked in turn; beyond the rate a home lends no more than the asker almost surely uses. Refusal lines name the priority.

--- a/src/entry/QuotaService.cpp
+++ b/src/entry/QuotaService.cpp
@@ -80,7 +80,7 @@
                            const peer::wire::QuotaAsk &ask) {
   Ledger.asked(Now, ip,
                {ask.number(), OrganisationId(ask.organisation()),
-                ask.operations(), ask.is_from_other_hall()});
+                ask.operations(), ask.is_from_other_hall(), ask.priority()});
 }
 
 bool QuotaService::askHome(const std::string &ip, const quota::QuotaAsk &ask) {
@@ -90,6 +90,7 @@
   out.set_organisation(ask.Organisation.str());
   out.set_operations(ask.Operations);
   out.set_is_from_other_hall(ask.IsFromOtherHall);
+  out.set_priority(ask.Priority);
   if (ask.IsFromOtherHall && FarHomes.insert(ip).second)
     keepHomes();
   return Homes.send(ip, message);
--- a/src/proxy/internal/Access.cpp
+++ b/src/proxy/internal/Access.cpp
@@ -103,7 +103,7 @@
 bool Proxy::isAdmitted(TimePoint now, ClientSession &session) {
   if (session.IsAdmitted)
     return true;
-  switch (Quota.admit(now, session.Organisation)) {
+  switch (Quota.admit(now, session.Organisation, session.Route.Priority)) {
   case quota::QuotaVerdict::Granted:
     session.IsAdmitted = true;
     return true;
@@ -114,10 +114,12 @@
   case quota::QuotaVerdict::Exhausted:
     break;
   }
-  const auto pause = Quota.retryAfter(now, session.Organisation);
+  const int priority = session.Route.Priority;
+  const auto pause = Quota.retryAfter(now, session.Organisation, priority);
   refuse(now, session, ReplyCode::Busy,
-         absl::StrCat("the organisation's quota is used up; retry after ",
-                      toMilliseconds(pause), " ms"));
+         absl::StrCat("the organisation's quota is used up for priority ",
+                      priority, "; retry after ", toMilliseconds(pause),
+                      " ms"));
   return false;
 }
 
--- a/src/proxy/tests/OrganisationTest.cpp
+++ b/src/proxy/tests/OrganisationTest.cpp
@@ -184,11 +184,15 @@
 
 TEST_CASE("Organisation_ExhaustedQuotaIsRefusedAtOnceWithATimeToComeBack") {
   OrganisationFixture it;
+  it.Next.Routes[DatabaseId("current")].Priority = 3;
+  it.applyNext();
   const auto red = it.connectWith("current", "red-key");
   it.Quota.Verdict = quota::QuotaVerdict::Exhausted;
   it.ask(red, StatementKind::Write, "WRITE x 1");
   CHECK(it.lastAnswer(red).Code == ReplyCode::Busy);
   CHECK(it.lastAnswer(red).Detail.find("70 ms") != std::string::npos);
+  CHECK(it.lastAnswer(red).Detail.find("priority 3") != std::string::npos);
+  CHECK(it.Quota.Priorities == std::vector<int>{3});
   CHECK_FALSE(it.carrierOf("WRITE x 1"));
 }
 
--- a/src/quota/IOperationQuota.h
+++ b/src/quota/IOperationQuota.h
@@ -26,12 +26,14 @@
       const std::map<OrganisationId, control::Organisation> &organisations) = 0;
   /// The VMs over which a quota counts.
   virtual void setEntries(const std::vector<membership::EntryVm> &entries) = 0;
-  /// Uses up one operation of \p organisation if it is granted.
-  virtual QuotaVerdict admit(TimePoint now,
-                             const OrganisationId &organisation) = 0;
-  /// How long until it is worth asking again.
-  virtual Duration retryAfter(TimePoint now,
-                              const OrganisationId &organisation) const = 0;
+  /// Uses up one operation of \p organisation if it is granted. What it has
+  /// goes to its most urgent \p priority first, which is 0.
+  virtual QuotaVerdict admit(TimePoint now, const OrganisationId &organisation,
+                             int priority) = 0;
+  /// After how long one caller that was refused finds room; each call is for
+  /// another caller.
+  virtual Duration retryAfter(TimePoint now, const OrganisationId &organisation,
+                              int priority) = 0;
 };
 
 } // namespace stepledge::quota
--- a/src/quota/QuotaLedger.cpp
+++ b/src/quota/QuotaLedger.cpp
@@ -22,9 +22,22 @@
 /// A home asks another hall for this much of a second of its own part at once,
 /// since the way there is longer and its whole hall waits.
 constexpr double FarAskSeconds = 0.25;
-/// A client need not be told to come back sooner, nor much later.
-constexpr Duration LeastRetry = milliseconds(20);
-constexpr Duration MostRetry = milliseconds(1000);
+/// A home that is asked for too much keeps this much of the use of the more
+/// urgent requests: twice what a VM asks for ahead, since several may ask at
+/// once.
+constexpr double KeptSeconds = 1;
+/// At most this part of what a hall's part can hold is kept, so that a small
+/// burst leaves room for the less urgent ones too.
+constexpr double MostKeptPart = 0.5;
+/// What is asked of a home is smoothed over this time: an organisation that
+/// goes beyond its rate for a moment only is within its burst, and all its
+/// requests are treated alike.
+constexpr Duration DemandTime = milliseconds(3000);
+/// Priorities beyond it are all the least urgent: bounds what is kept and
+/// counted for each.
+constexpr int LeastUrgent = 7;
+
+int priorityOf(int priority) { return std::clamp(priority, 0, LeastUrgent); }
 
 } // namespace
 
@@ -41,9 +54,9 @@
   for (const auto &[id, it] : organisations) {
     if (it.RatePerSecond <= 0)
       continue;
-    Accounts[id].HallLimit = {it.RatePerSecond / halls,
-                              (it.Burst + TolerancePart * Options.Tolerance) /
-                                  halls};
+    Accounts.try_emplace(id, DemandTime).first->second.HallLimit = {
+        it.RatePerSecond / halls,
+        (it.Burst + TolerancePart * Options.Tolerance) / halls};
   }
 }
 
@@ -52,50 +65,84 @@
   HallOf.clear();
   for (const auto &it : entries)
     HallOf[it.Ip] = it.Hall;
+  VmsOfHall =
+      std::max<int>(1, static_cast<int>(std::count_if(
+                           entries.begin(), entries.end(), [&](const auto &it) {
+                             return it.Hall == Options.OwnHall;
+                           })));
 }
 
 QuotaVerdict QuotaLedger::admit(TimePoint now,
-                                const OrganisationId &organisation) {
+                                const OrganisationId &organisation,
+                                int priority) {
   const auto found = Accounts.find(organisation);
   if (found == Accounts.end())
     return QuotaVerdict::Granted;
   auto &account = found->second;
-  if (takeLocal(now, organisation, account, 1) > 0) {
-    noteUse(now, account);
+  const int rank = priorityOf(priority);
+  if (takeLocal(now, organisation, account, rank, 1) > 0) {
+    account.OwnUse.note(now, rank);
+    account.HallDemand.note(now, rank);
     return QuotaVerdict::Granted;
   }
-  if (account.ExhaustedUntil > now)
-    return QuotaVerdict::Exhausted;
   const std::chrono::duration<double> ahead = Options.Forecast;
   const int operations =
-      1 + static_cast<int>(account.RecentUse * ahead.count());
-  return askForMore(now, organisation, account, operations)
-             ? QuotaVerdict::Pending
-             : QuotaVerdict::Exhausted;
+      1 + static_cast<int>(account.OwnUse.lastPerSecond(rank) * ahead.count());
+  if (!isExhausted(now, account, rank) &&
+      askForMore(now, organisation, account, rank, operations))
+    return QuotaVerdict::Pending;
+  account.HallDemand.note(now, rank);
+  return QuotaVerdict::Exhausted;
+}
+
+bool QuotaLedger::isExhausted(TimePoint now, const Account &account,
+                              int priority) {
+  return std::any_of(
+      account.Wants.begin(), account.Wants.end(), [&](const auto &it) {
+        return it.first <= priority && it.second.ExhaustedUntil > now;
+      });
 }
 
 Duration QuotaLedger::retryAfter(TimePoint now,
-                                 const OrganisationId &organisation) const {
+                                 const OrganisationId &organisation,
+                                 int priority) {
   const auto found = Accounts.find(organisation);
-  const Duration left =
-      found == Accounts.end() ? Duration{} : found->second.ExhaustedUntil - now;
-  return std::clamp(left, LeastRetry, MostRetry);
+  if (found == Accounts.end())
+    return LeastRetry;
+  auto &account = found->second;
+  const int rank = priorityOf(priority);
+  Duration left{};
+  for (const auto &[other, want] : account.Wants)
+    if (other <= rank)
+      left = std::max(left, want.ExhaustedUntil - now);
+  return account.Returns.next(now, rank, left, hopedRate(now, account, rank));
+}
+
+double QuotaLedger::hopedRate(TimePoint now, const Account &account,
+                              int priority) const {
+  const double even = account.HallLimit.TokensPerSecond / VmsOfHall;
+  const double moreUrgent = account.OwnUse.upTo(now, priority - 1);
+  return std::max(account.OwnUse.perSecond(now, priority), even - moreUrgent);
 }
 
 int QuotaLedger::takeLocal(TimePoint now, const OrganisationId &organisation,
-                           Account &account, int most) {
-  const int lent = takeLent(now, account, most);
+                           Account &account, int priority, int most) {
+  const int lent = takeLent(now, account, priority, most);
   if (lent == most || !isHome(now, organisation))
     return lent;
-  return lent + partOf(now, account).take(most - lent);
+  auto &part = partOf(now, account);
+  return lent + part.take(most - lent, keptFrom(now, account, priority));
 }
 
-int QuotaLedger::takeLent(TimePoint now, Account &account, int most) {
+int QuotaLedger::takeLent(TimePoint now, Account &account, int priority,
+                          int most) {
   std::erase_if(account.Leases, [&](const auto &it) {
     return it.ExpiresAt <= now || it.Operations == 0;
   });
   int taken = 0;
   for (auto &it : account.Leases) {
+    if (it.Priority < priority && it.FreeAt > now)
+      continue;
     const int n = std::min(most - taken, it.Operations);
     it.Operations -= n;
     taken += n;
@@ -103,6 +150,34 @@
   return taken;
 }
 
+bool QuotaLedger::isOverAsked(TimePoint now, const Account &account) {
+  return account.HallDemand.total(now) + account.FarDemand.total(now) >
+         account.HallLimit.TokensPerSecond;
+}
+
+double QuotaLedger::keptFrom(TimePoint now, const Account &account,
+                             int priority) {
+  if (!isOverAsked(now, account))
+    return 0;
+  const double moreUrgent = account.HallDemand.upTo(now, priority - 1) +
+                            account.FarDemand.upTo(now, priority - 1);
+  return std::min(moreUrgent * KeptSeconds,
+                  account.HallLimit.Capacity * MostKeptPart);
+}
+
+double QuotaLedger::keptFromOthers(TimePoint now, const Account &account,
+                                   int priority) {
+  const double reserve = account.HallLimit.TokensPerSecond * ReserveSeconds;
+  if (!isOverAsked(now, account))
+    return reserve;
+  // NOTE: more urgent ones of another hall go before less urgent ones of the
+  // own.
+  const double all = account.HallDemand.total(now);
+  const double share =
+      all > 0 ? account.HallDemand.upTo(now, priority) / all : 1;
+  return std::max(reserve * share, keptFrom(now, account, priority));
+}
+
 TokenBucket &QuotaLedger::partOf(TimePoint now, Account &account) {
   const auto &limit = account.HallLimit;
   // NOTE: what the home before it has given out is not known here.
@@ -112,10 +187,10 @@
   return *account.Part;
 }
 
-void QuotaLedger::noteUse(TimePoint now, Account &account) {
-  const std::chrono::duration<double> passed = now - account.UsedAt;
-  account.RecentUse = account.RecentUse * std::exp(-passed.count()) + 1;
-  account.UsedAt = now;
+void QuotaLedger::noteDemand(TimePoint now, const QuotaAsk &ask,
+                             Account &account, int operations) {
+  auto &demand = ask.IsFromOtherHall ? account.FarDemand : account.HallDemand;
+  demand.note(now, ask.Priority, operations);
 }
 
 bool QuotaLedger::isBad(TimePoint now, const std::string &ip) const {
@@ -140,49 +215,55 @@
 }
 
 bool QuotaLedger::askForMore(TimePoint now, const OrganisationId &organisation,
-                             Account &account, int operations) {
-  if (account.Ask || account.NextAskAt > now)
+                             Account &account, int priority, int operations) {
+  auto &want = account.Wants[priority];
+  if (want.Ask || want.NextAskAt > now)
     return true;
   const auto home = homeIn(now, Options.OwnHall, organisation);
   if (home == Options.OwnIp)
-    return askOtherHall(now, organisation, account, operations);
+    return askOtherHall(now, organisation, account, priority, operations);
   if (home)
-    sendAsk(now, *home, organisation, account, operations, false);
+    sendAsk(now, *home, want, {0, organisation, operations, false, priority});
   // NOTE: without any home the operation waits until its own limit.
   return true;
 }
 
 bool QuotaLedger::askOtherHall(TimePoint now,
                                const OrganisationId &organisation,
-                               Account &account, int operations) {
-  for (const auto &hall : Homes.halls()) {
-    const auto empty = account.EmptyHalls.find(hall);
-    const bool isEmpty =
-        empty != account.EmptyHalls.end() && empty->second > now;
+                               Account &account, int priority, int operations) {
+  auto &want = account.Wants[priority];
+  auto halls = Homes.halls();
+  // NOTE: in turn, since one that always has a little would keep the others
+  // from being asked.
+  std::rotate(halls.begin(),
+              std::upper_bound(halls.begin(), halls.end(), want.LastHall),
+              halls.end());
+  for (const auto &hall : halls) {
+    const auto empty = want.EmptyHalls.find(hall);
+    const bool isEmpty = empty != want.EmptyHalls.end() && empty->second > now;
     const auto home = homeIn(now, hall, organisation);
     if (hall == Options.OwnHall || isEmpty || !home)
       continue;
     const int byRate =
         static_cast<int>(account.HallLimit.TokensPerSecond * FarAskSeconds);
-    sendAsk(now, *home, organisation, account, std::max(operations, byRate),
-            true);
+    want.LastHall = hall;
+    sendAsk(now, *home, want,
+            {0, organisation, std::max(operations, byRate), true, priority});
     return true;
   }
-  account.ExhaustedUntil =
-      now + std::clamp(timeToNext(account), LeastRetry, MostRetry);
+  want.ExhaustedUntil = now + timeToNext(now, account, priority);
   return false;
 }
 
-void QuotaLedger::sendAsk(TimePoint now, const std::string &ip,
-                          const OrganisationId &organisation, Account &account,
-                          int operations, bool isToOtherHall) {
-  const QuotaAsk ask{++LastNumber, organisation, operations, isToOtherHall};
+void QuotaLedger::sendAsk(TimePoint now, const std::string &ip, Want &want,
+                          QuotaAsk ask) {
+  ask.Number = ++LastNumber;
   if (Io.askHome(ip, ask)) {
-    account.Ask = {ip, ask.Number, now, isToOtherHall};
+    want.Ask = {ip, ask.Number, now, ask.IsFromOtherHall};
     Unconnected.erase(ip);
     return;
   }
-  account.NextAskAt = now + Options.AskPause;
+  want.NextAskAt = now + Options.AskPause;
   const auto since = Unconnected.try_emplace(ip, now).first->second;
   if (now - since > Options.SilenceLimit)
     noteSilent(now, ip);
@@ -193,28 +274,43 @@
   Unconnected.erase(ip);
 }
 
-Duration QuotaLedger::timeToNext(const Account &account) {
+Duration QuotaLedger::timeToNext(TimePoint now, const Account &account,
+                                 int priority) {
   const double tokens = account.Part ? account.Part->tokens() : 0;
+  const double needed = 1 + keptFrom(now, account, priority);
   const double seconds =
-      std::max(0.0, 1 - tokens) / account.HallLimit.TokensPerSecond;
-  return std::chrono::duration_cast<Duration>(
+      std::max(0.0, needed - tokens) / account.HallLimit.TokensPerSecond;
+  const auto time = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(std::min(seconds, 1.0)));
+  return std::clamp(time, LeastRetry, MostRetry);
+}
+
+int QuotaLedger::surelyUsed(int operations) const {
+  // What is asked ahead says how much the asker uses within a lease's life.
+  const std::chrono::duration<double> life = Options.LeaseTime;
+  const std::chrono::duration<double> ahead = Options.Forecast;
+  const double used = (operations - 1) * life.count() / ahead.count();
+  const int surely = static_cast<int>(used - 2 * std::sqrt(used));
+  return 1 + std::clamp(surely, 0, operations - 1);
 }
 
 int QuotaLedger::giveTo(TimePoint now, const QuotaAsk &ask, Account &account) {
   // NOTE: whatever a VM of another version asks, it can't add to the part.
   const int most = std::max(1, ask.Operations);
   if (!ask.IsFromOtherHall)
-    return takeLocal(now, ask.Organisation, account, most);
+    return takeLocal(now, ask.Organisation, account, ask.Priority,
+                     isOverAsked(now, account) ? surelyUsed(most) : most);
   if (!isHome(now, ask.Organisation))
     return 0;
   // NOTE: what other halls have lent goes to nobody else.
-  const double reserve = account.HallLimit.TokensPerSecond * ReserveSeconds;
-  return partOf(now, account).take(most, reserve);
+  return partOf(now, account)
+      .take(most, keptFromOthers(now, account, ask.Priority));
 }
 
 void QuotaLedger::asked(TimePoint now, const std::string &ip,
-                        const QuotaAsk &ask) {
+                        const QuotaAsk &from) {
+  QuotaAsk ask = from;
+  ask.Priority = priorityOf(from.Priority);
   QuotaGrant grant;
   grant.Number = ask.Number;
   grant.Organisation = ask.Organisation;
@@ -226,23 +322,38 @@
     grant.Operations = giveTo(now, ask, account);
     if (grant.Operations > 0)
       grant.Result = GrantResult::Lent;
-    else if (ask.IsFromOtherHall || account.ExhaustedUntil > now ||
-             !askForMore(now, ask.Organisation, account, ask.Operations))
+    else if (ask.IsFromOtherHall || isExhausted(now, account, ask.Priority) ||
+             !askForMore(now, ask.Organisation, account, ask.Priority,
+                         ask.Operations))
       grant.Result = GrantResult::Exhausted;
-    grant.RetryAfter = std::clamp(timeToNext(account), LeastRetry, MostRetry);
+    if (grant.Result != GrantResult::Unknown)
+      noteDemand(now, ask, account, std::max(1, grant.Operations));
+    grant.RetryAfter = timeToNext(now, account, ask.Priority);
   }
   Io.answerAsker(ip, grant);
 }
 
 void QuotaLedger::noteExhausted(TimePoint now, const std::string &ip,
-                                Account &account, const OpenAsk &ask,
+                                Want &want, const OpenAsk &ask,
                                 Duration retryAfter) {
   if (!ask.IsToOtherHall) {
-    account.ExhaustedUntil = now + retryAfter;
+    want.ExhaustedUntil = now + retryAfter;
     return;
   }
   if (const auto hall = HallOf.find(ip); hall != HallOf.end())
-    account.EmptyHalls[hall->second] = now + Options.HallAskInterval;
+    want.EmptyHalls[hall->second] = now + Options.HallAskInterval;
+}
+
+void QuotaLedger::addLease(Account &account, int priority, int operations,
+                           TimePoint askedAt) {
+  // NOTE: counted from the question, so that an answer that waited while this
+  // VM stood still is worth nothing.
+  const Lease lease{std::max(0, operations), askedAt + Options.LeaseTime,
+                    priority, askedAt + Options.Forecast};
+  const auto place =
+      std::find_if(account.Leases.begin(), account.Leases.end(),
+                   [&](const auto &it) { return it.Priority > priority; });
+  account.Leases.insert(place, lease);
 }
 
 void QuotaLedger::answered(TimePoint now, const std::string &ip,
@@ -251,21 +362,23 @@
   if (found == Accounts.end())
     return;
   auto &account = found->second;
-  if (!account.Ask || account.Ask->Number != grant.Number)
+  const auto asked = std::find_if(
+      account.Wants.begin(), account.Wants.end(), [&](const auto &it) {
+        return it.second.Ask && it.second.Ask->Number == grant.Number;
+      });
+  if (asked == account.Wants.end())
     return;
-  const OpenAsk ask = *std::exchange(account.Ask, std::nullopt);
+  auto &want = asked->second;
+  const OpenAsk ask = *std::exchange(want.Ask, std::nullopt);
   switch (grant.Result) {
   case GrantResult::Lent:
-    // NOTE: counted from the question, so that an answer that waited while this
-    // VM stood still is worth nothing.
-    account.Leases.push_back(
-        {std::max(0, grant.Operations), ask.AskedAt + Options.LeaseTime});
+    addLease(account, asked->first, grant.Operations, ask.AskedAt);
     break;
   case GrantResult::Unknown:
-    account.NextAskAt = now + Options.AskPause;
+    want.NextAskAt = now + Options.AskPause;
     return;
   case GrantResult::Exhausted:
-    noteExhausted(now, ip, account, ask, grant.RetryAfter);
+    noteExhausted(now, ip, want, ask, grant.RetryAfter);
     break;
   case GrantResult::Stopping:
     BadHomes[ip] = now + Options.BadHomePause;
@@ -275,12 +388,14 @@
 }
 
 void QuotaLedger::homeLost(TimePoint now, const std::string &ip) {
-  std::vector<OrganisationId> waiting;
+  std::set<OrganisationId> waiting;
   for (auto &[id, account] : Accounts) {
-    if (!account.Ask || account.Ask->Ip != ip)
-      continue;
-    account.Ask.reset();
-    waiting.push_back(id);
+    for (auto &[priority, want] : account.Wants) {
+      if (!want.Ask || want.Ask->Ip != ip)
+        continue;
+      want.Ask.reset();
+      waiting.insert(id);
+    }
   }
   if (waiting.empty())
     return;
@@ -292,8 +407,9 @@
 void QuotaLedger::tick(TimePoint now) {
   std::set<std::string> silent;
   for (const auto &[id, account] : Accounts)
-    if (account.Ask && now - account.Ask->AskedAt > Options.SilenceLimit)
-      silent.insert(account.Ask->Ip);
+    for (const auto &[priority, want] : account.Wants)
+      if (want.Ask && now - want.Ask->AskedAt > Options.SilenceLimit)
+        silent.insert(want.Ask->Ip);
   for (const auto &it : silent)
     homeLost(now, it);
   std::erase_if(BadHomes, [&](const auto &it) { return it.second <= now; });
--- a/src/quota/QuotaLedger.h
+++ b/src/quota/QuotaLedger.h
@@ -9,6 +9,10 @@
 /// holds whatever is cut off, starts again or holds another list: no two homes
 /// ever give out the same part, but in the moment in which one is taken for
 /// gone, and then a new one begins with next to nothing.
+///
+/// While an organisation asks for more than its rate, a home keeps what its
+/// more urgent requests have used lately from the less urgent ones, of all VMs
+/// and halls that ask it; what isn't used is lent to whoever asks.
 
 #ifndef STEPLEDGE_QUOTA_QUOTALEDGER_H
 #define STEPLEDGE_QUOTA_QUOTALEDGER_H
@@ -16,7 +20,9 @@
 #include "control/types/Configuration.h"
 #include "quota/IOperationQuota.h"
 #include "quota/IQuotaIo.h"
+#include "quota/PriorityUse.h"
 #include "quota/QuotaHomes.h"
+#include "quota/ReturnTimes.h"
 #include "quota/TokenBucket.h"
 
 #include <deque>
@@ -39,10 +45,10 @@
   /// Another VM is to keep what this one has kept.
   void stop() { IsStopping = true; }
 
-  QuotaVerdict admit(TimePoint now,
-                     const OrganisationId &organisation) override;
-  Duration retryAfter(TimePoint now,
-                      const OrganisationId &organisation) const override;
+  QuotaVerdict admit(TimePoint now, const OrganisationId &organisation,
+                     int priority) override;
+  Duration retryAfter(TimePoint now, const OrganisationId &organisation,
+                      int priority) override;
 
   /// Another VM asks this one as a home.
   void asked(TimePoint now, const std::string &ip, const QuotaAsk &ask);
@@ -57,6 +63,9 @@
   struct Lease {
     int Operations = 0;
     TimePoint ExpiresAt{};
+    /// The least urgent that may use it, until it is free for all.
+    int Priority = 0;
+    TimePoint FreeAt{};
   };
   struct OpenAsk {
     std::string Ip;
@@ -64,20 +73,34 @@
     TimePoint AskedAt{};
     bool IsToOtherHall = false;
   };
+  /// What is asked for one priority.
+  struct Want {
+    std::optional<OpenAsk> Ask;
+    TimePoint NextAskAt{};
+    TimePoint ExhaustedUntil{};
+    /// The other halls that have nothing left either, and until when.
+    std::map<HallId, TimePoint> EmptyHalls;
+    /// The other hall that was asked last.
+    HallId LastHall;
+  };
   /// What this VM knows of one organisation.
   struct Account {
+    explicit Account(Duration demandTime)
+        : HallDemand(demandTime), FarDemand(demandTime) {}
+
     BucketLimit HallLimit;
+    /// In the order of urgency.
     std::deque<Lease> Leases;
-    std::optional<OpenAsk> Ask;
-    TimePoint NextAskAt{};
-    TimePoint ExhaustedUntil{};
+    std::map<int, Want> Wants;
     /// The hall's part, where this VM is its home.
     std::optional<TokenBucket> Part;
-    /// The other halls that have nothing left either, and until when.
-    std::map<HallId, TimePoint> EmptyHalls;
-    /// Operations granted here in about the last second.
-    double RecentUse = 0;
-    TimePoint UsedAt{};
+    /// Operations granted to clients of this VM in about the last second.
+    PriorityUse OwnUse{milliseconds(1000)};
+    /// What was asked of this VM as the home, granted or not, by its hall and
+    /// by others.
+    PriorityUse HallDemand;
+    PriorityUse FarDemand;
+    ReturnTimes Returns;
   };
 
   bool isBad(TimePoint now, const std::string &ip) const;
@@ -87,33 +110,51 @@
   bool isHome(TimePoint now, const OrganisationId &organisation) const;
   /// Takes up to \p most from what was lent, then from the hall's part.
   int takeLocal(TimePoint now, const OrganisationId &organisation,
-                Account &account, int most);
-  int takeLent(TimePoint now, Account &account, int most);
+                Account &account, int priority, int most);
+  static int takeLent(TimePoint now, Account &account, int priority, int most);
   TokenBucket &partOf(TimePoint now, Account &account);
-  void noteUse(TimePoint now, Account &account);
+  /// What the hall's part keeps from \p priority for more urgent ones.
+  static double keptFrom(TimePoint now, const Account &account, int priority);
+  /// The same where another hall asks.
+  static double keptFromOthers(TimePoint now, const Account &account,
+                               int priority);
+  /// More is asked of this home than its part's rate.
+  static bool isOverAsked(TimePoint now, const Account &account);
+  /// It, or what is more urgent, was refused and must wait for the refill.
+  static bool isExhausted(TimePoint now, const Account &account, int priority);
+  void noteDemand(TimePoint now, const QuotaAsk &ask, Account &account,
+                  int operations);
   /// Asks whoever may have some: the hall's home, or for a home another hall.
   /// False where all have nothing left.
   bool askForMore(TimePoint now, const OrganisationId &organisation,
-                  Account &account, int operations);
+                  Account &account, int priority, int operations);
   bool askOtherHall(TimePoint now, const OrganisationId &organisation,
-                    Account &account, int operations);
+                    Account &account, int priority, int operations);
   /// Begins what this VM has become the home of, so that it fills before it is
   /// asked for, and drops what it no longer is the home of.
   void reviewParts(TimePoint now);
   void noteSilent(TimePoint now, const std::string &ip);
-  void sendAsk(TimePoint now, const std::string &ip,
-               const OrganisationId &organisation, Account &account,
-               int operations, bool isToOtherHall);
+  void sendAsk(TimePoint now, const std::string &ip, Want &want, QuotaAsk ask);
+  /// Of \p operations that a VM asks for, those that it hardly lets lapse:
+  /// where more is asked than there is, what lapses at one VM is missing at
+  /// another.
+  int surelyUsed(int operations) const;
   int giveTo(TimePoint now, const QuotaAsk &ask, Account &account);
-  /// The time until the hall's part has an operation again.
-  static Duration timeToNext(const Account &account);
-  void noteExhausted(TimePoint now, const std::string &ip, Account &account,
+  /// The time until the hall's part has an operation for \p priority again.
+  static Duration timeToNext(TimePoint now, const Account &account,
+                             int priority);
+  /// Operations a second that this VM's clients of \p priority may hope for.
+  double hopedRate(TimePoint now, const Account &account, int priority) const;
+  void addLease(Account &account, int priority, int operations,
+                TimePoint askedAt);
+  void noteExhausted(TimePoint now, const std::string &ip, Want &want,
                      const OpenAsk &ask, Duration retryAfter);
 
   QuotaOptions Options;
   IQuotaIo &Io;
   QuotaHomes Homes;
   std::map<std::string, HallId> HallOf;
+  int VmsOfHall = 1;
   std::map<OrganisationId, Account> Accounts;
   /// Until when they aren't asked.
   std::map<std::string, TimePoint> BadHomes;
--- /dev/null
+++ b/src/quota/ReturnTimes.cpp
@@ -0,0 +1,42 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "quota/ReturnTimes.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace stepledge::quota {
+
+namespace {
+
+/// Callers for whom there is no room within MostRetry come back spread over so
+/// many places in its second half, in an order that keeps neighbours apart.
+constexpr std::uint32_t Places = 64;
+constexpr std::uint32_t PlaceStep = 39;
+
+} // namespace
+
+Duration ReturnTimes::next(TimePoint now, int priority, Duration least,
+                           double perSecond) {
+  const std::chrono::duration<double> most = MostRetry;
+  const std::chrono::duration<double> gap(
+      perSecond * most.count() > 1 ? 1 / perSecond : most.count());
+  const TimePoint soonest = now + std::clamp(least, LeastRetry, MostRetry);
+  TimePoint before{};
+  for (const auto &[other, at] : Last)
+    if (other <= priority)
+      before = std::max(before, at);
+  const TimePoint at =
+      std::max(soonest, before + std::chrono::duration_cast<Duration>(gap));
+  if (at <= now + MostRetry) {
+    Last[priority] = at;
+    return at - now;
+  }
+  // NOTE: the line of those who were told a time stays as it is, since these
+  // ask once more before they find room.
+  const std::uint32_t place = Told++ * PlaceStep % Places;
+  return MostRetry - MostRetry / 2 * place / Places;
+}
+
+} // namespace stepledge::quota
--- a/src/quota/tests/NoQuota.h
+++ b/src/quota/tests/NoQuota.h
@@ -19,21 +19,25 @@
   void setEntries(const std::vector<membership::EntryVm> &entries) override {
     (void)entries;
   }
-  QuotaVerdict admit(TimePoint now,
-                     const OrganisationId &organisation) override {
+  QuotaVerdict admit(TimePoint now, const OrganisationId &organisation,
+                     int priority) override {
     (void)now;
     Asked.push_back(organisation);
+    Priorities.push_back(priority);
     return Verdict;
   }
-  Duration retryAfter(TimePoint now,
-                      const OrganisationId &organisation) const override {
+  Duration retryAfter(TimePoint now, const OrganisationId &organisation,
+                      int priority) override {
     (void)now;
     (void)organisation;
+    (void)priority;
     return milliseconds(70);
   }
 
   QuotaVerdict Verdict = QuotaVerdict::Granted;
   std::vector<OrganisationId> Asked;
+  /// Of each that was asked.
+  std::vector<int> Priorities;
 };
 
 } // namespace stepledge::quota::tests
--- a/src/quota/tests/QuotaLedgerTest.cpp
+++ b/src/quota/tests/QuotaLedgerTest.cpp
@@ -75,18 +75,65 @@
   // By the order of the homes one of the two others is asked.
   auto asker = ledgerOf(io, {"10.0.0.1", "10.0.0.2", "10.0.0.3"});
   const bool isOwnHome =
-      asker.admit(Start, TheOrganisation) == QuotaVerdict::Granted;
+      asker.admit(Start, TheOrganisation, 0) == QuotaVerdict::Granted;
   REQUIRE_FALSE(isOwnHome);
   REQUIRE(io.Asks.size() == 1);
   // A copy: asking again makes the list grow.
   const auto [ip, ask] = io.Asks.front();
   asker.answered(Start, ip,
                  {ask.Number, TheOrganisation, GrantResult::Lent, -3, {}});
-  CHECK(asker.admit(Start, TheOrganisation) != QuotaVerdict::Granted);
+  CHECK(asker.admit(Start, TheOrganisation, 0) != QuotaVerdict::Granted);
   asker.answered(
       Start, ip,
       {ask.Number + 1, TheOrganisation, static_cast<GrantResult>(99), 5, {}});
-  CHECK(asker.admit(Start, TheOrganisation) != QuotaVerdict::Granted);
+  CHECK(asker.admit(Start, TheOrganisation, 0) != QuotaVerdict::Granted);
+}
+
+TEST_CASE("QuotaLedger_OfOnePriorityNothingIsKept") {
+  for (const int priority : {0, 3, -1, 99}) {
+    CAPTURE(priority);
+    RecordedIo io;
+    auto home = ledgerOf(io, {"10.0.0.1"});
+    home.tick(Start);
+    // Full, and much more is asked than the rate.
+    const TimePoint full = Start + milliseconds(2000);
+    int granted = 0;
+    while (home.admit(full, TheOrganisation, priority) == QuotaVerdict::Granted)
+      ++granted;
+    CHECK(granted == 100);
+    for (int n = 0; n < 500; ++n)
+      CHECK(home.admit(full, TheOrganisation, priority) ==
+            QuotaVerdict::Exhausted);
+    // All that is refilled is lent, but what other halls leave.
+    const TimePoint later = full + milliseconds(500);
+    home.asked(later, "10.0.1.1", {1, TheOrganisation, 100, true, priority});
+    CHECK(io.Grants.back().Operations == 20);
+    home.asked(later, "10.0.0.2", {2, TheOrganisation, 100, false, priority});
+    CHECK(io.Grants.back().Operations == 30);
+  }
+}
+
+TEST_CASE("QuotaLedger_LendsWhatIsKeptToTheMoreUrgentOnly") {
+  RecordedIo io;
+  auto home = ledgerOf(io, {"10.0.0.1"});
+  home.tick(Start);
+  const TimePoint full = Start + milliseconds(2000);
+  home.asked(full, "10.0.0.2", {1, TheOrganisation, 100, false, 0});
+  CHECK(io.Grants.back().Operations == 100);
+  for (int n = 0; n < 400; ++n)
+    home.asked(full, "10.0.0.2", {2, TheOrganisation, 1, false, 2});
+  // Of a hundred in the last second of smoothing something is kept.
+  const TimePoint later = full + milliseconds(200);
+  home.asked(later, "10.0.0.2", {3, TheOrganisation, 10, false, 2});
+  CHECK(io.Grants.back().Result == GrantResult::Exhausted);
+  CHECK(io.Grants.back().RetryAfter > milliseconds(20));
+  // A VM that knows no priorities asks as the most urgent.
+  home.asked(later, "10.0.0.3", {4, TheOrganisation, 10, false});
+  CHECK(io.Grants.back().Operations == 10);
+  // What the urgent ones stop using goes to the others.
+  home.asked(later + milliseconds(9000), "10.0.0.2",
+             {5, TheOrganisation, 100, false, 2});
+  CHECK(io.Grants.back().Operations >= 90);
 }
 
 TEST_CASE("QuotaLedger_WithoutALimitEverythingIsGranted") {
--- /dev/null
+++ b/src/quota/tests/QuotaPriorityTest.cpp
@@ -0,0 +1,133 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file What callers get by priority when an organisation asks for more than
+/// its quota, and what it gets in all.
+
+#include "quota/tests/SimulatedQuotas.h"
+
+#include <doctest/doctest.h>
+
+using namespace stepledge;
+using namespace stepledge::quota::tests;
+
+namespace {
+
+constexpr int Orders = 0;
+constexpr int Browsing = 2;
+
+/// Operators set a rate at 1.6 times the usual use, of which 0.42 are orders.
+constexpr double OrderShare = 0.42;
+
+double usualOf(double rate) { return rate / 1.6; }
+
+std::vector<SimulatedLoad> usualLoad(double rate) {
+  const double usual = usualOf(rate);
+  return {{Orders, OrderShare * usual}, {Browsing, (1 - OrderShare) * usual}};
+}
+
+/// Eight times the usual use in all, its orders 2.4 times.
+std::vector<SimulatedLoad> hardLoad(double rate) {
+  const double orders = 2.4 * OrderShare * usualOf(rate);
+  return {{Orders, orders}, {Browsing, 8 * usualOf(rate) - orders}};
+}
+
+constexpr Duration PlayTime = milliseconds(20000);
+constexpr double PlaySeconds = 20;
+
+} // namespace
+
+TEST_CASE("QuotaPriority_OrdersAreServedWhileBrowsingIsRefused") {
+  for (const double rate : {30.0, 120.0, 600.0}) {
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+      CAPTURE(rate);
+      CAPTURE(seed);
+      SimulatedQuotas it(seed, 3, 8, rate, rate);
+      it.playAll(milliseconds(4000), usualLoad(rate));
+      it.playAll(PlayTime, hardLoad(rate));
+      CHECK(it.refused(Orders) * 50 <= it.asked(Orders));
+      CHECK(it.refused(Browsing) > 0);
+    }
+  }
+}
+
+TEST_CASE("QuotaPriority_OrdersOfOneHallGoBeforeBrowsingInAll") {
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    CAPTURE(seed);
+    SimulatedQuotas it(seed, 3, 4, 120, 120);
+    it.playAll(milliseconds(4000), usualLoad(120));
+    // Half of all clients are those of one VM, so its hall needs more for its
+    // orders than its part.
+    it.playAll(PlayTime, hardLoad(120), 0.5);
+    CHECK(it.refused(Orders) * 50 <= it.asked(Orders));
+  }
+}
+
+TEST_CASE("QuotaPriority_NothingIsKeptWithinTheRate") {
+  for (const double rate : {10.0, 60.0, 300.0}) {
+    CAPTURE(rate);
+    SimulatedQuotas even(2, 3, 8, rate, rate);
+    even.play(milliseconds(3000), 0);
+    even.playAll(PlayTime, usualLoad(rate));
+    CHECK(even.refused() <= even.asked() / 100);
+    SimulatedQuotas uneven(3, 3, 8, rate, rate);
+    uneven.play(milliseconds(3000), 0);
+    uneven.playAll(PlayTime, usualLoad(rate), 1.0 / 3);
+    CHECK(uneven.refused() <= uneven.asked() / 50);
+  }
+}
+
+TEST_CASE("QuotaPriority_WhatUrgentRequestsDontUseGoesToTheOthers") {
+  for (const double rate : {30.0, 120.0, 600.0}) {
+    CAPTURE(rate);
+    SimulatedQuotas it(5, 3, 8, rate, rate);
+    it.playAll(milliseconds(4000), hardLoad(rate));
+    // The orders end, and what was kept for them is lent again.
+    it.playAll(milliseconds(3000), {{Browsing, 5 * rate}});
+    const int granted = it.granted(Browsing);
+    it.playAll(PlayTime, {{Browsing, 5 * rate}});
+    CHECK(it.granted(Browsing) - granted >= 0.97 * rate * PlaySeconds);
+  }
+}
+
+TEST_CASE("QuotaPriority_SteadyUseBeyondTheRateGetsAllOfIt") {
+  for (const double rate : {10.0, 60.0, 300.0}) {
+    for (const double toFirst : {0.0, 0.5, 1.0}) {
+      for (const bool isMixed : {false, true}) {
+        CAPTURE(rate);
+        CAPTURE(toFirst);
+        CAPTURE(isMixed);
+        SimulatedQuotas it(6, 3, 8, rate, rate);
+        it.play(milliseconds(4000), 0);
+        const double each = isMixed ? 0.75 * rate : 0;
+        it.playAll(milliseconds(60000),
+                   {{Orders, each}, {Browsing, 1.5 * rate - each}}, toFirst);
+        CHECK(it.granted() >= 0.97 * rate * 60 + rate);
+      }
+    }
+  }
+}
+
+TEST_CASE("QuotaPriority_CallersThatComeBackWhenToldAreServed") {
+  for (const double rate : {30.0, 120.0, 600.0}) {
+    for (const int priority : {Orders, Browsing}) {
+      CAPTURE(rate);
+      CAPTURE(priority);
+      SimulatedQuotas it(7, 3, 8, rate, rate);
+      // They come back at most four times.
+      it.setReturns(4);
+      it.playAll(milliseconds(4000), usualLoad(rate));
+      // In a tenth of a second come two seconds' worth of the rate, of which
+      // the burst serves about one.
+      const int granted = it.granted();
+      const int before = it.asked();
+      it.playAll(milliseconds(100), {{priority, 20 * rate}});
+      const int callers = it.asked() - before;
+      it.play(milliseconds(5000), 0);
+      const int served = it.granted() - granted;
+      CAPTURE(callers);
+      CHECK(served >= 2 * rate * 0.9);
+      CHECK(it.asked() - before <= 3 * callers);
+    }
+  }
+}
--- a/src/quota/tests/QuotaScheduleTest.cpp
+++ b/src/quota/tests/QuotaScheduleTest.cpp
@@ -79,3 +79,43 @@
     CHECK(it.mostIn(Window) <= allowed(100, 100));
   }
 }
+
+TEST_CASE("QuotaSchedule_FloodOfSeveralPrioritiesNeverPassesTheLimit") {
+  for (std::uint64_t seed = 101; seed <= 124; ++seed) {
+    const double rate = seed % 3 == 0 ? 6 : seed % 3 == 1 ? 30 : 150;
+    CAPTURE(seed);
+    CAPTURE(rate);
+    SimulatedQuotas it(seed, 3, 5, rate, rate);
+    it.setReturns(3);
+    bool isCut = false;
+    it.play(milliseconds(4000), 0);
+    for (int i = 0; i < 12; ++i) {
+      // Which requests come, and from where, changes with each disturbance.
+      const double urgent = static_cast<double>(it.random()() % 20) / 10;
+      const double toFirst = static_cast<double>(it.random()() % 3) / 2;
+      it.playAll(drawnTime(it, 300, 1500),
+                 {{0, urgent * rate}, {1, rate}, {3, 2 * rate}}, toFirst);
+      disturb(it, isCut);
+    }
+    CHECK(it.mostIn(Window) <= allowed(rate, rate));
+  }
+}
+
+TEST_CASE("QuotaSchedule_HomesStartAgainInSeriesUnderAFlood") {
+  for (std::uint64_t seed = 201; seed <= 212; ++seed) {
+    const double rate = seed % 2 == 0 ? 30 : 150;
+    CAPTURE(seed);
+    CAPTURE(rate);
+    SimulatedQuotas it(seed, 3, 5, rate, rate);
+    it.play(milliseconds(4000), 0);
+    // Every VM once within a window or so; some stand still before, and answers
+    // reach them late.
+    for (std::size_t vm = 0; vm < it.size(); ++vm) {
+      it.playAll(drawnTime(it, 100, 500), {{0, rate}, {2, 3 * rate}});
+      it.freeze(it.random()() % it.size(), drawnTime(it, 100, 2000));
+      it.restart(vm);
+    }
+    it.playAll(milliseconds(3000), {{0, rate}, {2, 3 * rate}});
+    CHECK(it.mostIn(Window) <= allowed(rate, rate));
+  }
+}
--- a/src/quota/tests/SimulatedQuotas.cpp
+++ b/src/quota/tests/SimulatedQuotas.cpp
@@ -4,6 +4,7 @@
 #include "quota/tests/SimulatedQuotas.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace stepledge::quota::tests {
@@ -54,7 +55,7 @@
   HallId Hall;
   int Halls;
   std::unique_ptr<QuotaLedger> Ledger;
-  std::deque<TimePoint> Waiting;
+  std::deque<Caller> Waiting;
   bool MustPump = false;
   bool IsListed = true;
   /// Standing still or away until then.
@@ -157,26 +158,47 @@
   Parcels = std::move(kept);
 }
 
-void SimulatedQuotas::ask(std::size_t vm) {
+void SimulatedQuotas::ask(std::size_t vm, Caller caller) {
   // NOTE: the balancer sends clients to VMs that answer.
   while (Vms[vm]->StillUntil > Now)
     vm = Random() % Vms.size();
-  ++Asked;
-  Vms[vm]->Waiting.push_back(Now);
+  ++Asked[caller.Priority];
+  caller.Since = Now;
+  Vms[vm]->Waiting.push_back(caller);
   pump(*Vms[vm]);
 }
 
+void SimulatedQuotas::askAgain() {
+  const auto end = Returning.upper_bound(Now);
+  const std::vector<std::pair<TimePoint, Caller>> due(Returning.begin(), end);
+  Returning.erase(Returning.begin(), end);
+  for (const auto &[at, caller] : due)
+    ask(Random() % Vms.size(), caller);
+}
+
+void SimulatedQuotas::refuse(Vm &vm, Caller caller) {
+  ++Refused[caller.Priority];
+  if (caller.Returns++ == MostReturns)
+    return;
+  const auto pause =
+      vm.Ledger->retryAfter(Now, TheOrganisation, caller.Priority);
+  Returning.emplace(Now + pause, caller);
+}
+
 void SimulatedQuotas::pump(Vm &vm) {
   vm.MustPump = false;
-  std::deque<TimePoint> kept;
-  for (const auto since : std::exchange(vm.Waiting, {})) {
-    const auto verdict = vm.Ledger->admit(Now, TheOrganisation);
-    if (verdict == QuotaVerdict::Granted)
+  std::deque<Caller> kept;
+  for (const auto &it : std::exchange(vm.Waiting, {})) {
+    const auto verdict = vm.Ledger->admit(Now, TheOrganisation, it.Priority);
+    if (verdict == QuotaVerdict::Granted) {
       GrantedAt.push_back(Now);
-    else if (verdict == QuotaVerdict::Exhausted || Now - since > Patience)
-      ++Refused;
-    else
-      kept.push_back(since);
+      ++Grants[it.Priority];
+    } else if (verdict == QuotaVerdict::Exhausted ||
+               Now - it.Since > Patience) {
+      refuse(vm, it);
+    } else {
+      kept.push_back(it);
+    }
   }
   vm.Waiting = std::move(kept);
 }
@@ -195,19 +217,42 @@
 }
 
 void SimulatedQuotas::play(Duration time, double perSecond, double toFirst) {
+  playAll(time, {{0, perSecond}}, toFirst);
+}
+
+void SimulatedQuotas::playAll(Duration time,
+                              const std::vector<SimulatedLoad> &loads,
+                              double toFirst) {
   const std::chrono::duration<double> perStep = Step;
   std::bernoulli_distribution isToFirst(toFirst);
   for (const TimePoint end = Now + time; Now < end;) {
     step();
-    std::poisson_distribution<int> count(perSecond * perStep.count());
     const bool areAllStill =
         std::all_of(Vms.begin(), Vms.end(),
                     [&](const auto &it) { return it->StillUntil > Now; });
-    for (int n = perSecond > 0 ? count(Random) : 0; n > 0 && !areAllStill; --n)
-      ask(isToFirst(Random) ? 0 : Random() % Vms.size());
+    if (!areAllStill)
+      askAgain();
+    for (const auto &load : loads) {
+      std::poisson_distribution<int> count(load.PerSecond * perStep.count());
+      int n = load.PerSecond > 0 ? count(Random) : 0;
+      for (; n > 0 && !areAllStill; --n)
+        ask(isToFirst(Random) ? 0 : Random() % Vms.size(),
+            {Now, load.Priority, 0});
+    }
   }
 }
 
+int SimulatedQuotas::countOf(const Counts &counts, int priority) {
+  const auto it = counts.find(priority);
+  return it == counts.end() ? 0 : it->second;
+}
+
+int SimulatedQuotas::sumOf(const Counts &counts) {
+  return std::accumulate(
+      counts.begin(), counts.end(), 0,
+      [](int sum, const auto &it) { return sum + it.second; });
+}
+
 int SimulatedQuotas::mostIn(Duration window) const {
   std::size_t most = 0;
   std::size_t first = 0;
--- a/src/quota/tests/SimulatedQuotas.h
+++ b/src/quota/tests/SimulatedQuotas.h
@@ -19,6 +19,12 @@
 
 namespace stepledge::quota::tests {
 
+/// Operations of one priority that clients ask for.
+struct SimulatedLoad {
+  int Priority = 0;
+  double PerSecond = 0;
+};
+
 /// One organisation, "o", asks through all VMs.
 class SimulatedQuotas {
 public:
@@ -31,6 +37,11 @@
   /// Lets time pass while clients ask \p perSecond operations; of every VM
   /// alike, or a part \p toFirst of them of the first one.
   void play(Duration time, double perSecond, double toFirst = 0);
+  /// The same for several priorities at once.
+  void playAll(Duration time, const std::vector<SimulatedLoad> &loads,
+               double toFirst = 0);
+  /// Refused callers come back so often, each when it was told to.
+  void setReturns(int most) { MostReturns = most; }
   void setLimit(double rate, double burst);
   /// The first hall hears nobody else, and nobody hears it.
   void cutFirstHall(bool isCut) { IsFirstHallCut = isCut; }
@@ -47,9 +58,12 @@
   /// The most operations run in any span of \p window.
   int mostIn(Duration window) const;
   int granted() const { return static_cast<int>(GrantedAt.size()); }
+  int granted(int priority) const { return countOf(Grants, priority); }
   /// Operations refused, of those asked.
-  int refused() const { return Refused; }
-  int asked() const { return Asked; }
+  int refused() const { return sumOf(Refused); }
+  int refused(int priority) const { return countOf(Refused, priority); }
+  int asked() const { return sumOf(Asked); }
+  int asked(int priority) const { return countOf(Asked, priority); }
   /// Messages between VMs.
   int messages() const { return Messages; }
 
@@ -64,8 +78,20 @@
     std::variant<QuotaAsk, QuotaGrant> Body;
   };
 
+  struct Caller {
+    TimePoint Since{};
+    int Priority = 0;
+    int Returns = 0;
+  };
+  using Counts = std::map<int, int>;
+
+  static int countOf(const Counts &counts, int priority);
+  static int sumOf(const Counts &counts);
+
   void step();
-  void ask(std::size_t vm);
+  void ask(std::size_t vm, Caller caller);
+  void askAgain();
+  void refuse(Vm &vm, Caller caller);
   void pump(Vm &vm);
   bool isLinked(std::size_t a, std::size_t b) const;
   void send(std::size_t from, const std::string &ip,
@@ -80,8 +106,11 @@
   std::map<OrganisationId, control::Organisation> Organisations;
   bool IsFirstHallCut = false;
   std::vector<TimePoint> GrantedAt;
-  int Asked = 0;
-  int Refused = 0;
+  Counts Grants;
+  Counts Asked;
+  Counts Refused;
+  std::multimap<TimePoint, Caller> Returning;
+  int MostReturns = 0;
   int Messages = 0;
 };
 
