--- a/src/node/EntryProgram.cpp
+++ b/src/node/EntryProgram.cpp
@@ -66,6 +66,9 @@
            static_cast<double>(proxy.configurationVersion()));
   page.set("instances_held_back",
            static_cast<double>(proxy.heldBackInstances()));
+  page.set(
+      "held_back_organisations",
+      static_cast<double>(proxy.heldBackOrganisations(observe::readClock())));
   setTraffic(Entry.traffic(), page);
 }
 
--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -38,8 +38,10 @@
       known->IsDirectBad = false;
     // NOTE: a borrowed connection is ready once its lender is reached; the
     // instance has said nothing yet.
-    if (!it->isBorrowed())
+    if (!it->isBorrowed()) {
       tracker(service).noteAnswer(now, instance, now - it->OpenedAt);
+      noteSlotTime(now, *it, now - it->OpenedAt);
+    }
     if (reply.Position)
       tracker(service).notePosition(now, instance, *reply.Position);
     Lending.pump(now, service, instance);
@@ -96,6 +98,7 @@
       instances.noteRefusal(now, it->Instance);
     else
       instances.noteAnswer(now, it->Instance, now - sent.SentAt);
+    noteSlotTime(now, *it, now - sent.SentAt);
   }
   if (reply.Position)
     instances.notePosition(now, it->Instance, *reply.Position);
