--- a/src/entry/BorrowedConnections.cpp
+++ b/src/entry/BorrowedConnections.cpp
@@ -148,7 +148,9 @@
   const auto reason = static_cast<proxy::LendingEnd>(end.reason());
   // NOTE: a refusal's replies follow, and the proxy closes the connection.
   if (reason != proxy::LendingEnd::Lost)
-    return Proxy->lenderRefused(Now, id, reason);
+    return Proxy->lenderRefused(
+        Now, id, reason,
+        std::max(Duration{}, Duration(end.expected_wait_us())));
   if (Connections.erase(id) > 0)
     Proxy->connectionLost(Now, id);
 }
--- a/src/entry/LendingService.cpp
+++ b/src/entry/LendingService.cpp
@@ -57,10 +57,13 @@
 }
 
 void LendingService::endBorrower(const proxy::BorrowKey &key,
-                                 proxy::LendingEnd reason) {
+                                 proxy::LendingEnd reason,
+                                 Duration expectedWait) {
   peer::wire::Message message;
-  message.mutable_borrow_end()->set_use(key.Use);
-  message.mutable_borrow_end()->set_reason(static_cast<std::uint32_t>(reason));
+  auto &out = *message.mutable_borrow_end();
+  out.set_use(key.Use);
+  out.set_reason(static_cast<std::uint32_t>(reason));
+  out.set_expected_wait_us(expectedWait.count());
   tell(key.Ip, message);
 }
 
--- a/src/entry/LendingService.h
+++ b/src/entry/LendingService.h
@@ -41,8 +41,8 @@
   void
   answerBorrower(const proxy::BorrowKey &key,
                  const std::vector<proxy::StatementReply> &replies) override;
-  void endBorrower(const proxy::BorrowKey &key,
-                   proxy::LendingEnd reason) override;
+  void endBorrower(const proxy::BorrowKey &key, proxy::LendingEnd reason,
+                   Duration expectedWait) override;
 
 private:
   void tell(const std::string &ip, const peer::wire::Message &message);
--- /dev/null
+++ b/src/entry/tests/RefusingEarlyTest.cpp
@@ -0,0 +1,53 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file What clients get where more of them come than the instance can serve
+/// by connections that homes lend.
+
+#include "entry/tests/TightFleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace stepledge;
+using entry::tests::FleetSize;
+using entry::tests::Served;
+using entry::tests::TightFleet;
+
+namespace {
+
+constexpr Duration Settling = std::chrono::seconds(2);
+constexpr Duration Measured = std::chrono::seconds(5);
+/// Six homes and seven guests, so that most borrow.
+constexpr FleetSize FortyVms{40, 53};
+
+Served played(std::uint64_t seed, double load) {
+  TightFleet it(seed, FortyVms);
+  constexpr double BeforeLoad = 0.5;
+  it.run(Settling, BeforeLoad);
+  it.run(Settling, load);
+  it.run(Measured, load);
+  return it.all();
+}
+
+} // namespace
+
+TEST_CASE("RefusingEarly_AsManyAreServedInTimeUnderOverload") {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    CAPTURE(seed);
+    const auto full = played(seed, 1.0);
+    const auto over = played(seed, 1.5);
+    INFO("in time ", full.OnTime, " and ", over.OnTime, ", refused ",
+         full.Refused, " and ", over.Refused);
+    CHECK(over.OnTime >= 0.9 * full.OnTime);
+    // What never began is told as not run, not as in doubt.
+    CHECK(full.Other == 0);
+    CHECK(over.Other == 0);
+  }
+}
+
+TEST_CASE("RefusingEarly_NobodyIsRefusedWhereThereIsRoom") {
+  const auto it = played(1, 0.5);
+  CHECK(it.Refused == 0);
+  CHECK(it.Late == 0);
+  CHECK(it.Other == 0);
+}
--- a/src/node/EntryProgram.cpp
+++ b/src/node/EntryProgram.cpp
@@ -78,6 +78,14 @@
   Loop.metrics().count("retries_total", std::string(nameOf(code)));
 }
 
+void EntryProgram::refusedForRoom(bool isAtOnce) {
+  Loop.metrics().count("room_refusals_total", isAtOnce ? "at_once" : "waited");
+}
+
+void EntryProgram::lendRefused(proxy::LendingEnd reason) {
+  Loop.metrics().count("lend_refusals_total", std::string(nameOf(reason)));
+}
+
 void EntryProgram::handle(http::HttpCall call, http::Reply reply) {
   (void)call;
   constexpr int Success = 200;
--- a/src/node/EntryProgram.h
+++ b/src/node/EntryProgram.h
@@ -43,6 +43,8 @@
   void decision(const std::string &line) override;
   void answered(proxy::ReplyCode code, Duration took) override;
   void retried(proxy::ReplyCode code) override;
+  void refusedForRoom(bool isAtOnce) override;
+  void lendRefused(proxy::LendingEnd reason) override;
   /// The balancer's question.
   void handle(http::HttpCall call, http::Reply reply) override;
 
--- /dev/null
+++ b/src/overload/ToldWaits.cpp
@@ -0,0 +1,86 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+#include "overload/ToldWaits.h"
+
+#include <algorithm>
+
+namespace stepledge::overload {
+
+void ToldWaits::note(TimePoint now, const InstanceId &instance,
+                     const std::string &lender, const Urgency &urgency,
+                     Duration wait) {
+  auto &word = Words[instance][lender];
+  std::erase_if(word.Until, [&](const auto &it) { return it.second <= now; });
+  const TimePoint until = now + std::min(wait, Options.MostBelieved);
+  // NOTE: the newest word holds, and who is more urgent waits no longer.
+  for (auto it = word.Until.begin();
+       it != word.Until.end() && it->first < urgency; ++it)
+    it->second = std::min(it->second, until);
+  word.Until[urgency] = until;
+  word.ToldAt = now;
+}
+
+const ToldWaits::Word *ToldWaits::find(const InstanceId &instance,
+                                       const std::string &lender) const {
+  const auto lenders = Words.find(instance);
+  if (lenders == Words.end())
+    return nullptr;
+  const auto word = lenders->second.find(lender);
+  return word == lenders->second.end() ? nullptr : &word->second;
+}
+
+Duration ToldWaits::left(TimePoint now, const InstanceId &instance,
+                         const std::string &lender,
+                         const Urgency &urgency) const {
+  Duration longest{};
+  const auto *word = find(instance, lender);
+  if (!word)
+    return longest;
+  for (auto it = word->Until.begin();
+       it != word->Until.end() && it->first <= urgency; ++it)
+    longest = std::max(longest, it->second - now);
+  return longest;
+}
+
+bool ToldWaits::isEmpty(TimePoint now, const InstanceId &instance) const {
+  const auto lenders = Words.find(instance);
+  if (lenders == Words.end())
+    return true;
+  for (const auto &[lender, word] : lenders->second)
+    for (const auto &[urgency, until] : word.Until)
+      if (until > now)
+        return false;
+  return true;
+}
+
+void ToldWaits::noteServed(TimePoint now, const InstanceId &instance,
+                           const std::string &lender) {
+  Words[instance][lender].ServedAt = now;
+}
+
+bool ToldWaits::isServing(TimePoint now, const InstanceId &instance,
+                          const std::string &lender) const {
+  const auto *word = find(instance, lender);
+  return word && word->ServedAt > word->ToldAt &&
+         now - word->ServedAt <= Options.MostBelieved;
+}
+
+bool ToldWaits::takeProbe(TimePoint now, const InstanceId &instance) {
+  auto &probedAt = ProbedAt[instance];
+  if (now - probedAt < Options.ProbeInterval)
+    return false;
+  probedAt = now;
+  return true;
+}
+
+void ToldWaits::forget(const InstanceId &instance, const std::string &lender) {
+  const auto lenders = Words.find(instance);
+  if (lenders == Words.end())
+    return;
+  lenders->second.erase(lender);
+  if (lenders->second.empty())
+    Words.erase(lenders);
+}
+
+} // namespace stepledge::overload
--- a/src/overload/WaitPolicy.cpp
+++ b/src/overload/WaitPolicy.cpp
@@ -7,9 +7,23 @@
 
 namespace stepledge::overload {
 
+namespace {
+
+Duration partOf(Duration time, double part) {
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(time.count()) * part));
+}
+
+} // namespace
+
 Duration WaitPolicy::limit(const WaitFacts &facts) const {
+  // NOTE: a transaction under way and one that waits for a new primary don't
+  // wait for room, so refusing them early makes none.
+  const bool waitsForRoom = !facts.IsUnderWay && !facts.AwaitsPrimary &&
+                            facts.StatementTimeout > Duration{};
+  const Duration usual = waitsForRoom ? lateLimit(facts) : Options.Longest;
   const Duration longest =
-      facts.IsHopeless ? Options.LongestHopeless : Options.Longest;
+      facts.IsHopeless ? std::min(usual, Options.LongestHopeless) : usual;
   // NOTE: an overload outlasts a single statement, and the sooner the client is
   // told, the more time its other tries have.
   return facts.IsShed
@@ -17,4 +31,21 @@
              : longest;
 }
 
+Duration WaitPolicy::lateLimit(const WaitFacts &facts) const {
+  if (facts.StatementTimeout <= Duration{})
+    return Options.LateObjectives * facts.Objective;
+  const Duration late = partOf(facts.StatementTimeout, Options.LatePart);
+  return std::min(std::max(facts.Objective, late), facts.StatementTimeout);
+}
+
+Duration WaitPolicy::onTime(const WaitFacts &facts, Duration age,
+                            Duration work) const {
+  return partOf(std::max(Duration{}, facts.Objective - age - work),
+                Options.OnTimePart);
+}
+
+Duration WaitPolicy::late(const WaitFacts &facts, Duration age) const {
+  return std::max(Duration{}, lateLimit(facts) - age);
+}
+
 } // namespace stepledge::overload
--- /dev/null
+++ b/src/overload/tests/LineLoadTest.cpp
@@ -0,0 +1,84 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file What a line for connections tells of its wait.
+
+#include "overload/LineLoad.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace stepledge;
+using namespace stepledge::overload;
+
+namespace {
+
+constexpr Urgency Urgent{false, 0};
+constexpr Urgency Usual{false, 1};
+constexpr Urgency Late{true, 0};
+
+/// Uses of \p urgency that keep \p connections busy with 10 ms each.
+TimePoint play(LineLoad &load, TimePoint now, const Urgency &urgency,
+               int connections, Duration time) {
+  const TimePoint end = now + time;
+  for (; now < end; now += milliseconds(10))
+    for (int i = 0; i < connections; ++i) {
+      load.noteBegun(now, urgency);
+      load.noteHeld(milliseconds(10));
+    }
+  return now;
+}
+
+} // namespace
+
+TEST_CASE("LineLoad_TellsNothingBeforeTheFirstUse") {
+  const LineLoad load;
+  CHECK(load.wait(TimePoint(std::chrono::seconds(1)), Usual, 20, 4) ==
+        Duration{});
+}
+
+TEST_CASE("LineLoad_WaitGrowsWithTheWorkAheadAndFallsWithTheConnections") {
+  LineLoad load;
+  load.noteHeld(milliseconds(20));
+  const TimePoint now(std::chrono::seconds(1));
+  CHECK(load.wait(now, Usual, 0, 1) == milliseconds(10));
+  CHECK(load.wait(now, Usual, 4, 1) == milliseconds(90));
+  CHECK(load.wait(now, Usual, 8, 4) == milliseconds(44));
+  // An instance that none is open to yet counts as one connection.
+  CHECK(load.wait(now, Usual, 4, 0) == milliseconds(90));
+}
+
+TEST_CASE("LineLoad_FloodOfOnePriorityLengthensTheWaitOfTheLessUrgentOnly") {
+  LineLoad load;
+  const TimePoint now = play(load, TimePoint(std::chrono::seconds(1)), Usual, 4,
+                             milliseconds(2000));
+  const Duration urgent = load.wait(now, Urgent, 1, 4);
+  CHECK(urgent < milliseconds(10));
+  CHECK(load.wait(now, Usual, 1, 4) == urgent);
+  CHECK(load.wait(now, {false, 2}, 1, 4) >= 10 * urgent);
+  CHECK(load.wait(now, Late, 1, 4) >= 10 * urgent);
+}
+
+TEST_CASE("LineLoad_FloodThatIsOverIsForgottenWithinAnObjective") {
+  LineLoad load;
+  const TimePoint now = play(load, TimePoint(std::chrono::seconds(1)), Urgent,
+                             4, milliseconds(2000));
+  CHECK(load.wait(now + milliseconds(600), Usual, 1, 4) < milliseconds(10));
+}
+
+TEST_CASE("LineLoad_UsesThatRestDontMakeItSwing") {
+  // Each tenth use rests in its transaction for 300 ms; the others take 10.
+  LineLoad load;
+  Duration least = milliseconds(1000);
+  Duration most{};
+  for (int i = 0; i < 400; ++i) {
+    load.noteHeld(milliseconds(i % 10 == 0 ? 300 : 10));
+    if (i < 200)
+      continue;
+    least = std::min(least, load.held());
+    most = std::max(most, load.held());
+  }
+  CHECK(most < 2 * least);
+  CHECK(most < milliseconds(20));
+}
--- /dev/null
+++ b/src/overload/tests/RetryTimeTest.cpp
@@ -0,0 +1,37 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file When refused clients return.
+
+#include "overload/RetryTime.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <string>
+
+using namespace stepledge;
+using namespace stepledge::overload;
+
+TEST_CASE("RetryTime_ThoseRefusedTogetherReturnOneByOne") {
+  constexpr Duration Wait = milliseconds(200);
+  constexpr int Clients = 1000;
+  constexpr std::size_t Parts = 10;
+  std::array<int, Parts> returned{};
+  for (int i = 0; i < Clients; ++i) {
+    const Duration time = retryTime(Wait, "s" + std::to_string(i));
+    REQUIRE(time >= Wait);
+    REQUIRE(time < 2 * Wait);
+    ++returned[static_cast<std::size_t>((time - Wait) * Parts / Wait)];
+  }
+  // In each tenth of the time about a tenth of them.
+  for (const int it : returned) {
+    CHECK(it > 60);
+    CHECK(it < 140);
+  }
+}
+
+TEST_CASE("RetryTime_IsTheSameForTheSameStatement") {
+  CHECK(retryTime(milliseconds(100), "a") == retryTime(milliseconds(100), "a"));
+  CHECK(retryTime(Duration{}, "a") > Duration{});
+}
--- a/src/overload/tests/WaitPolicyTest.cpp
+++ b/src/overload/tests/WaitPolicyTest.cpp
@@ -22,3 +22,49 @@
   facts.IsShed = false;
   CHECK(policy.limit(facts) == WaitOptions().LongestHopeless);
 }
+
+TEST_CASE("WaitPolicy_LimitFollowsTheRoute") {
+  const WaitPolicy policy;
+  WaitFacts facts;
+  facts.Objective = milliseconds(120);
+  facts.StatementTimeout = milliseconds(400);
+  CHECK(policy.limit(facts) == milliseconds(200));
+  facts.Objective = milliseconds(1200);
+  facts.StatementTimeout = milliseconds(3000);
+  CHECK(policy.limit(facts) == milliseconds(1500));
+  // Never refused while it could be on time, nor after its timeout.
+  facts.StatementTimeout = milliseconds(1500);
+  CHECK(policy.limit(facts) == milliseconds(1200));
+  facts.StatementTimeout = milliseconds(1000);
+  CHECK(policy.limit(facts) == milliseconds(1000));
+}
+
+TEST_CASE("WaitPolicy_WhatWaitsForNoRoomWaitsAsLongAsEver") {
+  const WaitPolicy policy;
+  WaitFacts facts;
+  facts.Objective = milliseconds(120);
+  facts.StatementTimeout = milliseconds(400);
+  facts.IsUnderWay = true;
+  CHECK(policy.limit(facts) == WaitOptions().Longest);
+  facts.IsUnderWay = false;
+  facts.AwaitsPrimary = true;
+  CHECK(policy.limit(facts) == WaitOptions().Longest);
+  facts.IsHopeless = true;
+  CHECK(policy.limit(facts) == WaitOptions().LongestHopeless);
+}
+
+TEST_CASE("WaitPolicy_WaitThatIsOfUseShrinksWithAge") {
+  const WaitPolicy policy;
+  WaitFacts facts;
+  facts.Objective = milliseconds(240);
+  facts.StatementTimeout = milliseconds(800);
+  CHECK(policy.onTime(facts, {}) == milliseconds(180));
+  CHECK(policy.onTime(facts, milliseconds(100), milliseconds(40)) ==
+        milliseconds(75));
+  CHECK(policy.onTime(facts, milliseconds(300)) == Duration{});
+  CHECK(policy.late(facts, milliseconds(300)) == milliseconds(100));
+  CHECK(policy.late(facts, milliseconds(500)) == Duration{});
+  // A lender isn't told the timeout.
+  facts.StatementTimeout = Duration{};
+  CHECK(policy.late(facts, milliseconds(300)) == milliseconds(180));
+}
--- a/src/proxy/IBorrowerIo.h
+++ b/src/proxy/IBorrowerIo.h
@@ -69,7 +69,10 @@
 
   virtual void answerBorrower(const BorrowKey &key,
                               const std::vector<StatementReply> &replies) = 0;
-  virtual void endBorrower(const BorrowKey &key, LendingEnd reason) = 0;
+  /// \p expectedWait is how long a use of that urgency would wait here; 0 if it
+  /// isn't known.
+  virtual void endBorrower(const BorrowKey &key, LendingEnd reason,
+                           Duration expectedWait) = 0;
 };
 
 } // namespace stepledge::proxy
--- a/src/proxy/IProxyIo.h
+++ b/src/proxy/IProxyIo.h
@@ -79,6 +79,8 @@
                             const BorrowNeeds &needs) = 0;
 };
 
+enum class LendingEnd;
+
 /// Told of each decision that changes a request's way or its result.
 class IProxyLog {
 public:
@@ -91,6 +93,11 @@
   }
   /// A statement that was not run is on its way to another instance.
   virtual void retried(ReplyCode code) { (void)code; }
+  /// A statement was refused as not run for want of room: at once, or after it
+  /// had waited.
+  virtual void refusedForRoom(bool isAtOnce) { (void)isAtOnce; }
+  /// A use of another VM was refused as not run.
+  virtual void lendRefused(LendingEnd reason) { (void)reason; }
 };
 
 } // namespace stepledge::proxy
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -10,6 +10,7 @@
 #include "control/types/Configuration.h"
 #include "membership/HomeTable.h"
 #include "membership/types/InstanceRecord.h"
+#include "overload/ToldWaits.h"
 #include "overload/WaitPolicy.h"
 #include "proxy/IBorrowerIo.h"
 #include "proxy/IProxyIo.h"
@@ -69,8 +70,10 @@
   void setControlLost(bool isLost) { IsControlLost = isLost; }
   /// Another VM that borrows connections of this one, or no longer does.
   Lender &lender() { return Lending; }
-  /// The VM that \p connection is borrowed from can't lend for now.
-  void lenderRefused(TimePoint now, ConnectionId connection, LendingEnd reason);
+  /// The VM that \p connection is borrowed from can't lend for now; it expects
+  /// such a use to wait for \p expectedWait, 0 if it doesn't say.
+  void lenderRefused(TimePoint now, ConnectionId connection, LendingEnd reason,
+                     Duration expectedWait = {});
 
   void clientConnected(TimePoint now, ClientId client,
                        const DatabaseId &database, const KeyDigest &key = {});
@@ -160,6 +163,8 @@
                const std::optional<OrganisationId> &organisation) override;
   bool reaches(const std::string &service, const InstanceId &instance) override;
   bool expectsFree(const InstanceId &instance) override;
+  int workingAt(const std::string &service,
+                const InstanceId &instance) override;
   InstanceConnection *connection(ConnectionId id) override {
     return Pool.find(id);
   }
@@ -213,14 +218,50 @@
                      const membership::InstanceRecord &record);
   /// Opens one more connection to the instance, or borrows one where this VM
   /// can't have its own; with \p mayBorrowBeyond also where all that it may
-  /// have are in use.
+  /// have are in use. Of lenders only those will do where the statement of
+  /// \p session, if any, would wait no longer than is of use to it.
   bool openTo(TimePoint now, const membership::InstanceRecord &record,
               const std::optional<OrganisationId> &organisation,
-              bool mayBorrowBeyond = false);
+              bool mayBorrowBeyond = false,
+              const ClientSession *session = nullptr);
+  /// The VMs that may be asked for a connection to the instance, best first.
+  std::vector<std::string>
+  lendersOf(TimePoint now, const membership::InstanceRecord &record,
+            const std::optional<OrganisationId> &organisation);
   /// The VM to borrow a connection to the instance from.
   std::optional<std::string>
   lenderFor(TimePoint now, const membership::InstanceRecord &record,
-            const std::optional<OrganisationId> &organisation);
+            const std::optional<OrganisationId> &organisation,
+            const ClientSession *session);
+  /// A use for the session's statement would wait there no longer than is of
+  /// use to it, as far as the lender has told.
+  bool hasRoom(TimePoint now, const ClientSession &session,
+               const InstanceId &instance, const std::string &lender);
+  /// So many of \p lenders have told longer waits, and none has served a use
+  /// since, that the others are taken to have no room either.
+  bool lacksRoom(TimePoint now, const ClientSession &session,
+                 const InstanceId &instance,
+                 const std::vector<std::string> &lenders);
+  /// The lender has refused the session's statement for such a wait.
+  void noteTold(TimePoint now, ClientSession &session,
+                const InstanceId &instance, const std::string &lender,
+                Duration expectedWait);
+  /// What is known of the session's statement.
+  overload::WaitFacts factsOf(TimePoint now, const ClientSession &session);
+  bool isReplaced(TimePoint now, const std::string &service);
+  /// The instances that could run the session's statement.
+  std::vector<InstanceId> targetsOf(TimePoint now,
+                                    const ClientSession &session);
+  /// If all VMs that could lend a connection for the session's statement have
+  /// told a wait beyond what is of use to it, the least of these.
+  std::optional<Duration> toldTooLong(TimePoint now,
+                                      const ClientSession &session);
+  /// The same for one instance; nothing as well if there is another way.
+  std::optional<Duration> toldTooLongAt(TimePoint now,
+                                        const ClientSession &session,
+                                        const TrackedInstance &instance);
+  /// There will be room for the session's statement after \p wait.
+  void refuseEarly(TimePoint now, ClientSession &session, Duration wait);
   void noteDirectBad(TimePoint now, TrackedInstance &instance);
   void sendBegin(TimePoint now, ClientSession &session,
                  InstanceConnection &connection,
@@ -335,6 +376,7 @@
   /// By instance, the lenders that failed to reach it, and until when they are
   /// not asked again.
   std::map<InstanceId, std::map<std::string, TimePoint>> BadLenders;
+  overload::ToldWaits Told;
 };
 
 } // namespace stepledge::proxy
--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -92,6 +92,8 @@
         std::max(instance->NewestAnsweredSentAt, sent.SentAt);
   if (sent.Reason == Purpose::Statement && isFromInstance)
     instances.noteAnswer(now, it->Instance, now - sent.SentAt);
+  if (it->isBorrowed() && isFromInstance)
+    Told.noteServed(now, it->Instance, it->LenderIp);
   if (reply.Position)
     instances.notePosition(now, it->Instance, *reply.Position);
 
@@ -291,9 +293,11 @@
     instances.noteSilence(now, lost.Instance);
   if (lost.Borrower)
     Lending.lost(*lost.Borrower);
-  if (lost.isBorrowed())
+  if (lost.isBorrowed()) {
     BadLenders[lost.Instance][lost.LenderIp] = now + Options.BadLenderPause;
-  else if (auto *known = instances.find(lost.Instance); known && !lost.IsReady)
+    Told.forget(lost.Instance, lost.LenderIp);
+  } else if (auto *known = instances.find(lost.Instance);
+             known && !lost.IsReady)
     noteDirectBad(now, *known);
   auto *owner = lost.Owner ? session(*lost.Owner) : nullptr;
   if (!owner)
--- a/src/proxy/internal/ClientSession.h
+++ b/src/proxy/internal/ClientSession.h
@@ -44,6 +44,8 @@
   bool IsShed = false;
   /// What it was sent on last was borrowed, and the lender had none to lend.
   bool IsRefusedByLender = false;
+  /// Lenders that expected it to wait for longer than is of use to it.
+  int LendersTooFull = 0;
   /// Only the primary is asked from now on.
   bool PrimaryOnly = false;
   /// It runs in a transaction of the proxy's own, which proves the lead.
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -36,8 +36,11 @@
     return;
   const bool isSent = work.PrimaryOnly ? dispatchToPrimary(now, session)
                                        : dispatchRead(now, session);
-  if (!isSent)
-    wait(session, work.NotBefore);
+  if (isSent)
+    return;
+  if (const auto told = toldTooLong(now, session))
+    return refuseEarly(now, session, *told);
+  wait(session, work.NotBefore);
 }
 
 void Proxy::chooseTargets(ClientSession &session) {
@@ -233,7 +236,7 @@
   // clients. A read has other instances to turn to.
   const bool mayBorrow = work.PrimaryOnly;
   if (isShort || hasWaited)
-    openTo(now, record, organisation, mayBorrow);
+    openTo(now, record, organisation, mayBorrow, &session);
 }
 
 } // namespace stepledge::proxy
--- a/src/proxy/internal/Lender.cpp
+++ b/src/proxy/internal/Lender.cpp
@@ -26,6 +26,18 @@
   return command.Kind == CommandKind::Rollback ? Purpose::End : Purpose::Begin;
 }
 
+/// The proxy's own questions have none, and borrowers that don't tell it.
+bool hasObjective(const BorrowNeeds &needs) {
+  return needs.Rank.Objective > Duration{};
+}
+
+overload::WaitFacts factsOf(const scheduling::WaitRank &rank) {
+  overload::WaitFacts facts;
+  facts.Priority = rank.Priority;
+  facts.Objective = rank.Objective;
+  return facts;
+}
+
 } // namespace
 
 void Lender::ask(TimePoint now, const BorrowKey &key, BorrowRequest request) {
@@ -37,28 +49,70 @@
   // NOTE: commands of a use that has ended here belong to a transaction that
   // is rolled back; they must not start another one.
   if (!request.IsFirst)
-    return Io.endBorrower(key, LendingEnd::Lost);
+    return Io.endBorrower(key, LendingEnd::Lost, {});
   auto &use = Uses[key];
-  const bool needsFreeNow = request.Needs.NeedsFreeNow;
   use.Service = request.Service;
   use.Instance = request.Instance;
   use.Organisation = request.Organisation;
   use.ArrivedAt = now;
+  use.WaitsUntil = now + Options.QueueLimit;
   use.Waiting = std::move(request);
   const std::string service = use.Service;
   const InstanceId instance = use.Instance;
   if (IsStopping)
-    return refuse(key, LendingEnd::Stopping);
+    return refuse(now, key, LendingEnd::Stopping);
   if (!Pool.reaches(service, instance))
-    return refuse(key, LendingEnd::Unreachable);
+    return refuse(now, key, LendingEnd::Unreachable);
   auto &queue = Queues[instance];
   if (queue.size() >= Options.QueueLength)
-    return refuse(key, LendingEnd::Full);
+    return refuse(now, key, LendingEnd::Full);
   queue.push_back(key);
   pump(now, service, instance);
+  if (isWaiting(key))
+    refuseIfHopeless(now, key);
+}
+
+overload::Urgency Lender::urgencyOf(TimePoint now, const Use &use) {
+  const auto &rank = use.Waiting->Needs.Rank;
+  const bool isLate =
+      hasObjective(use.Waiting->Needs) && (use.IsLate || rank.isLate(now));
+  return {isLate, rank.Priority};
+}
+
+Duration Lender::expectedWait(TimePoint now, const BorrowKey &key,
+                              bool isLate) {
+  const auto &use = Uses.at(key);
+  const InstanceId &instance = use.Instance;
+  const overload::Urgency urgency{isLate, use.Waiting->Needs.Rank.Priority};
+  int ahead = 0;
+  if (const auto queue = Queues.find(instance); queue != Queues.end())
+    for (const auto &it : queue->second)
+      ahead +=
+          it != key && isWaiting(it) && urgencyOf(now, Uses.at(it)) <= urgency;
+  return Loads[instance].wait(now, urgency, ahead,
+                              Pool.workingAt(use.Service, instance));
+}
+
+void Lender::refuseIfHopeless(TimePoint now, const BorrowKey &key) {
+  auto &use = Uses.at(key);
+  auto &needs = use.Waiting->Needs;
   // NOTE: a client may rest inside its transaction for seconds.
-  if (isWaiting(key) && (needsFreeNow || !Pool.expectsFree(instance)))
-    refuse(key, LendingEnd::Full);
+  if (needs.NeedsFreeNow || !Pool.expectsFree(use.Instance))
+    return refuse(now, key, LendingEnd::Full);
+  if (!hasObjective(needs))
+    return;
+  const auto facts = factsOf(needs.Rank);
+  const Duration age = now - needs.Rank.ArrivedAt;
+  use.WaitsUntil = needs.Rank.ArrivedAt + Patience.lateLimit(facts);
+  if (expectedWait(now, key, false) <=
+      Patience.onTime(facts, age, Loads[use.Instance].held()))
+    return;
+  if (expectedWait(now, key, true) > Patience.late(facts, age))
+    return refuse(now, key, LendingEnd::Full);
+  use.IsLate = true;
+  // NOTE: the line puts those that are beyond their objectives last.
+  needs.Rank.ArrivedAt =
+      std::min(needs.Rank.ArrivedAt, now - needs.Rank.Objective - Duration(1));
 }
 
 void Lender::send(TimePoint now, Use &use, const BorrowRequest &request) {
@@ -85,20 +139,32 @@
   Pool.transmitLent(now, *connection, batch);
 }
 
-void Lender::refuse(const BorrowKey &key, LendingEnd reason) {
-  const auto use = Uses.extract(key);
-  if (use.empty())
+void Lender::refuse(TimePoint now, const BorrowKey &key, LendingEnd reason) {
+  if (!isWaiting(key))
     return;
+  Duration wait{};
+  if (reason == LendingEnd::Full) {
+    const auto &use = Uses.at(key);
+    wait = expectedWait(now, key, urgencyOf(now, use).IsLate);
+    const bool isByLength =
+        Queues[use.Instance].size() >= Options.QueueLength ||
+        !Pool.expectsFree(use.Instance);
+    if (isByLength && wait > Duration{})
+      wait = std::max(wait, Options.QueueLimit);
+  }
+  const auto use = Uses.extract(key);
   Log.decision(absl::StrCat("event=lend_refused borrower=", key.Ip, " use=",
                             key.Use, " instance=", use.mapped().Instance.str(),
-                            " reason=", std::string(nameOf(reason))));
+                            " reason=", std::string(nameOf(reason)),
+                            " expected_wait_ms=", toMilliseconds(wait)));
+  Log.lendRefused(reason);
   // Nothing was sent, so each command is told as not run.
   StatementReply reply;
   reply.Code = ReplyCode::Busy;
   reply.Detail = "no free connection at the home of the instance";
   // NOTE: the reason goes first, so that the borrower doesn't ask here again as
   // soon as it has the replies.
-  Io.endBorrower(key, reason);
+  Io.endBorrower(key, reason, wait);
   Io.answerBorrower(key,
                     std::vector(use.mapped().Waiting->Commands.size(), reply));
 }
@@ -129,7 +195,9 @@
   const bool isOver =
       connection.Sent.empty() && reply.State == SessionState::Idle;
   if (isOver) {
-    Uses.erase(key);
+    const auto use = Uses.extract(key);
+    if (!use.empty() && use.mapped().IsMeasured)
+      Loads[use.mapped().Instance].noteHeld(now - use.mapped().BoundAt);
     connection.Borrower.reset();
   }
   if (reason != Purpose::Setup)
@@ -140,7 +208,7 @@
 
 void Lender::lost(const BorrowKey &key) {
   if (Uses.erase(key) > 0)
-    Io.endBorrower(key, LendingEnd::Lost);
+    Io.endBorrower(key, LendingEnd::Lost, {});
 }
 
 bool Lender::isWaiting(const BorrowKey &key) const {
@@ -162,6 +230,10 @@
   auto &use = Uses[key];
   connection.Borrower = key;
   use.Bound = connection.Id;
+  use.BoundAt = now;
+  use.IsMeasured = hasObjective(use.Waiting->Needs);
+  if (use.IsMeasured)
+    Loads[use.Instance].noteBegun(now, urgencyOf(now, use));
   const auto request = std::exchange(use.Waiting, std::nullopt);
   send(now, use, *request);
 }
@@ -214,6 +286,31 @@
   return text;
 }
 
+std::vector<BorrowKey> Lender::outlived(TimePoint now,
+                                        const InstanceId &instance,
+                                        const std::deque<BorrowKey> &queue) {
+  std::deque<BorrowKey> waiting;
+  std::copy_if(queue.begin(), queue.end(), std::back_inserter(waiting),
+               [&](const auto &it) { return isWaiting(it); });
+  std::vector<BorrowKey> keys;
+  if (waiting.empty())
+    return keys;
+  const int connections =
+      Pool.workingAt(Uses.at(waiting.front()).Service, instance);
+  int ahead = 0;
+  for (const auto &key : waitingInOrder(now, waiting)) {
+    const auto &use = Uses.at(key);
+    const Duration wait =
+        Loads[instance].wait(now, urgencyOf(now, use), ahead, connections);
+    // NOTE: those behind it move up.
+    if (hasObjective(use.Waiting->Needs) && now + wait > use.WaitsUntil)
+      keys.push_back(key);
+    else
+      ++ahead;
+  }
+  return keys;
+}
+
 void Lender::tick(TimePoint now) {
   std::vector<std::pair<BorrowKey, LendingEnd>> refused;
   std::vector<std::pair<std::string, InstanceId>> waiting;
@@ -223,15 +320,17 @@
         continue;
       const auto use = Uses.find(key);
       const bool isReached = Pool.reaches(use->second.Service, instance);
-      if (!isReached || now - use->second.ArrivedAt > Options.QueueLimit)
+      if (!isReached || now > use->second.WaitsUntil)
         refused.emplace_back(key, isReached ? LendingEnd::Full
                                             : LendingEnd::Unreachable);
       else if (waiting.empty() || waiting.back().second != instance)
         waiting.emplace_back(use->second.Service, instance);
     }
+    for (const auto &key : outlived(now, instance, queue))
+      refused.emplace_back(key, LendingEnd::Full);
   }
   for (const auto &[key, reason] : refused)
-    refuse(key, reason);
+    refuse(now, key, reason);
   for (const auto &[service, instance] : waiting)
     pump(now, service, instance);
 }
--- a/src/proxy/internal/Lender.h
+++ b/src/proxy/internal/Lender.h
@@ -8,6 +8,8 @@
 #ifndef STEPLEDGE_PROXY_INTERNAL_LENDER_H
 #define STEPLEDGE_PROXY_INTERNAL_LENDER_H
 
+#include "overload/LineLoad.h"
+#include "overload/WaitPolicy.h"
 #include "proxy/IBorrowerIo.h"
 #include "proxy/internal/InstanceConnection.h"
 #include "scheduling/ServingLine.h"
@@ -44,6 +46,10 @@
   /// A connection to the instance should be free in a moment: one is being
   /// opened, or is at work now.
   virtual bool expectsFree(const InstanceId &instance) = 0;
+  /// How many connections to the instance this VM has or opens that don't rest
+  /// in a transaction; at least one.
+  virtual int workingAt(const std::string &service,
+                        const InstanceId &instance) = 0;
   virtual InstanceConnection *connection(ConnectionId id) = 0;
   virtual void transmitLent(TimePoint now, InstanceConnection &connection,
                             const std::vector<OutgoingCommand> &batch) = 0;
@@ -54,9 +60,10 @@
 };
 
 struct LenderOptions {
-  /// A use that gets no connection within this time is refused as not run, so
-  /// that its borrower can ask another home in time: about the tightest
-  /// latency objective.
+  /// A use without an objective that gets no connection within this time is
+  /// refused as not run, so that its borrower can ask another home in time:
+  /// about the tightest latency objective. Where the length of the line doesn't
+  /// tell when there is room, borrowers are asked to stay away as long.
   Duration QueueLimit = milliseconds(150);
   /// The most uses that wait for one instance.
   std::size_t QueueLength = 64;
@@ -102,6 +109,13 @@
     /// Sent once there is a connection.
     std::optional<BorrowRequest> Waiting;
     TimePoint ArrivedAt{};
+    TimePoint BoundAt{};
+    /// How long it holds its connection counts for those that wait.
+    bool IsMeasured = false;
+    /// It would be late, and waits behind those that won't.
+    bool IsLate = false;
+    /// Refused if it has no connection by then.
+    TimePoint WaitsUntil{};
   };
 
   /// The use has commands that aren't sent yet.
@@ -112,16 +126,27 @@
                                         const std::deque<BorrowKey> &queue);
   void bind(TimePoint now, const BorrowKey &key,
             InstanceConnection &connection);
-  void refuse(const BorrowKey &key, LendingEnd reason);
+  void refuse(TimePoint now, const BorrowKey &key, LendingEnd reason);
+
+  static overload::Urgency urgencyOf(TimePoint now, const Use &use);
+  /// How long the use would wait in its place, or as one that is late.
+  Duration expectedWait(TimePoint now, const BorrowKey &key, bool isLate);
+  /// Refuses the waiting use if it would wait beyond what is of use to it.
+  void refuseIfHopeless(TimePoint now, const BorrowKey &key);
+  /// The uses of the line that can't be served in time as it is now.
+  std::vector<BorrowKey> outlived(TimePoint now, const InstanceId &instance,
+                                  const std::deque<BorrowKey> &queue);
 
   ILendablePool &Pool;
   IBorrowerIo &Io;
   IProxyLog &Log;
   const scheduling::ServingLine &Line;
   LenderOptions Options;
+  overload::WaitPolicy Patience;
   bool IsStopping = false;
   std::map<BorrowKey, Use> Uses;
   std::map<InstanceId, std::deque<BorrowKey>> Queues;
+  std::map<InstanceId, overload::LineLoad> Loads;
 };
 
 } // namespace stepledge::proxy
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -7,6 +7,8 @@
 
 #include "proxy/Proxy.h"
 
+#include "overload/RetryTime.h"
+
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
@@ -128,7 +130,7 @@
 
 bool Proxy::openTo(TimePoint now, const membership::InstanceRecord &record,
                    const std::optional<OrganisationId> &organisation,
-                   bool mayBorrowBeyond) {
+                   bool mayBorrowBeyond, const ClientSession *session) {
   const auto *known = tracker(record.Service).find(record.Id);
   const bool isDirectBad = known && known->IsDirectBad;
   const bool isHomes = usesHomes(record.Service);
@@ -144,7 +146,7 @@
     return true;
   if (isDirect && !mustBorrow && !mayBorrowBeyond)
     return false;
-  const auto lender = lenderFor(now, record, organisation);
+  const auto lender = lenderFor(now, record, organisation, session);
   if (!lender)
     return false;
   return Pool.openOne(now, record, {0, Options.BorrowLimit}, *lender,
@@ -166,8 +168,8 @@
          Pool.countOf(record.Id) > 0 && !Pool.isFull(now, record.Id);
 }
 
-std::optional<std::string>
-Proxy::lenderFor(TimePoint now, const membership::InstanceRecord &record,
+std::vector<std::string>
+Proxy::lendersOf(TimePoint now, const membership::InstanceRecord &record,
                  const std::optional<OrganisationId> &organisation) {
   const auto share = homeShare(record.Service);
   const bool usesOwnOrder = Configuration.HasOrganisations && organisation;
@@ -183,27 +185,85 @@
         Homes.guestsOf(record.Id, record.Hall, share, *organisation);
     lenders.insert(lenders.end(), guests.begin(), guests.end());
   }
-  const auto found =
-      std::find_if(lenders.begin(), lenders.end(), [&](const auto &it) {
-        return it != Options.OwnIp && !isBadLender(now, record.Id, it);
-      });
-  return found == lenders.end() ? std::nullopt : std::optional(*found);
+  std::erase_if(lenders, [&](const auto &it) {
+    return it == Options.OwnIp || isBadLender(now, record.Id, it);
+  });
+  return lenders;
+}
+
+std::optional<std::string>
+Proxy::lenderFor(TimePoint now, const membership::InstanceRecord &record,
+                 const std::optional<OrganisationId> &organisation,
+                 const ClientSession *session) {
+  const auto lenders = lendersOf(now, record, organisation);
+  if (lenders.empty())
+    return std::nullopt;
+  if (!session || Told.isEmpty(now, record.Id))
+    return lenders.front();
+  const overload::Urgency urgency{false, session->Route.Priority};
+  const auto left = [&](const auto &it) {
+    return Told.left(now, record.Id, it, urgency);
+  };
+  const auto least = std::min_element(
+      lenders.begin(), lenders.end(),
+      [&](const auto &a, const auto &b) { return left(a) < left(b); });
+  const bool mayAskMore =
+      session->Current->LendersTooFull < Options.MostLendersTooFull;
+  const bool isFull = lacksRoom(now, *session, record.Id, lenders);
+  if (mayAskMore && (!isFull || Told.takeProbe(now, record.Id)))
+    return *least;
+  return std::nullopt;
+}
+
+bool Proxy::lacksRoom(TimePoint now, const ClientSession &session,
+                      const InstanceId &instance,
+                      const std::vector<std::string> &lenders) {
+  int full = 0;
+  for (const auto &it : lenders) {
+    const bool isFull = !hasRoom(now, session, instance, it);
+    if (!isFull && Told.isServing(now, instance, it))
+      return false;
+    full += isFull;
+  }
+  return full >=
+         std::min(Options.MostLendersTooFull, static_cast<int>(lenders.size()));
+}
+
+bool Proxy::hasRoom(TimePoint now, const ClientSession &session,
+                    const InstanceId &instance, const std::string &lender) {
+  const auto facts = factsOf(now, session);
+  const Duration age = now - session.Current->ArrivedAt;
+  const auto left = [&](bool isLate) {
+    return Told.left(now, instance, lender, {isLate, facts.Priority});
+  };
+  // NOTE: a lender that has told nothing has room, also for the late.
+  return left(false) <= Patience.onTime(facts, age) ||
+         left(true) <= Patience.late(facts, age);
 }
 
 void Proxy::lenderRefused(TimePoint now, ConnectionId connection,
-                          LendingEnd reason) {
+                          LendingEnd reason, Duration expectedWait) {
   auto *it = Pool.find(connection);
   if (!it || reason == LendingEnd::Lost)
     return;
   const InstanceId instance = it->Instance;
   const std::string lender = it->LenderIp;
   it->IsRefused = true;
-  if (auto *owner = it->Owner ? session(*it->Owner) : nullptr;
-      owner && owner->Current && owner->Current->Connection == connection)
+  auto *owner = it->Owner ? session(*it->Owner) : nullptr;
+  if (owner && owner->Current && owner->Current->Connection == connection)
     owner->Current->IsRefusedByLender = true;
-  BadLenders[instance][lender] =
-      now + (reason == LendingEnd::Full ? Options.FullLenderPause
-                                        : Options.BadLenderPause);
+  else
+    owner = nullptr;
+  // NOTE: with connections of its own to wait for, it asked only for one that
+  // is free.
+  const bool hasOwn = Pool.ownAt(instance) > 0;
+  if (reason == LendingEnd::Full && expectedWait > Duration{} && owner &&
+      !hasOwn)
+    noteTold(now, *owner, instance, lender, expectedWait);
+  else
+    BadLenders[instance][lender] =
+        now + (reason == LendingEnd::Full ? Options.FullLenderPause
+                                          : Options.BadLenderPause);
   if (reason == LendingEnd::Unreachable)
     tracker(it->Service).noteSilence(now, instance);
   for (const auto id : Pool.borrowedFrom(lender, instance)) {
@@ -213,6 +273,87 @@
   }
 }
 
+void Proxy::noteTold(TimePoint now, ClientSession &session,
+                     const InstanceId &instance, const std::string &lender,
+                     Duration expectedWait) {
+  const auto facts = factsOf(now, session);
+  const Duration age = now - session.Current->ArrivedAt;
+  ++session.Current->LendersTooFull;
+  // NOTE: the lender has weighed what is of use to the statement; what was left
+  // of it then is a little more than now.
+  Told.note(now, instance, lender, {false, facts.Priority},
+            std::max(expectedWait, Patience.onTime(facts, age)));
+  Told.note(now, instance, lender, {true, facts.Priority},
+            std::max(expectedWait, Patience.late(facts, age)));
+}
+
+std::vector<InstanceId> Proxy::targetsOf(TimePoint now,
+                                         const ClientSession &session) {
+  const auto &work = *session.Current;
+  const auto &instances = tracker(session.Route.Service);
+  const auto primary = instances.primary(now);
+  if (work.PrimaryOnly)
+    return primary ? std::vector{*primary} : std::vector<InstanceId>{};
+  const auto minimum = minimumPosition(now, session);
+  return minimum ? instances.readCandidates(now, *minimum, work.Tried)
+                 : std::vector<InstanceId>{};
+}
+
+std::optional<Duration> Proxy::toldTooLong(TimePoint now,
+                                           const ClientSession &session) {
+  std::optional<Duration> least;
+  // NOTE: the statement waits for a successor, not for room.
+  if (session.Current->PrimaryOnly && isReplaced(now, session.Route.Service))
+    return least;
+  for (const auto &it : targetsOf(now, session)) {
+    const auto *instance = tracker(session.Route.Service).find(it);
+    const auto told =
+        instance ? toldTooLongAt(now, session, *instance) : std::nullopt;
+    if (!told)
+      return std::nullopt;
+    least = std::min(least.value_or(*told), *told);
+  }
+  return least;
+}
+
+std::optional<Duration> Proxy::toldTooLongAt(TimePoint now,
+                                             const ClientSession &session,
+                                             const TrackedInstance &instance) {
+  const auto &record = instance.Record;
+  const auto &organisation = session.Organisation;
+  const bool mustBorrow =
+      Pool.ownAt(record.Id) == 0 &&
+      (instance.IsDirectBad ||
+       (usesHomes(record.Service) && !isHomeFor(now, record, organisation)));
+  if (!mustBorrow || Told.isEmpty(now, record.Id))
+    return std::nullopt;
+  const auto lenders = lendersOf(now, record, organisation);
+  const bool hasAskedEnough =
+      session.Current->LendersTooFull >= Options.MostLendersTooFull;
+  if (lenders.empty() ||
+      (!hasAskedEnough && !lacksRoom(now, session, record.Id, lenders)))
+    return std::nullopt;
+  std::optional<Duration> least;
+  for (const auto &it : lenders)
+    if (!hasRoom(now, session, record.Id, it)) {
+      const Duration left =
+          Told.left(now, record.Id, it, {false, session.Route.Priority});
+      least = std::min(least.value_or(left), left);
+    }
+  return least;
+}
+
+void Proxy::refuseEarly(TimePoint now, ClientSession &session, Duration wait) {
+  const Duration pause =
+      overload::retryTime(wait, session.Current->Statement.Id);
+  Log.refusedForRoom(true);
+  refuse(
+      now, session, ReplyCode::Busy,
+      absl::StrCat("no home of the instance has room in time; expected wait ",
+                   toMilliseconds(wait), " ms; retry after ",
+                   toMilliseconds(pause), " ms"));
+}
+
 void Proxy::endBorrowed(InstanceConnection &connection) {
   if (auto *it = tracker(connection.Service).find(connection.Instance))
     it->Statements = std::max(0, it->Statements - connection.statements());
@@ -248,6 +389,17 @@
   return Pool.isOpening(instance) || Pool.busyAt(instance) > 0;
 }
 
+int Proxy::workingAt(const std::string &service, const InstanceId &instance) {
+  int n = 0;
+  for (const auto id : Pool.idsOf(instance)) {
+    const auto &it = *Pool.find(id);
+    const bool isResting = it.IsReady && it.Sent.empty() && !it.isFree();
+    n += !it.isBorrowed() && !isResting;
+  }
+  const auto *known = tracker(service).find(instance);
+  return std::max(1, known ? std::min(n, known->Running.limit()) : n);
+}
+
 bool Proxy::reaches(const std::string &service, const InstanceId &instance) {
   const auto *known = tracker(service).find(instance);
   return known && !known->IsDirectBad;
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -86,7 +86,17 @@
   session.WasAbortedAtRest = true;
 }
 
-Duration Proxy::queueLimit(TimePoint now, const ClientSession &session) {
+bool Proxy::isReplaced(TimePoint now, const std::string &service) {
+  auto &instances = tracker(service);
+  const auto primary = instances.primary(now);
+  const auto *instance = primary ? instances.find(*primary) : nullptr;
+  // NOTE: control replaces a primary that stays silent.
+  return !instance || instances.isLeadDenied(now) || instance->SilentSince ||
+         !InstanceTracker::mayStartAt(now, *instance);
+}
+
+overload::WaitFacts Proxy::factsOf(TimePoint now,
+                                   const ClientSession &session) {
   const auto &work = *session.Current;
   overload::WaitFacts facts;
   facts.Priority = session.Route.Priority;
@@ -94,13 +104,19 @@
   facts.StatementTimeout = session.Route.StatementTimeout;
   facts.IsUnderWay = session.HasRunInTransaction &&
                      session.State == SessionState::InTransaction;
+  facts.AwaitsPrimary =
+      work.PrimaryOnly && isReplaced(now, session.Route.Service);
   facts.IsShed = work.IsShed;
   // NOTE: without control nobody may tell this VM of a new primary, but others
   // may know it.
   facts.IsHopeless =
       IsIsolated || (IsControlLost && work.PrimaryOnly &&
                      !tracker(session.Route.Service).primary(now));
-  return Patience.limit(facts);
+  return facts;
+}
+
+Duration Proxy::queueLimit(TimePoint now, const ClientSession &session) {
+  return Patience.limit(factsOf(now, session));
 }
 
 void Proxy::expireWork(TimePoint now, ClientSession &session) {
@@ -116,6 +132,7 @@
     return;
   const std::string reason = work.LastRefusal;
   abandonStatement(now, session);
+  Log.refusedForRoom(false);
   refuse(now, session, ReplyCode::Busy, reason);
 }
 
--- a/src/proxy/tests/FakeIo.h
+++ b/src/proxy/tests/FakeIo.h
@@ -56,8 +56,10 @@
       Told.push_back("reply");
     }
   }
-  void endBorrower(const BorrowKey &key, LendingEnd reason) override {
+  void endBorrower(const BorrowKey &key, LendingEnd reason,
+                   Duration expectedWait) override {
     Ended[key] = reason;
+    ToldWaits[key] = expectedWait;
     Told.push_back("end");
   }
 
@@ -73,6 +75,7 @@
   /// What borrowers were told.
   std::map<BorrowKey, std::vector<StatementReply>> Lent;
   std::map<BorrowKey, LendingEnd> Ended;
+  std::map<BorrowKey, Duration> ToldWaits;
   /// The same in its order.
   std::vector<std::string> Told;
 };
--- a/src/proxy/tests/LenderTest.cpp
+++ b/src/proxy/tests/LenderTest.cpp
@@ -38,6 +38,12 @@
     (void)instance;
     return IsExpected;
   }
+  int workingAt(const std::string &service,
+                const InstanceId &instance) override {
+    (void)service;
+    (void)instance;
+    return Working;
+  }
   InstanceConnection *connection(ConnectionId id) override {
     return id == Connection.Id ? &Connection : nullptr;
   }
@@ -62,6 +68,7 @@
   std::vector<InstanceCommand> Sent;
   int TakenBack = 0;
   bool HasConnection = true;
+  int Working = 1;
   bool IsReached = true;
   bool IsExpected = true;
 };
@@ -85,6 +92,35 @@
     Lending.ask(Now, {"10.0.0.9", use}, request);
   }
 
+  void askFor(std::uint64_t use, int priority, Duration objective,
+              Duration age = {}) {
+    BorrowRequest request;
+    request.Service = "db";
+    request.Instance = InstanceId("i");
+    request.IsFirst = true;
+    request.Commands.emplace_back();
+    request.Commands.back().Kind = CommandKind::ClientText;
+    request.Commands.back().Id = std::to_string(use);
+    request.Needs.Rank = {priority, objective, Now - age, {}};
+    Lending.ask(Now, {"10.0.0.9", use}, request);
+  }
+
+  /// Uses of 40 ms each, one after the other; then the connection is taken.
+  void learn() {
+    for (std::uint64_t use = 1000; use < 1050; ++use) {
+      askFor(use, 1, milliseconds(250));
+      Now += milliseconds(40);
+      answer(SessionState::Idle);
+      // Others rest in between, so that the line isn't full as such.
+      Now += milliseconds(60);
+    }
+    Pool.HasConnection = false;
+  }
+
+  bool isRefused(std::uint64_t use) {
+    return Io.Ended.contains({"10.0.0.9", use});
+  }
+
   void answer(SessionState state) {
     const Purpose reason = Pool.Connection.Sent.front().Reason;
     Pool.Connection.Sent.pop_front();
@@ -240,3 +276,89 @@
   // The third is late already; the others go by priority and objective.
   CHECK(order == "4213");
 }
+
+TEST_CASE("Lender_RefusesAtOnceWhatItCouldNotServeInTime") {
+  Fixture it;
+  it.learn();
+  std::uint64_t use = 1;
+  while (use < 30 && !it.isRefused(use)) {
+    it.askFor(++use, 0, milliseconds(240));
+    // Nothing was sent, and no time has passed.
+    REQUIRE(it.Pool.Sent.size() == 50);
+  }
+  // Room for some 240 ms of work of 40 ms each, and for as many late ones.
+  CHECK(use > 4);
+  CHECK(use < 14);
+  CHECK(it.Io.Ended[{"10.0.0.9", use}] == LendingEnd::Full);
+  CHECK(it.Io.ToldWaits[{"10.0.0.9", use}] > milliseconds(100));
+  CHECK(it.Io.Lines.back().find("expected_wait_ms=") != std::string::npos);
+  // One with more time finds a place all the same.
+  it.askFor(100, 0, milliseconds(1200));
+  CHECK(!it.isRefused(100));
+}
+
+TEST_CASE("Lender_FloodOfOnePriorityLeavesRoomForTheMoreUrgent") {
+  Fixture it;
+  it.learn();
+  for (std::uint64_t use = 1; use < 60; ++use)
+    it.askFor(use, 2, milliseconds(250));
+  REQUIRE(it.isRefused(59));
+  it.askFor(100, 0, milliseconds(250));
+  CHECK(!it.isRefused(100));
+  it.Pool.HasConnection = true;
+  it.Lending.tick(it.Now);
+  CHECK(it.Pool.Sent.back().Id == "100");
+}
+
+TEST_CASE("Lender_LateUseWaitsBehindTheOthers") {
+  Fixture it;
+  it.learn();
+  // It can be answered, but not in time.
+  it.askFor(1, 0, milliseconds(200), milliseconds(190));
+  REQUIRE(!it.isRefused(1));
+  it.askFor(2, 1, milliseconds(250));
+  REQUIRE(!it.isRefused(2));
+  it.Pool.HasConnection = true;
+  it.Lending.tick(it.Now);
+  CHECK(it.Pool.Sent.back().Id == "2");
+  it.answer(SessionState::Idle);
+  it.Lending.tick(it.Now);
+  CHECK(it.Pool.Sent.back().Id == "1");
+}
+
+TEST_CASE("Lender_NothingWaitsBehindWhatItCannotOutlive") {
+  Fixture it;
+  it.learn();
+  it.Pool.Working = 8;
+  for (std::uint64_t use = 1; use <= 16; ++use)
+    it.askFor(use, 0, milliseconds(240));
+  REQUIRE(it.Io.Ended.empty());
+  // All connections but one are lost.
+  it.Pool.Working = 1;
+  it.Lending.tick(it.Now);
+  CHECK(it.Io.Ended.size() > 2);
+  CHECK(it.Io.Ended.size() < 14);
+}
+
+TEST_CASE("Lender_UseWithoutAnObjectiveWaitsAsEver") {
+  Fixture it;
+  it.learn();
+  for (std::uint64_t use = 1; use <= 40; ++use)
+    it.askFor(use, 0, {});
+  CHECK(it.Io.Ended.empty());
+  it.Lending.tick(it.Now + LenderOptions().QueueLimit);
+  CHECK(it.Io.Ended.empty());
+  it.Lending.tick(it.Now + LenderOptions().QueueLimit + milliseconds(1));
+  CHECK(it.Io.Ended.size() == 40);
+}
+
+TEST_CASE("Lender_TellsNoWaitBeforeItKnowsOne") {
+  Fixture it;
+  it.Pool.HasConnection = false;
+  for (std::uint64_t use = 1; use <= 20; ++use)
+    it.askFor(use, 0, milliseconds(120));
+  CHECK(it.Io.Ended.empty());
+  it.Lending.tick(it.Now + milliseconds(300));
+  REQUIRE(it.Io.Ended.size() == 20);
+  CHECK(it.Io.ToldWaits[{"10.0.0.9", 1}] == Duration{});
+}
--- a/src/proxy/tests/SimulatedInstances.h
+++ b/src/proxy/tests/SimulatedInstances.h
@@ -106,9 +106,11 @@
     (void)key;
     (void)replies;
   }
-  void endBorrower(const BorrowKey &key, LendingEnd reason) override {
+  void endBorrower(const BorrowKey &key, LendingEnd reason,
+                   Duration expectedWait) override {
     (void)key;
     (void)reason;
+    (void)expectedWait;
   }
 
 private:
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -63,6 +63,11 @@
   /// The same for a lender whose connections were all in use: some answer
   /// times.
   Duration FullLenderPause = milliseconds(150);
+  /// A statement that so many lenders refused, because it would wait there
+  /// beyond what is of use to it, is refused: where two of several have no
+  /// room, the others seldom have any, and each more that is asked is a message
+  /// to and from a full VM.
+  int MostLendersTooFull = 3;
   /// How often an instance that is reached by lenders is tried directly.
   Duration DirectProbeInterval = milliseconds(500);
   /// Connections to an instance grow slowly for this long after the start:
