--- a/src/proxy/tests/UnevenGroup.cpp
+++ b/src/proxy/tests/UnevenGroup.cpp
@@ -101,7 +101,9 @@
     (void)key;
     (void)replies;
   }
-  void endBorrower(const BorrowKey &key, LendingEnd reason) override {
+  void endBorrower(const BorrowKey &key, LendingEnd reason,
+                   Duration expectedWait) override {
+    (void)expectedWait;
     (void)key;
     (void)reason;
   }
