Instances that the log kept are told with the first fresh notice; entry test

An entry VM serves once it has a configuration and an instance. The instances waited for the control VM's next turn; they go out with the notice.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -151,10 +151,12 @@
   }
   IsRunning = false;
   reviewFreshness(now);
-  // NOTE: after a start entry VMs serve nobody before they hear of this.
+  // NOTE: after a start entry VMs serve nobody before they hear of this, and
+  // of the instances that the log kept.
   if (IsNoticeDue && IsFresh) {
     IsNoticeDue = false;
     tellEntries(notice(true));
+    tellUntold();
   }
 }
 
--- a/src/control/tests/FakeControls.cpp
+++ b/src/control/tests/FakeControls.cpp
@@ -163,17 +163,12 @@
   }
 }
 
-void FakeControls::restartAll(const std::string &entryIp) {
+void FakeControls::restartAll() {
   Packets.clear();
   for (std::size_t vm = 0; vm < Size; ++vm)
     kill(vm);
-  peer::wire::Hello hello;
-  hello.set_kind(peer::wire::ENTRY);
-  hello.set_ip(entryIp);
-  for (std::size_t vm = 0; vm < Size; ++vm) {
+  for (std::size_t vm = 0; vm < Size; ++vm)
     start(vm);
-    connectFromOutside(entryIp, vm, hello);
-  }
   for (std::size_t vm = 0; vm < Size; ++vm)
     reconnect(vm);
 }
--- a/src/control/tests/FakeControls.h
+++ b/src/control/tests/FakeControls.h
@@ -108,8 +108,8 @@
   /// Ends the VM's connections to the others, and tells all of them.
   void disconnect(std::size_t vm);
   void reconnect(std::size_t vm);
-  /// All lose power, and come back connected to each other and to an entry VM.
-  void restartAll(const std::string &entryIp);
+  /// All lose power, and come back connected to each other.
+  void restartAll();
   /// All disks take \p time longer before what was written is synced.
   void stallDisks(Duration time) { DisksStalledUntil = Now + time; }
   /// The bytes of all entries that the VM's log was given.
--- a/src/control/tests/GroupReturnTest.cpp
+++ b/src/control/tests/GroupReturnTest.cpp
@@ -22,6 +22,13 @@
 constexpr Duration NoticeLimit = milliseconds(150);
 constexpr std::uint64_t NewestVersion = 9;
 
+peer::wire::Hello entryHello() {
+  peer::wire::Hello hello;
+  hello.set_kind(peer::wire::ENTRY);
+  hello.set_ip(EntryIp);
+  return hello;
+}
+
 void putVersions(FakeControls &group) {
   group.run(milliseconds(1500));
   for (std::uint64_t version = 1; version <= NewestVersion; ++version) {
@@ -44,7 +51,9 @@
     CHECK(message.notice().configuration_version() == NewestVersion);
     fresh.insert(vm);
   };
-  group.restartAll(EntryIp);
+  group.restartAll();
+  for (std::size_t vm = 0; vm < 3; ++vm)
+    group.connectFromOutside(EntryIp, vm, entryHello());
   group.run(NoticeLimit);
   group.OnSentOutside = nullptr;
   return fresh;
@@ -68,9 +77,6 @@
 TEST_CASE("GroupReturn_MemberThatComesLaterIsToldOfTheLeaderAtOnce") {
   FakeControls group;
   putVersions(group);
-  peer::wire::Hello hello;
-  hello.set_kind(peer::wire::ENTRY);
-  hello.set_ip(EntryIp);
   int told = 0;
   // At ten places between two heartbeats.
   for (std::int64_t place = 0; place < 100; place += 10) {
@@ -79,7 +85,7 @@
     group.kill(late);
     group.run(milliseconds(1000 + place));
     group.start(late);
-    group.connectFromOutside(EntryIp, late, hello);
+    group.connectFromOutside(EntryIp, late, entryHello());
     group.reconnect(late);
     bool isTold = false;
     group.OnSentOutside = [&](std::size_t vm, const std::string &,
--- a/src/entry/tests/NarrowFleet.cpp
+++ b/src/entry/tests/NarrowFleet.cpp
@@ -83,6 +83,11 @@
     connect(vm);
 }
 
+void NarrowFleet::restartAll() {
+  Controls.restartAll();
+  startEntry();
+}
+
 void NarrowFleet::put(std::uint64_t version, const std::string &document) {
   std::optional<bool> done;
   Controls.node(0).putConfiguration(now(), version, document,
@@ -104,6 +109,13 @@
   return now() - start;
 }
 
+Duration NarrowFleet::runUntilReady(Duration limit) {
+  const TimePoint start = now();
+  while (!isReady() && now() - start < limit)
+    step();
+  return now() - start;
+}
+
 std::uint64_t NarrowFleet::heldVersion() const {
   return Entry ? Entry->Core.configurationVersion() : 0;
 }
--- a/src/entry/tests/NarrowFleet.h
+++ b/src/entry/tests/NarrowFleet.h
@@ -31,9 +31,13 @@
   void put(std::uint64_t version, const std::string &document);
   /// The entry VM's process starts, with nothing.
   void startEntry();
+  /// All processes lose power, and come back connected to each other.
+  void restartAll();
   void run(Duration time);
   /// Until the entry VM holds \p version, \p limit at most; how long it took.
   Duration runUntilHeld(std::uint64_t version, Duration limit);
+  /// Until it serves clients.
+  Duration runUntilReady(Duration limit);
 
   bool isReady() const { return Entry && Entry->Node.isReady(); }
   std::uint64_t heldVersion() const;
