The floor's turn is for who keeps to its share; equal shares go by arrival

Cause: one service in 20 went to the oldest that isn't late, which is nearly always of the backlog of the organisation that floods. Equal starts were served in the order of the organisations' names.

Change: the floor's turn takes the oldest of who isn't ahead, if there is one; among those ahead the share alone decides; equal starts go by arrival. Tests of the lender and of the whole proxy: the latter fails with the earlier order (the flood's second write goes first) and without the hook at answers (nobody counts as held back).

--- a/src/proxy/tests/LenderTest.cpp
+++ b/src/proxy/tests/LenderTest.cpp
@@ -212,6 +212,30 @@
   CHECK(it.Io.Told == std::vector<std::string>{"end", "reply"});
 }
 
+TEST_CASE("Lender_ServesTheOrganisationThatHasHadLeast") {
+  Fixture it;
+  it.Line.setRates({{OrganisationId("red"), 10}, {OrganisationId("blue"), 10}});
+  it.Line.noteUse(it.Now, {"db", InstanceId("i")}, OrganisationId("red"),
+                  milliseconds(20));
+  it.Pool.HasConnection = false;
+  const auto ask = [&](std::uint64_t use, const char *organisation) {
+    BorrowRequest request;
+    request.Service = "db";
+    request.Instance = InstanceId("i");
+    request.IsFirst = true;
+    request.Commands.emplace_back();
+    request.Commands.back().Id = organisation;
+    request.Needs.Rank = {1, milliseconds(150), it.Now,
+                          OrganisationId(organisation)};
+    it.Lending.ask(it.Now, {"10.0.0.9", use}, request);
+  };
+  ask(1, "red");
+  ask(2, "blue");
+  it.Pool.HasConnection = true;
+  it.Lending.pump(it.Now, "db", InstanceId("i"));
+  CHECK(it.Pool.Sent.back().Id == "blue");
+}
+
 TEST_CASE("Lender_ServesTheMostUrgentFirstUnderOverload") {
   Fixture it;
   it.Pool.HasConnection = false;
--- a/src/proxy/tests/OrganisationTest.cpp
+++ b/src/proxy/tests/OrganisationTest.cpp
@@ -296,3 +296,28 @@
   CHECK(askedForAWrite(it, "WRITE x 2").size() > homes.size());
   CHECK(opensForABorrower(it, 2));
 }
+
+TEST_CASE("Organisation_WhoHasHadLessOfAnInstanceGoesFirst") {
+  OrganisationFixture it;
+  // One connection an instance for this VM.
+  it.Next.Services["db"].MaxConnections = 1;
+  it.applyNext();
+  it.ask(it.connectWith("current", "red-key"), StatementKind::Write,
+         "WRITE red 1");
+  it.answerOwn(markOf(3, 100));
+  it.advance(milliseconds(30));
+  it.answerOwn(markOf(3, 100));
+  const auto carrier = it.carrierOf("WRITE red 1");
+  REQUIRE(carrier);
+  it.ask(it.connectWith("current", "red-key"), StatementKind::Write,
+         "WRITE red 2");
+  it.ask(it.connectWith("current", "blue-key"), StatementKind::Write,
+         "WRITE blue");
+  it.advance(milliseconds(10));
+  CHECK(!it.carrierOf("WRITE red 2"));
+  CHECK(!it.carrierOf("WRITE blue"));
+  it.answer(*carrier, it.replyAt(markOf(3, 101)));
+  CHECK(it.carrierOf("WRITE blue"));
+  CHECK(!it.carrierOf("WRITE red 2"));
+  CHECK(it.Core.heldBackOrganisations(it.Now) == 1);
+}
--- a/src/scheduling/ServingLine.cpp
+++ b/src/scheduling/ServingLine.cpp
@@ -24,19 +24,23 @@
 struct Place {
   bool IsLate = false;
   bool IsAhead = false;
+  /// With what its organisation has had already.
+  bool IsOwnerAhead = false;
   double Start = 0;
   std::size_t Index = 0;
 };
 
-/// The place in front for the floor's turn: the one that has waited longest and
-/// isn't late.
+/// Puts in front what the floor's turn is for: the one that has waited longest
+/// and isn't late, of those who aren't ahead if there is one. Else it would go
+/// to the backlog of who floods.
 void raiseOldest(std::vector<Place> &places,
                  const std::vector<WaitRank> &ranks) {
+  const auto keyOf = [&](const Place &it) {
+    return std::tuple(it.IsLate, it.IsOwnerAhead, ranks[it.Index].ArrivedAt);
+  };
   const auto oldest = std::min_element(
-      places.begin(), places.end(), [&](const Place &a, const Place &b) {
-        return std::tie(a.IsLate, ranks[a.Index].ArrivedAt) <
-               std::tie(b.IsLate, ranks[b.Index].ArrivedAt);
-      });
+      places.begin(), places.end(),
+      [&](const Place &a, const Place &b) { return keyOf(a) < keyOf(b); });
   if (oldest != places.end() && !oldest->IsLate)
     std::rotate(places.begin(), oldest, oldest + 1);
 }
@@ -102,19 +106,23 @@
       own.push_back(ranks[i]);
     const double weight = Weights.of(organisation);
     double start = shares.startOf(organisation);
+    const bool isOwnerAhead = shares.isAhead(start, weight);
     for (const auto i : order(now, own)) {
       places.push_back({own[i].isLate(now), shares.isAhead(start, weight),
-                        start, indices[i]});
+                        isOwnerAhead, start, indices[i]});
       start += shares.step(weight);
     }
   }
-  std::stable_sort(places.begin(), places.end(),
-                   [&](const Place &a, const Place &b) {
-                     const auto &x = ranks[a.Index];
-                     const auto &y = ranks[b.Index];
-                     return std::tie(a.IsLate, a.IsAhead, x.Priority, a.Start) <
-                            std::tie(b.IsLate, b.IsAhead, y.Priority, b.Start);
-                   });
+  // NOTE: among those ahead the share alone decides, or the urgent ones of who
+  // is furthest ahead would go before all of who is so by chance.
+  const auto keyOf = [&](const Place &it) {
+    const auto &rank = ranks[it.Index];
+    return std::tuple(it.IsLate, it.IsAhead, it.IsAhead ? 0 : rank.Priority,
+                      it.Start, rank.ArrivedAt);
+  };
+  std::stable_sort(
+      places.begin(), places.end(),
+      [&](const Place &a, const Place &b) { return keyOf(a) < keyOf(b); });
   if (shares.isFloorsTurn())
     raiseOldest(places, ranks);
   std::vector<std::size_t> indices;
