--- a/src/scheduling/tests/FairServingLoadTest.cpp
+++ b/src/scheduling/tests/FairServingLoadTest.cpp
@@ -63,7 +63,8 @@
 };
 
 std::vector<Demand> demandsOf(const Rates &rates, const Load &load) {
-  const double unit = load.Slots * SlotRate * load.Part / sumOf(rates);
+  const double unit =
+      static_cast<double>(load.Slots) * SlotRate * load.Part / sumOf(rates);
   std::vector<Demand> demands;
   for (const auto &[organisation, rate] : rates)
     for (const auto &it : Kinds) {
@@ -203,10 +204,11 @@
     all += took;
   }
   double worst = 0;
-  for (const auto &[id, rate] : rates)
-    worst = std::max(
-        worst,
-        std::abs(used[id].count() * sumOf(rates) / (all.count() * rate) - 1));
+  for (const auto &[id, rate] : rates) {
+    const double due = static_cast<double>(all.count()) * rate / sumOf(rates);
+    const auto had = static_cast<double>(used[id].count());
+    worst = std::max(worst, std::abs(had / due - 1));
+  }
   CHECK(worst <= 0.1);
 }
 
--- a/src/scheduling/tests/FairServingTest.cpp
+++ b/src/scheduling/tests/FairServingTest.cpp
@@ -60,6 +60,7 @@
 std::vector<std::pair<WaitRank, std::size_t>>
 waitersOf(const std::vector<WaitRank> &ranks) {
   std::vector<std::pair<WaitRank, std::size_t>> waiters;
+  waiters.reserve(ranks.size());
   for (const auto &it : ranks)
     waiters.emplace_back(it, waiters.size());
   return waiters;
--- a/src/scheduling/tests/OtherOrders.cpp
+++ b/src/scheduling/tests/OtherOrders.cpp
@@ -21,6 +21,7 @@
 
 std::size_t LineOrder::pick(TimePoint now, const std::vector<WaitRank> &ranks) {
   std::vector<std::pair<WaitRank, std::size_t>> waiters;
+  waiters.reserve(ranks.size());
   for (const auto &it : ranks)
     waiters.emplace_back(it, waiters.size());
   return Line.inOrder(now, {"db", InstanceId("i")}, std::move(waiters)).front();
