--- a/src/node/EntryProgram.cpp
+++ b/src/node/EntryProgram.cpp
@@ -4,6 +4,7 @@
 #include "node/EntryProgram.h"
 
 #include "observe/SystemClock.h"
+#include "quota/types/QuotaPriority.h"
 
 #include "absl/strings/str_cat.h"
 
@@ -78,6 +79,11 @@
   Loop.metrics().count("retries_total", std::string(nameOf(code)));
 }
 
+void EntryProgram::refusedByQuota(int priority) {
+  Loop.metrics().count("quota_refusals_total",
+                       std::to_string(quota::quotaPriorityOf(priority)));
+}
+
 void EntryProgram::handle(http::HttpCall call, http::Reply reply) {
   (void)call;
   constexpr int Success = 200;
--- a/src/node/EntryProgram.h
+++ b/src/node/EntryProgram.h
@@ -43,6 +43,7 @@
   void decision(const std::string &line) override;
   void answered(proxy::ReplyCode code, Duration took) override;
   void retried(proxy::ReplyCode code) override;
+  void refusedByQuota(int priority) override;
   /// The balancer's question.
   void handle(http::HttpCall call, http::Reply reply) override;
 
--- a/src/proxy/IProxyIo.h
+++ b/src/proxy/IProxyIo.h
@@ -91,6 +91,8 @@
   }
   /// A statement that was not run is on its way to another instance.
   virtual void retried(ReplyCode code) { (void)code; }
+  /// A statement is beyond its organisation's quota.
+  virtual void refusedByQuota(int priority) { (void)priority; }
 };
 
 } // namespace stepledge::proxy
--- a/src/proxy/internal/Access.cpp
+++ b/src/proxy/internal/Access.cpp
@@ -115,6 +115,7 @@
     break;
   }
   const int priority = session.Route.Priority;
+  Log.refusedByQuota(priority);
   const auto pause = Quota.retryAfter(now, session.Organisation, priority);
   refuse(now, session, ReplyCode::Busy,
          absl::StrCat("the organisation's quota is used up for priority ",
--- a/src/proxy/tests/FakeIo.h
+++ b/src/proxy/tests/FakeIo.h
@@ -49,6 +49,9 @@
   }
   void decision(const std::string &line) override { Lines.push_back(line); }
   void retried(ReplyCode code) override { Retried.push_back(code); }
+  void refusedByQuota(int priority) override {
+    RefusedByQuota.push_back(priority);
+  }
   void answerBorrower(const BorrowKey &key,
                       const std::vector<StatementReply> &replies) override {
     for (const auto &it : replies) {
@@ -70,6 +73,8 @@
   std::map<ConnectionId, std::deque<InstanceCommand>> Sent;
   std::vector<std::string> Lines;
   std::vector<ReplyCode> Retried;
+  /// The priorities of those beyond their quota.
+  std::vector<int> RefusedByQuota;
   /// What borrowers were told.
   std::map<BorrowKey, std::vector<StatementReply>> Lent;
   std::map<BorrowKey, LendingEnd> Ended;
--- a/src/proxy/tests/OrganisationTest.cpp
+++ b/src/proxy/tests/OrganisationTest.cpp
@@ -193,6 +193,7 @@
   CHECK(it.lastAnswer(red).Detail.find("70 ms") != std::string::npos);
   CHECK(it.lastAnswer(red).Detail.find("priority 3") != std::string::npos);
   CHECK(it.Quota.Priorities == std::vector<int>{3});
+  CHECK(it.Io.RefusedByQuota == std::vector<int>{3});
   CHECK_FALSE(it.carrierOf("WRITE x 1"));
 }
 
--- a/src/quota/QuotaLedger.cpp
+++ b/src/quota/QuotaLedger.cpp
@@ -3,6 +3,8 @@
 
 #include "quota/QuotaLedger.h"
 
+#include "quota/types/QuotaPriority.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -37,11 +39,6 @@
 /// goes beyond its rate for a moment only is within its burst, and all its
 /// requests are treated alike.
 constexpr Duration DemandTime = milliseconds(3000);
-/// Priorities beyond it are all the least urgent: bounds what is kept and
-/// counted for each.
-constexpr int LeastUrgent = 7;
-
-int priorityOf(int priority) { return std::clamp(priority, 0, LeastUrgent); }
 
 } // namespace
 
@@ -83,7 +80,7 @@
   if (found == Accounts.end())
     return QuotaVerdict::Granted;
   auto &account = found->second;
-  const int rank = priorityOf(priority);
+  const int rank = quotaPriorityOf(priority);
   if (takeLocal(now, organisation, account, rank, 1) > 0) {
     account.OwnUse.note(now, rank);
     account.HallDemand.note(now, rank);
@@ -114,7 +111,7 @@
   if (found == Accounts.end())
     return LeastRetry;
   auto &account = found->second;
-  const int rank = priorityOf(priority);
+  const int rank = quotaPriorityOf(priority);
   Duration left{};
   for (const auto &[other, want] : account.Wants)
     if (other <= rank)
@@ -163,21 +160,27 @@
   return account.HallDemand.total(now) + account.FarDemand.total(now) > most;
 }
 
+double QuotaLedger::keptFor(const Account &account, double use) {
+  return std::min(KeptDeviations * std::sqrt(use * KeptSeconds),
+                  account.HallLimit.Capacity * MostKeptPart);
+}
+
 double QuotaLedger::keptFrom(TimePoint now, const Account &account,
                              int priority) {
   if (!isOverAsked(now, account))
     return 0;
-  const double moreUrgent = account.HallDemand.upTo(now, priority - 1) +
-                            account.FarDemand.upTo(now, priority - 1);
-  return std::min(KeptDeviations * std::sqrt(moreUrgent * KeptSeconds),
-                  account.HallLimit.Capacity * MostKeptPart);
+  return keptFor(account, account.HallDemand.upTo(now, priority - 1) +
+                              account.FarDemand.upTo(now, priority - 1));
 }
 
 double QuotaLedger::keptFromOthers(TimePoint now, const Account &account,
                                    int priority) {
   const double reserve = account.HallLimit.TokensPerSecond * ReserveSeconds;
+  // NOTE: a hall that asks others has used its own part up.
   if (!isOverAsked(now, account))
-    return reserve;
+    return std::clamp(
+        reserve + keptFor(account, account.FarDemand.upTo(now, priority - 1)),
+        reserve, std::max(reserve, account.HallLimit.Capacity * MostKeptPart));
   // NOTE: more urgent ones of another hall go before less urgent ones of the
   // own.
   const double all = account.HallDemand.total(now);
@@ -318,7 +321,7 @@
 void QuotaLedger::asked(TimePoint now, const std::string &ip,
                         const QuotaAsk &from) {
   QuotaAsk ask = from;
-  ask.Priority = priorityOf(from.Priority);
+  ask.Priority = quotaPriorityOf(from.Priority);
   QuotaGrant grant;
   grant.Number = ask.Number;
   grant.Organisation = ask.Organisation;
--- a/src/quota/QuotaLedger.h
+++ b/src/quota/QuotaLedger.h
@@ -113,6 +113,8 @@
                 Account &account, int priority, int most);
   static int takeLent(TimePoint now, Account &account, int priority, int most);
   TokenBucket &partOf(TimePoint now, Account &account);
+  /// What is kept for a more urgent \p use in operations a second.
+  static double keptFor(const Account &account, double use);
   /// What the hall's part keeps from \p priority for more urgent ones.
   static double keptFrom(TimePoint now, const Account &account, int priority);
   /// The same where another hall asks.
--- a/src/quota/tests/QuotaPriorityTest.cpp
+++ b/src/quota/tests/QuotaPriorityTest.cpp
@@ -89,6 +89,23 @@
   }
 }
 
+TEST_CASE("QuotaPriority_UsualUseAfterALossOfPowerIsServed") {
+  // Nobody was refused here before priorities were told apart.
+  for (const double rate : {30.0, 120.0, 600.0}) {
+    for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+      CAPTURE(rate);
+      CAPTURE(seed);
+      SimulatedQuotas it(seed, 3, 8, rate, rate);
+      it.playAll(milliseconds(3000), usualLoad(rate));
+      it.restartAll();
+      it.play(milliseconds(500), 0);
+      const int refused = it.refused();
+      it.playAll(milliseconds(1500), usualLoad(rate));
+      CHECK(it.refused() == refused);
+    }
+  }
+}
+
 TEST_CASE("QuotaPriority_NothingIsKeptWithinTheRate") {
   for (const double rate : {10.0, 60.0, 300.0}) {
     CAPTURE(rate);
@@ -129,6 +146,7 @@
         it.playAll(milliseconds(60000),
                    {{Orders, each}, {Browsing, 1.5 * rate - each}}, toFirst);
         CHECK(it.granted() >= 0.97 * rate * 60 + rate);
+        CHECK(it.refused(Orders) * 50 <= it.asked(Orders));
       }
     }
   }
