--- a/src/proxy/IProxyIo.h
+++ b/src/proxy/IProxyIo.h
@@ -98,6 +98,8 @@
   virtual void refusedForRoom(bool isAtOnce) { (void)isAtOnce; }
   /// A use of another VM was refused as not run.
   virtual void lendRefused(LendingEnd reason) { (void)reason; }
+  /// A statement is beyond its organisation's quota.
+  virtual void refusedByQuota(int priority) { (void)priority; }
 };
 
 } // namespace stepledge::proxy
