--- a/src/overload/ToldWaits.h
+++ b/src/overload/ToldWaits.h
@@ -43,6 +43,8 @@
   /// It has done so lately, and has told no wait since.
   bool isServing(TimePoint now, const InstanceId &instance,
                  const std::string &lender) const;
+  /// Nothing was ever borrowed.
+  bool isUnused() const { return Words.empty(); }
   /// No lender has told a wait for the instance that still holds.
   bool isEmpty(TimePoint now, const InstanceId &instance) const;
   /// One use may go to some lender in spite of what has been told; it is used
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -316,6 +316,8 @@
 std::optional<Duration> Proxy::toldTooLong(TimePoint now,
                                            const ClientSession &session) {
   std::optional<Duration> least;
+  if (Told.isUnused())
+    return least;
   // NOTE: the statement waits for a successor, not for room.
   if (session.Current->PrimaryOnly && isReplaced(now, session.Route.Service))
     return least;
