A use waits no longer than before where no wait is known

Cause: right after a start, before the first use has ended, a use of a long objective stayed in one home's line for up to two objectives instead of 150 ms, and no other home was asked.

Change: until the time that connections are held is known, the earlier limit holds; Lender_TellsNoWaitBeforeItKnowsOne asks with an objective of 1,200 ms now and checks both sides of the limit (stricter).

--- a/src/proxy/internal/Lender.cpp
+++ b/src/proxy/internal/Lender.cpp
@@ -99,13 +99,15 @@
   // NOTE: a client may rest inside its transaction for seconds.
   if (needs.NeedsFreeNow || !Pool.expectsFree(use.Instance))
     return refuse(now, key, LendingEnd::Full);
-  if (!hasObjective(needs))
+  // NOTE: where it isn't known how long the wait is, another home may be asked
+  // soon.
+  const Duration held = Loads[use.Instance].held();
+  if (!hasObjective(needs) || held == Duration{})
     return;
   const auto facts = factsOf(needs.Rank);
   const Duration age = now - needs.Rank.ArrivedAt;
   use.WaitsUntil = needs.Rank.ArrivedAt + Patience.lateLimit(facts);
-  if (expectedWait(now, key, false) <=
-      Patience.onTime(facts, age, Loads[use.Instance].held()))
+  if (expectedWait(now, key, false) <= Patience.onTime(facts, age, held))
     return;
   if (expectedWait(now, key, true) > Patience.late(facts, age))
     return refuse(now, key, LendingEnd::Full);
--- a/src/proxy/tests/LenderTest.cpp
+++ b/src/proxy/tests/LenderTest.cpp
@@ -356,9 +356,10 @@
   Fixture it;
   it.Pool.HasConnection = false;
   for (std::uint64_t use = 1; use <= 20; ++use)
-    it.askFor(use, 0, milliseconds(120));
+    it.askFor(use, 0, milliseconds(1200));
+  it.Lending.tick(it.Now + LenderOptions().QueueLimit);
   CHECK(it.Io.Ended.empty());
-  it.Lending.tick(it.Now + milliseconds(300));
+  it.Lending.tick(it.Now + LenderOptions().QueueLimit + milliseconds(1));
   REQUIRE(it.Io.Ended.size() == 20);
   CHECK(it.Io.ToldWaits[{"10.0.0.9", 1}] == Duration{});
 }
