Nothing is kept for urgent requests right after a start; questions are never late

Now nothing is kept for 3 s. Questions: given an objective they were measured as uses, so their rank says that they have none, and are never late.

--- a/src/proxy/internal/Sending.cpp
+++ b/src/proxy/internal/Sending.cpp
@@ -92,14 +92,9 @@
 
 void Proxy::sendProbe(TimePoint now, InstanceConnection &connection) {
   connection.IsAbandoned = true;
-  // NOTE: reads wait for the answer, and it takes no slot of the instance; with
-  // no objective it would count as late at once in a lender's line.
-  BorrowNeeds needs;
-  needs.Rank = {0, Options.ProofInterval, now, {}};
   transmit(now, connection,
            {{commandOf(CommandKind::Begin), Purpose::Probe},
-            {commandOf(CommandKind::Rollback), Purpose::End}},
-           needs);
+            {commandOf(CommandKind::Rollback), Purpose::End}});
 }
 
 void Proxy::transmit(TimePoint now, InstanceConnection &connection,
--- a/src/quota/QuotaLedger.cpp
+++ b/src/quota/QuotaLedger.cpp
@@ -32,6 +32,9 @@
 /// VMs ask for several operations at once.
 constexpr double ChanceDeviations = 2;
 constexpr double KeptDeviations = 3;
+/// A part that begins with next to nothing is full after about so long at the
+/// usual use.
+constexpr Duration FillTime = milliseconds(3000);
 /// At most this part of what a hall's part can hold is kept, so that a small
 /// burst leaves room for the less urgent ones too.
 constexpr double MostKeptPart = 0.5;
@@ -152,6 +155,10 @@
 }
 
 bool QuotaLedger::isOverAsked(TimePoint now, const Account &account) {
+  // NOTE: a part that has just begun would only fill what is kept, while
+  // clients come back with all that they held.
+  if (now - account.PartSince < FillTime)
+    return false;
   const double rate = account.HallLimit.TokensPerSecond;
   // NOTE: chance alone makes a use of just the rate look like more, the more so
   // the shorter it was counted.
@@ -192,8 +199,10 @@
 TokenBucket &QuotaLedger::partOf(TimePoint now, Account &account) {
   const auto &limit = account.HallLimit;
   // NOTE: what the home before it has given out is not known here.
-  if (!account.Part)
+  if (!account.Part) {
     account.Part.emplace(now, 1 + FirstSeconds * limit.TokensPerSecond);
+    account.PartSince = now;
+  }
   account.Part->refill(now, limit);
   return *account.Part;
 }
--- a/src/quota/QuotaLedger.h
+++ b/src/quota/QuotaLedger.h
@@ -94,6 +94,8 @@
     std::map<int, Want> Wants;
     /// The hall's part, where this VM is its home.
     std::optional<TokenBucket> Part;
+    /// When it began.
+    TimePoint PartSince{};
     /// Operations granted to clients of this VM in about the last second.
     PriorityUse OwnUse{milliseconds(1000)};
     /// What was asked of this VM as the home, granted or not, by its hall and
--- a/src/scheduling/tests/ServingLineTest.cpp
+++ b/src/scheduling/tests/ServingLineTest.cpp
@@ -37,3 +37,11 @@
                        rankOf(1, milliseconds(200), milliseconds(10))});
   CHECK(order == std::vector<std::size_t>{2, 1, 0});
 }
+
+TEST_CASE("ServingLine_QuestionsAreNeverLate") {
+  const ServingLine line;
+  const auto order =
+      line.order(Now, {rankOf(0, milliseconds(200), milliseconds(150)),
+                       rankOf(0, Duration{}, milliseconds(10))});
+  CHECK(order == std::vector<std::size_t>{1, 0});
+}
--- a/src/scheduling/types/WaitRank.h
+++ b/src/scheduling/types/WaitRank.h
@@ -14,14 +14,17 @@
 struct WaitRank {
   /// Of its route; 0 is the most urgent.
   int Priority = 0;
-  /// The route's latency objective.
+  /// The route's latency objective; 0 for a question of the proxy's own.
   Duration Objective{};
   /// At the VM that its client asked.
   TimePoint ArrivedAt{};
   /// Whose statement it is; empty where there are no organisations.
   OrganisationId Organisation;
 
-  bool isLate(TimePoint now) const { return now - ArrivedAt > Objective; }
+  /// A question never is: reads wait for its answer, and it takes no slot.
+  bool isLate(TimePoint now) const {
+    return Objective > Duration{} && now - ArrivedAt > Objective;
+  }
 };
 
 } // namespace stepledge::scheduling
