--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -438,8 +438,7 @@
   // NOTE: one that is no home lends all the same: its borrowers may know of a
   // loss that this VM hasn't heard of, or reach the instance only by it.
   const bool isGuest = usesHomes(service) && !isHomeOf(known->Record);
-  // NOTE: after a loss of power the homes need all the room that is left.
-  if (isGuest && isCautious(now))
+  if (isGuest && Configuration.HasOrganisations && isCautious(now))
     return nullptr;
   const ConnectionShare share =
       isGuest ? ConnectionShare{0, 1} : shareOf(now, known->Record);
