--- a/src/balancing/types/OutlierOptions.h
+++ b/src/balancing/types/OutlierOptions.h
@@ -26,8 +26,8 @@
   double SlowFrom = 2.5;
   /// One that is held back stands out until it is below this.
   double SlowUntil = 1.5;
-  /// It stands out if this much more of its reads fail than of its siblings':
-  /// two failures in a row of good answers, so a client's own error isn't
+  /// It stands out if this much more of its reads fail than of its siblings'.
+  /// Two failures in a row reach it, one doesn't: a client's own error isn't
   /// enough.
   double FailingFrom = 0.15;
   /// One that is held back stands out until it is below this.
--- a/src/consensus/ConsensusNode.cpp
+++ b/src/consensus/ConsensusNode.cpp
@@ -136,8 +136,8 @@
   // NOTE: whoever has its vote may lead in a moment.
   if (message.has_vote_request() && isTrial && now < VoteHoldsUntil)
     return;
-  const bool isLate = message.term() > Term && !isTrial;
-  if (isLate)
+  const bool isBehind = message.term() > Term && !isTrial;
+  if (isBehind)
     becomeFollower(now, message.term());
   if (message.has_vote_request())
     onVoteRequest(now, message);
@@ -150,40 +150,7 @@
   else if (message.has_snapshot_request())
     onSnapshotRequest(now, message);
   // NOTE: it was refused for its term only, which it knows now.
-  if (isLate && message.has_vote_reply() && mayStandNow(now))
-    startTrial(now);
-}
-
-bool ConsensusNode::mayStandNow(TimePoint now) const {
-  return isStarting() && isVoter() && now >= HoldsBackUntil;
-}
-
-void ConsensusNode::connectionMade(TimePoint now, const std::string &ip) {
-  if (isLeader()) {
-    // NOTE: it may have started just now, and looks for a leader.
-    for (auto &[number, it] : Others)
-      if (it.Member.ip() == ip)
-        replicate(now, it, true);
-    return;
-  }
-  // NOTE: a wiped disk's old and new numbers may both be voters there.
-  std::vector<wire::Member> voters;
-  for (const auto &it : Voters.voters())
-    if (it.ip() == ip && it.number() != Self.number())
-      voters.push_back(it);
-  if (!isStarting() || !isVoter() || voters.empty())
-    return;
-  const bool isOrdered = now < OrderUntil;
-  OrderUntil = now + orderTime();
-  for (const auto &it : voters)
-    PassedOver.erase(it.number());
-  // NOTE: what was asked before found no way to it. Votes of others stand, but
-  // for those that rivals gave each other when their order had run out.
-  const bool isTrial = Role == MemberRole::TrialCandidate && isOrdered;
-  if (isTrial || Role == MemberRole::Candidate)
-    for (const auto &it : voters)
-      askForVote(isTrial, it);
-  else if (mayStandNow(now))
+  if (isBehind && message.has_vote_reply() && mayStandNow(now))
     startTrial(now);
 }
 
@@ -201,160 +168,6 @@
   resetElectionTimer(now);
 }
 
-void ConsensusNode::startTrial(TimePoint now) {
-  orderAnew(now);
-  Role = MemberRole::TrialCandidate;
-  Leader.reset();
-  resetTrialTimer(now);
-  TrialVotes = {Self.number()};
-  if (TrialVotes.size() >= majority())
-    return startElection(now);
-  askForVotes(true);
-}
-
-void ConsensusNode::startElection(TimePoint now) {
-  Role = MemberRole::Candidate;
-  ++Term;
-  StoodIn = Term;
-  VotedFor = Self.number();
-  saveVote();
-  resetElectionTimer(now);
-  keepVote(now);
-  StartTimeout = Options.ElectionTimeout;
-  // NOTE: the own vote counts at once: it goes out, as the requests do, only
-  // when it is on disk.
-  Votes = {Self.number()};
-  if (Votes.size() >= majority())
-    return becomeLeader(now);
-  askForVotes(false);
-}
-
-void ConsensusNode::askForVotes(bool isTrial) {
-  for (const auto &it : Voters.voters())
-    if (it.number() != Self.number())
-      askForVote(isTrial, it);
-}
-
-void ConsensusNode::askForVote(bool isTrial, const wire::Member &voter) {
-  wire::Message message;
-  message.set_term(isTrial ? Term + 1 : Term);
-  auto &request = *message.mutable_vote_request();
-  request.set_is_trial(isTrial);
-  request.set_last_index(lastIndex());
-  request.set_last_term(lastTerm());
-  if (isTrial)
-    send(voter.ip(), voter.number(), std::move(message));
-  else
-    sendDurably(voter.ip(), voter.number(), std::move(message));
-}
-
-void ConsensusNode::keepVote(TimePoint now) {
-  if (!isStarting())
-    return;
-  VoteHoldsUntil = now + StartTimeout;
-  HoldsBackUntil = std::max(HoldsBackUntil, VoteHoldsUntil);
-}
-
-const wire::Member *ConsensusNode::findRival(TimePoint now,
-                                             const wire::Message &trial) const {
-  if (!isStarting() || !isVoter() || now >= OrderUntil ||
-      PassedOver.contains(trial.from()))
-    return nullptr;
-  for (const auto &it : Voters.voters())
-    if (it.number() == trial.from())
-      return &it;
-  return nullptr;
-}
-
-bool ConsensusNode::goesBefore(const wire::Message &trial) const {
-  const auto &request = trial.vote_request();
-  const auto own = std::make_pair(lastTerm(), lastIndex());
-  const auto other = std::make_pair(request.last_term(), request.last_index());
-  return own == other ? Self.number() < trial.from() : own > other;
-}
-
-bool ConsensusNode::goBefore(TimePoint now, const wire::Message &trial) {
-  const auto *rival = findRival(now, trial);
-  if (!rival || !goesBefore(trial))
-    return false;
-  // NOTE: an earlier request may have gone out before the other side listened.
-  if (Role == MemberRole::TrialCandidate)
-    askForVote(true, *rival);
-  else if (Role == MemberRole::Follower && now >= HoldsBackUntil)
-    startTrial(now);
-  return true;
-}
-
-void ConsensusNode::giveWay(TimePoint now, const wire::Message &trial) {
-  const bool isInTrial =
-      Role == MemberRole::Follower || Role == MemberRole::TrialCandidate;
-  if (!isInTrial || !findRival(now, trial))
-    return;
-  Role = MemberRole::Follower;
-  GaveWayTo = trial.from();
-  HoldsBackUntil = now + orderTime();
-  ElectionAt = HoldsBackUntil;
-}
-
-void ConsensusNode::orderAnew(TimePoint now) {
-  if (!isStarting() || (Role != MemberRole::Candidate && !GaveWayTo))
-    return;
-  if (GaveWayTo)
-    PassedOver.insert(*GaveWayTo);
-  GaveWayTo.reset();
-  OrderUntil = now + orderTime();
-}
-
-void ConsensusNode::onVoteRequest(TimePoint now, const wire::Message &message) {
-  const auto &request = message.vote_request();
-  const bool isUpToDate =
-      std::make_pair(request.last_term(), request.last_index()) >=
-      std::make_pair(lastTerm(), lastIndex());
-  const bool mayVote = request.is_trial()
-                           ? message.term() > Term
-                           : message.term() == Term &&
-                                 (VotedFor == 0 || VotedFor == message.from());
-  const bool isPreceded = request.is_trial() && goBefore(now, message);
-  const bool granted = isUpToDate && mayVote && isVoter() && !isPreceded;
-  if (granted && request.is_trial())
-    giveWay(now, message);
-  if (granted && !request.is_trial()) {
-    VotedFor = message.from();
-    saveVote();
-    resetElectionTimer(now);
-    keepVote(now);
-  }
-  wire::Message reply;
-  reply.set_term(request.is_trial() && granted ? message.term() : Term);
-  reply.mutable_vote_reply()->set_is_trial(request.is_trial());
-  reply.mutable_vote_reply()->set_granted(granted);
-  const std::string ip = ipOf(message.from());
-  if (!ip.empty())
-    sendDurably(ip, message.from(), reply);
-}
-
-void ConsensusNode::onVoteReply(TimePoint now, const wire::Message &message) {
-  const auto &reply = message.vote_reply();
-  // NOTE: votes that come while the next trial runs are still for this term.
-  const bool isWanted =
-      reply.is_trial()
-          ? Role == MemberRole::TrialCandidate && message.term() == Term + 1
-          : (Role == MemberRole::Candidate ||
-             Role == MemberRole::TrialCandidate) &&
-                StoodIn == Term && message.term() == Term;
-  if (!isWanted || !reply.granted())
-    return;
-  auto &votes = reply.is_trial() ? TrialVotes : Votes;
-  if (isVoter(message.from()))
-    votes.insert(message.from());
-  if (votes.size() < majority())
-    return;
-  if (reply.is_trial())
-    startElection(now);
-  else
-    becomeLeader(now);
-}
-
 void ConsensusNode::becomeLeader(TimePoint now) {
   Role = MemberRole::Leader;
   // NOTE: a late vote doesn't bring a lost lead back.
--- a/src/consensus/ConsensusNode.h
+++ b/src/consensus/ConsensusNode.h
@@ -153,10 +153,13 @@
   /// The sender of \p trial, while members go in order.
   const wire::Member *findRival(TimePoint now,
                                 const wire::Message &trial) const;
-  bool goesBefore(const wire::Message &trial) const;
+  /// This member goes before the sender of \p trial: by a newer log, then by a
+  /// lower number.
+  bool precedes(const wire::Message &trial) const;
   /// Stands for election in place of the sender of \p trial, where the order
   /// has this member go first.
-  bool goBefore(TimePoint now, const wire::Message &trial);
+  bool standInstead(TimePoint now, const wire::Message &trial);
+  /// Drops the own trial for an earlier member, and holds back for OrderTime.
   void giveWay(TimePoint now, const wire::Message &trial);
   /// Members go in order again, without the one whose turn led nowhere, or
   /// after an election that did.
@@ -230,6 +233,7 @@
   std::uint64_t StoodIn = 0;
   /// Until then members that know of no leader go in order.
   TimePoint OrderUntil{};
+  /// Until then this member starts no trial: it gave way, or has voted.
   TimePoint HoldsBackUntil{};
   std::optional<MemberNumber> GaveWayTo;
   /// They had their turn since they connected, and nobody leads.
--- a/src/consensus/types/ConsensusOptions.h
+++ b/src/consensus/types/ConsensusOptions.h
@@ -22,8 +22,7 @@
   /// After a start, until a leader is heard, a trial vote follows the last one
   /// after a pause between these two, where no connection that came up brought
   /// one before: far enough apart for two round trips and a turn of the timers.
-  /// With up to 240 ms a group of which one member hears nobody led after 210
-  /// ms in 95 of 100 seeded schedules, with these after 140.
+  /// Longer pauses only delay a group of which one member hears nobody.
   Duration LeastFirstTrial = milliseconds(40);
   Duration MostFirstTrial = milliseconds(120);
   /// For so long after a connection to another voter came up, members that
@@ -37,9 +36,8 @@
   /// After a start, until a leader is heard, the least time from the first
   /// election to the next trial; a draw of up to as much again is added. After
   /// that it is ElectionTimeout: votes that weren't counted by then wait for
-  /// slow disks, and a next election would make them vain. When it only doubled
-  /// each time, groups on slow disks were without a leader for two seconds in 9
-  /// of 1,000 seeded schedules, with this in 3.
+  /// slow disks, and a next election would make them vain. A pause that
+  /// only doubles is too short for them.
   Duration FirstElectionTimeout = milliseconds(60);
   /// A voter that is silent for longer may be replaced by a caught-up spare.
   Duration ReplaceAfter = milliseconds(3000);
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -165,7 +165,7 @@
   const bool isFresh = Node.isFresh(now);
   IsNoticeDue |= isFresh && !IsFresh;
   IsFresh = isFresh;
-  if (!isFresh || std::exchange(WasFresh, true))
+  if (!isFresh || std::exchange(HasBeenFresh, true))
     return;
   Log.decision(absl::StrCat(
       "event=first_fresh after_ms=", toMilliseconds(now - Node.startedAt()),
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -179,7 +179,8 @@
   /// acknowledged.
   int syncReplicasOf(const std::string &service) const;
   void runEffects(TimePoint now);
-  /// Whether the applied state is what a majority stands behind.
+  /// Notes whether the applied state is what a majority stands behind; if it
+  /// has just become so, a notice is due.
   void reviewFreshness(TimePoint now);
   void apply(TimePoint now, const consensus::wire::Entry &entry);
   void learn(TimePoint now, const membership::InstanceRecord &record,
@@ -253,8 +254,8 @@
   TimePoint Now{};
   bool IsNoticeDue = false;
   bool IsFresh = false;
-  /// It has been since the start.
-  bool WasFresh = false;
+  /// It was fresh at least once since the start.
+  bool HasBeenFresh = false;
   bool WasLeader = false;
   bool IsRunning = false;
 };
--- a/src/node/EntryProgram.cpp
+++ b/src/node/EntryProgram.cpp
@@ -68,7 +68,7 @@
   page.set("instances_held_back",
            static_cast<double>(proxy.heldBackInstances()));
   page.set(
-      "held_back_organisations",
+      "organisations_held_back",
       static_cast<double>(proxy.heldBackOrganisations(observe::readClock())));
   setTraffic(Entry.traffic(), page);
 }
--- a/src/overload/ToldWaits.h
+++ b/src/overload/ToldWaits.h
@@ -43,12 +43,14 @@
   /// It has done so lately, and has told no wait since.
   bool isServing(TimePoint now, const InstanceId &instance,
                  const std::string &lender) const;
-  /// Nothing was ever borrowed.
-  bool isUnused() const { return Words.empty(); }
+  /// How long a word is believed at most.
+  Duration mostBelieved() const { return Options.MostBelieved; }
+  /// No lender that is still there has served a use or told a wait.
+  bool hasNoWord() const { return Words.empty(); }
   /// No lender has told a wait for the instance that still holds.
   bool isEmpty(TimePoint now, const InstanceId &instance) const;
-  /// One use may go to some lender in spite of what has been told; it is used
-  /// up by a true answer.
+  /// Whether one use may go to some lender in spite of what has been told;
+  /// after true, none may for ProbeInterval.
   bool takeProbe(TimePoint now, const InstanceId &instance);
   /// The lender has gone: one that comes back has another line.
   void forget(const InstanceId &instance, const std::string &lender);
--- a/src/peer/internal/ConnectSchedule.h
+++ b/src/peer/internal/ConnectSchedule.h
@@ -16,9 +16,9 @@
 public:
   /// A try that isn't answered by then is given up: tens of round trips within
   /// a region, also behind what fills a narrow link, yet well under the second
-  /// after which the system sends a lost opening packet again. Others start
-  /// beside it meanwhile: a VM that starts a moment before its peers lost the
-  /// packet of its first try, and it waits for neither of these times.
+  /// after which the system sends a lost opening packet again. Further
+  /// tries start beside it meanwhile, so a VM whose first packet was lost
+  /// needn't wait for this limit.
   static constexpr Duration HangLimit = milliseconds(200);
   /// From the start of one try to the next at the soonest; a port that nobody
   /// listens at refuses at once. VMs that start together find each other's
--- a/src/proxy/IProxyIo.h
+++ b/src/proxy/IProxyIo.h
@@ -93,8 +93,8 @@
   }
   /// A statement that was not run is on its way to another instance.
   virtual void retried(ReplyCode code) { (void)code; }
-  /// A statement was refused as not run for want of room: at once, or after it
-  /// had waited.
+  /// A statement was refused as not run: at once for want of room, or after it
+  /// had waited for room, a primary or its quota.
   virtual void refusedForRoom(bool isAtOnce) { (void)isAtOnce; }
   /// A use of another VM was refused as not run.
   virtual void lendRefused(LendingEnd reason) { (void)reason; }
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -10,7 +10,6 @@
 
 namespace stepledge::proxy {
 
-using control::ReadPolicy;
 using membership::InstanceState;
 
 namespace {
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -167,7 +167,7 @@
   bool isBadLender(TimePoint now, const InstanceId &instance,
                    const std::string &lender) const;
   /// Some lender isn't asked for the instance for now.
-  bool isRefusedLately(TimePoint now, const InstanceId &instance) const;
+  bool hasBadLender(TimePoint now, const InstanceId &instance) const;
   /// This VM has started a moment ago. If all VMs have lost their power
   /// together, the instances count the lost connections for some seconds more.
   bool isCautious(TimePoint now) const;
@@ -272,7 +272,9 @@
                 Duration expectedWait);
   /// What is known of the session's statement.
   overload::WaitFacts factsOf(TimePoint now, const ClientSession &session);
-  bool isReplaced(TimePoint now, const std::string &service);
+  /// No primary of the service is known, or the known one is silent, denies its
+  /// lead or leaves.
+  bool awaitsSuccessor(TimePoint now, const std::string &service);
   /// The instances that could run the session's statement.
   std::vector<InstanceId> targetsOf(TimePoint now,
                                     const ClientSession &session);
--- a/src/proxy/internal/Lender.cpp
+++ b/src/proxy/internal/Lender.cpp
@@ -299,6 +299,8 @@
     if (!connection || connection->Sent.empty())
       continue;
     use.IsToldSilent = true;
+    Log.decision(absl::StrCat("event=lend_silent borrower=", key.Ip, " use=",
+                              key.Use, " instance=", use.Instance.str()));
     Io.endBorrower(key, LendingEnd::Silent, {});
   }
 }
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -64,7 +64,7 @@
   return failed != bad->second.end() && failed->second > now;
 }
 
-bool Proxy::isRefusedLately(TimePoint now, const InstanceId &instance) const {
+bool Proxy::hasBadLender(TimePoint now, const InstanceId &instance) const {
   const auto bad = BadLenders.find(instance);
   return bad != BadLenders.end() &&
          std::any_of(bad->second.begin(), bad->second.end(),
@@ -220,9 +220,8 @@
                  const ClientSession *session) {
   auto lenders = lendersOf(now, record, organisation);
   // NOTE: with connections of its own to wait for, this VM needs one that is
-  // free now. Where eight statements asked for it side by side, six such VMs of
-  // 40 caused four refusals of five.
-  if (Pool.ownAt(record.Id) > 0 && isRefusedLately(now, record.Id))
+  // free now. Asking several lenders side by side would mostly bring refusals.
+  if (Pool.ownAt(record.Id) > 0 && hasBadLender(now, record.Id))
     std::erase_if(lenders, [&](const auto &it) {
       return !Pool.borrowedFrom(it, record.Id).empty();
     });
@@ -332,10 +331,11 @@
 std::optional<Duration> Proxy::toldTooLong(TimePoint now,
                                            const ClientSession &session) {
   std::optional<Duration> least;
-  if (Told.isUnused())
+  if (Told.hasNoWord())
     return least;
   // NOTE: the statement waits for a successor, not for room.
-  if (session.Current->PrimaryOnly && isReplaced(now, session.Route.Service))
+  if (session.Current->PrimaryOnly &&
+      awaitsSuccessor(now, session.Route.Service))
     return least;
   for (const auto &it : targetsOf(now, session)) {
     const auto *instance = tracker(session.Route.Service).find(it);
@@ -377,7 +377,7 @@
 
 void Proxy::refuseEarly(TimePoint now, ClientSession &session, Duration wait) {
   // NOTE: nobody knows whether there is room after more than that.
-  const Duration known = std::min(wait, overload::ToldOptions().MostBelieved);
+  const Duration known = std::min(wait, Told.mostBelieved());
   const Duration pause =
       overload::retryTime(known, session.Current->Statement.Id);
   Log.refusedForRoom(true);
@@ -438,6 +438,8 @@
   // NOTE: one that is no home lends all the same: its borrowers may know of a
   // loss that this VM hasn't heard of, or reach the instance only by it.
   const bool isGuest = usesHomes(service) && !isHomeOf(known->Record);
+  // NOTE: with organisations the homes need the room that is left after a loss
+  // of power.
   if (isGuest && Configuration.HasOrganisations && isCautious(now))
     return nullptr;
   const ConnectionShare share =
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -109,7 +109,7 @@
   session.WasAbortedAtRest = true;
 }
 
-bool Proxy::isReplaced(TimePoint now, const std::string &service) {
+bool Proxy::awaitsSuccessor(TimePoint now, const std::string &service) {
   auto &instances = tracker(service);
   const auto primary = instances.primary(now);
   const auto *instance = primary ? instances.find(*primary) : nullptr;
@@ -128,7 +128,7 @@
   facts.IsUnderWay = session.HasRunInTransaction &&
                      session.State == SessionState::InTransaction;
   facts.AwaitsPrimary =
-      work.PrimaryOnly && isReplaced(now, session.Route.Service);
+      work.PrimaryOnly && awaitsSuccessor(now, session.Route.Service);
   facts.IsShed = work.IsShed;
   // NOTE: without control nobody may tell this VM of a new primary, but others
   // may know it.
@@ -263,6 +263,7 @@
   if (work.Sendings >= MostSlowSendings ||
       !isMovable(session, *connection, *instance))
     return;
+  // NOTE: a late move spends of the budget too, but is never refused.
   const bool hasBudget = SecondTries.take();
   if (isEarly && !hasBudget)
     return;
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -21,7 +21,8 @@
   /// some five times the usual answer time.
   Duration ReadRetryAfter = milliseconds(180);
   /// The part of reads that may be sent a second time before that, so that
-  /// second tries can't fill the siblings.
+  /// second tries can't fill the siblings. Later ones count too, but aren't
+  /// refused.
   double SecondTryShare = 0.05;
   /// As many of them may come at once: a VM that asks little has some, and many
   /// VMs together fill nobody.
--- a/src/quota/IQuotaIo.h
+++ b/src/quota/IQuotaIo.h
@@ -22,7 +22,8 @@
   int Operations = 1;
   /// From the home of another hall, which has used its part up.
   bool IsFromOtherHall = false;
-  /// Of the route that the operations are for; 0 is the most urgent.
+  /// Of the route that asks; more urgent requests may use the operations too. 0
+  /// is the most urgent.
   int Priority = 0;
 };
 
--- a/src/quota/QuotaLedger.h
+++ b/src/quota/QuotaLedger.h
@@ -22,7 +22,7 @@
 #include "quota/IQuotaIo.h"
 #include "quota/PriorityUse.h"
 #include "quota/QuotaHomes.h"
-#include "quota/ReturnTimes.h"
+#include "quota/RetryTimes.h"
 #include "quota/TokenBucket.h"
 
 #include <deque>
@@ -102,7 +102,7 @@
     /// by others.
     PriorityUse HallDemand;
     PriorityUse FarDemand;
-    ReturnTimes Returns;
+    RetryTimes Returns;
   };
 
   bool isBad(TimePoint now, const std::string &ip) const;
--- a/src/quota/ReturnTimes.cpp
+++ b/src/quota/RetryTimes.cpp
@@ -1,7 +1,7 @@
 // Part of stepledge, under the Apache License v2.0. See LICENSE.
 // SPDX-License-Identifier: Apache-2.0
 
-#include "quota/ReturnTimes.h"
+#include "quota/RetryTimes.h"
 
 #include <algorithm>
 #include <chrono>
@@ -17,8 +17,8 @@
 
 } // namespace
 
-Duration ReturnTimes::next(TimePoint now, int priority, Duration least,
-                           double perSecond) {
+Duration RetryTimes::next(TimePoint now, int priority, Duration least,
+                          double perSecond) {
   const std::chrono::duration<double> most = MostRetry;
   const std::chrono::duration<double> gap(
       perSecond * most.count() > 1 ? 1 / perSecond : most.count());
--- a/src/quota/ReturnTimes.h
+++ b/src/quota/RetryTimes.h
@@ -4,8 +4,8 @@
 /// \file When callers that were refused should come back, so that they arrive
 /// no faster than there is room for them.
 
-#ifndef STEPLEDGE_QUOTA_RETURNTIMES_H
-#define STEPLEDGE_QUOTA_RETURNTIMES_H
+#ifndef STEPLEDGE_QUOTA_RETRYTIMES_H
+#define STEPLEDGE_QUOTA_RETRYTIMES_H
 
 #include "base/types/Time.h"
 
@@ -18,7 +18,7 @@
 constexpr Duration LeastRetry = milliseconds(20);
 constexpr Duration MostRetry = milliseconds(1000);
 
-class ReturnTimes {
+class RetryTimes {
 public:
   /// The pause for one more caller of \p priority: at least \p least, and
   /// behind those of the same or a more urgent priority that were told a time
@@ -33,4 +33,4 @@
 
 } // namespace stepledge::quota
 
-#endif // STEPLEDGE_QUOTA_RETURNTIMES_H
+#endif // STEPLEDGE_QUOTA_RETRYTIMES_H
--- a/src/quota/tests/ReturnTimesTest.cpp
+++ b/src/quota/tests/RetryTimesTest.cpp
@@ -3,7 +3,7 @@
 
 /// \file When many callers that are refused at once are told to come back.
 
-#include "quota/ReturnTimes.h"
+#include "quota/RetryTimes.h"
 
 #include <doctest/doctest.h>
 
@@ -18,8 +18,8 @@
 
 } // namespace
 
-TEST_CASE("ReturnTimes_CallersArriveAtTheRateOfTheRefill") {
-  ReturnTimes it;
+TEST_CASE("RetryTimes_CallersArriveAtTheRateOfTheRefill") {
+  RetryTimes it;
   Duration last{};
   for (int n = 0; n < 40; ++n) {
     const auto pause = it.next(Start, 0, milliseconds(30), 50);
@@ -29,16 +29,16 @@
   CHECK(last <= MostRetry);
 }
 
-TEST_CASE("ReturnTimes_TheMoreUrgentComeFirst") {
-  ReturnTimes it;
+TEST_CASE("RetryTimes_TheMoreUrgentComeFirst") {
+  RetryTimes it;
   for (int n = 0; n < 5; ++n)
     it.next(Start, 2, LeastRetry, 20);
   CHECK(it.next(Start, 0, LeastRetry, 20) == LeastRetry);
   CHECK(it.next(Start, 1, LeastRetry, 20) == LeastRetry + milliseconds(50));
 }
 
-TEST_CASE("ReturnTimes_TheRestIsSpreadOverTheLastHalfSecond") {
-  ReturnTimes it;
+TEST_CASE("RetryTimes_TheRestIsSpreadOverTheLastHalfSecond") {
+  RetryTimes it;
   std::set<Duration> pauses;
   for (int n = 0; n < 64; ++n) {
     const auto pause = it.next(Start, 0, MostRetry, 0);
@@ -49,8 +49,8 @@
   CHECK(pauses.size() >= 63);
 }
 
-TEST_CASE("ReturnTimes_NobodyBeforeMeansTheLeast") {
-  ReturnTimes it;
+TEST_CASE("RetryTimes_NobodyBeforeMeansTheLeast") {
+  RetryTimes it;
   CHECK(it.next(Start, 0, Duration{}, 1000) == LeastRetry);
   CHECK(it.next(Start + milliseconds(5000), 0, Duration{}, 1000) == LeastRetry);
 }
--- a/src/scheduling/FairShares.h
+++ b/src/scheduling/FairShares.h
@@ -18,15 +18,15 @@
 namespace stepledge::scheduling {
 
 struct ShareOptions {
-  /// Who has used nothing for so long starts like everybody else: longer than
-  /// the seconds that a flood lasts would hold its end against an organisation.
+  /// An organisation that has used nothing for this long starts like the
+  /// others: a longer memory would hold a flood against it that is over.
   Duration Memory = std::chrono::seconds(5);
   /// Where nobody has waited for so long, what is used is at nobody's expense.
   /// A VM looks at what waits every 10 to 40 ms.
   Duration IdleAfter = milliseconds(100);
   /// One in so many services goes to the one that has waited longest and can
-  /// still be answered in time, so that no kind of statement starves: a
-  /// twentieth of the room is what the others can spare.
+  /// still be answered in time, so that no kind of statement starves; the
+  /// others can spare that room.
   std::uint64_t FloorInterval = 20;
   /// So many statements may an average organisation be ahead of another whose
   /// statements are less urgent; one of another weight by its root, since what
