--- a/src/consensus/internal/Replication.cpp
+++ b/src/consensus/internal/Replication.cpp
@@ -73,6 +73,8 @@
     Leader = std::move(it);
   }
   Role = MemberRole::Follower;
+  // NOTE: a late vote of this term counts no more.
+  StoodIn = 0;
   LeaderContact = now;
   resetElectionTimer(now);
 }
--- a/src/entry/BorrowedConnections.cpp
+++ b/src/entry/BorrowedConnections.cpp
@@ -13,6 +13,13 @@
 
 namespace stepledge::entry {
 
+namespace {
+
+/// Whatever a lender of another version tells: no statement waits for longer.
+constexpr Duration LongestToldWait = std::chrono::seconds(10);
+
+} // namespace
+
 void BorrowedConnections::openConnection(
     ConnectionId connection, const proxy::ConnectionTarget &target) {
   if (!target.isBorrowed())
@@ -150,9 +157,9 @@
     return Proxy->lenderSilent(Now, id);
   // NOTE: a refusal's replies follow, and the proxy closes the connection.
   if (reason != proxy::LendingEnd::Lost)
-    return Proxy->lenderRefused(
-        Now, id, reason,
-        std::max(Duration{}, Duration(end.expected_wait_us())));
+    return Proxy->lenderRefused(Now, id, reason,
+                                std::clamp(Duration(end.expected_wait_us()),
+                                           Duration{}, LongestToldWait));
   if (Connections.erase(id) > 0)
     Proxy->connectionLost(Now, id);
 }
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -183,6 +183,8 @@
                const InstanceId &instance,
                const std::optional<OrganisationId> &organisation) override;
   bool reaches(const std::string &service, const InstanceId &instance) override;
+  bool isSilentSince(const std::string &service, const InstanceId &instance,
+                     TimePoint sentAt) override;
   bool expectsFree(const InstanceId &instance) override;
   int workingAt(const std::string &service,
                 const InstanceId &instance) override;
--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -34,8 +34,10 @@
     it->IsReady = true;
     it->LastUsed = now;
     auto *known = tracker(service).find(instance);
-    if (known && !it->isBorrowed())
+    if (known && !it->isBorrowed()) {
       known->IsDirectBad = false;
+      known->LastDirectAnswerAt = now;
+    }
     // NOTE: a borrowed connection is ready once its lender is reached; the
     // instance has said nothing yet.
     if (!it->isBorrowed()) {
@@ -79,8 +81,10 @@
   // NOTE: a lender that refuses answers by itself.
   const bool isFromInstance = !it->IsRefused;
   if (auto *instance = instances.find(it->Instance)) {
-    if (!it->isBorrowed())
+    if (!it->isBorrowed()) {
       instance->IsDirectBad = false;
+      instance->LastDirectAnswerAt = now;
+    }
     if (sent.Reason == Purpose::Statement)
       instance->Statements = std::max(0, instance->Statements - 1);
     if (isFromInstance) {
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -55,6 +55,9 @@
 }
 
 bool Proxy::awaitsProof(TimePoint now, const ClientSession &session) {
+  // NOTE: where hardly any age is allowed, no position is ever new enough.
+  if (session.Route.MaxStaleness < Options.StalenessMargin + Options.ProofWait)
+    return false;
   const auto primary = tracker(session.Route.Service).primary(now);
   const auto since = primary ? Pool.provingSince(*primary) : std::nullopt;
   return since && now - *since < Options.ProofWait;
--- a/src/proxy/internal/InstanceTracker.h
+++ b/src/proxy/internal/InstanceTracker.h
@@ -64,12 +64,19 @@
   /// Since when nothing came back although something was asked.
   std::optional<TimePoint> SilentSince;
   TimePoint LastAnswerAt{};
+  /// The same on connections of this VM's own.
+  TimePoint LastDirectAnswerAt{};
   /// When the newest of the statements that it has answered on own connections
   /// was sent.
   TimePoint NewestAnsweredSentAt{};
   /// It didn't answer on its direct connections, and has not done so since.
   bool IsDirectBad = false;
   TimePoint DirectProbedAt{};
+  /// Nothing has come back on own connections since \p sentAt, and the path
+  /// counts as lost: one opening that failed says nothing of the others.
+  bool isSilentSince(TimePoint sentAt) const {
+    return IsDirectBad && LastDirectAnswerAt <= sentAt;
+  }
   /// It has answered statements sent well after \p sentAt: the connection that
   /// this one was sent on may be silent for good.
   bool hasAnsweredLater(TimePoint sentAt) const {
--- a/src/proxy/internal/Lender.cpp
+++ b/src/proxy/internal/Lender.cpp
@@ -64,6 +64,9 @@
   if (!Pool.reaches(service, instance))
     return refuse(now, key, LendingEnd::Unreachable);
   auto &queue = Queues[instance];
+  // NOTE: a use that has ended here may come again under its number.
+  std::erase_if(queue,
+                [&](const auto &it) { return it == key || !isWaiting(it); });
   if (queue.size() >= Options.QueueLength)
     return refuse(now, key, LendingEnd::Full);
   queue.push_back(key);
@@ -290,14 +293,17 @@
   return text;
 }
 
-void Lender::tellSilence() {
+void Lender::tellSilence(TimePoint now) {
   for (auto &[key, use] : Uses) {
-    if (!use.Bound || use.IsToldSilent ||
-        Pool.reaches(use.Service, use.Instance))
+    if (!use.Bound || use.IsToldSilent)
       continue;
     const auto *connection = Pool.connection(*use.Bound);
     if (!connection || connection->Sent.empty())
       continue;
+    const TimePoint sentAt = connection->Sent.front().SentAt;
+    if (now - sentAt < Options.SilentAfter ||
+        !Pool.isSilentSince(use.Service, use.Instance, sentAt))
+      continue;
     use.IsToldSilent = true;
     Log.decision(absl::StrCat("event=lend_silent borrower=", key.Ip, " use=",
                               key.Use, " instance=", use.Instance.str()));
@@ -331,7 +337,7 @@
 }
 
 void Lender::tick(TimePoint now) {
-  tellSilence();
+  tellSilence(now);
   std::vector<std::pair<BorrowKey, LendingEnd>> refused;
   std::vector<std::pair<std::string, InstanceId>> waiting;
   for (const auto &[instance, queue] : Queues) {
--- a/src/proxy/internal/Lender.h
+++ b/src/proxy/internal/Lender.h
@@ -43,6 +43,9 @@
   /// This VM has a path to the instance, as far as it knows.
   virtual bool reaches(const std::string &service,
                        const InstanceId &instance) = 0;
+  /// Nothing has come back from the instance since \p sentAt.
+  virtual bool isSilentSince(const std::string &service,
+                             const InstanceId &instance, TimePoint sentAt) = 0;
   /// A connection to the instance should be free in a moment: one is being
   /// opened, or is at work now.
   virtual bool expectsFree(const InstanceId &instance) = 0;
@@ -65,6 +68,9 @@
   /// about the tightest latency objective. Where the length of the line doesn't
   /// tell when there is room, borrowers are asked to stay away as long.
   Duration QueueLimit = milliseconds(150);
+  /// Commands without an answer for this long are owed by a silent instance, if
+  /// nothing else has come from it since: some answer times.
+  Duration SilentAfter = milliseconds(250);
   /// The most uses that wait for one instance.
   std::size_t QueueLength = 64;
 };
@@ -130,7 +136,7 @@
   void bind(TimePoint now, const BorrowKey &key,
             InstanceConnection &connection);
   /// Tells the borrowers that wait for an instance which has fallen silent.
-  void tellSilence();
+  void tellSilence(TimePoint now);
   void refuse(TimePoint now, const BorrowKey &key, LendingEnd reason);
 
   static overload::Urgency urgencyOf(TimePoint now, const Use &use);
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -311,9 +311,9 @@
   // NOTE: the lender has weighed what is of use to the statement; what was left
   // of it then is a little more than now.
   Told.note(now, instance, lender, {false, facts.Priority},
-            std::max(expectedWait, Patience.onTime(facts, age)));
+            std::max(expectedWait, Patience.onTime(facts, age) + Duration(1)));
   Told.note(now, instance, lender, {true, facts.Priority},
-            std::max(expectedWait, Patience.late(facts, age)));
+            std::max(expectedWait, Patience.late(facts, age) + Duration(1)));
 }
 
 std::vector<InstanceId> Proxy::targetsOf(TimePoint now,
@@ -415,7 +415,9 @@
     return connectionLost(now, connection);
   }
   const bool isUnsent = work.Stage == WorkStage::Beginning;
-  if (!isUnsent && work.Mode == AccessMode::Write)
+  const bool mayMove =
+      work.Mode == AccessMode::Read && work.Sendings < Options.MostSlowSendings;
+  if (!isUnsent && !mayMove)
     return;
   if (isOpen && owner->Pinned)
     releasePinned(now, *owner);
@@ -466,6 +468,12 @@
   return std::max(1, known ? std::min(n, known->Running.limit()) : n);
 }
 
+bool Proxy::isSilentSince(const std::string &service,
+                          const InstanceId &instance, TimePoint sentAt) {
+  const auto *known = tracker(service).find(instance);
+  return known && known->isSilentSince(sentAt);
+}
+
 bool Proxy::reaches(const std::string &service, const InstanceId &instance) {
   const auto *known = tracker(service).find(instance);
   return known && !known->IsDirectBad;
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -17,10 +17,6 @@
 /// A question unanswered for this long counts as silence: above the time that
 /// a full queue of an instance takes.
 constexpr Duration SilenceLimit = milliseconds(300);
-/// A statement that gets no answer is sent this often in all: two waits of
-/// ReadRetryAfter are a good part of the latency objectives, which are some 150
-/// to 600 ms.
-constexpr int MostSlowSendings = 2;
 /// A read at an instance that is much slower than its siblings is moved after
 /// this many times its usual time: its answer there would take longer than
 /// waiting so long and asking a sibling.
@@ -197,8 +193,8 @@
   const Duration limit =
       std::max(Options.SilentTransactionLimit,
                Options.SilentTransactionFactor * instance.ServiceTime);
-  const bool isSilent =
-      instance.hasAnsweredLater(work.SentAt) || instance.IsDirectBad;
+  const bool isSilent = instance.hasAnsweredLater(work.SentAt) ||
+                        instance.isSilentSince(work.SentAt);
   if (isCommit || connection.isBorrowed() || !isSilent ||
       now - work.SentAt < limit)
     return;
@@ -260,7 +256,7 @@
     return;
   if (isOpen && session.HasRunInTransaction)
     return abortSilentTransaction(now, session, *connection, *instance);
-  if (work.Sendings >= MostSlowSendings ||
+  if (work.Sendings >= Options.MostSlowSendings ||
       !isMovable(session, *connection, *instance))
     return;
   // NOTE: a late move spends of the budget too, but is never refused.
--- a/src/proxy/tests/LenderTest.cpp
+++ b/src/proxy/tests/LenderTest.cpp
@@ -34,6 +34,13 @@
     (void)instance;
     return IsReached;
   }
+  bool isSilentSince(const std::string &service, const InstanceId &instance,
+                     TimePoint sentAt) override {
+    (void)service;
+    (void)instance;
+    (void)sentAt;
+    return !IsReached;
+  }
   bool expectsFree(const InstanceId &instance) override {
     (void)instance;
     return IsExpected;
@@ -177,6 +184,9 @@
   CHECK(it.Io.Ended.empty());
   it.ask(1, false, "a");
   it.Lending.tick(it.Now);
+  CHECK(it.Io.Ended.empty());
+  it.Now += LenderOptions().SilentAfter;
+  it.Lending.tick(it.Now);
   CHECK(it.Io.Ended[{"10.0.0.9", 1}] == LendingEnd::Silent);
   // The answer may come all the same, and the borrower decides.
   const auto answers = it.Io.Lent[{"10.0.0.9", 1}].size();
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -20,9 +20,13 @@
   /// A read that got no answer for this long is sent to another instance:
   /// some five times the usual answer time.
   Duration ReadRetryAfter = milliseconds(180);
-  /// The part of reads that may be sent a second time before that, so that
-  /// second tries can't fill the siblings. Later ones count too, but aren't
-  /// refused.
+  /// A statement that gets no answer is sent this often in all: two waits of
+  /// ReadRetryAfter are a good part of the latency objectives, which are some
+  /// 150 to 600 ms.
+  int MostSlowSendings = 2;
+  /// The part of reads that may be sent a second time before
+  /// ReadRetryAfter, so that second tries can't fill the siblings. Later ones
+  /// count too, but aren't refused.
   double SecondTryShare = 0.05;
   /// As many of them may come at once: a VM that asks little has some, and many
   /// VMs together fill nobody.
