--- a/src/proxy/tests/ProxyBorrowingTest.cpp
+++ b/src/proxy/tests/ProxyBorrowingTest.cpp
@@ -68,21 +68,23 @@
   }
 }
 
+/// The VM's own connections to the primary.
+std::ptrdiff_t ownAtPrimary(const Fixture &it) {
+  return std::count_if(it.Io.Opened.begin(), it.Io.Opened.end(),
+                       [](const auto &target) {
+                         return target.second.Instance == InstanceId("p") &&
+                                !target.second.isBorrowed();
+                       });
+}
+
 } // namespace
 
 TEST_CASE("Proxy_VmThatIsNoHomeClosesAConnectionThatOnlyItsQuestionsUse") {
   Fixture it;
   it.warmUp();
-  const auto own = [&it] {
-    return std::count_if(it.Io.Opened.begin(), it.Io.Opened.end(),
-                         [](const auto &target) {
-                           return target.second.Instance == InstanceId("p") &&
-                                  !target.second.isBorrowed();
-                         });
-  };
-  REQUIRE(own() > 0);
+  REQUIRE(ownAtPrimary(it) > 0);
   shareWithSixVms(it);
-  CHECK(own() == 0);
+  CHECK(ownAtPrimary(it) == 0);
 }
 
 TEST_CASE("Proxy_HomesLeaveRoomAtTheInstance") {
@@ -135,13 +137,6 @@
     entries.push_back({"10.9.9." + std::to_string(i), HallId("b")});
   it.Core.setEntries(entries);
   it.advance(milliseconds(3500));
-  const auto own = [&it] {
-    return std::count_if(it.Io.Opened.begin(), it.Io.Opened.end(),
-                         [](const auto &target) {
-                           return target.second.Instance == InstanceId("p") &&
-                                  !target.second.isBorrowed();
-                         });
-  };
   const auto begin = [&it](int i) {
     const auto client = it.connect("current");
     const std::string text = "WRITE x " + std::to_string(i);
@@ -157,13 +152,13 @@
   };
   for (int i = 0; i < 4; ++i)
     begin(i);
-  REQUIRE(own() == 4);
+  REQUIRE(ownAtPrimary(it) == 4);
   it.advance(milliseconds(800));
   for (int i = 4; i < 12; ++i)
     begin(i);
   // Seven is what six homes and seven guests may have of 49 usable ones.
-  CHECK(own() > 4);
-  CHECK(own() <= 7);
+  CHECK(ownAtPrimary(it) > 4);
+  CHECK(ownAtPrimary(it) <= 7);
 }
 
 TEST_CASE("Proxy_HomeUsesTheRoomThatIsLeftRightAfterAStart") {
@@ -178,13 +173,6 @@
     entries.push_back({"10.9.9." + std::to_string(i), HallId("b")});
   it.Core.setEntries(entries);
   it.advance(milliseconds(10));
-  const auto own = [&it] {
-    return std::count_if(it.Io.Opened.begin(), it.Io.Opened.end(),
-                         [](const auto &target) {
-                           return target.second.Instance == InstanceId("p") &&
-                                  !target.second.isBorrowed();
-                         });
-  };
   // Clients come back with transactions and rest inside them.
   for (int i = 0; i < 6; ++i) {
     const auto client = it.connect("current");
@@ -200,7 +188,7 @@
                 Fixture::replyAt(markOf(3, 100), SessionState::InTransaction));
   }
   // The instance counts 28 lost connections still: 18 are left for six homes.
-  CHECK(own() == 3);
+  CHECK(ownAtPrimary(it) == 3);
 }
 
 TEST_CASE("Proxy_StatementGoesToAConnectedLenderWithoutATick") {
