A home whose connections are between two statements tells no invented wait

Evidence: event=lend_refused now tells what the home has at the instance.

Cause, two faults of one idea, that a connection in a transaction never comes free: - Lender::refuse told at least QueueLimit where none was at work, though nobody had measured a wait; borrowers took it for one and, after three such, refused. - The expected wait divided the time that a use holds a connection, its rests counted, by the connections that don't rest: 1,227 ms with three connections held for 40 ms.

--- a/src/entry/tests/RefusingEarlyTest.cpp
+++ b/src/entry/tests/RefusingEarlyTest.cpp
@@ -64,6 +64,26 @@
   CHECK(it.Other == 0);
 }
 
+// Clients between two statements of their transactions hold the few connections
+// of a fleet at rest; a home that took that for a full line refused the others.
+TEST_CASE("RefusingEarly_FleetAtRestServesBesideShortTransactions") {
+  constexpr FleetSize FewConnections{20, 20};
+  constexpr double Transactions = 0.5;
+  constexpr double Load = 0.2;
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    CAPTURE(seed);
+    TightFleet it(seed, FewConnections, Transactions);
+    it.run(Settling, Load);
+    it.run(Measured, Load);
+    const auto served = it.all();
+    INFO("asked ", served.Asked, ", in time ", served.OnTime, ", refused ",
+         served.Refused, ", at once ", served.RefusedAtOnce);
+    CHECK(served.RefusedAtOnce == 0);
+    CHECK(served.OnTime >= 0.98 * served.Asked);
+    CHECK(served.Other == 0);
+  }
+}
+
 TEST_CASE("RefusingEarly_ToldWaitsSpareTheLenders") {
   // The other way: each lender refuses by its own expected wait alone, and
   // borrowers hear no more than that it has no room, as from older VMs.
--- a/src/overload/LineLoad.h
+++ b/src/overload/LineLoad.h
@@ -18,9 +18,9 @@
   /// Weight of a new sample in the smoothed time that a connection is held:
   /// some tens of uses, so that a few long ones don't look like an overload.
   double HeldWeight = 0.05;
-  /// A use counts at most so many times as long as usual: one that rests in a
-  /// transaction holds a connection for a hundred times the work it does, and
-  /// the connection isn't counted as working then.
+  /// A use counts at most so many times as long as usual: a transaction may
+  /// rest a hundred times as long, and its connection isn't counted among the
+  /// others meanwhile.
   int MostHeldFactor = 4;
   /// The time over which it is counted who begins: about an objective, so that
   /// a burst shows before those who wait behind it are late.
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -185,9 +185,11 @@
   bool reaches(const std::string &service, const InstanceId &instance) override;
   bool isSilentSince(const std::string &service, const InstanceId &instance,
                      TimePoint sentAt) override;
-  bool expectsFree(const InstanceId &instance) override;
-  int workingAt(const std::string &service,
+  bool expectsFree(TimePoint now, const InstanceId &instance) override;
+  int workingAt(TimePoint now, const std::string &service,
                 const InstanceId &instance) override;
+  LendingRoom roomAt(TimePoint now, const std::string &service,
+                     const InstanceId &instance) override;
   InstanceConnection *connection(ConnectionId id) override {
     return Pool.find(id);
   }
--- a/src/proxy/internal/ConnectionPool.cpp
+++ b/src/proxy/internal/ConnectionPool.cpp
@@ -219,8 +219,20 @@
 }
 
 bool ConnectionPool::isFull(TimePoint now, const InstanceId &instance) const {
+  return pauseLeft(now, instance) > Duration{};
+}
+
+Duration ConnectionPool::pauseLeft(TimePoint now,
+                                   const InstanceId &instance) const {
   const auto refused = RefusedUntil.find(instance);
-  return refused != RefusedUntil.end() && refused->second > now;
+  return refused == RefusedUntil.end()
+             ? Duration{}
+             : std::max(Duration{}, refused->second - now);
+}
+
+int ConnectionPool::openingAt(const InstanceId &instance) const {
+  return countIf(
+      instance, [](const auto &it) { return !it.IsReady && !it.isBorrowed(); });
 }
 
 int ConnectionPool::pinnedAt(const InstanceId &instance,
--- a/src/proxy/internal/ConnectionPool.h
+++ b/src/proxy/internal/ConnectionPool.h
@@ -79,6 +79,10 @@
   std::optional<TimePoint> ownSince(const InstanceId &instance) const;
   /// The instance lately had no room for a new connection.
   bool isFull(TimePoint now, const InstanceId &instance) const;
+  /// How long no new connection may be opened, since the instance had no room.
+  Duration pauseLeft(TimePoint now, const InstanceId &instance) const;
+  /// Own connections that the instance hasn't accepted yet.
+  int openingAt(const InstanceId &instance) const;
   /// Connections that open transactions of \p organisation hold.
   int pinnedAt(const InstanceId &instance,
                const OrganisationId &organisation) const;
--- a/src/proxy/internal/Lender.cpp
+++ b/src/proxy/internal/Lender.cpp
@@ -93,14 +93,14 @@
       ahead +=
           it != key && isWaiting(it) && urgencyOf(now, Uses.at(it)) <= urgency;
   return Loads[instance].wait(now, urgency, ahead,
-                              Pool.workingAt(use.Service, instance));
+                              Pool.workingAt(now, use.Service, instance));
 }
 
 void Lender::refuseIfHopeless(TimePoint now, const BorrowKey &key) {
   auto &use = Uses.at(key);
   auto &needs = use.Waiting->Needs;
   // NOTE: a client may rest inside its transaction for seconds.
-  if (needs.NeedsFreeNow || !Pool.expectsFree(use.Instance))
+  if (needs.NeedsFreeNow || !Pool.expectsFree(now, use.Instance))
     return refuse(now, key, LendingEnd::Full);
   // NOTE: where it isn't known how long the wait is, another home may be asked
   // soon.
@@ -148,20 +148,12 @@
   if (!isWaiting(key))
     return;
   Duration wait{};
-  if (reason == LendingEnd::Full) {
-    const auto &use = Uses.at(key);
-    wait = expectedWait(now, key, urgencyOf(now, use).IsLate);
-    const bool isByLength =
-        Queues[use.Instance].size() >= Options.QueueLength ||
-        !Pool.expectsFree(use.Instance);
-    if (isByLength && wait > Duration{})
-      wait = std::max(wait, Options.QueueLimit);
-  }
+  // NOTE: where all connections rest in transactions, nobody knows the wait.
+  const auto &waiting = Uses.at(key);
+  if (reason == LendingEnd::Full && Pool.expectsFree(now, waiting.Instance))
+    wait = expectedWait(now, key, urgencyOf(now, waiting).IsLate);
   const auto use = Uses.extract(key);
-  Log.decision(absl::StrCat("event=lend_refused borrower=", key.Ip, " use=",
-                            key.Use, " instance=", use.mapped().Instance.str(),
-                            " reason=", std::string(nameOf(reason)),
-                            " expected_wait_ms=", toMilliseconds(wait)));
+  logRefusal(now, key, use.mapped(), reason, wait);
   Log.lendRefused(reason);
   // Nothing was sent, so each command is told as not run.
   StatementReply reply;
@@ -174,6 +166,22 @@
                     std::vector(use.mapped().Waiting->Commands.size(), reply));
 }
 
+void Lender::logRefusal(TimePoint now, const BorrowKey &key, const Use &use,
+                        LendingEnd reason, Duration wait) {
+  const auto room = Pool.roomAt(now, use.Service, use.Instance);
+  const auto queue = Queues.find(use.Instance);
+  Log.decision(absl::StrCat(
+      "event=lend_refused borrower=", key.Ip, " use=", key.Use,
+      " instance=", use.Instance.str(), " reason=", std::string(nameOf(reason)),
+      " waited_ms=", toMilliseconds(now - use.ArrivedAt),
+      " expected_wait_ms=", toMilliseconds(wait),
+      " held_ms=", toMilliseconds(Loads[use.Instance].held()),
+      " line=", queue == Queues.end() ? 0 : queue->second.size(),
+      " own=", room.Own, " opening=", room.Opening, " working=", room.Working,
+      " resting=", room.Resting, " share=", room.Share, " running_limit=",
+      room.Running, " pause_ms=", toMilliseconds(room.PauseLeft)));
+}
+
 void Lender::end(TimePoint now, const BorrowKey &key) {
   const auto use = Uses.extract(key);
   if (use.empty() || !use.mapped().Bound)
@@ -321,7 +329,7 @@
   if (waiting.empty())
     return keys;
   const std::string &service = Uses.at(waiting.front()).Service;
-  const int connections = Pool.workingAt(service, instance);
+  const int connections = Pool.workingAt(now, service, instance);
   int ahead = 0;
   for (const auto &key : waitingInOrder(now, {service, instance}, waiting)) {
     const auto &use = Uses.at(key);
--- a/src/proxy/internal/Lender.h
+++ b/src/proxy/internal/Lender.h
@@ -29,6 +29,23 @@
   Purpose Reason = Purpose::Setup;
 };
 
+/// What a VM has at an instance to lend, as it is now.
+struct LendingRoom {
+  /// Connections of this VM's own, those that are being opened among them.
+  int Own = 0;
+  int Opening = 0;
+  /// The instance owes an answer on them.
+  int Working = 0;
+  /// Held by open transactions, between two statements.
+  int Resting = 0;
+  /// How many of its own this VM may have.
+  int Share = 0;
+  /// How many should be at work at once.
+  int Running = 0;
+  /// No new one is opened before, since the instance had no room.
+  Duration PauseLeft{};
+};
+
 /// The connections that can be lent.
 class ILendablePool {
 public:
@@ -46,13 +63,15 @@
   /// Nothing has come back from the instance since \p sentAt.
   virtual bool isSilentSince(const std::string &service,
                              const InstanceId &instance, TimePoint sentAt) = 0;
-  /// A connection to the instance should be free in a moment: one is being
-  /// opened, or is at work now.
-  virtual bool expectsFree(const InstanceId &instance) = 0;
-  /// How many connections to the instance this VM has or opens that don't rest
-  /// in a transaction; at least one.
-  virtual int workingAt(const std::string &service,
+  /// A connection of this VM's own should be free in a moment: one is being
+  /// opened, or has served a use or transaction lately.
+  virtual bool expectsFree(TimePoint now, const InstanceId &instance) = 0;
+  /// How many connections to the instance this VM has or opens, without those
+  /// whose transactions have rested for long; at least one.
+  virtual int workingAt(TimePoint now, const std::string &service,
                         const InstanceId &instance) = 0;
+  virtual LendingRoom roomAt(TimePoint now, const std::string &service,
+                             const InstanceId &instance) = 0;
   virtual InstanceConnection *connection(ConnectionId id) = 0;
   virtual void transmitLent(TimePoint now, InstanceConnection &connection,
                             const std::vector<OutgoingCommand> &batch) = 0;
@@ -65,8 +84,7 @@
 struct LenderOptions {
   /// A use without an objective that gets no connection within this time is
   /// refused as not run, so that its borrower can ask another home in time:
-  /// about the tightest latency objective. Where the length of the line doesn't
-  /// tell when there is room, borrowers are asked to stay away as long.
+  /// about the tightest latency objective.
   Duration QueueLimit = milliseconds(150);
   /// Commands without an answer for this long are owed by a silent instance, if
   /// nothing else has come from it since: some answer times.
@@ -138,6 +156,8 @@
   /// Tells the borrowers that wait for an instance which has fallen silent.
   void tellSilence(TimePoint now);
   void refuse(TimePoint now, const BorrowKey &key, LendingEnd reason);
+  void logRefusal(TimePoint now, const BorrowKey &key, const Use &use,
+                  LendingEnd reason, Duration wait);
 
   static overload::Urgency urgencyOf(TimePoint now, const Use &use);
   /// How long the use would wait in its place, or as one that is late.
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -453,21 +453,36 @@
   return nullptr;
 }
 
-bool Proxy::expectsFree(const InstanceId &instance) {
-  return Pool.isOpening(instance) || Pool.busyAt(instance) > 0;
+bool Proxy::expectsFree(TimePoint now, const InstanceId &instance) {
+  // NOTE: a client at work is back in its transaction within some statement
+  // times, and ends it.
+  return Pool.ownAt(instance) >
+         Pool.restingAt(instance, now - Options.RestTime);
 }
 
-int Proxy::workingAt(const std::string &service, const InstanceId &instance) {
-  int n = 0;
-  for (const auto id : Pool.idsOf(instance)) {
-    const auto &it = *Pool.find(id);
-    const bool isResting = it.IsReady && it.Sent.empty() && !it.isFree();
-    n += !it.isBorrowed() && !isResting;
-  }
+int Proxy::workingAt(TimePoint now, const std::string &service,
+                     const InstanceId &instance) {
+  const int n =
+      Pool.ownAt(instance) - Pool.restingAt(instance, now - Options.RestTime);
   const auto *known = tracker(service).find(instance);
   return std::max(1, known ? std::min(n, known->Running.limit()) : n);
 }
 
+LendingRoom Proxy::roomAt(TimePoint now, const std::string &service,
+                          const InstanceId &instance) {
+  LendingRoom room;
+  room.Own = Pool.ownAt(instance);
+  room.Opening = Pool.openingAt(instance);
+  room.Working = Pool.busyAt(instance);
+  room.Resting = Pool.restingAt(instance, now);
+  room.PauseLeft = Pool.pauseLeft(now, instance);
+  if (const auto *known = tracker(service).find(instance)) {
+    room.Share = shareOf(now, known->Record).Limit;
+    room.Running = known->Running.limit();
+  }
+  return room;
+}
+
 bool Proxy::isSilentSince(const std::string &service,
                           const InstanceId &instance, TimePoint sentAt) {
   const auto *known = tracker(service).find(instance);
--- a/src/proxy/tests/LenderTest.cpp
+++ b/src/proxy/tests/LenderTest.cpp
@@ -41,16 +41,27 @@
     (void)sentAt;
     return !IsReached;
   }
-  bool expectsFree(const InstanceId &instance) override {
+  bool expectsFree(TimePoint now, const InstanceId &instance) override {
+    (void)now;
     (void)instance;
     return IsExpected;
   }
-  int workingAt(const std::string &service,
+  int workingAt(TimePoint now, const std::string &service,
                 const InstanceId &instance) override {
+    (void)now;
     (void)service;
     (void)instance;
     return Working;
   }
+  LendingRoom roomAt(TimePoint now, const std::string &service,
+                     const InstanceId &instance) override {
+    (void)now;
+    (void)service;
+    (void)instance;
+    LendingRoom room;
+    room.Own = HasConnection;
+    return room;
+  }
   InstanceConnection *connection(ConnectionId id) override {
     return id == Connection.Id ? &Connection : nullptr;
   }
@@ -248,6 +259,17 @@
   CHECK(it.Io.Ended[{"10.0.0.9", 2}] == LendingEnd::Full);
 }
 
+// A wait that nobody had measured was told, and borrowers refused their clients
+// by it.
+TEST_CASE("Lender_TellsNoWaitWhereAllConnectionsRestInTransactions") {
+  Fixture it;
+  it.learn();
+  it.Pool.IsExpected = false;
+  it.askFor(1, 1, milliseconds(250));
+  CHECK(it.Io.Ended[{"10.0.0.9", 1}] == LendingEnd::Full);
+  CHECK(it.Io.ToldWaits[{"10.0.0.9", 1}] == Duration{});
+}
+
 TEST_CASE("Lender_RefusesAtOnceABorrowerThatHasItsOwnToWaitFor") {
   Fixture it;
   it.Pool.HasConnection = false;
