A VM that asks a replica seldom loses few reads to it while it fails

Cause: how much a failure tells and how fast the share falls were fixed per answer. Such a VM gets one or two answers a second from an instance, needed two or more failures for it to stand out and one more for each halving of its share, and forgot it in between.

Change: a failure weighs one in (answers that still count + 1), a tenth at least; while an instance stands out by failures its share halves each 125 ms. Slowness as before: one long statement would empty an instance. Many reads a second: nothing but the last steps of the fall changes.

--- a/src/balancing/OutlierDetector.cpp
+++ b/src/balancing/OutlierDetector.cpp
@@ -33,7 +33,8 @@
   const auto age = static_cast<double>((now - sight.SampledAt).count());
   const double kept =
       std::exp2(-age / static_cast<double>(Options.HalfLife.count()));
-  return {1.0 + (sight.Slowness - 1.0) * kept, sight.FailureRate * kept};
+  return {1.0 + (sight.Slowness - 1.0) * kept, sight.FailureRate * kept,
+          sight.Fresh * kept};
 }
 
 OutlierDetector::Judged OutlierDetector::siblings(TimePoint now,
@@ -48,7 +49,7 @@
     failures.push_back(judged.FailureRate);
   }
   return {medianOf(std::move(slowness), 1.0),
-          medianOf(std::move(failures), 0.0)};
+          medianOf(std::move(failures), 0.0), 0.0};
 }
 
 bool OutlierDetector::standsOutBySlowness(TimePoint now, const InstanceId &id,
@@ -58,15 +59,36 @@
   return judge(now, sight).Slowness > factor * siblings(now, id).Slowness;
 }
 
+bool OutlierDetector::standsOutByFailures(TimePoint now, const InstanceId &id,
+                                          const Sight &sight,
+                                          bool isHeld) const {
+  const double more = isHeld ? Options.FailingUntil : Options.FailingFrom;
+  return judge(now, sight).FailureRate > siblings(now, id).FailureRate + more;
+}
+
 bool OutlierDetector::standsOut(TimePoint now, const InstanceId &id,
                                 const Sight &sight) const {
   if (Sights.size() < 2 || sight.Samples < Options.LeastSamples)
     return false;
   const bool isHeld = sight.Weight < 1.0;
-  const double more = isHeld ? Options.FailingUntil : Options.FailingFrom;
-  const bool isFailing =
-      judge(now, sight).FailureRate > siblings(now, id).FailureRate + more;
-  return isFailing || standsOutBySlowness(now, id, sight, isHeld);
+  return standsOutByFailures(now, id, sight, isHeld) ||
+         standsOutBySlowness(now, id, sight, isHeld);
+}
+
+double OutlierDetector::weightAfter(TimePoint now, Duration passed,
+                                    const InstanceId &id,
+                                    const Sight &sight) const {
+  const auto time = static_cast<double>(passed.count());
+  if (!standsOut(now, id, sight))
+    return std::min(1.0, sight.Weight + time / static_cast<double>(
+                                                   Options.ReturnTime.count()));
+  // NOTE: one that is slow loses its share by its answers alone, since a single
+  // long statement looks the same.
+  if (!standsOutByFailures(now, id, sight, true))
+    return sight.Weight;
+  const double left =
+      std::exp2(-time / static_cast<double>(Options.FailingHalfTime.count()));
+  return std::max(Options.LeastWeight, sight.Weight * left);
 }
 
 double OutlierDetector::weight(const InstanceId &id) const {
@@ -116,9 +138,11 @@
   // the time that work takes.
   const double slowWeight = failed ? 0.0 : Options.SlownessWeight;
   it.Slowness = judged.Slowness + (sample - judged.Slowness) * slowWeight;
-  it.FailureRate =
-      judged.FailureRate +
-      ((failed ? 1.0 : 0.0) - judged.FailureRate) * Options.FailureWeight;
+  const double failureWeight =
+      std::max(Options.FailureWeight, 1.0 / (1.0 + judged.Fresh));
+  it.FailureRate = judged.FailureRate +
+                   ((failed ? 1.0 : 0.0) - judged.FailureRate) * failureWeight;
+  it.Fresh = judged.Fresh + 1.0;
   it.SampledAt = now;
   it.Samples = std::min(it.Samples + 1, Options.LeastSamples);
   if (!standsOut(now, id, it))
@@ -141,10 +165,8 @@
 std::vector<OutlierChange> OutlierDetector::review(TimePoint now) {
   std::vector<OutlierChange> changes;
   for (auto &[id, it] : Sights) {
-    const double grown = static_cast<double>((now - ReviewedAt).count()) /
-                         static_cast<double>(Options.ReturnTime.count());
-    if (it.Weight < 1.0 && !standsOut(now, id, it))
-      it.Weight = std::min(1.0, it.Weight + grown);
+    if (it.Weight < 1.0)
+      it.Weight = weightAfter(now, now - ReviewedAt, id, it);
     const bool isHeldBack =
         it.Weight < HeldBelow || (it.IsTold && it.Weight < 1.0);
     if (isHeldBack == it.IsTold)
--- a/src/balancing/OutlierDetector.h
+++ b/src/balancing/OutlierDetector.h
@@ -35,7 +35,7 @@
   bool isSlow(TimePoint now, const InstanceId &id) const;
   /// How many have lost most of their reads and not got all of them back.
   int heldBack() const;
-  /// Gives shares back as time passes, and tells who is held back or has
+  /// Gives and takes shares as time passes, and tells who is held back or has
   /// returned since the last call.
   std::vector<OutlierChange> review(TimePoint now);
 
@@ -44,6 +44,8 @@
     double Slowness = 1.0;
     double FailureRate = 0.0;
     int Samples = 0;
+    /// Of all samples, those that still count, by their age.
+    double Fresh = 0.0;
     TimePoint SampledAt{};
     double Weight = 1.0;
     /// It was told as held back, and not as returned since.
@@ -53,6 +55,7 @@
   struct Judged {
     double Slowness = 1.0;
     double FailureRate = 0.0;
+    double Fresh = 0.0;
   };
 
   Judged judge(TimePoint now, const Sight &sight) const;
@@ -60,7 +63,12 @@
   Judged siblings(TimePoint now, const InstanceId &id) const;
   bool standsOutBySlowness(TimePoint now, const InstanceId &id,
                            const Sight &sight, bool isHeld) const;
+  bool standsOutByFailures(TimePoint now, const InstanceId &id,
+                           const Sight &sight, bool isHeld) const;
   bool standsOut(TimePoint now, const InstanceId &id, const Sight &sight) const;
+  /// The weight after some time without an answer.
+  double weightAfter(TimePoint now, Duration passed, const InstanceId &id,
+                     const Sight &sight) const;
   void note(TimePoint now, const InstanceId &id, double slowness, bool failed);
   /// Another one may be held back, now or in the place of one that no longer
   /// stands out.
--- a/src/balancing/tests/OutlierDetectorTest.cpp
+++ b/src/balancing/tests/OutlierDetectorTest.cpp
@@ -173,3 +173,32 @@
   detector.review(TimePoint(std::chrono::seconds(100)));
   CHECK(detector.weight(a) == 1.0);
 }
+
+// Where few reads are asked, those of some seconds ago outweighed a failure.
+TEST_CASE("OutlierDetector_FewAnswersTellOfAFailingInstance") {
+  Group it;
+  const auto askEach = [&it](Duration pause, int times) {
+    for (int i = 0; i < times; ++i) {
+      it.Detector.noteAnswer(it.Now, it.A, 1.0);
+      it.Detector.noteAnswer(it.Now, it.B, 1.0);
+      it.Detector.noteAnswer(it.Now, it.C, 1.0);
+      it.rest(pause);
+    }
+  };
+  askEach(milliseconds(700), 8);
+  it.Detector.noteFailure(it.Now, it.A);
+  CHECK(it.Detector.weight(it.A) < 1.0);
+  it.rest(milliseconds(1000));
+  CHECK(it.Detector.weight(it.A) < 0.05);
+  // Nothing more is heard of it, so it is tried again.
+  it.rest(milliseconds(9000));
+  CHECK(it.isWhole());
+}
+
+TEST_CASE("OutlierDetector_OneFailureOfManyReadsIsNoOutlier") {
+  Group it;
+  it.answer(milliseconds(2000), 1.0, 1.0, 1.0);
+  it.Detector.noteFailure(it.Now, it.A);
+  it.rest(milliseconds(1000));
+  CHECK(it.isWhole());
+}
--- a/src/balancing/types/OutlierOptions.h
+++ b/src/balancing/types/OutlierOptions.h
@@ -16,7 +16,9 @@
   /// Weight of a new sample in the smoothed slowness: some ten answers tell a
   /// slow instance from a long statement, within the objective of the next.
   double SlownessWeight = 0.2;
-  /// The same for failures, which are rarer and say yes or no only.
+  /// The same for failures, which are rarer and say yes or no only; more where
+  /// fewer answers of late count, so that a VM with some reads a second learns
+  /// from one or two failures.
   double FailureWeight = 0.1;
   /// A single answer counts as this many times the usual at most, so that one
   /// long statement doesn't make an instance slow.
@@ -43,6 +45,10 @@
   double LeastWeight = 0.025;
   /// A bad answer of an instance that stands out takes this part of its weight.
   double Backoff = 0.5;
+  /// The weight of one that stands out by failures also halves in this time
+  /// without any answer: a VM that asks it seldom has lost most of its failing
+  /// reads to it within half a second, as one that asks it often.
+  Duration FailingHalfTime = milliseconds(125);
   /// From no weight back to the whole one: each VM gives more by degrees, so
   /// that an instance that has just recovered isn't filled at once.
   Duration ReturnTime = milliseconds(3000);
--- a/src/proxy/tests/UnevenInstancesTest.cpp
+++ b/src/proxy/tests/UnevenInstancesTest.cpp
@@ -309,6 +309,32 @@
   CHECK(tries <= SecondTryShare);
 }
 
+// Such VMs forgot between two reads that the replica failed, and came back.
+TEST_CASE("UnevenInstances_ManyVmsKeepAwayWhileAReplicaFails") {
+  for (const std::uint64_t seed : {21, 22, 23}) {
+    UnevenGroup group(seed, 70);
+    group.play(Warm, Rate);
+    group.instance("r1").FailingShare = 0.4;
+    group.play(Notice, Rate);
+    group.forgetCounts();
+    const auto &tally = group.play(milliseconds(15000), Rate);
+    const double tries = secondTries(group, tally);
+    group.instance("r1").FailingShare = 0;
+    group.play(milliseconds(6000), Rate);
+    group.forgetCounts();
+    group.play(milliseconds(3000), Rate);
+    const int back = group.instance("r1").Reads;
+    const int sibling = group.instance("r2").Reads;
+    group.play(Rest, 0);
+    INFO("seed ", seed, " good ", tally.goodShare(), " twice ", tries, " back ",
+         back, " sibling ", sibling);
+    CHECK(tally.goodShare() >= GoodShare);
+    CHECK(tries <= SecondTryShare);
+    // It has its reads again, once it is well.
+    CHECK(back >= sibling / 2);
+  }
+}
+
 TEST_CASE("UnevenInstances_ManyVmsEachFindOutAFailingReplica") {
   // Four reads a second of each VM, so one or two at each instance.
   for (const std::uint64_t seed : {21, 22, 23}) {
