What a VM borrows doesn't count against what it lends

Cause: Proxy::findLendable held the statements that this VM has at other VMs, where they wait in lines, against the limit of what it has at the instance.

Change: only its own connections at work count. The other use of busyAt as a limit (isAtLimit, own clients of a home) stays: there a borrowed statement does take a slot that this VM asked for.

Test: Proxy_LendsItsOwnConnectionWhileItBorrows failed before (not sent at all).

--- a/src/proxy/internal/ConnectionPool.cpp
+++ b/src/proxy/internal/ConnectionPool.cpp
@@ -269,6 +269,12 @@
   return countIf(instance, [](const auto &it) { return !it.Sent.empty(); });
 }
 
+int ConnectionPool::ownBusyAt(const InstanceId &instance) const {
+  return countIf(instance, [](const auto &it) {
+    return !it.isBorrowed() && !it.Sent.empty();
+  });
+}
+
 std::vector<ConnectionId>
 ConnectionPool::borrowedFrom(const std::string &lender,
                              const InstanceId &instance) const {
--- a/src/proxy/internal/ConnectionPool.h
+++ b/src/proxy/internal/ConnectionPool.h
@@ -93,6 +93,8 @@
   std::optional<TimePoint> provingSince(const InstanceId &instance) const;
   /// Connections on which \p instance owes an answer.
   int busyAt(const InstanceId &instance) const;
+  /// The same without borrowed connections.
+  int ownBusyAt(const InstanceId &instance) const;
   /// The connections that \p lender lends.
   std::vector<ConnectionId> borrowedFrom(const std::string &lender,
                                          const InstanceId &instance) const;
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -431,7 +431,7 @@
                     const InstanceId &instance,
                     const std::optional<OrganisationId> &organisation) {
   auto *known = tracker(service).find(instance);
-  if (!known || Pool.busyAt(instance) >= known->Running.limit())
+  if (!known || Pool.ownBusyAt(instance) >= known->Running.limit())
     return nullptr;
   if (auto *it = Pool.findFreeDirect(instance, organisation)) {
     Pool.noteUse(now, *it);
@@ -473,7 +473,7 @@
   LendingRoom room;
   room.Own = Pool.ownAt(instance);
   room.Opening = Pool.openingAt(instance);
-  room.Working = Pool.busyAt(instance);
+  room.Working = Pool.ownBusyAt(instance);
   room.Resting = Pool.restingAt(instance, now);
   room.PauseLeft = Pool.pauseLeft(now, instance);
   if (const auto *known = tracker(service).find(instance)) {
--- a/src/proxy/tests/ProxyBorrowingTest.cpp
+++ b/src/proxy/tests/ProxyBorrowingTest.cpp
@@ -205,6 +205,35 @@
   CHECK(it.Io.Opened.at(*carrier).isBorrowed());
 }
 
+// Its statements at other VMs counted as its own work at the instance, and it
+// refused to lend a connection that was free.
+TEST_CASE("Proxy_LendsItsOwnConnectionWhileItBorrows") {
+  Fixture it;
+  it.warmUp();
+  borrowFromConnected(it);
+  for (int i = 0; i < MostRunning; ++i) {
+    const std::string text = "WRITE x " + std::to_string(i);
+    it.ask(it.connect("current"), StatementKind::Write, text.c_str());
+    const auto carrier = it.carrierOf(text);
+    REQUIRE(carrier);
+    REQUIRE(it.Io.Opened.at(*carrier).isBorrowed());
+  }
+  BorrowRequest request;
+  request.Service = "db";
+  request.Instance = InstanceId("p");
+  request.IsFirst = true;
+  request.Commands.emplace_back();
+  request.Commands.back().Kind = CommandKind::ClientText;
+  request.Commands.back().Id = "lent";
+  request.Commands.back().Text = "WRITE x lent";
+  it.Core.lender().ask(it.Now, {"10.9.9.6", 1}, request);
+  for (int i = 0; i < 5; ++i)
+    it.advance(milliseconds(10));
+  const auto carrier = it.carrierOf("WRITE x lent");
+  REQUIRE(carrier);
+  CHECK(!it.Io.Opened.at(*carrier).isBorrowed());
+}
+
 TEST_CASE("Proxy_LenderThatRefusesIsNotAskedAgainAtOnce") {
   Fixture it;
   shareWithSixVms(it);
