As a newcomer reads it: what a home has to lend, names and comments

workingAt is usableAt, since LendingRoom's Working means another thing; the log line of a refusal makes no entry for an instance that it only names. Behaviour as before: the proxy's, entry's, overload's and balancing's tests pass.

--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -186,8 +186,8 @@
   bool isSilentSince(const std::string &service, const InstanceId &instance,
                      TimePoint sentAt) override;
   bool expectsFree(TimePoint now, const InstanceId &instance) override;
-  int workingAt(TimePoint now, const std::string &service,
-                const InstanceId &instance) override;
+  int usableAt(TimePoint now, const std::string &service,
+               const InstanceId &instance) override;
   LendingRoom roomAt(TimePoint now, const std::string &service,
                      const InstanceId &instance) override;
   InstanceConnection *connection(ConnectionId id) override {
--- a/src/proxy/internal/Lender.cpp
+++ b/src/proxy/internal/Lender.cpp
@@ -93,7 +93,7 @@
       ahead +=
           it != key && isWaiting(it) && urgencyOf(now, Uses.at(it)) <= urgency;
   return Loads[instance].wait(now, urgency, ahead,
-                              Pool.workingAt(now, use.Service, instance));
+                              Pool.usableAt(now, use.Service, instance));
 }
 
 void Lender::refuseIfHopeless(TimePoint now, const BorrowKey &key) {
@@ -170,12 +170,13 @@
                         LendingEnd reason, Duration wait) {
   const auto room = Pool.roomAt(now, use.Service, use.Instance);
   const auto queue = Queues.find(use.Instance);
+  const auto load = Loads.find(use.Instance);
+  const Duration held = load == Loads.end() ? Duration{} : load->second.held();
   Log.decision(absl::StrCat(
       "event=lend_refused borrower=", key.Ip, " use=", key.Use,
       " instance=", use.Instance.str(), " reason=", std::string(nameOf(reason)),
-      " waited_ms=", toMilliseconds(now - use.ArrivedAt),
-      " expected_wait_ms=", toMilliseconds(wait),
-      " held_ms=", toMilliseconds(Loads[use.Instance].held()),
+      " waited_ms=", toMilliseconds(now - use.ArrivedAt), " expected_wait_ms=",
+      toMilliseconds(wait), " held_ms=", toMilliseconds(held),
       " line=", queue == Queues.end() ? 0 : queue->second.size(),
       " own=", room.Own, " opening=", room.Opening, " working=", room.Working,
       " resting=", room.Resting, " share=", room.Share, " running_limit=",
@@ -329,7 +330,7 @@
   if (waiting.empty())
     return keys;
   const std::string &service = Uses.at(waiting.front()).Service;
-  const int connections = Pool.workingAt(now, service, instance);
+  const int connections = Pool.usableAt(now, service, instance);
   int ahead = 0;
   for (const auto &key : waitingInOrder(now, {service, instance}, waiting)) {
     const auto &use = Uses.at(key);
--- a/src/proxy/internal/Lender.h
+++ b/src/proxy/internal/Lender.h
@@ -68,8 +68,9 @@
   virtual bool expectsFree(TimePoint now, const InstanceId &instance) = 0;
   /// How many connections to the instance this VM has or opens, without those
   /// whose transactions have rested for long; at least one.
-  virtual int workingAt(TimePoint now, const std::string &service,
-                        const InstanceId &instance) = 0;
+  virtual int usableAt(TimePoint now, const std::string &service,
+                       const InstanceId &instance) = 0;
+  /// For the log: nothing is decided by it.
   virtual LendingRoom roomAt(TimePoint now, const std::string &service,
                              const InstanceId &instance) = 0;
   virtual InstanceConnection *connection(ConnectionId id) = 0;
@@ -156,6 +157,7 @@
   /// Tells the borrowers that wait for an instance which has fallen silent.
   void tellSilence(TimePoint now);
   void refuse(TimePoint now, const BorrowKey &key, LendingEnd reason);
+  /// What led to the refusal, with what this VM has at the instance.
   void logRefusal(TimePoint now, const BorrowKey &key, const Use &use,
                   LendingEnd reason, Duration wait);
 
--- a/src/proxy/internal/Shares.cpp
+++ b/src/proxy/internal/Shares.cpp
@@ -460,8 +460,8 @@
          Pool.restingAt(instance, now - Options.RestTime);
 }
 
-int Proxy::workingAt(TimePoint now, const std::string &service,
-                     const InstanceId &instance) {
+int Proxy::usableAt(TimePoint now, const std::string &service,
+                    const InstanceId &instance) {
   const int n =
       Pool.ownAt(instance) - Pool.restingAt(instance, now - Options.RestTime);
   const auto *known = tracker(service).find(instance);
--- a/src/proxy/tests/LenderTest.cpp
+++ b/src/proxy/tests/LenderTest.cpp
@@ -46,8 +46,8 @@
     (void)instance;
     return IsExpected;
   }
-  int workingAt(TimePoint now, const std::string &service,
-                const InstanceId &instance) override {
+  int usableAt(TimePoint now, const std::string &service,
+               const InstanceId &instance) override {
     (void)now;
     (void)service;
     (void)instance;
