--- /dev/null
+++ b/src/proxy/internal/LendablePool.cpp
@@ -0,0 +1,86 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The part of Proxy that tells its lender what this VM has to lend.
+
+#include "proxy/Proxy.h"
+
+#include <algorithm>
+
+namespace stepledge::proxy {
+
+InstanceConnection *
+Proxy::findLendable(TimePoint now, const std::string &service,
+                    const InstanceId &instance,
+                    const std::optional<OrganisationId> &organisation) {
+  auto *known = tracker(service).find(instance);
+  if (!known || Pool.ownBusyAt(instance) >= known->Running.limit())
+    return nullptr;
+  if (auto *it = Pool.findFreeDirect(instance, organisation)) {
+    Pool.noteUse(now, *it);
+    return it;
+  }
+  // NOTE: one that is no home lends all the same: its borrowers may know of a
+  // loss that this VM hasn't heard of, or reach the instance only by it.
+  const bool isGuest = usesHomes(service) && !isHomeOf(known->Record);
+  // NOTE: with organisations the homes need the room that is left after a loss
+  // of power.
+  if (isGuest && Configuration.HasOrganisations && isCautious(now))
+    return nullptr;
+  const ConnectionShare share =
+      isGuest ? ConnectionShare{0, 1} : shareOf(now, known->Record);
+  const bool isOpening = organisation ? Pool.isOpening(instance, organisation)
+                                      : Pool.isOpening(instance);
+  if (!isOpening || Pool.countOf(instance) == 0)
+    Pool.openOne(now, known->Record, share, {}, organisation);
+  return nullptr;
+}
+
+bool Proxy::expectsFree(TimePoint now, const InstanceId &instance) {
+  // NOTE: a client at work is back in its transaction within some statement
+  // times, and ends it.
+  return Pool.ownAt(instance) >
+         Pool.restingAt(instance, now - Options.RestTime);
+}
+
+int Proxy::usableAt(TimePoint now, const std::string &service,
+                    const InstanceId &instance) {
+  const int n =
+      Pool.ownAt(instance) - Pool.restingAt(instance, now - Options.RestTime);
+  const auto *known = tracker(service).find(instance);
+  return std::max(1, known ? std::min(n, known->Running.limit()) : n);
+}
+
+LendingRoom Proxy::roomAt(TimePoint now, const std::string &service,
+                          const InstanceId &instance) {
+  LendingRoom room;
+  room.Own = Pool.ownAt(instance);
+  room.Opening = Pool.openingAt(instance);
+  room.Working = Pool.ownBusyAt(instance);
+  room.Resting = Pool.restingAt(instance, now);
+  room.PauseLeft = Pool.pauseLeft(now, instance);
+  if (const auto *known = tracker(service).find(instance)) {
+    room.Share = shareOf(now, known->Record).Limit;
+    room.Running = known->Running.limit();
+  }
+  return room;
+}
+
+bool Proxy::isSilentSince(const std::string &service,
+                          const InstanceId &instance, TimePoint sentAt) {
+  const auto *known = tracker(service).find(instance);
+  return known && known->isSilentSince(sentAt);
+}
+
+bool Proxy::reaches(const std::string &service, const InstanceId &instance) {
+  const auto *known = tracker(service).find(instance);
+  return known && !known->IsDirectBad;
+}
+
+void Proxy::abandonLent(TimePoint now, InstanceConnection &connection) {
+  connection.IsAbandoned = true;
+  if (connection.Sent.empty())
+    rollBack(now, connection);
+}
+
+} // namespace stepledge::proxy
