--- a/src/entry/tests/EntryTest.cpp
+++ b/src/entry/tests/EntryTest.cpp
@@ -4,121 +4,17 @@
 /// \file The stop of an entry VM, what it takes from control VMs, and how it
 /// finds out that it is cut off.
 
-#include "entry/EntryNode.h"
 #include "entry/StopPlan.h"
-
-#include "distribution/ChangeCodec.h"
-#include "proxy/tests/FakeIo.h"
-
-#include "quota/tests/NoQuota.h"
+#include "entry/tests/EntryFixture.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <string>
-#include <utility>
-#include <vector>
 
 using namespace stepledge;
 using namespace stepledge::entry;
-
-namespace {
-
-/// Keeps what is sent to control VMs.
-class SentToControl : public peer::IPeerSender {
-public:
-  bool send(const std::string &ip,
-            const peer::wire::Message &message) override {
-    Sent.emplace_back(ip, message);
-    if (message.has_configuration_request())
-      LastRequest = message.configuration_request();
-    return true;
-  }
-  void keepConnected(const std::set<std::string> &ips) override { Ips = ips; }
-
-  std::vector<std::pair<std::string, peer::wire::Message>> Sent;
-  std::set<std::string> Ips;
-  peer::wire::ConfigurationRequest LastRequest;
-};
-
-struct Fixture {
-  Fixture() : Core({}, Io, Io, Io, Quota), Node(options(), Core, Control, Io) {
-    Node.tick(Now);
-  }
-
-  static EntryOptions options() {
-    EntryOptions options;
-    options.Ip = "10.1.0.1";
-    options.SeedIps = {"10.0.0.1", "10.0.0.2"};
-    return options;
-  }
-
-  void notice(std::uint64_t version, bool isFresh) {
-    peer::wire::Message message;
-    message.mutable_notice()->set_configuration_version(version);
-    message.mutable_notice()->set_is_fresh(isFresh);
-    Node.peerSaid("10.0.0.1", message);
-  }
-
-  void giveWhole(std::uint64_t version) {
-    control::Configuration configuration;
-    configuration.Version = version;
-    configuration.Services["db"] = {"db", 23, 0};
-    giveChange(distribution::changeBetween({}, configuration));
-  }
-
-  void giveChange(const distribution::ConfigurationChange &change) {
-    const auto bytes = distribution::encodeChange(change);
-    peer::wire::Message message;
-    auto &part = *message.mutable_configuration_part();
-    part.set_fetch(Control.LastRequest.fetch());
-    part.set_total(bytes.size());
-    part.set_body(bytes);
-    Node.peerSaid("10.0.0.1", message);
-  }
-
-  bool hasAsked() {
-    bool asked = false;
-    for (const auto &[ip, message] : Control.Sent)
-      asked |= message.has_configuration_request();
-    Control.Sent.clear();
-    return asked;
-  }
-
-  void addPrimary() {
-    peer::wire::Message message;
-    auto &it = *message.mutable_instances()->add_instances();
-    it.set_id("p");
-    it.set_service("db");
-    it.set_address("10.2.0.1:1");
-    it.set_is_primary(true);
-    it.set_sequence(1);
-    Node.peerSaid("10.0.0.1", message);
-  }
-
-  void advance(Duration time) {
-    Now += time;
-    Node.tick(Now);
-  }
-
-  /// The sights that were told since the last call.
-  std::vector<peer::wire::PrimarySights> toldSights() {
-    std::vector<peer::wire::PrimarySights> told;
-    for (const auto &[ip, message] : std::exchange(Control.Sent, {}))
-      if (message.has_sights())
-        told.push_back(message.sights());
-    return told;
-  }
-
-  proxy::tests::FakeIo Io;
-  SentToControl Control;
-  TimePoint Now = TimePoint(std::chrono::seconds(5));
-  quota::tests::NoQuota Quota;
-  proxy::Proxy Core;
-  EntryNode Node;
-};
-
-} // namespace
+using Fixture = entry::tests::EntryFixture;
 
 TEST_CASE("StopPlan_GivesTransactionsHalfOfTheTime") {
   const TimePoint start(std::chrono::seconds(3));
