Tell which place ended a client's session, and what stayed without an answer

Neither logs nor metrics could say which of the places that end a client's connection did so: a cut-off VM, a stopping one, one without a configuration, a line too long, an answer that isn't read. A statement that came after the end was dropped without a word.

event=statement_unanswered and event=client_dropped name the reason; sessions_ended_total and statements_unanswered_total count by it. No decision changes.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -62,7 +62,7 @@
                               " silent_primaries=", silent));
   }
   if (IsolatedSince && Now - *IsolatedSince > Options.BalancerTime)
-    Proxy.closeIdleSessions(Now);
+    Proxy.closeIdleSessions(Now, proxy::SessionEnd::CutOff);
 }
 
 void EntryNode::tellSights(const std::vector<proxy::PrimarySight> &all) {
--- a/src/gateway/EntrySockets.cpp
+++ b/src/gateway/EntrySockets.cpp
@@ -12,6 +12,7 @@
 namespace stepledge::gateway {
 
 using proxy::ClientId;
+using proxy::SessionEnd;
 
 absl::Status EntrySockets::listen(const lines::HostPort &address,
                                   proxy::Proxy &proxy) {
@@ -87,8 +88,13 @@
   const auto it = Clients.find(id);
   if (it == Clients.end())
     return;
+  const auto end = it->second.Socket->end();
   it->second.Socket->close();
   Clients.erase(it);
+  if (end == lines::SocketEnd::LineTooLong)
+    return Proxy->clientDropped(Clock(), id, SessionEnd::LineTooLong);
+  if (end == lines::SocketEnd::NotRead)
+    return Proxy->clientDropped(Clock(), id, SessionEnd::NotRead);
   Proxy->clientLeft(Clock(), id);
 }
 
--- a/src/lines/LineSocket.cpp
+++ b/src/lines/LineSocket.cpp
@@ -24,8 +24,12 @@
       asio::buffer(state->Chunk), [state](std::error_code ec, std::size_t n) {
         if (state->IsClosed)
           return;
-        const bool isGood =
-            !ec && state->Lines.add(std::string_view(state->Chunk.data(), n));
+        if (ec && state->End == SocketEnd::None)
+          state->End = SocketEnd::FarEnd;
+        else if (!ec &&
+                 !state->Lines.add(std::string_view(state->Chunk.data(), n)))
+          state->End = SocketEnd::LineTooLong;
+        const bool isGood = state->End == SocketEnd::None;
         // NOTE: the handler may close the socket, and drop itself with it.
         const auto handler = state->OnBytes;
         handler(isGood);
@@ -41,6 +45,7 @@
   state.Waiting += bytes;
   if (state.Waiting.size() > MostWaitingBytes) {
     // The pending read then fails, and its handler hears of the loss.
+    state.End = SocketEnd::NotRead;
     std::error_code ec;
     state.Socket.shutdown(asio::ip::tcp::socket::shutdown_both, ec);
     return;
--- a/src/lines/LineSocket.h
+++ b/src/lines/LineSocket.h
@@ -17,6 +17,16 @@
 
 namespace stepledge::lines {
 
+/// Why no more can be read.
+enum class SocketEnd {
+  None,
+  /// The far end has closed, or the connection broke.
+  FarEnd,
+  LineTooLong,
+  /// The far end doesn't read, and too much waits for it.
+  NotRead,
+};
+
 class LineSocket {
 public:
   explicit LineSocket(asio::ip::tcp::socket socket)
@@ -34,6 +44,7 @@
   void finish();
   void close();
   bool isOpen() const { return !Shared->IsClosed; }
+  SocketEnd end() const { return Shared->End; }
 
 private:
   struct State {
@@ -44,6 +55,7 @@
     std::string Waiting;
     std::string Writing;
     std::function<void(bool)> OnBytes;
+    SocketEnd End = SocketEnd::None;
     bool IsFinishing = false;
     bool IsClosed = false;
   };
--- a/src/node/EntryProgram.cpp
+++ b/src/node/EntryProgram.cpp
@@ -92,6 +92,14 @@
   Loop.metrics().count("lend_refusals_total", std::string(nameOf(reason)));
 }
 
+void EntryProgram::sessionEnded(proxy::SessionEnd reason) {
+  Loop.metrics().count("sessions_ended_total", std::string(nameOf(reason)));
+}
+
+void EntryProgram::unanswered(const std::string &reason) {
+  Loop.metrics().count("statements_unanswered_total", reason);
+}
+
 void EntryProgram::refusedByQuota(int priority) {
   Loop.metrics().count("quota_refusals_total",
                        std::to_string(quota::quotaPriorityOf(priority)));
--- a/src/node/EntryProgram.h
+++ b/src/node/EntryProgram.h
@@ -45,6 +45,8 @@
   void retried(proxy::ReplyCode code) override;
   void refusedForRoom(bool isAtOnce) override;
   void lendRefused(proxy::LendingEnd reason) override;
+  void sessionEnded(proxy::SessionEnd reason) override;
+  void unanswered(const std::string &reason) override;
   void refusedByQuota(int priority) override;
   /// The balancer's question.
   void handle(http::HttpCall call, http::Reply reply) override;
--- a/src/proxy/IProxyIo.h
+++ b/src/proxy/IProxyIo.h
@@ -80,6 +80,7 @@
 };
 
 enum class LendingEnd;
+enum class SessionEnd;
 
 /// Told of each decision that changes a request's way or its result.
 class IProxyLog {
@@ -98,6 +99,10 @@
   virtual void refusedForRoom(bool isAtOnce) { (void)isAtOnce; }
   /// A use of another VM was refused as not run.
   virtual void lendRefused(LendingEnd reason) { (void)reason; }
+  /// This VM has ended a client's session.
+  virtual void sessionEnded(SessionEnd reason) { (void)reason; }
+  /// A statement came after its session's end.
+  virtual void unanswered(const std::string &reason) { (void)reason; }
   /// A statement is beyond its organisation's quota.
   virtual void refusedByQuota(int priority) { (void)priority; }
 };
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -122,6 +122,7 @@
                               " database=", database.str(),
                               " code=", std::string(nameOf(reply.Code)),
                               " config=", Configuration.Version));
+    Ended[client] = SessionEnd::NotAccepted;
     Io.rejectClient(client, reply);
     return;
   }
@@ -138,7 +139,7 @@
                         ClientStatement statement) {
   auto *it = session(client);
   if (!it)
-    return;
+    return noteUnanswered(client, statement);
   it->LastActive = now;
   it->Queue.push_back(std::move(statement));
   handleNext(now, *it);
@@ -147,6 +148,7 @@
 void Proxy::clientLeft(TimePoint now, ClientId client) {
   std::erase_if(Unconfigured,
                 [&](const auto &it) { return it.Client == client; });
+  Ended.erase(client);
   auto *it = session(client);
   if (!it)
     return;
@@ -156,6 +158,17 @@
   Sessions.erase(client);
 }
 
+void Proxy::clientDropped(TimePoint now, ClientId client, SessionEnd reason) {
+  const auto *it = session(client);
+  const std::size_t unanswered =
+      it ? it->Queue.size() + (it->Current ? 1 : 0) : 0;
+  Log.decision(absl::StrCat("event=client_dropped client=", client.Number,
+                            " reason=", std::string(nameOf(reason)),
+                            " unanswered=", unanswered));
+  Log.sessionEnded(reason);
+  clientLeft(now, client);
+}
+
 ClientSession *Proxy::session(ClientId client) {
   const auto it = Sessions.find(client);
   return it == Sessions.end() ? nullptr : &it->second;
@@ -340,15 +353,31 @@
   answer(now, session, std::move(reply));
 }
 
-void Proxy::closeIdleSessions(TimePoint now) {
+void Proxy::endSession(TimePoint now, ClientId client, SessionEnd reason) {
+  clientLeft(now, client);
+  Ended[client] = reason;
+  Log.sessionEnded(reason);
+  Io.closeClient(client);
+}
+
+void Proxy::noteUnanswered(ClientId client, const ClientStatement &statement) {
+  const auto ended = Ended.find(client);
+  const std::string reason(ended == Ended.end() ? "no_session"
+                                                : nameOf(ended->second));
+  Log.decision(
+      absl::StrCat("event=statement_unanswered client=", client.Number,
+                   " request=", statement.Id.empty() ? "-" : statement.Id,
+                   " reason=", reason));
+  Log.unanswered(reason);
+}
+
+void Proxy::closeIdleSessions(TimePoint now, SessionEnd reason) {
   std::vector<ClientId> idle;
   for (const auto &[id, it] : Sessions)
     if (it.State == SessionState::Idle && !it.Current && it.Queue.empty())
       idle.push_back(id);
-  for (const auto id : idle) {
-    clientLeft(now, id);
-    Io.closeClient(id);
-  }
+  for (const auto id : idle)
+    endSession(now, id, reason);
 }
 
 void Proxy::abortTransactions(TimePoint now) {
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -23,6 +23,7 @@
 #include "proxy/internal/RouteWork.h"
 #include "proxy/internal/ServiceWatch.h"
 #include "proxy/types/ProxyOptions.h"
+#include "proxy/types/SessionEnd.h"
 #include "quota/IOperationQuota.h"
 #include "scheduling/ServingLine.h"
 
@@ -83,6 +84,8 @@
                        const DatabaseId &database, const KeyDigest &key = {});
   void clientAsked(TimePoint now, ClientId client, ClientStatement statement);
   void clientLeft(TimePoint now, ClientId client);
+  /// The client's connection was closed for what the client did.
+  void clientDropped(TimePoint now, ClientId client, SessionEnd reason);
 
   void connectionReady(TimePoint now, ConnectionId connection,
                        const StatementReply &reply);
@@ -98,7 +101,7 @@
   void forgetProofs();
 
   /// Closes sessions that rest outside a transaction.
-  void closeIdleSessions(TimePoint now);
+  void closeIdleSessions(TimePoint now, SessionEnd reason);
   /// Rolls back the open transactions that no statement is running in.
   void abortTransactions(TimePoint now);
   std::size_t sessionCount() const { return Sessions.size(); }
@@ -126,6 +129,10 @@
   /// new connection; one of the earlier life is never used.
   void dropEarlierLife(TimePoint now, const membership::InstanceRecord &record);
   ClientSession *session(ClientId client);
+  /// Ends the session, which waits for no answer, and its connection.
+  void endSession(TimePoint now, ClientId client, SessionEnd reason);
+  /// The statement came after its session's end: nobody answers it.
+  void noteUnanswered(ClientId client, const ClientStatement &statement);
   /// Whose client it is that shows \p key; none if the route asks for a key
   /// and this isn't one.
   std::optional<OrganisationId> organisationOf(const control::Route &route,
@@ -395,6 +402,9 @@
   std::map<std::string, TimePoint> ProbedAt;
   ServiceWatch Watch;
   std::map<ClientId, ClientSession> Sessions;
+  /// Sessions that this VM has ended and whose clients have not yet closed
+  /// their side: what they ask now stays without an answer.
+  std::map<ClientId, SessionEnd> Ended;
   /// Came before the first configuration, and wait for it.
   struct EarlyClient {
     ClientId Client;
--- a/src/proxy/internal/Access.cpp
+++ b/src/proxy/internal/Access.cpp
@@ -97,6 +97,8 @@
   StatementReply reply;
   reply.Code = ReplyCode::Unauthorised;
   reply.Detail = "the key was taken away";
+  Ended[client] = SessionEnd::KeyWithdrawn;
+  Log.sessionEnded(SessionEnd::KeyWithdrawn);
   Io.rejectClient(client, reply);
 }
 
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -72,7 +72,7 @@
     return isLate;
   });
   for (const auto it : late)
-    Io.closeClient(it);
+    endSession(now, it, SessionEnd::NoConfiguration);
 }
 
 void Proxy::sweepSessions(TimePoint now) {
--- /dev/null
+++ b/src/proxy/types/SessionEnd.h
@@ -0,0 +1,49 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Why a VM ended a client's session.
+
+#ifndef STEPLEDGE_PROXY_TYPES_SESSIONEND_H
+#define STEPLEDGE_PROXY_TYPES_SESSIONEND_H
+
+#include "base/NameTable.h"
+
+#include <array>
+
+namespace stepledge::proxy {
+
+enum class SessionEnd {
+  /// The VM hears neither control VMs nor primaries.
+  CutOff,
+  /// The VM is being stopped.
+  Stopping,
+  /// No configuration has come since the client did.
+  NoConfiguration,
+  /// The client's key is no longer valid.
+  KeyWithdrawn,
+  /// The client was refused when it connected.
+  NotAccepted,
+  /// The client sent a line that is longer than any message may be.
+  LineTooLong,
+  /// The client doesn't read its answers.
+  NotRead,
+};
+
+/// For logs and metrics.
+constexpr auto SessionEndNames = std::to_array<NameEntry<SessionEnd>>({
+    {SessionEnd::CutOff, "cut_off"},
+    {SessionEnd::Stopping, "stopping"},
+    {SessionEnd::NoConfiguration, "no_configuration"},
+    {SessionEnd::KeyWithdrawn, "key_withdrawn"},
+    {SessionEnd::NotAccepted, "not_accepted"},
+    {SessionEnd::LineTooLong, "line_too_long"},
+    {SessionEnd::NotRead, "not_read"},
+});
+
+constexpr std::string_view nameOf(SessionEnd end) {
+  return nameIn(SessionEndNames, end);
+}
+
+} // namespace stepledge::proxy
+
+#endif // STEPLEDGE_PROXY_TYPES_SESSIONEND_H
