A VM that hears nobody ends a session only behind a refusal

What callers saw: statements without an answer or a refusal; where all VMs of a fleet were cut off from control and primaries in the same second, nearly all requests failed for as long, since each new connection was accepted and closed a tick later.

Cause: a cut-off VM closed every session at rest at each tick, so that its clients turn to other VMs. A session at rest may have a statement on its way: some ms on a free link, 0.4 s on a full one, and a new session always has one.

Change: sessions stay. A statement is answered, from the own hall where that is possible, and refused as not run within 40 ms otherwise; behind the refusal the session ends, so that the client's next try goes to another VM. A transaction that was refused ends first.

--- a/src/entry/EntryModule.cpp
+++ b/src/entry/EntryModule.cpp
@@ -100,7 +100,7 @@
     Core.abortTransactions(now);
   const bool mayClose = Stop->mayCloseSessions(now);
   if (mayClose)
-    Core.closeIdleSessions(now, proxy::SessionEnd::Stopping);
+    Core.closeIdleSessions(now);
   const bool isEmpty =
       mayClose && Core.sessionCount() == 0 && !Core.lender().isLending();
   if (!isEmpty)
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -61,8 +61,8 @@
     Log.decision(absl::StrCat("event=isolation isolated=", isIsolated,
                               " silent_primaries=", silent));
   }
-  if (IsolatedSince && Now - *IsolatedSince > Options.BalancerTime)
-    Proxy.closeIdleSessions(Now, proxy::SessionEnd::CutOff);
+  Proxy.setSendsRefusedAway(IsolatedSince &&
+                            Now - *IsolatedSince > Options.BalancerTime);
 }
 
 void EntryNode::tellSights(const std::vector<proxy::PrimarySight> &all) {
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -40,8 +40,8 @@
   /// Without word from a control VM that hears a majority, and from most
   /// primaries for this long, a VM is cut off: three heartbeats.
   Duration IsolationLimit = milliseconds(750);
-  /// A cut-off VM closes resting sessions once the balancer has had the time to
-  /// see that it isn't ready.
+  /// A cut-off VM sends refused clients away once the balancer has had the time
+  /// to see that it isn't ready.
   Duration BalancerTime = milliseconds(2200);
   /// How long after its start an entry VM waits for a configuration that a
   /// majority stands behind, before it takes what it can get.
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -268,8 +268,10 @@
   session.State = SessionState::Idle;
   session.Mode = TransactionMode::None;
   session.WasAbortedAtRest = false;
-  Io.answerClient(session.Id, localSuccess(SessionState::Idle));
-  endIfWithdrawn(now, session.Id);
+  const ClientId id = session.Id;
+  Io.answerClient(id, localSuccess(SessionState::Idle));
+  endIfWithdrawn(now, id);
+  endIfSentAway(now, id);
 }
 
 void Proxy::startWork(TimePoint now, ClientSession &session,
@@ -332,6 +334,7 @@
   const ClientId id = session.Id;
   handleNext(now, session);
   endIfWithdrawn(now, id);
+  endIfSentAway(now, id);
 }
 
 void Proxy::refuse(TimePoint now, ClientSession &session, ReplyCode code,
@@ -340,6 +343,8 @@
     releasePinned(now, session);
     session.State = SessionState::Failed;
   }
+  if (SendsRefusedAway)
+    session.SentAway = SessionEnd::CutOff;
   StatementReply reply;
   reply.Code = code;
   reply.Detail = detail;
@@ -371,13 +376,19 @@
   Log.unanswered(reason);
 }
 
-void Proxy::closeIdleSessions(TimePoint now, SessionEnd reason) {
+void Proxy::endIfSentAway(TimePoint now, ClientId client) {
+  const auto *it = session(client);
+  if (it && it->SentAway && it->isAtRest())
+    endSession(now, client, *it->SentAway);
+}
+
+void Proxy::closeIdleSessions(TimePoint now) {
   std::vector<ClientId> idle;
   for (const auto &[id, it] : Sessions)
-    if (it.State == SessionState::Idle && !it.Current && it.Queue.empty())
+    if (it.isAtRest())
       idle.push_back(id);
   for (const auto id : idle)
-    endSession(now, id, reason);
+    endSession(now, id, SessionEnd::Stopping);
 }
 
 void Proxy::abortTransactions(TimePoint now) {
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -68,6 +68,10 @@
   /// Cut off from the others, it refuses at once what needs an instance that
   /// it can't reach, so that the client can turn to another VM.
   void setIsolated(bool isIsolated) { IsIsolated = isIsolated; }
+  /// Cut off for so long that the balancer knows: a client that is refused has
+  /// its session ended behind the refusal, so that it turns to other VMs.
+  /// Others keep theirs: a statement may be on its way.
+  void setSendsRefusedAway(bool isOn) { SendsRefusedAway = isOn; }
   /// No control VM with a majority behind it is heard.
   void setControlLost(bool isLost) { IsControlLost = isLost; }
   /// Another VM that borrows connections of this one, or no longer does.
@@ -100,8 +104,8 @@
   /// After the clock jumped, what was known is too old to rely on.
   void forgetProofs();
 
-  /// Closes sessions that rest outside a transaction.
-  void closeIdleSessions(TimePoint now, SessionEnd reason);
+  /// Ends the sessions of a stopping VM that rest outside a transaction.
+  void closeIdleSessions(TimePoint now);
   /// Rolls back the open transactions that no statement is running in.
   void abortTransactions(TimePoint now);
   std::size_t sessionCount() const { return Sessions.size(); }
@@ -129,6 +133,9 @@
   /// new connection; one of the earlier life is never used.
   void dropEarlierLife(TimePoint now, const membership::InstanceRecord &record);
   ClientSession *session(ClientId client);
+  /// Ends a session that is sent away once it waits for no answer and has no
+  /// open transaction.
+  void endIfSentAway(TimePoint now, ClientId client);
   /// Ends the session, which waits for no answer, and its connection.
   void endSession(TimePoint now, ClientId client, SessionEnd reason);
   /// The statement came after its session's end: nobody answers it.
@@ -426,6 +433,7 @@
   TimePoint StartedAt{};
   bool IsIsolated = false;
   bool IsControlLost = false;
+  bool SendsRefusedAway = false;
   membership::HomeTable Homes;
   Lender Lending;
   /// By instance, the lenders that failed to reach it, and until when they are
--- a/src/proxy/internal/ClientSession.h
+++ b/src/proxy/internal/ClientSession.h
@@ -8,6 +8,7 @@
 
 #include "control/types/Configuration.h"
 #include "proxy/internal/InstanceConnection.h"
+#include "proxy/types/SessionEnd.h"
 
 #include <deque>
 #include <optional>
@@ -78,11 +79,18 @@
   bool HasWritten = false;
   /// Ended by the proxy while the client rested; told at its next statement.
   bool WasAbortedAtRest = false;
+  /// It ends behind the next answer that leaves it at rest.
+  std::optional<SessionEnd> SentAway;
   /// The newest commit of this session.
   std::optional<Mark> LastCommit;
   std::optional<Work> Current;
   std::deque<ClientStatement> Queue;
   TimePoint LastActive{};
+
+  /// Nothing is asked, and no transaction is open.
+  bool isAtRest() const {
+    return State == SessionState::Idle && !Current && Queue.empty();
+  }
 };
 
 } // namespace stepledge::proxy
