A stopping VM ends a session behind an answer, or once it has rested

What callers saw: from 2.2 s after the stop signal on, a client that the balancer still sent was accepted and its connection closed a tick later, before its first statement came; a statement that was on its way over a full link met a session that had been closed. The same cause as at a cut-off VM.

Change: from then on each session ends behind its next answer; one at rest ends once it has asked nothing for 0.5 s, more than a statement's way over a full link.

Evidence: Stop_NewSessionStaysForItsFirstStatement fails on the commit before. The stop of a VM whose sessions rest takes no longer (Stop_IsThroughSoonWhereAllSessionsRest, passes before too). Not covered: a statement sent more than 0.5 s after its session's last one and still on its way at the moment of the end.

--- a/src/entry/EntryModule.cpp
+++ b/src/entry/EntryModule.cpp
@@ -13,6 +13,9 @@
 
 /// Closed sessions' last bytes are on their way for this long.
 constexpr Duration SettleTime = milliseconds(250);
+/// A client that was accepted or answered so lately may have a statement on its
+/// way, also over a full link.
+constexpr Duration RestBeforeEnd = milliseconds(500);
 
 proxy::ProxyOptions proxyOptions(const EntryOptions &options) {
   proxy::ProxyOptions out;
@@ -99,8 +102,9 @@
   if (Stop->mayAbortTransactions(now))
     Core.abortTransactions(now);
   const bool mayClose = Stop->mayCloseSessions(now);
+  Core.setSendsAllAway(mayClose);
   if (mayClose)
-    Core.closeIdleSessions(now);
+    Core.closeIdleSessions(now, RestBeforeEnd);
   const bool isEmpty =
       mayClose && Core.sessionCount() == 0 && !Core.lender().isLending();
   if (!isEmpty)
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -269,6 +269,8 @@
   session.Mode = TransactionMode::None;
   session.WasAbortedAtRest = false;
   const ClientId id = session.Id;
+  if (SendsAllAway)
+    session.SentAway = SessionEnd::Stopping;
   Io.answerClient(id, localSuccess(SessionState::Idle));
   endIfWithdrawn(now, id);
   endIfSentAway(now, id);
@@ -329,6 +331,8 @@
     Log.answered(reply.Code, now - session.Current->ArrivedAt);
   session.Current.reset();
   session.LastActive = now;
+  if (SendsAllAway)
+    session.SentAway = SessionEnd::Stopping;
   reply.State = session.State;
   Io.answerClient(session.Id, reply);
   const ClientId id = session.Id;
@@ -382,10 +386,10 @@
     endSession(now, client, *it->SentAway);
 }
 
-void Proxy::closeIdleSessions(TimePoint now) {
+void Proxy::closeIdleSessions(TimePoint now, Duration atLeast) {
   std::vector<ClientId> idle;
   for (const auto &[id, it] : Sessions)
-    if (it.isAtRest())
+    if (it.isAtRest() && now - it.LastActive >= atLeast)
       idle.push_back(id);
   for (const auto id : idle)
     endSession(now, id, SessionEnd::Stopping);
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -72,6 +72,8 @@
   /// its session ended behind the refusal, so that it turns to other VMs.
   /// Others keep theirs: a statement may be on its way.
   void setSendsRefusedAway(bool isOn) { SendsRefusedAway = isOn; }
+  /// The VM stops: each session ends behind its next answer.
+  void setSendsAllAway(bool isOn) { SendsAllAway = isOn; }
   /// No control VM with a majority behind it is heard.
   void setControlLost(bool isLost) { IsControlLost = isLost; }
   /// Another VM that borrows connections of this one, or no longer does.
@@ -104,8 +106,9 @@
   /// After the clock jumped, what was known is too old to rely on.
   void forgetProofs();
 
-  /// Ends the sessions of a stopping VM that rest outside a transaction.
-  void closeIdleSessions(TimePoint now);
+  /// Ends the sessions of a stopping VM that rest outside a transaction and
+  /// have asked nothing for \p atLeast.
+  void closeIdleSessions(TimePoint now, Duration atLeast);
   /// Rolls back the open transactions that no statement is running in.
   void abortTransactions(TimePoint now);
   std::size_t sessionCount() const { return Sessions.size(); }
@@ -434,6 +437,7 @@
   bool IsIsolated = false;
   bool IsControlLost = false;
   bool SendsRefusedAway = false;
+  bool SendsAllAway = false;
   membership::HomeTable Homes;
   Lender Lending;
   /// By instance, the lenders that failed to reach it, and until when they are
