A client without a configuration is refused with the reason, its statements kept

What callers saw: a client that came to a VM before its first configuration was closed after 0.9 s without a word, a failure instead of a refusal; a statement that it had sent meanwhile was dropped, also where the configuration came in time.

Change: it is refused as busy, with the reason, which promises that nothing was run; what it asked is kept and answered once the configuration comes.

Tests: Proxy_StatementBeforeTheFirstConfigurationIsAnswered fails before. Proxy_ClientWithoutAConfigurationIsSentAwayInTime asked for a bare close after the same time; in its place Proxy_ClientWithoutAConfigurationIsRefusedInTime asks for a refusal at the same time, which closes the connection as well.

--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -59,8 +59,11 @@
   reviewSessions(now);
   for (const auto &[name, service] : Configuration.Services)
     dispatchWaiting(now, name);
-  for (const auto &it : std::exchange(Unconfigured, {}))
+  for (auto &it : std::exchange(Unconfigured, {})) {
     clientConnected(now, it.Client, it.Database, it.Key);
+    for (auto &statement : it.Asked)
+      clientAsked(now, it.Client, std::move(statement));
+  }
 }
 
 void Proxy::applyInstance(TimePoint now,
@@ -104,7 +107,7 @@
 void Proxy::clientConnected(TimePoint now, ClientId client,
                             const DatabaseId &database, const KeyDigest &key) {
   if (!isConfigured()) {
-    Unconfigured.push_back({client, database, key, now});
+    Unconfigured.push_back({client, database, key, now, {}});
     return;
   }
   const auto route = Configuration.Routes.find(database);
@@ -137,6 +140,11 @@
 
 void Proxy::clientAsked(TimePoint now, ClientId client,
                         ClientStatement statement) {
+  const auto early =
+      std::find_if(Unconfigured.begin(), Unconfigured.end(),
+                   [&](const auto &it) { return it.Client == client; });
+  if (early != Unconfigured.end())
+    return early->Asked.push_back(std::move(statement));
   auto *it = session(client);
   if (!it)
     return noteUnanswered(client, statement);
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -421,6 +421,8 @@
     DatabaseId Database;
     KeyDigest Key;
     TimePoint ConnectedAt{};
+    /// What it has asked meanwhile.
+    std::vector<ClientStatement> Asked;
   };
   std::vector<EarlyClient> Unconfigured;
   scheduling::ServingLine Line;
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -71,8 +71,14 @@
       late.push_back(it.Client);
     return isLate;
   });
-  for (const auto it : late)
-    endSession(now, it, SessionEnd::NoConfiguration);
+  StatementReply reply;
+  reply.Code = ReplyCode::Busy;
+  reply.Detail = "this VM has no configuration yet";
+  for (const auto it : late) {
+    Ended[it] = SessionEnd::NoConfiguration;
+    Log.sessionEnded(SessionEnd::NoConfiguration);
+    Io.rejectClient(it, reply);
+  }
 }
 
 void Proxy::sweepSessions(TimePoint now) {
