A stopping daemon ends HTTP connections behind an answer

Read in the code, not seen.

Change: from the moment that the balancer is told, each answer says that the connection ends behind it, so that the caller's next call opens one to another VM.

Test: Api_StoppingVmEndsConnectionsBehindAnAnswer; no reply said so before.

--- a/src/api/internal/CallHandler.cpp
+++ b/src/api/internal/CallHandler.cpp
@@ -29,7 +29,13 @@
 
 } // namespace
 
-void CallHandler::handle(http::HttpCall call, http::Reply reply) {
+void CallHandler::handle(http::HttpCall call, http::Reply done) {
+  // NOTE: a call that is on its way when the connection is closed at the end of
+  // a stop would get no answer.
+  const http::Reply reply = [this, done = std::move(done)](http::HttpReply it) {
+    it.IsLast = Gateway.readiness() == Readiness::Stopping;
+    done(std::move(it));
+  };
   if (call.Headers.size() > Config.Limits.Headers)
     return reply(writeRefusal(ResultCode::TooManyHeaders,
                               absl::StrCat("at most ", Config.Limits.Headers)));
--- a/src/api/internal/CallHandler.h
+++ b/src/api/internal/CallHandler.h
@@ -23,7 +23,7 @@
               const session::ITokenCodec &tokens, IRequestGateway &gateway)
       : Config(settings), Tokens(tokens), Gateway(gateway), Reader(settings) {}
 
-  void handle(http::HttpCall call, http::Reply reply) override;
+  void handle(http::HttpCall call, http::Reply done) override;
 
 private:
   using Path = std::vector<std::string>;
--- a/src/api/tests/ApiTest.cpp
+++ b/src/api/tests/ApiTest.cpp
@@ -201,6 +201,15 @@
   CHECK(fixture.call("GET", "/live").Status == 200);
 }
 
+TEST_CASE("Api_StoppingVmEndsConnectionsBehindAnAnswer") {
+  Fixture fixture;
+  const std::string body = R"({"statement":"SELECT 1"})";
+  CHECK(!fixture.call("POST", ReadPath, body).IsLast);
+  fixture.Gateway.State = Readiness::Stopping;
+  CHECK(fixture.call("POST", ReadPath, body).IsLast);
+  CHECK(fixture.call("GET", "/ready").IsLast);
+}
+
 TEST_CASE("Api_ExplainKnowsOrSaysSo") {
   Fixture fixture;
   CHECK(fixture.call("GET", "/v1/explain/vm-1").Status == 200);
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -45,6 +45,8 @@
   for (const auto &it : reply.Headers)
     response.append_header(it.Name, it.Value);
   response.set_body(std::move(reply.Body));
+  if (reply.IsLast)
+    response.connection_close();
   response.done();
 }
 
--- a/src/http/types/HttpMessage.h
+++ b/src/http/types/HttpMessage.h
@@ -35,6 +35,8 @@
   std::vector<HttpHeader> Headers;
   std::string ContentType = "application/json";
   std::string Body;
+  /// The connection ends behind it, and says so.
+  bool IsLast = false;
 };
 
 } // namespace stepledge::http
