A client that a cut-off VM refuses is sent to other VMs at once

Before, its session ended behind a refusal only once the VM had been cut off for 2.2 s, the time that the balancer takes to notice; until then a client that kept its connection was refused again and again. Retries meet other VMs whether the balancer has noticed or not.

Isolation_ClientIsSentToOtherVmsAtItsFirstRefusal fails before. A setting of the entry VM and a switch of the proxy go.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -55,14 +55,11 @@
   const bool isControlLost = Contact.isLost(Now);
   const bool isIsolated = isControlLost && isMostSilent;
   Proxy.setControlLost(isControlLost);
-  if (isIsolated != IsolatedSince.has_value()) {
-    IsolatedSince = isIsolated ? std::optional(Now) : std::nullopt;
-    Proxy.setIsolated(isIsolated);
-    Log.decision(absl::StrCat("event=isolation isolated=", isIsolated,
-                              " silent_primaries=", silent));
-  }
-  Proxy.setSendsRefusedAway(IsolatedSince &&
-                            Now - *IsolatedSince > Options.BalancerTime);
+  if (std::exchange(IsIsolated, isIsolated) == isIsolated)
+    return;
+  Proxy.setIsolated(isIsolated);
+  Log.decision(absl::StrCat("event=isolation isolated=", isIsolated,
+                            " silent_primaries=", silent));
 }
 
 void EntryNode::tellSights(const std::vector<proxy::PrimarySight> &all) {
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -40,9 +40,6 @@
   /// Without word from a control VM that hears a majority, and from most
   /// primaries for this long, a VM is cut off: three heartbeats.
   Duration IsolationLimit = milliseconds(750);
-  /// A cut-off VM sends refused clients away once the balancer has had the time
-  /// to see that it isn't ready.
-  Duration BalancerTime = milliseconds(2200);
   /// How long after its start an entry VM waits for a configuration that a
   /// majority stands behind, before it takes what it can get.
   Duration FreshLimit = milliseconds(3000);
@@ -58,7 +55,7 @@
   void tick(TimePoint now);
   void setTime(TimePoint now) { Now = now; }
   void setSeeds(std::set<std::string> ips) { Options.SeedIps = std::move(ips); }
-  bool isReady() const { return Proxy.canServe() && !IsolatedSince; }
+  bool isReady() const { return Proxy.canServe() && !IsIsolated; }
 
   void peerConnected(const std::string &ip,
                      const peer::wire::Hello &hello) override;
@@ -98,7 +95,7 @@
   /// The last change didn't fit: the next fetch is for the whole.
   bool NeedsWhole = false;
   ControlContact Contact;
-  std::optional<TimePoint> IsolatedSince;
+  bool IsIsolated = false;
   std::set<std::string> Connected;
   EntryLists Entries;
   InstanceSources Sources;
--- a/src/entry/tests/IsolationTest.cpp
+++ b/src/entry/tests/IsolationTest.cpp
@@ -23,8 +23,10 @@
 
 namespace {
 
-/// Above the time until a cut-off VM turns its clients away.
+/// Until the balancer sends the VM no more clients, and longer.
 constexpr Duration LongCut = milliseconds(4000);
+/// Until the VM has found out that it is cut off.
+constexpr Duration ShortCut = milliseconds(1000);
 /// What a caller can bear until it is told that a statement isn't run, so that
 /// it has time for another VM.
 constexpr Duration RefusalLimit = milliseconds(100);
@@ -90,6 +92,18 @@
   CHECK(it.Core.sessionCount() == 0);
 }
 
+TEST_CASE("Isolation_ClientIsSentToOtherVmsAtItsFirstRefusal") {
+  ReadyFixture it;
+  const ClientId client{1};
+  it.connect(client);
+  it.cutOffFor(ShortCut);
+  REQUIRE(!it.Node.isReady());
+  it.ask(client, StatementKind::Read, "READ x");
+  it.advanceBySteps(RefusalLimit);
+  CHECK(it.answersTo(client) == 1);
+  CHECK(it.isClosed(client));
+}
+
 TEST_CASE("Isolation_RefusedTransactionEndsBeforeItsSession") {
   ReadyFixture it;
   const ClientId client{1};
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -355,7 +355,7 @@
     releasePinned(now, session);
     session.State = SessionState::Failed;
   }
-  if (SendsRefusedAway)
+  if (IsIsolated)
     session.SentAway = SessionEnd::CutOff;
   StatementReply reply;
   reply.Code = code;
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -66,12 +66,10 @@
   /// an instance, or lend.
   void setEntries(std::vector<membership::EntryVm> entries);
   /// Cut off from the others, it refuses at once what needs an instance that
-  /// it can't reach, so that the client can turn to another VM.
+  /// it can't reach, and ends the client's session behind the refusal, so that
+  /// the client turns to another VM. All other sessions stay: a statement may
+  /// be on its way.
   void setIsolated(bool isIsolated) { IsIsolated = isIsolated; }
-  /// Cut off for so long that the balancer knows: a client that is refused has
-  /// its session ended behind the refusal, so that it turns to other VMs.
-  /// Others keep theirs: a statement may be on its way.
-  void setSendsRefusedAway(bool isOn) { SendsRefusedAway = isOn; }
   /// The VM stops: each session ends behind its next answer.
   void setSendsAllAway(bool isOn) { SendsAllAway = isOn; }
   /// No control VM with a majority behind it is heard.
@@ -438,7 +436,6 @@
   TimePoint StartedAt{};
   bool IsIsolated = false;
   bool IsControlLost = false;
-  bool SendsRefusedAway = false;
   bool SendsAllAway = false;
   membership::HomeTable Homes;
   Lender Lending;
