A stopping VM refuses clients that come late, and tells resting ones why it ends

A session that had rested for longer was closed without a word, so a statement on its way to it got nothing. One that only set values never ended. A client without a configuration was cut at the end.

Change: from 2.2 s on a client that comes is refused when it connects; one that has no configuration yet too. A session at rest ends with a refusal nobody asked for, which a statement on its way meets: nothing of it is run, so the promise is true. Any answer ends a session at rest, also of statements that the VM answers itself. What the limit cuts is logged, event=stop_cut.

--- a/src/entry/EntryModule.cpp
+++ b/src/entry/EntryModule.cpp
@@ -13,8 +13,9 @@
 
 /// Closed sessions' last bytes are on their way for this long.
 constexpr Duration SettleTime = milliseconds(250);
-/// A client that was accepted or answered so lately may have a statement on its
-/// way, also over a full link.
+/// A client that was accepted or answered so lately is likely to ask, also over
+/// a full link; its statement is run, while those of other sessions at rest are
+/// refused.
 constexpr Duration RestBeforeEnd = milliseconds(500);
 
 proxy::ProxyOptions proxyOptions(const EntryOptions &options) {
@@ -102,13 +103,17 @@
   if (Stop->mayAbortTransactions(now))
     Core.abortTransactions(now);
   const bool mayClose = Stop->mayCloseSessions(now);
-  Core.setSendsAllAway(mayClose);
-  if (mayClose)
+  if (mayClose) {
+    Core.beginToClose();
     Core.closeIdleSessions(now, RestBeforeEnd);
+  }
   const bool isEmpty =
       mayClose && Core.sessionCount() == 0 && !Core.lender().isLending();
   if (!isEmpty)
     LastBusy = now;
+  if (Stop->mustEnd(now) && !isEmpty)
+    Log.decision(absl::StrCat("event=stop_cut sessions=", Core.sessionCount(),
+                              " waiting=", Core.waitingClients()));
   return Stop->mustEnd(now) || (isEmpty && now - LastBusy > SettleTime);
 }
 
--- a/src/entry/StopPlan.h
+++ b/src/entry/StopPlan.h
@@ -16,12 +16,14 @@
   TimePoint StartedAt{};
   Duration Limit{};
 
-  /// The balancer has asked twice by then and sends no new connections.
+  /// The balancer has asked twice by then; it sends new connections only where
+  /// it has too few other VMs.
   static constexpr Duration BalancerTime = milliseconds(2200);
   /// Left for the last answers' way to the clients.
   static constexpr Duration Margin = milliseconds(400);
 
-  /// Resting sessions may be closed: clients come back elsewhere.
+  /// Resting sessions may be closed, and new ones refused: clients come back
+  /// elsewhere.
   bool mayCloseSessions(TimePoint now) const {
     return now - StartedAt >= std::min(BalancerTime, Limit / 2);
   }
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -18,6 +18,7 @@
 constexpr Duration DefaultStatementTimeout = milliseconds(1000);
 
 constexpr const char *UnknownKey = "no organisation has this key";
+constexpr const char *Closing = "this VM is being stopped";
 
 /// Of the organisations that share what is contested; none where clients show
 /// no keys.
@@ -106,6 +107,9 @@
 
 void Proxy::clientConnected(TimePoint now, ClientId client,
                             const DatabaseId &database, const KeyDigest &key) {
+  if (IsClosing)
+    return endWithRefusal(now, client, SessionEnd::Stopping, ReplyCode::Busy,
+                          Closing);
   if (!isConfigured()) {
     Unconfigured.push_back({client, database, key, now, {}});
     return;
@@ -151,6 +155,7 @@
   it->LastActive = now;
   it->Queue.push_back(std::move(statement));
   handleNext(now, *it);
+  endIfSentAway(now, client);
 }
 
 void Proxy::clientLeft(TimePoint now, ClientId client) {
@@ -277,8 +282,6 @@
   session.Mode = TransactionMode::None;
   session.WasAbortedAtRest = false;
   const ClientId id = session.Id;
-  if (SendsAllAway)
-    session.SentAway = SessionEnd::Stopping;
   Io.answerClient(id, localSuccess(SessionState::Idle));
   endIfWithdrawn(now, id);
   endIfSentAway(now, id);
@@ -339,8 +342,6 @@
     Log.answered(reply.Code, now - session.Current->ArrivedAt);
   session.Current.reset();
   session.LastActive = now;
-  if (SendsAllAway)
-    session.SentAway = SessionEnd::Stopping;
   reply.State = session.State;
   Io.answerClient(session.Id, reply);
   const ClientId id = session.Id;
@@ -355,8 +356,7 @@
     releasePinned(now, session);
     session.State = SessionState::Failed;
   }
-  if (IsIsolated)
-    session.SentAway = SessionEnd::CutOff;
+  session.IsTurnedAway |= IsIsolated;
   StatementReply reply;
   reply.Code = code;
   reply.Detail = detail;
@@ -377,6 +377,17 @@
   Io.closeClient(client);
 }
 
+void Proxy::endWithRefusal(TimePoint now, ClientId client, SessionEnd reason,
+                           ReplyCode code, const std::string &detail) {
+  clientLeft(now, client);
+  Ended[client] = reason;
+  Log.sessionEnded(reason);
+  StatementReply reply;
+  reply.Code = code;
+  reply.Detail = detail;
+  Io.rejectClient(client, reply);
+}
+
 void Proxy::noteUnanswered(ClientId client, const ClientStatement &statement) {
   const auto ended = Ended.find(client);
   const std::string reason(ended == Ended.end() ? "no_session"
@@ -390,8 +401,12 @@
 
 void Proxy::endIfSentAway(TimePoint now, ClientId client) {
   const auto *it = session(client);
-  if (it && it->SentAway && it->isAtRest())
-    endSession(now, client, *it->SentAway);
+  if (!it || !it->isAtRest())
+    return;
+  if (IsClosing)
+    return endSession(now, client, SessionEnd::Stopping);
+  if (it->IsTurnedAway)
+    endSession(now, client, SessionEnd::CutOff);
 }
 
 void Proxy::closeIdleSessions(TimePoint now, Duration atLeast) {
@@ -400,7 +415,7 @@
     if (it.isAtRest() && now - it.LastActive >= atLeast)
       idle.push_back(id);
   for (const auto id : idle)
-    endSession(now, id, SessionEnd::Stopping);
+    endWithRefusal(now, id, SessionEnd::Stopping, ReplyCode::Busy, Closing);
 }
 
 void Proxy::abortTransactions(TimePoint now) {
@@ -413,10 +428,13 @@
   }
 }
 
-bool Proxy::isBusy() const {
-  return std::any_of(Sessions.begin(), Sessions.end(), [](const auto &it) {
-    return it.second.Current.has_value();
-  });
+bool Proxy::isBusy() const { return waitingClients() > 0; }
+
+std::size_t Proxy::waitingClients() const {
+  return static_cast<std::size_t>(
+      std::count_if(Sessions.begin(), Sessions.end(), [](const auto &it) {
+        return it.second.Current.has_value();
+      }));
 }
 
 bool Proxy::canServe() const {
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -70,8 +70,9 @@
   /// the client turns to another VM. All other sessions stay: a statement may
   /// be on its way.
   void setIsolated(bool isIsolated) { IsIsolated = isIsolated; }
-  /// The VM stops: each session ends behind its next answer.
-  void setSendsAllAway(bool isOn) { SendsAllAway = isOn; }
+  /// The VM stops: clients that come are refused, and each session ends behind
+  /// its next answer.
+  void beginToClose() { IsClosing = true; }
   /// No control VM with a majority behind it is heard.
   void setControlLost(bool isLost) { IsControlLost = isLost; }
   /// Another VM that borrows connections of this one, or no longer does.
@@ -104,8 +105,8 @@
   /// After the clock jumped, what was known is too old to rely on.
   void forgetProofs();
 
-  /// Ends the sessions of a stopping VM that rest outside a transaction and
-  /// have asked nothing for \p atLeast.
+  /// Ends the sessions that rest outside a transaction and have asked nothing
+  /// for \p atLeast. Each is told so: a statement on its way meets a refusal.
   void closeIdleSessions(TimePoint now, Duration atLeast);
   /// Rolls back the open transactions that no statement is running in.
   void abortTransactions(TimePoint now);
@@ -117,6 +118,8 @@
   }
   /// A client waits for an answer.
   bool isBusy() const;
+  /// How many clients do.
+  std::size_t waitingClients() const;
   bool isConfigured() const { return Configuration.Version > 0; }
   bool canServe() const;
   std::uint64_t configurationVersion() const { return Configuration.Version; }
@@ -139,6 +142,10 @@
   void endIfSentAway(TimePoint now, ClientId client);
   /// Ends the session, which waits for no answer, and its connection.
   void endSession(TimePoint now, ClientId client, SessionEnd reason);
+  /// The same, or keeps the client from getting one, and tells it why: nothing
+  /// that it has sent is run.
+  void endWithRefusal(TimePoint now, ClientId client, SessionEnd reason,
+                      ReplyCode code, const std::string &detail);
   /// The statement came after its session's end: nobody answers it.
   void noteUnanswered(ClientId client, const ClientStatement &statement);
   /// Whose client it is that shows \p key; none if the route asks for a key
@@ -436,7 +443,7 @@
   TimePoint StartedAt{};
   bool IsIsolated = false;
   bool IsControlLost = false;
-  bool SendsAllAway = false;
+  bool IsClosing = false;
   membership::HomeTable Homes;
   Lender Lending;
   /// By instance, the lenders that failed to reach it, and until when they are
--- a/src/proxy/internal/Access.cpp
+++ b/src/proxy/internal/Access.cpp
@@ -93,13 +93,8 @@
   }
   if (it->State != SessionState::Idle)
     return;
-  clientLeft(now, client);
-  StatementReply reply;
-  reply.Code = ReplyCode::Unauthorised;
-  reply.Detail = "the key was taken away";
-  Ended[client] = SessionEnd::KeyWithdrawn;
-  Log.sessionEnded(SessionEnd::KeyWithdrawn);
-  Io.rejectClient(client, reply);
+  endWithRefusal(now, client, SessionEnd::KeyWithdrawn, ReplyCode::Unauthorised,
+                 "the key was taken away");
 }
 
 bool Proxy::isAdmitted(TimePoint now, ClientSession &session) {
--- a/src/proxy/internal/ClientSession.h
+++ b/src/proxy/internal/ClientSession.h
@@ -8,7 +8,6 @@
 
 #include "control/types/Configuration.h"
 #include "proxy/internal/InstanceConnection.h"
-#include "proxy/types/SessionEnd.h"
 
 #include <deque>
 #include <optional>
@@ -79,8 +78,8 @@
   bool HasWritten = false;
   /// Ended by the proxy while the client rested; told at its next statement.
   bool WasAbortedAtRest = false;
-  /// It ends behind the next answer that leaves it at rest.
-  std::optional<SessionEnd> SentAway;
+  /// It was refused while the VM was cut off, and ends once it is at rest.
+  bool IsTurnedAway = false;
   /// The newest commit of this session.
   std::optional<Mark> LastCommit;
   std::optional<Work> Current;
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -65,20 +65,12 @@
 
 void Proxy::dropEarlyClients(TimePoint now) {
   std::vector<ClientId> late;
-  std::erase_if(Unconfigured, [&](const EarlyClient &it) {
-    const bool isLate = now - it.ConnectedAt > Options.EarlyClientLimit;
-    if (isLate)
+  for (const auto &it : Unconfigured)
+    if (IsClosing || now - it.ConnectedAt > Options.EarlyClientLimit)
       late.push_back(it.Client);
-    return isLate;
-  });
-  StatementReply reply;
-  reply.Code = ReplyCode::Busy;
-  reply.Detail = "this VM has no configuration yet";
-  for (const auto it : late) {
-    Ended[it] = SessionEnd::NoConfiguration;
-    Log.sessionEnded(SessionEnd::NoConfiguration);
-    Io.rejectClient(it, reply);
-  }
+  for (const auto it : late)
+    endWithRefusal(now, it, SessionEnd::NoConfiguration, ReplyCode::Busy,
+                   "this VM has no configuration yet");
 }
 
 void Proxy::sweepSessions(TimePoint now) {
