A client without a configuration may not ask without end

One that waits to be accepted asks nothing, so 16 are plenty; beyond them it is refused.

Proxy_ClientWithoutAConfigurationMayNotAskWithoutEnd fails before (no refusal).

--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -147,8 +147,13 @@
   const auto early =
       std::find_if(Unconfigured.begin(), Unconfigured.end(),
                    [&](const auto &it) { return it.Client == client; });
-  if (early != Unconfigured.end())
-    return early->Asked.push_back(std::move(statement));
+  if (early != Unconfigured.end()) {
+    early->Asked.push_back(std::move(statement));
+    if (early->Asked.size() > Options.EarlyStatements)
+      endWithRefusal(now, client, SessionEnd::NoConfiguration, ReplyCode::Busy,
+                     "this VM has no configuration yet");
+    return;
+  }
   auto *it = session(client);
   if (!it)
     return noteUnanswered(client, statement);
--- a/src/proxy/tests/ProxyTest.cpp
+++ b/src/proxy/tests/ProxyTest.cpp
@@ -70,6 +70,19 @@
   CHECK(io.Answers[client].size() == 1);
 }
 
+TEST_CASE("Proxy_ClientWithoutAConfigurationMayNotAskWithoutEnd") {
+  FakeIo io;
+  quota::tests::NoQuota quota;
+  Proxy core(Fixture::options(), io, io, io, quota);
+  const TimePoint now(std::chrono::seconds(10));
+  const ClientId client{1};
+  core.clientConnected(now, client, DatabaseId("current"));
+  for (int i = 0; i < 1000; ++i)
+    core.clientAsked(now, client, {});
+  REQUIRE(io.Rejected.contains(client));
+  CHECK(io.Rejected[client].Code == ReplyCode::Busy);
+}
+
 TEST_CASE("Proxy_SessionValuesGoWithTheStatement") {
   Fixture it;
   it.warmUp();
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -96,6 +96,9 @@
   /// A client that came before the first configuration is sent away after this
   /// time, so that it can try another VM.
   Duration EarlyClientLimit = milliseconds(900);
+  /// What such a client may have asked meanwhile; one that waits to be accepted
+  /// asks nothing.
+  std::size_t EarlyStatements = 16;
   /// The most statements that wait for one service.
   std::size_t QueueLength = 200;
   /// Borrowed connections to one instance: as many as statements that one VM
