--- a/src/api/internal/CallHandler.cpp
+++ b/src/api/internal/CallHandler.cpp
@@ -29,13 +29,15 @@
 
 } // namespace
 
-void CallHandler::handle(http::HttpCall call, http::Reply done) {
-  // NOTE: a call that is on its way when the connection is closed at the end of
-  // a stop would get no answer.
-  const http::Reply reply = [this, done = std::move(done)](http::HttpReply it) {
+http::Reply CallHandler::lastWhileStopping(http::Reply reply) const {
+  return [this, reply = std::move(reply)](http::HttpReply it) {
     it.IsLast = Gateway.readiness() == Readiness::Stopping;
-    done(std::move(it));
+    reply(std::move(it));
   };
+}
+
+void CallHandler::handle(http::HttpCall call, http::Reply reply) {
+  reply = lastWhileStopping(std::move(reply));
   if (call.Headers.size() > Config.Limits.Headers)
     return reply(writeRefusal(ResultCode::TooManyHeaders,
                               absl::StrCat("at most ", Config.Limits.Headers)));
--- a/src/api/internal/CallHandler.h
+++ b/src/api/internal/CallHandler.h
@@ -23,9 +23,12 @@
               const session::ITokenCodec &tokens, IRequestGateway &gateway)
       : Config(settings), Tokens(tokens), Gateway(gateway), Reader(settings) {}
 
-  void handle(http::HttpCall call, http::Reply done) override;
+  void handle(http::HttpCall call, http::Reply reply) override;
 
 private:
+  /// Sends each reply of a stopping VM as the last of its connection: a call
+  /// that is on its way as the stop ends would get none.
+  http::Reply lastWhileStopping(http::Reply reply) const;
   using Path = std::vector<std::string>;
 
   void get(const Path &path, const http::Reply &reply);
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -137,13 +137,12 @@
   /// new connection; one of the earlier life is never used.
   void dropEarlierLife(TimePoint now, const membership::InstanceRecord &record);
   ClientSession *session(ClientId client);
-  /// Ends a session that is sent away once it waits for no answer and has no
-  /// open transaction.
+  /// Ends a session at rest whose client should turn to another VM.
   void endIfSentAway(TimePoint now, ClientId client);
   /// Ends the session, which waits for no answer, and its connection.
   void endSession(TimePoint now, ClientId client, SessionEnd reason);
-  /// The same, or keeps the client from getting one, and tells it why: nothing
-  /// that it has sent is run.
+  /// The same, also for a client that has no session yet, and tells it why:
+  /// nothing that it has sent is run.
   void endWithRefusal(TimePoint now, ClientId client, SessionEnd reason,
                       ReplyCode code, const std::string &detail);
   /// The statement came after its session's end: nobody answers it.
@@ -417,8 +416,8 @@
   std::map<std::string, TimePoint> ProbedAt;
   ServiceWatch Watch;
   std::map<ClientId, ClientSession> Sessions;
-  /// Sessions that this VM has ended and whose clients have not yet closed
-  /// their side: what they ask now stays without an answer.
+  /// Clients whose session this VM has ended, or that it refused one, and that
+  /// have not yet closed their side: what they ask now gets no answer.
   std::map<ClientId, SessionEnd> Ended;
   /// Came before the first configuration, and wait for it.
   struct EarlyClient {
