Statements given up by clients, and clients before the configuration, are told

After a loss of power of all VMs requests failed that no line of the log named: it couldn't be told whether they had waited at a VM until their client left, or never reached a process.

Change: event=statement_given_up and stepledge_statements_given_up_total{kind} for a statement whose client leaves before the answer, by whether an instance had it; event=early_clients once, as the first configuration comes and clients had waited for it. Nothing is decided otherwise: a session that this VM ends or drops itself is forgotten as before, without the new line.

Tests: Proxy_StatementGivenUpByItsClientIsTold and Proxy_ClientsThatWaitedForTheFirstConfigurationAreTold fail with the two calls taken out. Only the kind 'sent' is tested, 'waiting' isn't; a client that leaves before the first configuration has no line. proxy, entry, gateway, node tests and tools/lint pass; sanitizers and the other tests not run.

--- a/src/node/EntryProgram.cpp
+++ b/src/node/EntryProgram.cpp
@@ -100,6 +100,11 @@
   Loop.metrics().count("statements_unanswered_total", reason);
 }
 
+void EntryProgram::givenUp(bool wasSent) {
+  Loop.metrics().count("statements_given_up_total",
+                       wasSent ? "sent" : "waiting");
+}
+
 void EntryProgram::refusedByQuota(int priority) {
   Loop.metrics().count("quota_refusals_total",
                        std::to_string(quota::quotaPriorityOf(priority)));
--- a/src/node/EntryProgram.h
+++ b/src/node/EntryProgram.h
@@ -47,6 +47,7 @@
   void lendRefused(proxy::LendingEnd reason) override;
   void sessionEnded(proxy::SessionEnd reason) override;
   void unanswered(const std::string &reason) override;
+  void givenUp(bool wasSent) override;
   void refusedByQuota(int priority) override;
   /// The balancer's question.
   void handle(http::HttpCall call, http::Reply reply) override;
--- a/src/proxy/IProxyIo.h
+++ b/src/proxy/IProxyIo.h
@@ -103,6 +103,9 @@
   virtual void sessionEnded(SessionEnd reason) { (void)reason; }
   /// A statement came after its session's end.
   virtual void unanswered(const std::string &reason) { (void)reason; }
+  /// A client left before its statement was answered; \p wasSent: an instance
+  /// had it.
+  virtual void givenUp(bool wasSent) { (void)wasSent; }
   /// A statement is beyond its organisation's quota.
   virtual void refusedByQuota(int priority) { (void)priority; }
 };
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -59,6 +59,7 @@
   reviewSessions(now);
   for (const auto &[name, service] : Configuration.Services)
     dispatchWaiting(now, name);
+  noteEarlyClients(now);
   for (auto &it : std::exchange(Unconfigured, {})) {
     clientConnected(now, it.Client, it.Database, it.Key);
     for (auto &statement : it.Asked)
@@ -154,6 +155,11 @@
 }
 
 void Proxy::clientLeft(TimePoint now, ClientId client) {
+  noteGivenUp(now, client);
+  forgetClient(now, client);
+}
+
+void Proxy::forgetClient(TimePoint now, ClientId client) {
   std::erase_if(Unconfigured,
                 [&](const auto &it) { return it.Client == client; });
   Ended.erase(client);
@@ -174,7 +180,35 @@
                             " reason=", std::string(nameOf(reason)),
                             " unanswered=", unanswered));
   Log.sessionEnded(reason);
-  clientLeft(now, client);
+  forgetClient(now, client);
+}
+
+void Proxy::noteGivenUp(TimePoint now, ClientId client) {
+  const auto *it = session(client);
+  if (!it || !it->Current)
+    return;
+  const auto &work = *it->Current;
+  const bool wasSent = work.Stage == WorkStage::Sent;
+  Log.decision(absl::StrCat(
+      "event=statement_given_up client=", client.Number,
+      " request=", work.Statement.Id.empty() ? "-" : work.Statement.Id,
+      " database=", it->Database.str(), " stage=", wasSent ? "sent" : "waiting",
+      " sendings=", work.Sendings,
+      " waited_ms=", toMilliseconds(now - work.ArrivedAt)));
+  Log.givenUp(wasSent);
+}
+
+void Proxy::noteEarlyClients(TimePoint now) {
+  if (Unconfigured.empty())
+    return;
+  std::size_t asked = 0;
+  for (const auto &it : Unconfigured)
+    asked += it.Asked.size();
+  // NOTE: the first has waited longest.
+  Log.decision(absl::StrCat(
+      "event=early_clients clients=", Unconfigured.size(),
+      " statements=", asked,
+      " longest_ms=", toMilliseconds(now - Unconfigured.front().ConnectedAt)));
 }
 
 ClientSession *Proxy::session(ClientId client) {
@@ -371,7 +405,7 @@
 }
 
 void Proxy::endSession(TimePoint now, ClientId client, SessionEnd reason) {
-  clientLeft(now, client);
+  forgetClient(now, client);
   Ended[client] = reason;
   Log.sessionEnded(reason);
   Io.closeClient(client);
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -141,6 +141,11 @@
   void endIfSentAway(TimePoint now, ClientId client);
   /// Ends the session, which waits for no answer, and its connection.
   void endSession(TimePoint now, ClientId client, SessionEnd reason);
+  void forgetClient(TimePoint now, ClientId client);
+  /// The client leaves: a statement of it that isn't answered yet is told.
+  void noteGivenUp(TimePoint now, ClientId client);
+  /// The first configuration is there: tells who has waited for it.
+  void noteEarlyClients(TimePoint now);
   /// The statement came after its session's end: nobody answers it.
   void noteUnanswered(ClientId client, const ClientStatement &statement);
   /// Whose client it is that shows \p key; none if the route asks for a key
--- a/src/proxy/internal/Access.cpp
+++ b/src/proxy/internal/Access.cpp
@@ -93,7 +93,7 @@
   }
   if (it->State != SessionState::Idle)
     return;
-  clientLeft(now, client);
+  forgetClient(now, client);
   StatementReply reply;
   reply.Code = ReplyCode::Unauthorised;
   reply.Detail = "the key was taken away";
--- a/src/proxy/tests/ProxyTest.cpp
+++ b/src/proxy/tests/ProxyTest.cpp
@@ -70,6 +70,55 @@
   CHECK(io.Answers[client].size() == 1);
 }
 
+TEST_CASE("Proxy_ClientsThatWaitedForTheFirstConfigurationAreTold") {
+  FakeIo io;
+  quota::tests::NoQuota quota;
+  Proxy core(Fixture::options(), io, io, io, quota);
+  const TimePoint now(std::chrono::seconds(10));
+  core.clientConnected(now + milliseconds(20), ClientId{1},
+                       DatabaseId("current"));
+  core.clientConnected(now + milliseconds(40), ClientId{2},
+                       DatabaseId("current"));
+  ClientStatement statement;
+  statement.Kind = StatementKind::Set;
+  core.clientAsked(now + milliseconds(50), ClientId{2}, statement);
+  control::Configuration configuration;
+  configuration.Version = 4;
+  Fixture::addRoute(configuration, "current", ReadPolicy::Current);
+  core.applyConfiguration(now + milliseconds(100), configuration);
+  const std::vector<std::string> told = {
+      "event=early_clients clients=2 statements=1 longest_ms=80"};
+  CHECK(io.Lines == told);
+}
+
+TEST_CASE("Proxy_StatementGivenUpByItsClientIsTold") {
+  Fixture it;
+  it.warmUp();
+  const auto linesOf = [&it](ClientId client) {
+    const std::string start =
+        "event=statement_given_up client=" + std::to_string(client.Number) +
+        " ";
+    std::vector<std::string> lines;
+    for (const auto &line : it.Io.Lines)
+      if (line.starts_with(start))
+        lines.push_back(line);
+    return lines;
+  };
+  const auto answered = it.connect("current");
+  it.ask(answered, StatementKind::Set, "SET lang sv", "lang", "sv");
+  it.Core.clientLeft(it.Now, answered);
+  CHECK(linesOf(answered).empty());
+
+  const auto waiting = it.connect("current");
+  it.ask(waiting, StatementKind::Write, "WRITE x 1");
+  REQUIRE(it.carrierOf("WRITE x 1"));
+  it.advance(milliseconds(30));
+  it.Core.clientLeft(it.Now, waiting);
+  REQUIRE(linesOf(waiting).size() == 1);
+  CHECK(linesOf(waiting).front().ends_with(
+      " database=current stage=sent sendings=1 waited_ms=30"));
+}
+
 TEST_CASE("Proxy_SessionValuesGoWithTheStatement") {
   Fixture it;
   it.warmUp();
