--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -18,7 +18,6 @@
 constexpr Duration DefaultStatementTimeout = milliseconds(1000);
 
 constexpr const char *UnknownKey = "no organisation has this key";
-constexpr const char *Closing = "this VM is being stopped";
 
 /// Of the organisations that share what is contested; none where clients show
 /// no keys.
@@ -60,6 +59,7 @@
   reviewSessions(now);
   for (const auto &[name, service] : Configuration.Services)
     dispatchWaiting(now, name);
+  noteEarlyClients(now);
   for (auto &it : std::exchange(Unconfigured, {})) {
     clientConnected(now, it.Client, it.Database, it.Key);
     for (auto &statement : it.Asked)
@@ -108,8 +108,7 @@
 void Proxy::clientConnected(TimePoint now, ClientId client,
                             const DatabaseId &database, const KeyDigest &key) {
   if (IsClosing)
-    return endWithRefusal(now, client, SessionEnd::Stopping, ReplyCode::Busy,
-                          Closing);
+    return endWithRefusal(now, client, SessionEnd::Stopping);
   if (!isConfigured()) {
     Unconfigured.push_back({client, database, key, now, {}});
     return;
@@ -150,8 +149,7 @@
   if (early != Unconfigured.end()) {
     early->Asked.push_back(std::move(statement));
     if (early->Asked.size() > Options.EarlyStatements)
-      endWithRefusal(now, client, SessionEnd::NoConfiguration, ReplyCode::Busy,
-                     "this VM has no configuration yet");
+      endWithRefusal(now, client, SessionEnd::NoConfiguration);
     return;
   }
   auto *it = session(client);
@@ -163,30 +161,6 @@
   endIfSentAway(now, client);
 }
 
-void Proxy::clientLeft(TimePoint now, ClientId client) {
-  std::erase_if(Unconfigured,
-                [&](const auto &it) { return it.Client == client; });
-  Ended.erase(client);
-  auto *it = session(client);
-  if (!it)
-    return;
-  if (it->Current)
-    abandonStatement(now, *it);
-  releasePinned(now, *it);
-  Sessions.erase(client);
-}
-
-void Proxy::clientDropped(TimePoint now, ClientId client, SessionEnd reason) {
-  const auto *it = session(client);
-  const std::size_t unanswered =
-      it ? it->Queue.size() + (it->Current ? 1 : 0) : 0;
-  Log.decision(absl::StrCat("event=client_dropped client=", client.Number,
-                            " reason=", std::string(nameOf(reason)),
-                            " unanswered=", unanswered));
-  Log.sessionEnded(reason);
-  clientLeft(now, client);
-}
-
 ClientSession *Proxy::session(ClientId client) {
   const auto it = Sessions.find(client);
   return it == Sessions.end() ? nullptr : &it->second;
@@ -375,54 +349,6 @@
   answer(now, session, std::move(reply));
 }
 
-void Proxy::endSession(TimePoint now, ClientId client, SessionEnd reason) {
-  clientLeft(now, client);
-  Ended[client] = reason;
-  Log.sessionEnded(reason);
-  Io.closeClient(client);
-}
-
-void Proxy::endWithRefusal(TimePoint now, ClientId client, SessionEnd reason,
-                           ReplyCode code, const std::string &detail) {
-  clientLeft(now, client);
-  Ended[client] = reason;
-  Log.sessionEnded(reason);
-  StatementReply reply;
-  reply.Code = code;
-  reply.Detail = detail;
-  Io.rejectClient(client, reply);
-}
-
-void Proxy::noteUnanswered(ClientId client, const ClientStatement &statement) {
-  const auto ended = Ended.find(client);
-  const std::string reason(ended == Ended.end() ? "no_session"
-                                                : nameOf(ended->second));
-  Log.decision(
-      absl::StrCat("event=statement_unanswered client=", client.Number,
-                   " request=", statement.Id.empty() ? "-" : statement.Id,
-                   " reason=", reason));
-  Log.unanswered(reason);
-}
-
-void Proxy::endIfSentAway(TimePoint now, ClientId client) {
-  const auto *it = session(client);
-  if (!it || !it->isAtRest())
-    return;
-  if (IsClosing)
-    return endSession(now, client, SessionEnd::Stopping);
-  if (it->IsTurnedAway)
-    endSession(now, client, SessionEnd::CutOff);
-}
-
-void Proxy::closeIdleSessions(TimePoint now, Duration atLeast) {
-  std::vector<ClientId> idle;
-  for (const auto &[id, it] : Sessions)
-    if (it.isAtRest() && now - it.LastActive >= atLeast)
-      idle.push_back(id);
-  for (const auto id : idle)
-    endWithRefusal(now, id, SessionEnd::Stopping, ReplyCode::Busy, Closing);
-}
-
 void Proxy::abortTransactions(TimePoint now) {
   for (auto &[id, it] : Sessions) {
     if (it.State != SessionState::InTransaction || it.Current)
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -143,8 +143,13 @@
   void endSession(TimePoint now, ClientId client, SessionEnd reason);
   /// The same, also for a client that has no session yet, and tells it why:
   /// nothing that it has sent is run.
-  void endWithRefusal(TimePoint now, ClientId client, SessionEnd reason,
-                      ReplyCode code, const std::string &detail);
+  void endWithRefusal(TimePoint now, ClientId client, SessionEnd reason);
+  /// The client has no session any more.
+  void forgetClient(TimePoint now, ClientId client);
+  /// The client leaves: a statement of it that isn't answered yet is told.
+  void noteGivenUp(TimePoint now, ClientId client);
+  /// The first configuration is there: tells who has waited for it.
+  void noteEarlyClients(TimePoint now);
   /// The statement came after its session's end: nobody answers it.
   void noteUnanswered(ClientId client, const ClientStatement &statement);
   /// Whose client it is that shows \p key; none if the route asks for a key
--- a/src/proxy/internal/Access.cpp
+++ b/src/proxy/internal/Access.cpp
@@ -93,8 +93,7 @@
   }
   if (it->State != SessionState::Idle)
     return;
-  endWithRefusal(now, client, SessionEnd::KeyWithdrawn, ReplyCode::Unauthorised,
-                 "the key was taken away");
+  endWithRefusal(now, client, SessionEnd::KeyWithdrawn);
 }
 
 bool Proxy::isAdmitted(TimePoint now, ClientSession &session) {
--- /dev/null
+++ b/src/proxy/internal/SessionEnds.cpp
@@ -0,0 +1,149 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file The part of Proxy that ends clients' sessions, and tells why. A
+/// session ends behind an answer or with a refusal, never without a word: a
+/// statement may be on its way.
+
+#include "proxy/Proxy.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+
+namespace stepledge::proxy {
+
+namespace {
+
+/// What a client is told whose session ends without its having asked.
+StatementReply refusalOf(SessionEnd reason) {
+  StatementReply reply;
+  reply.Code = ReplyCode::Busy;
+  switch (reason) {
+  case SessionEnd::KeyWithdrawn:
+    reply.Code = ReplyCode::Unauthorised;
+    reply.Detail = "the key was taken away";
+    break;
+  case SessionEnd::NoConfiguration:
+    reply.Detail = "this VM has no configuration yet";
+    break;
+  default:
+    reply.Detail = "this VM is being stopped";
+    break;
+  }
+  return reply;
+}
+
+} // namespace
+
+void Proxy::clientLeft(TimePoint now, ClientId client) {
+  noteGivenUp(now, client);
+  forgetClient(now, client);
+}
+
+void Proxy::forgetClient(TimePoint now, ClientId client) {
+  std::erase_if(Unconfigured,
+                [&](const auto &it) { return it.Client == client; });
+  Ended.erase(client);
+  auto *it = session(client);
+  if (!it)
+    return;
+  if (it->Current)
+    abandonStatement(now, *it);
+  releasePinned(now, *it);
+  Sessions.erase(client);
+}
+
+void Proxy::clientDropped(TimePoint now, ClientId client, SessionEnd reason) {
+  const auto *it = session(client);
+  const std::size_t unanswered =
+      it ? it->Queue.size() + (it->Current ? 1 : 0) : 0;
+  Log.decision(absl::StrCat("event=client_dropped client=", client.Number,
+                            " reason=", std::string(nameOf(reason)),
+                            " unanswered=", unanswered));
+  Log.sessionEnded(reason);
+  forgetClient(now, client);
+}
+
+void Proxy::noteGivenUp(TimePoint now, ClientId client) {
+  const auto *it = session(client);
+  if (!it || !it->Current)
+    return;
+  const auto &work = *it->Current;
+  const bool wasSent = work.Stage == WorkStage::Sent;
+  Log.decision(absl::StrCat(
+      "event=statement_given_up client=", client.Number,
+      " request=", work.Statement.Id.empty() ? "-" : work.Statement.Id,
+      " database=", it->Database.str(), " stage=", wasSent ? "sent" : "waiting",
+      " sendings=", work.Sendings,
+      " waited_ms=", toMilliseconds(now - work.ArrivedAt)));
+  Log.givenUp(wasSent);
+}
+
+void Proxy::endSession(TimePoint now, ClientId client, SessionEnd reason) {
+  forgetClient(now, client);
+  Ended[client] = reason;
+  Log.sessionEnded(reason);
+  Io.closeClient(client);
+}
+
+void Proxy::endWithRefusal(TimePoint now, ClientId client, SessionEnd reason) {
+  forgetClient(now, client);
+  Ended[client] = reason;
+  Log.sessionEnded(reason);
+  Io.rejectClient(client, refusalOf(reason));
+}
+
+void Proxy::noteUnanswered(ClientId client, const ClientStatement &statement) {
+  const auto ended = Ended.find(client);
+  const std::string reason(ended == Ended.end() ? "no_session"
+                                                : nameOf(ended->second));
+  Log.decision(
+      absl::StrCat("event=statement_unanswered client=", client.Number,
+                   " request=", statement.Id.empty() ? "-" : statement.Id,
+                   " reason=", reason));
+  Log.unanswered(reason);
+}
+
+void Proxy::endIfSentAway(TimePoint now, ClientId client) {
+  const auto *it = session(client);
+  if (!it || !it->isAtRest())
+    return;
+  if (IsClosing)
+    return endSession(now, client, SessionEnd::Stopping);
+  if (it->IsTurnedAway)
+    endSession(now, client, SessionEnd::CutOff);
+}
+
+void Proxy::closeIdleSessions(TimePoint now, Duration atLeast) {
+  std::vector<ClientId> idle;
+  for (const auto &[id, it] : Sessions)
+    if (it.isAtRest() && now - it.LastActive >= atLeast)
+      idle.push_back(id);
+  for (const auto id : idle)
+    endWithRefusal(now, id, SessionEnd::Stopping);
+}
+
+void Proxy::noteEarlyClients(TimePoint now) {
+  if (Unconfigured.empty())
+    return;
+  std::size_t asked = 0;
+  for (const auto &it : Unconfigured)
+    asked += it.Asked.size();
+  // NOTE: the first has waited longest.
+  Log.decision(absl::StrCat(
+      "event=early_clients clients=", Unconfigured.size(),
+      " statements=", asked,
+      " longest_ms=", toMilliseconds(now - Unconfigured.front().ConnectedAt)));
+}
+
+void Proxy::dropEarlyClients(TimePoint now) {
+  std::vector<ClientId> late;
+  for (const auto &it : Unconfigured)
+    if (IsClosing || now - it.ConnectedAt > Options.EarlyClientLimit)
+      late.push_back(it.Client);
+  for (const auto it : late)
+    endWithRefusal(now, it, SessionEnd::NoConfiguration);
+}
+
+} // namespace stepledge::proxy
--- a/src/proxy/internal/Upkeep.cpp
+++ b/src/proxy/internal/Upkeep.cpp
@@ -63,16 +63,6 @@
     it->forgetProofs();
 }
 
-void Proxy::dropEarlyClients(TimePoint now) {
-  std::vector<ClientId> late;
-  for (const auto &it : Unconfigured)
-    if (IsClosing || now - it.ConnectedAt > Options.EarlyClientLimit)
-      late.push_back(it.Client);
-  for (const auto it : late)
-    endWithRefusal(now, it, SessionEnd::NoConfiguration, ReplyCode::Busy,
-                   "this VM has no configuration yet");
-}
-
 void Proxy::sweepSessions(TimePoint now) {
   std::vector<ClientId> ids;
   for (const auto &[id, it] : Sessions)
