--- a/src/soak/FaultPlan.cpp
+++ b/src/soak/FaultPlan.cpp
@@ -18,24 +18,46 @@
 /// A wiped disk needs time to be filled again; sooner, another one is more than
 /// the group bears.
 constexpr std::int64_t WipeGapMs = 8000;
+/// A VM must take itself for cut off, or stop, and act on it for some seconds.
+constexpr std::int64_t FirstFaultsMs = 8000;
+/// Sessions are under way on the long ways before the stop.
+constexpr std::int64_t StopAfterMs = 1000;
+/// A seed draws from the kinds before this one; the others are asked for.
+constexpr std::size_t DrawnKinds = FaultNames.size() - 2;
+static_assert(FaultNames[DrawnKinds].Value == FaultKind::LongWays);
 
 bool isWipe(FaultKind kind) { return kind == FaultKind::WipeControl; }
 
 } // namespace
 
 std::vector<PlannedFault> planFaults(std::uint64_t seed,
-                                     std::chrono::milliseconds length) {
+                                     std::chrono::milliseconds length,
+                                     FirstFaults first) {
   std::mt19937_64 random(seed);
   std::vector<PlannedFault> plan;
   std::int64_t wipedAt = -WipeGapMs;
-  for (std::int64_t at = FirstMs; at < length.count() - MostLastsMs;
+  std::int64_t drawnFrom = FirstMs;
+  const std::chrono::milliseconds begin(FirstMs);
+  const std::chrono::milliseconds lasts(FirstFaultsMs);
+  if (first.CutsOff || first.Stops) {
+    plan.push_back({begin, lasts, FaultKind::LongWays, 0});
+    drawnFrom += FirstFaultsMs;
+  }
+  if (first.CutsOff)
+    plan.push_back({begin, lasts, FaultKind::CutOffEntries, 0});
+  if (first.Stops)
+    plan.push_back({begin + std::chrono::milliseconds(StopAfterMs),
+                    {},
+                    FaultKind::StopEntry,
+                    seed});
+  for (std::int64_t at = drawnFrom; at < length.count() - MostLastsMs;
        at += static_cast<std::int64_t>(random() % MostGapMs)) {
     PlannedFault fault;
     fault.At = std::chrono::milliseconds(at);
     fault.Lasts = std::chrono::milliseconds(
         LeastLastsMs +
         static_cast<std::int64_t>(random() % (MostLastsMs - LeastLastsMs)));
-    fault.Kind = FaultNames[random() % FaultNames.size()].Value;
+    fault.Kind = FaultNames[random() % DrawnKinds].Value;
     fault.Target = random();
     if (isWipe(fault.Kind) && at - wipedAt < WipeGapMs)
       fault.Kind = FaultKind::KillControl;
--- a/src/soak/FaultPlan.h
+++ b/src/soak/FaultPlan.h
@@ -31,6 +31,10 @@
   CutInstanceFromSome,
   ResetInstance,
   LagInstance,
+  /// What comes to the entry VMs and goes from them is long on its way.
+  LongWays,
+  /// Entry VMs hear neither control VMs nor instances.
+  CutOffEntries,
 };
 
 constexpr auto FaultNames = std::to_array<NameEntry<FaultKind>>({
@@ -49,6 +53,8 @@
     {FaultKind::CutInstanceFromSome, "cut_instance_from_some"},
     {FaultKind::ResetInstance, "reset_instance"},
     {FaultKind::LagInstance, "lag_instance"},
+    {FaultKind::LongWays, "long_ways"},
+    {FaultKind::CutOffEntries, "cut_off_entries"},
 });
 
 constexpr std::string_view nameOf(FaultKind kind) {
@@ -63,9 +69,19 @@
   std::uint64_t Target = 0;
 };
 
+/// What is played before the drawn faults, with statements that are long on
+/// their way; nothing where both are false.
+struct FirstFaults {
+  /// All entry VMs are cut off.
+  bool CutsOff = false;
+  /// An entry VM stops as planned.
+  bool Stops = false;
+};
+
 /// Faults from the second second until some time before \p length is over.
 std::vector<PlannedFault> planFaults(std::uint64_t seed,
-                                     std::chrono::milliseconds length);
+                                     std::chrono::milliseconds length,
+                                     FirstFaults first);
 
 } // namespace stepledge::soak
 
