A lender that ends tells its borrowers what became of their statements

What callers saw: a statement on a borrowed connection had no answer when its lender's stop came to its limit. Its VM learned of it only by the loss of the connection to the lender, and took a write that was still queued there, and so provably not run, for one whose outcome is unknown. Cause: the same as at a VM's own sessions: the stop ended with the borrows as they were. Evidence: Lender_TellsEachBorrowerAsTheVmEnds failed with an endAllBorrows() that did nothing. Change: at the end a lender refuses the borrows that wait in its queue as not run (stopping), and reports the others as lost, so that each borrower answers its client at once by what it knows. The stopping VM's own clients whose statements run on borrowed connections are answered as before this commit; Proxy_EndTellsBorrowersAndOwnClientsOfBorrowedStatements plays both.

--- a/src/entry/EntryModule.cpp
+++ b/src/entry/EntryModule.cpp
@@ -112,15 +112,15 @@
   if (!isEmpty)
     LastBusy = now;
   if (!isEmpty && Stop->mustEnd(now))
-    cutSessions(now);
+    cutWork(now);
   return Stop->mustExit(now) || (isEmpty && now - LastBusy > SettleTime);
 }
 
-void EntryModule::cutSessions(TimePoint now) {
+void EntryModule::cutWork(TimePoint now) {
   Log.decision(absl::StrCat("event=stop_cut sessions=", Core.sessionCount(),
                             " waiting=", Core.waitingClients()));
   Core.beginShutdown();
-  Core.endAllSessions(now);
+  Core.endAllWork(now);
 }
 
 } // namespace stepledge::entry
--- a/src/entry/EntryModule.h
+++ b/src/entry/EntryModule.h
@@ -55,8 +55,8 @@
 private:
   /// True once the stop is through.
   bool continueStop(TimePoint now);
-  /// Answers the clients that still wait, and ends all sessions.
-  void cutSessions(TimePoint now);
+  /// Answers the clients that still wait, and ends all sessions and borrows.
+  void cutWork(TimePoint now);
 
   EntryModuleOptions Options;
   proxy::IProxyLog &Log;
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -112,10 +112,10 @@
   /// \p atLeast. Each client gets a refusal, since a statement may be in
   /// flight.
   void closeIdleSessions(TimePoint now, Duration atLeast);
-  /// Ends all sessions at the end of a shutdown, and answers each statement
-  /// that waits: one that wasn't sent as not run, one that was by what is known
-  /// of it. No statement is sent any more.
-  void endAllSessions(TimePoint now);
+  /// Ends all sessions and borrows at the end of a shutdown, and answers each
+  /// statement that waits: one that wasn't sent as not run, one that was by
+  /// what is known of it. No statement is sent any more.
+  void endAllWork(TimePoint now);
   /// Rolls back the open transactions in which no statement is running.
   void abortTransactions(TimePoint now);
   std::size_t sessionCount() const { return Sessions.size(); }
--- a/src/proxy/internal/Lender.cpp
+++ b/src/proxy/internal/Lender.cpp
@@ -215,6 +215,19 @@
     end(now, it);
 }
 
+void Lender::endAllBorrows(TimePoint now) {
+  std::vector<BorrowKey> unsent;
+  std::vector<BorrowKey> sent;
+  for (const auto &[key, borrow] : Borrows)
+    (isWaiting(key) ? unsent : sent).push_back(key);
+  for (const auto &it : unsent)
+    refuse(now, it, LendingEnd::Stopping);
+  for (const auto &it : sent) {
+    Io.endBorrower(it, LendingEnd::Lost, {});
+    end(now, it);
+  }
+}
+
 void Lender::answered(TimePoint now, InstanceConnection &connection,
                       Purpose reason, const StatementReply &reply) {
   const BorrowKey key = *connection.Borrower;
--- a/src/proxy/internal/Lender.h
+++ b/src/proxy/internal/Lender.h
@@ -128,6 +128,9 @@
   void tick(TimePoint now);
   /// Refuses new borrows; existing ones continue.
   void stop() { IsStopping = true; }
+  /// Ends all borrows as this VM ends: those that wait are refused as not run,
+  /// and the others are reported as lost.
+  void endAllBorrows(TimePoint now);
   /// The VMs with a borrow that hasn't ended.
   std::set<std::string> borrowers() const;
   bool isLending() const { return !Borrows.empty(); }
--- a/src/proxy/internal/SessionEnds.cpp
+++ b/src/proxy/internal/SessionEnds.cpp
@@ -124,7 +124,7 @@
     endWithRefusal(now, id, SessionEnd::Stopping);
 }
 
-void Proxy::endAllSessions(TimePoint now) {
+void Proxy::endAllWork(TimePoint now) {
   IsEnding = true;
   std::vector<ClientId> unsent;
   std::vector<ClientId> sent;
@@ -145,6 +145,7 @@
   for (const auto id : resting)
     endWithRefusal(now, id, SessionEnd::Stopping);
   dropEarlyClients(now);
+  Lending.endAllBorrows(now);
 }
 
 void Proxy::refuseAtEnd(TimePoint now, ClientId client) {
--- a/src/proxy/tests/LenderTest.cpp
+++ b/src/proxy/tests/LenderTest.cpp
@@ -226,6 +226,24 @@
   CHECK(it.Pool.Sent.empty());
 }
 
+TEST_CASE("Lender_TellsEachBorrowerAsTheVmEnds") {
+  Fixture it;
+  it.ask(1, true, "a");
+  it.ask(2, true, "b");
+  it.Lending.stop();
+  it.Lending.endAllBorrows(it.Now);
+  // The first may run, and its connection ends with the process.
+  CHECK(it.Io.BorrowerEnds[{"10.0.0.9", 1}] == LendingEnd::Lost);
+  CHECK(it.Io.BorrowerReplies[{"10.0.0.9", 1}].empty());
+  // The second was never sent.
+  CHECK(it.Io.BorrowerEnds[{"10.0.0.9", 2}] == LendingEnd::Stopping);
+  REQUIRE(it.Io.BorrowerReplies[{"10.0.0.9", 2}].size() == 1);
+  CHECK(it.Io.BorrowerReplies[{"10.0.0.9", 2}].front().Code == ReplyCode::Busy);
+  CHECK(it.Pool.Sent.size() == 1);
+  CHECK(it.Pool.Connection.IsAbandoned);
+  CHECK(!it.Lending.isLending());
+}
+
 TEST_CASE("Lender_AbandonsTheConnectionOfAGoneBorrower") {
   Fixture it;
   it.ask(1, true, "", CommandKind::Begin);
--- a/src/proxy/tests/ProxyBorrowingTest.cpp
+++ b/src/proxy/tests/ProxyBorrowingTest.cpp
@@ -238,6 +238,34 @@
   CHECK(!it.Io.Opened.at(*carrier).isBorrowed());
 }
 
+TEST_CASE("Proxy_EndTellsBorrowersAndOwnClientsOfBorrowedStatements") {
+  Fixture it;
+  it.warmUp();
+  BorrowRequest request;
+  request.Service = "db";
+  request.Instance = InstanceId("p");
+  request.IsFirst = true;
+  request.Commands.emplace_back().Kind = CommandKind::ClientText;
+  request.Commands.back().Id = "lent";
+  request.Commands.back().Text = "WRITE x lent";
+  it.Core.lender().request(it.Now, {"10.9.9.6", 1}, request);
+  REQUIRE(it.carrierOf("WRITE x lent"));
+  shareWithSixVms(it);
+  const auto client = it.connect("current");
+  it.ask(client, StatementKind::Write, "WRITE x 1");
+  it.advance(milliseconds(30));
+  const auto carrier = it.carrierOf("WRITE x 1");
+  REQUIRE(carrier);
+  REQUIRE(it.Io.Opened.at(*carrier).isBorrowed());
+  it.Core.beginShutdown();
+  it.Core.endAllWork(it.Now);
+  CHECK(it.lastAnswer(client).Code == ReplyCode::OutcomeUnknown);
+  // The borrow ends at its lender, too.
+  CHECK(!it.Io.Opened.contains(*carrier));
+  CHECK(it.Io.BorrowerEnds[{"10.9.9.6", 1}] == LendingEnd::Lost);
+  CHECK(!it.Core.lender().isLending());
+}
+
 TEST_CASE("Proxy_LenderThatRefusesIsNotAskedAgainAtOnce") {
   Fixture it;
   shareWithSixVms(it);
