A stop waits for answers that are not sent yet

What callers saw: a large answer to a client that reads slowly, given just before a planned stop was through, was cut off in the middle, long before the stop's limit: 250 ms after the last session's end the process left, whatever waited in its buffers. The same for a lender's replies to borrowers on a full link. Cause: a session counts as ended once its answer is handed to the socket, and nothing asked the sockets. Change: a stop's settling time begins once neither an answer for a client nor a reply for a borrower waits to be sent. Its end by the limit stands: Stop_ClientThatNeverReadsDoesNotKeepItBeyondItsLimit.

--- a/src/entry/EntryModule.cpp
+++ b/src/entry/EntryModule.cpp
@@ -45,10 +45,11 @@
 EntryModule::EntryModule(asio::io_context &context, EntryModuleOptions options,
                          proxy::ISocketIo &io, proxy::IProxyLog &log,
                          ReadClock clock)
-    : Options(std::move(options)), Log(log), Clock(std::move(clock)),
-      LenderEvents(Borrowed, Clock), BorrowerEvents(Lending, Clock),
-      ControlEvents(Node, Clock), QuotaAskers(Quota),
-      QuotaHomeEvents(Quota, Clock), QuotaAskEvents(QuotaAskers, Clock),
+    : Options(std::move(options)), Sockets(io), Log(log),
+      Clock(std::move(clock)), LenderEvents(Borrowed, Clock),
+      BorrowerEvents(Lending, Clock), ControlEvents(Node, Clock),
+      QuotaAskers(Quota), QuotaHomeEvents(Quota, Clock),
+      QuotaAskEvents(QuotaAskers, Clock),
       ToPartners(LenderEvents, QuotaHomeEvents),
       FromPartners(BorrowerEvents, QuotaAskEvents),
       LenderHub(context, helloOf(Options.Node, peer::wire::BORROWER),
@@ -109,13 +110,17 @@
   }
   const bool isEmpty =
       mayClose && Core.sessionCount() == 0 && !Core.lender().isLending();
-  if (!isEmpty)
+  if (!isEmpty || hasUnsent())
     LastBusy = now;
   if (!isEmpty && Stop->mustEnd(now))
     cutWork(now);
   return Stop->mustExit(now) || (isEmpty && now - LastBusy > SettleTime);
 }
 
+bool EntryModule::hasUnsent() const {
+  return Sockets.hasUnsent() || BorrowerHub.hasUnsent();
+}
+
 void EntryModule::cutWork(TimePoint now) {
   Log.decision(absl::StrCat("event=stop_cut sessions=", Core.sessionCount(),
                             " waiting=", Core.waitingClients()));
--- a/src/entry/EntryModule.h
+++ b/src/entry/EntryModule.h
@@ -58,7 +58,11 @@
   /// Answers the clients that still wait, and ends all sessions and borrows.
   void cutWork(TimePoint now);
 
+  /// Whether answers to clients or replies to borrowers wait to be sent.
+  bool hasUnsent() const;
+
   EntryModuleOptions Options;
+  proxy::ISocketIo &Sockets;
   proxy::IProxyLog &Log;
   ReadClock Clock;
   /// Of the connections that this VM opened to lenders.
--- a/src/entry/tests/StopTest.cpp
+++ b/src/entry/tests/StopTest.cpp
@@ -117,6 +117,25 @@
   }));
 }
 
+TEST_CASE("Stop_WaitsForAnAnswerThatItsClientIsSlowToRead") {
+  Fixture it;
+  it.connect(ClientId{1});
+  it.Module.stop();
+  it.Io.HasUnsent = true;
+  REQUIRE(!it.advance(StopPlan::BalancerTime + milliseconds(1000)));
+  it.Io.HasUnsent = false;
+  CHECK(!it.advance(milliseconds(100)));
+  CHECK(it.advance(milliseconds(300)));
+}
+
+TEST_CASE("Stop_ClientThatNeverReadsDoesNotKeepItBeyondItsLimit") {
+  Fixture it;
+  it.connect(ClientId{1});
+  it.Module.stop();
+  it.Io.HasUnsent = true;
+  CHECK(it.advance(milliseconds(6000)));
+}
+
 TEST_CASE("Stop_IsThroughSoonWhereAllSessionsRest") {
   Fixture it;
   for (std::uint64_t i = 1; i <= 5; ++i)
--- a/src/gateway/EntrySockets.cpp
+++ b/src/gateway/EntrySockets.cpp
@@ -7,6 +7,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace stepledge::gateway {
@@ -124,6 +125,12 @@
     it->second.Socket->finish();
 }
 
+bool EntrySockets::hasUnsent() const {
+  return std::any_of(Clients.begin(), Clients.end(), [](const auto &it) {
+    return it.second.Socket->hasUnsent();
+  });
+}
+
 void EntrySockets::openConnection(ConnectionId connection,
                                   const proxy::ConnectionTarget &target) {
   InstanceLink::Handlers handlers;
--- a/src/gateway/EntrySockets.h
+++ b/src/gateway/EntrySockets.h
@@ -42,6 +42,7 @@
   void answerClient(proxy::ClientId client,
                     const proxy::StatementReply &reply) override;
   void closeClient(proxy::ClientId client) override;
+  bool hasUnsent() const override;
   void openConnection(ConnectionId connection,
                       const proxy::ConnectionTarget &target) override;
   void send(ConnectionId connection,
--- a/src/lines/LineSocket.h
+++ b/src/lines/LineSocket.h
@@ -44,6 +44,8 @@
   void finish();
   void close();
   bool isOpen() const { return !Shared->IsClosed; }
+  /// Whether something that was written isn't sent yet.
+  bool hasUnsent() const { return isOpen() && !Shared->Writing.empty(); }
   SocketEnd end() const { return Shared->End; }
 
 private:
--- a/src/peer/PeerHub.cpp
+++ b/src/peer/PeerHub.cpp
@@ -6,6 +6,7 @@
 #include "lines/ListenAt.h"
 #include "peer/internal/PeerLink.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -200,4 +201,12 @@
   return true;
 }
 
+bool PeerHub::hasUnsent() const {
+  const auto isUnsent = [](const auto &it) {
+    return it.second.Link && it.second.Link->hasUnsent();
+  };
+  return std::any_of(OutgoingLinks.begin(), OutgoingLinks.end(), isUnsent) ||
+         std::any_of(IncomingLinks.begin(), IncomingLinks.end(), isUnsent);
+}
+
 } // namespace stepledge::peer
--- a/src/peer/PeerHub.h
+++ b/src/peer/PeerHub.h
@@ -39,6 +39,8 @@
   /// Sends over the connection to \p ip that this side opened, else over the
   /// one that the other side opened; drops the message where there is none.
   bool send(const std::string &ip, const wire::Message &message) override;
+  /// Whether a message still waits to be sent.
+  bool hasUnsent() const;
   /// Opens and drops connections; call it some times a second.
   void tick(TimePoint now);
   const TrafficCount &traffic() const { return Traffic; }
--- a/src/peer/internal/PeerLink.h
+++ b/src/peer/internal/PeerLink.h
@@ -35,6 +35,8 @@
   /// back and is told everything anew.
   void send(const wire::Message &message);
   void close(LinkEnd end);
+  /// Whether a message isn't sent yet.
+  bool hasUnsent() const { return !IsClosed && !Writing.empty(); }
 
 private:
   void read();
--- a/src/proxy/IProxyIo.h
+++ b/src/proxy/IProxyIo.h
@@ -59,6 +59,9 @@
   virtual void rejectClient(ClientId client, const StatementReply &reply) = 0;
   virtual void answerClient(ClientId client, const StatementReply &reply) = 0;
   virtual void closeClient(ClientId client) = 0;
+  /// Whether something for a client still waits to be sent, as its connection
+  /// takes no more for now.
+  virtual bool hasUnsent() const { return false; }
 
   virtual void openConnection(ConnectionId connection,
                               const ConnectionTarget &target) = 0;
--- a/src/proxy/tests/FakeIo.h
+++ b/src/proxy/tests/FakeIo.h
@@ -26,6 +26,7 @@
     Answers[client].push_back(reply);
   }
   void closeClient(ClientId client) override { Closed.insert(client); }
+  bool hasUnsent() const override { return HasUnsent; }
   void openConnection(ConnectionId connection,
                       const ConnectionTarget &target) override {
     Opened[connection] = target;
@@ -66,6 +67,7 @@
     ReportOrder.push_back("end");
   }
 
+  bool HasUnsent = false;
   std::set<std::string> ConnectedLenders;
   std::set<ClientId> Accepted;
   std::map<ClientId, StatementReply> Rejected;
