A control VM that ends answers the calls that wait there

What callers saw: an operator's or instance's call that wasn't committed 0.3 s after a control VM's stop signal ended with its connection, without an answer. Cause: the program stopped its loop with the calls pending. Change: after the 0.3 s the pending calls are answered as not confirmed, later ones at once, and 0.1 s is left for the answers' way. An operator is told that the change may still take effect, since other VMs may commit it.

--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -137,6 +137,11 @@
   /// it hasn't reported one or the instance is unknown.
   std::uint64_t startTimeOf(const InstanceId &id) const;
 
+  /// Answers the pending calls, whose outcomes aren't known, and from now on
+  /// each new one at once: this VM ends before it could do more for them.
+  void endCalls();
+  bool isEnding() const { return IsEnding; }
+
   void tick(TimePoint now);
   void persisted(TimePoint now, std::uint64_t ticket);
   /// Sets the current time for messages of peers; to be called before each
@@ -277,6 +282,7 @@
   bool HasBeenFresh = false;
   bool WasLeader = false;
   bool IsRunningEffects = false;
+  bool IsEnding = false;
 };
 
 } // namespace stepledge::control
--- a/src/control/internal/Calls.cpp
+++ b/src/control/internal/Calls.cpp
@@ -7,12 +7,17 @@
 #include "control/ControlNode.h"
 
 #include <utility>
+#include <vector>
 
 namespace stepledge::control {
 
 std::uint64_t ControlNode::startCall(TimePoint now, wire::Command command,
                                      bool isRead, OnDone onDone) {
   const std::uint64_t number = ++LastCallNumber;
+  if (IsEnding) {
+    onDone(false);
+    return number;
+  }
   auto &call = Calls[number];
   call.Command = std::move(command);
   call.Command.set_proposer(Node.self().number());
@@ -25,6 +30,15 @@
   return number;
 }
 
+void ControlNode::endCalls() {
+  IsEnding = true;
+  std::vector<std::uint64_t> pending;
+  for (const auto &[number, it] : Calls)
+    pending.push_back(number);
+  for (const auto it : pending)
+    finishCall(it, false);
+}
+
 void ControlNode::tryCall(TimePoint now, std::uint64_t number,
                           PendingCall &call) {
   call.RetryAt = now + Options.CallRetryInterval;
--- a/src/node/ControlProgram.cpp
+++ b/src/node/ControlProgram.cpp
@@ -16,9 +16,11 @@
 /// How often elections, heartbeats and calls are looked at: a fifth of the
 /// consensus's heartbeat.
 constexpr Duration Tick = milliseconds(20);
-/// From the stop signal to the end, for calls on their way: some hundred round
-/// trips within a region.
-constexpr Duration StopTime = milliseconds(300);
+/// From the stop signal to the answers of calls that still wait: some hundred
+/// round trips within a region.
+constexpr Duration CallTime = milliseconds(300);
+/// From these answers to the end, for their way to the callers.
+constexpr Duration AnswerTime = milliseconds(100);
 
 } // namespace
 
@@ -50,17 +52,20 @@
 }
 
 std::optional<Duration> ControlProgram::tick() {
-  if (EndAt && *EndAt <= observe::readClock())
+  const TimePoint now = observe::readClock();
+  if (StoppingSince && now >= *StoppingSince + CallTime + AnswerTime)
     return std::nullopt;
+  if (StoppingSince && now >= *StoppingSince + CallTime)
+    Control.node().endCalls();
   Control.tick();
-  Loop.noteTraffic(observe::readClock(), Control.traffic());
+  Loop.noteTraffic(now, Control.traffic());
   return Tick;
 }
 
 void ControlProgram::stop() {
-  if (EndAt)
+  if (StoppingSince)
     return;
-  EndAt = observe::readClock() + StopTime;
+  StoppingSince = observe::readClock();
   log("event=stopping");
 }
 
--- a/src/node/ControlProgram.h
+++ b/src/node/ControlProgram.h
@@ -63,8 +63,8 @@
   gateway::InstanceProbe Probe;
   control::ControlModule Control;
   std::unique_ptr<http::ICallHandler> Calls;
-  /// When the program ends, once it was told to.
-  std::optional<TimePoint> EndAt;
+  /// When the program was told to stop.
+  std::optional<TimePoint> StoppingSince;
 };
 
 } // namespace stepledge::node
