Soak: a plan in which statements wait as a stop comes to its limit

Cause: in the seeds that stand a stopped VM is through 2.6 to 2.7 s after its signal, so that a passing run says nothing of what happens at its limit.

--- a/src/soak/FaultPlan.cpp
+++ b/src/soak/FaultPlan.cpp
@@ -22,8 +22,13 @@
 constexpr std::int64_t FirstFaultsMs = 8000;
 /// Sessions are under way on the long ways before the stop.
 constexpr std::int64_t StopAfterMs = 1000;
+/// From a stop to the answers' being kept back: before sessions at rest are
+/// closed, so that they wait instead.
+constexpr std::int64_t HoldAfterMs = 1500;
+/// Until after the kill.
+constexpr std::int64_t HoldLastsMs = 3000;
 /// A seed draws from the kinds before this one; the others are asked for.
-constexpr std::size_t DrawnKinds = FaultNames.size() - 2;
+constexpr std::size_t DrawnKinds = FaultNames.size() - 3;
 static_assert(FaultNames[DrawnKinds].Value == FaultKind::LongWays);
 
 bool isWipe(FaultKind kind) { return kind == FaultKind::WipeControl; }
@@ -39,17 +44,19 @@
   std::int64_t drawnFrom = FirstMs;
   const std::chrono::milliseconds begin(FirstMs);
   const std::chrono::milliseconds lasts(FirstFaultsMs);
-  if (first.CutsOff || first.Stops) {
-    plan.push_back({begin, lasts, FaultKind::LongWays, 0});
+  if (first.isAny())
     drawnFrom += FirstFaultsMs;
-  }
+  if (first.CutsOff || first.Stops)
+    plan.push_back({begin, lasts, FaultKind::LongWays, 0});
   if (first.CutsOff)
     plan.push_back({begin, lasts, FaultKind::CutOffEntries, 0});
-  if (first.Stops)
-    plan.push_back({begin + std::chrono::milliseconds(StopAfterMs),
-                    {},
-                    FaultKind::StopEntry,
-                    seed});
+  const auto stopAt = begin + std::chrono::milliseconds(StopAfterMs);
+  if (first.Stops || first.StopsAtItsLimit)
+    plan.push_back({stopAt, {}, FaultKind::StopEntry, seed});
+  if (first.StopsAtItsLimit)
+    plan.push_back({stopAt + std::chrono::milliseconds(HoldAfterMs),
+                    std::chrono::milliseconds(HoldLastsMs),
+                    FaultKind::HoldAnswers, 0});
   for (std::int64_t at = drawnFrom; at < length.count() - MostLastsMs;
        at += static_cast<std::int64_t>(random() % MostGapMs)) {
     PlannedFault fault;
--- a/src/soak/FaultPlan.h
+++ b/src/soak/FaultPlan.h
@@ -35,6 +35,8 @@
   LongWays,
   /// Entry VMs hear neither control VMs nor instances.
   CutOffEntries,
+  /// Instances run clients' statements and keep the answers back.
+  HoldAnswers,
 };
 
 constexpr auto FaultNames = std::to_array<NameEntry<FaultKind>>({
@@ -55,6 +57,7 @@
     {FaultKind::LagInstance, "lag_instance"},
     {FaultKind::LongWays, "long_ways"},
     {FaultKind::CutOffEntries, "cut_off_entries"},
+    {FaultKind::HoldAnswers, "hold_answers"},
 });
 
 constexpr std::string_view nameOf(FaultKind kind) {
@@ -69,13 +72,17 @@
   std::uint64_t Target = 0;
 };
 
-/// What is played before the drawn faults, with statements that are long on
-/// their way; nothing where both are false.
+/// What is played before the drawn faults; nothing where all are false.
 struct FirstFaults {
-  /// All entry VMs are cut off.
+  /// All entry VMs are cut off, while statements are long on their way.
   bool CutsOff = false;
-  /// An entry VM stops as planned.
+  /// An entry VM stops as planned, while statements are long on their way.
   bool Stops = false;
+  /// An entry VM stops as planned, and statements wait as it comes to its
+  /// limit.
+  bool StopsAtItsLimit = false;
+
+  bool isAny() const { return CutsOff || Stops || StopsAtItsLimit; }
 };
 
 /// Faults from the second second until some time before \p length is over.
