The daemon answers the requests that still wait as it exits

What callers could see: a request for a transaction of another VM, which a stopping daemon goes on passing to its owner, had no answer if it waited as the stop's limit came, or if it came in the last 40 ms. Cause: finishStop() ended the loop after its limit whatever waited. Forwarded requests aren't refused by a stop, and their owners have 200 ms beyond the deadline. Evidence: by tests; no run of real processes showed it. RequestService_* (three) failed with an endAll() that did nothing, and the two golden sessions ending*.session showed no answers before the coordinator handled EndReached. Change: at the end, unfinished requests are answered as at their deadlines, by what is known of them: not run, rolled back or unknown. Forwarded ones are unknown, also those that are still being handed over. Later requests are refused as not run, and aren't passed on. Conclusion: what waits at the daemon's end is told. Answers that a slow client hasn't read 40 ms later are cut as before, since the HTTP library doesn't tell what it hasn't sent.

--- a/src/daemon/DaemonModule.cpp
+++ b/src/daemon/DaemonModule.cpp
@@ -105,6 +105,7 @@
     const auto now = monotonicNow();
     if (!Requests->isDrained() && now < limit)
       return later(now + DrainCheck, [this, limit] { finishStop(limit); });
+    Requests->endAll();
     // NOTE: One more turn, so that the last answers are written.
     later(now + 2 * DrainCheck, [this] {
       Root.stop();
--- a/src/daemon/internal/RequestService.cpp
+++ b/src/daemon/internal/RequestService.cpp
@@ -11,6 +11,7 @@
 #include "absl/strings/str_cat.h"
 
 #include <utility>
+#include <vector>
 
 namespace stepledge::daemon {
 
@@ -136,6 +137,8 @@
   auto request = std::move(submission.Request);
   request.Deadline = monotonicNow() + submission.TimeAllowed;
   request.Id = keep(request, std::move(done), submission.Trace);
+  if (Ending)
+    return refuse(request.Id, ResultCode::Stopping);
   if (belongsElsewhere(request))
     return forward(request, ownerOf(request));
   tell(request::RequestArrived{std::move(request)});
@@ -353,6 +356,21 @@
 
 void RequestService::refuseNew() { tell(request::StopRequested{}); }
 
+void RequestService::endAll() {
+  Ending = true;
+  if (!Waiting.empty())
+    Seen.Log.warning(
+        Part::Request,
+        absl::StrCat(Waiting.size(), " requests wait at the stop's limit"));
+  tell(request::EndReached{});
+  std::vector<RequestId> forwarded;
+  for (const auto &[id, it] : Waiting)
+    forwarded.push_back(id);
+  // NOTE: one that is still being handed over may reach its owner.
+  for (const auto id : forwarded)
+    refuse(id, ResultCode::OwnerSilent);
+}
+
 bool RequestService::isDrained() const {
   return Waiting.empty() && (!Coordinator || Coordinator->openWorkCount() == 0);
 }
--- a/src/daemon/internal/RequestService.h
+++ b/src/daemon/internal/RequestService.h
@@ -56,6 +56,9 @@
   /// From now on new requests are refused.
   void refuseNew();
   bool isDrained() const;
+  /// Answers the requests that still wait, by what is known of them, and
+  /// refuses further ones: the process exits.
+  void endAll();
 
 private:
   struct Pending {
@@ -98,6 +101,7 @@
   std::uint64_t Seed;
   std::uint64_t NextRequest = 0;
   bool Stopping = false;
+  bool Ending = false;
 };
 
 } // namespace stepledge::daemon
--- a/src/request/internal/DatabaseCoordinator.cpp
+++ b/src/request/internal/DatabaseCoordinator.cpp
@@ -245,8 +245,17 @@
   std::visit(Visitor{*this, running, connection, result, now}, running.Task);
 }
 
-void DatabaseCoordinator::expireQueued(TimePoint now) {
-  for (const auto &it : Context.Queue.takeExpired(now)) {
+void DatabaseCoordinator::end(TimePoint now) {
+  for (auto &[id, it] : Context.Requests) {
+    if (it.ExpiryCode == ResultCode::DeadlinePassed)
+      it.ExpiryCode = ResultCode::Stopping;
+    it.Request.Deadline = now;
+  }
+  expireQueued(TimePoint::max(), now);
+}
+
+void DatabaseCoordinator::expireQueued(TimePoint deadline, TimePoint now) {
+  for (const auto &it : Context.Queue.takeExpired(deadline)) {
     auto *request = Context.find(it.Id);
     if (request == nullptr)
       continue;
@@ -312,7 +321,7 @@
   Replacing.tick(now);
   abortOnReplacedPrimary(now);
   Writes.resolveAwaiting(now);
-  expireQueued(now);
+  expireQueued(now, now);
   expireSent(now);
   Transactions.abortExpired(now);
   dispatchQueue(now);
--- a/src/request/internal/DatabaseCoordinator.h
+++ b/src/request/internal/DatabaseCoordinator.h
@@ -30,6 +30,8 @@
   void finished(ConnectionId connection, const upstream::BatchResult &result,
                 TimePoint now);
   void stop() { Context.IsStopping = true; }
+  /// Lets all unfinished requests expire, as the process exits.
+  void end(TimePoint now);
   void setLeaving(const InstanceId &instance, bool leaving, TimePoint now) {
     Context.View.setLeaving(instance, leaving, now);
   }
@@ -51,7 +53,8 @@
   bool accept(ActiveRequest &request, TimePoint now);
   bool start(ActiveRequest &request, TimePoint now);
   void dispatchQueue(TimePoint now);
-  void expireQueued(TimePoint now);
+  /// Answers the queued requests whose deadlines are not after \p deadline.
+  void expireQueued(TimePoint deadline, TimePoint now);
   void expireSent(TimePoint now);
   void keepWarm(TimePoint now);
   /// Aborts writes and transactions that still run on a replaced primary.
--- a/src/request/internal/RequestCoordinator.cpp
+++ b/src/request/internal/RequestCoordinator.cpp
@@ -103,6 +103,12 @@
         Self.collectEffects(*database, Now, Out);
       }
     }
+    void operator()(const EndReached &) const {
+      for (auto &[id, database] : Self.Databases) {
+        database->end(Now);
+        Self.collectEffects(*database, Now, Out);
+      }
+    }
     void operator()(const InstanceLeaving &it) const {
       const auto found = Self.Databases.find(it.Database);
       if (found == Self.Databases.end())
--- a/src/request/tests/SessionScript.cpp
+++ b/src/request/tests/SessionScript.cpp
@@ -131,6 +131,8 @@
         InstanceLeaving{Database, InstanceId(words[1]), words[2] == "on"});
   } else if (verb == "stop") {
     sendEvent(StopRequested{});
+  } else if (verb == "end") {
+    sendEvent(EndReached{});
   } else {
     submit(words);
   }
--- a/src/request/tests/SessionScript.h
+++ b/src/request/tests/SessionScript.h
@@ -18,7 +18,7 @@
 ///   reply BATCH fail STEP STATE the step fails, those after it are skipped
 ///   again BATCH                 the same answer is delivered again
 ///   lose BATCH                  its connection is lost
-///   leaving NAME on|off | stop
+///   leaving NAME on|off | stop | end
 /// Lines that begin with ">" are effects; polls of instances and the opening
 /// of connections are left out.
 
--- a/src/request/types/Events.h
+++ b/src/request/types/Events.h
@@ -42,6 +42,10 @@
 /// The VM shuts down: new requests are refused, open work may finish.
 struct StopRequested {};
 
+/// The process exits: each unfinished request is answered by what is known of
+/// it, as at its deadline.
+struct EndReached {};
+
 /// An operator or the platform reports whether an instance is leaving and is
 /// to get no new work.
 struct InstanceLeaving {
@@ -59,7 +63,7 @@
 };
 
 using Event = std::variant<RequestArrived, ConnectionOpened, ConnectionLost,
-                           BatchFinished, TimePassed, StopRequested,
+                           BatchFinished, TimePassed, StopRequested, EndReached,
                            InstanceLeaving, PeerReport>;
 
 struct OpenConnection {
