Ask the next lender also if it lends for another organisation

What callers saw: for up to 2.5 s after a lender was lost, a VM refused an organisation's statements at the primary with "no free connection to the primary i-0; open 6 busy 0 allowed 4 cut 0", although other lenders had connections. Those are connections of other organisations, which can't serve the statement; "allowed 4" is how many statements should run at once, not a limit of connections. Cause: while some lender is paused and a VM has own connections to wait for, it doesn't ask lenders that already lend to it. Where connections belong to organisations, the own connections of others counted as ones to wait for. An organisation whose first lender was paused so got nothing from the next ones if these lent for anybody else there. Evidence: Organisation_NextLenderIsAskedAlsoIfItLendsForAnother loses each lender of four VMs with seven organisations in turn. Change: only own connections that may serve the organisation count. Why this works: the exclusion keeps a VM from asking several lenders at once while it has something to wait for; without a connection of the organisation it has nothing, and its request isn't sent with "needs one that is free now" either.

--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -300,6 +300,10 @@
   std::vector<std::string>
   lendersOf(TimePoint now, const membership::InstanceRecord &record,
             const std::optional<OrganisationId> &organisation);
+  /// Whether this VM has an own connection to the instance that may serve the
+  /// organisation; without one given, any connection may.
+  bool hasOwnFor(const InstanceId &instance,
+                 const std::optional<OrganisationId> &organisation) const;
   /// The VM to borrow a connection to the instance from.
   std::optional<std::string>
   lenderFor(TimePoint now, const membership::InstanceRecord &record,
--- a/src/proxy/internal/ConnectionSharing.cpp
+++ b/src/proxy/internal/ConnectionSharing.cpp
@@ -215,6 +215,13 @@
   return lenders;
 }
 
+bool Proxy::hasOwnFor(const InstanceId &instance,
+                      const std::optional<OrganisationId> &organisation) const {
+  const bool isAnyUsable = !Configuration.HasOrganisations || !organisation;
+  return isAnyUsable ? Pool.ownCount(instance) > 0
+                     : Pool.ownCount(instance, *organisation) > 0;
+}
+
 std::optional<std::string>
 Proxy::lenderFor(TimePoint now, const membership::InstanceRecord &record,
                  const std::optional<OrganisationId> &organisation,
@@ -223,7 +230,7 @@
   // NOTE: while this VM has own connections to wait for, it needs a borrowed
   // one that is free now. Requests to several lenders at once would mostly be
   // refused.
-  if (Pool.ownCount(record.Id) > 0 && hasPausedLender(now, record.Id))
+  if (hasOwnFor(record.Id, organisation) && hasPausedLender(now, record.Id))
     std::erase_if(lenders, [&](const auto &it) {
       return !Pool.borrowedFrom(it, record.Id).empty();
     });
--- a/src/proxy/tests/OrganisationTest.cpp
+++ b/src/proxy/tests/OrganisationTest.cpp
@@ -303,6 +303,74 @@
   CHECK(opensForBorrower(it, 2));
 }
 
+namespace {
+
+const char *const SevenOrganisations[] = {"red",    "blue",  "green", "white",
+                                          "yellow", "black", "brown"};
+
+/// This VM, whose address is empty, and three others share instances that
+/// allow 40 connections; all are homes, and all are connected.
+void shareWithThreeVms(OrganisationFixture &it) {
+  it.NextConfiguration.Services["db"].MaxConnections = 40;
+  for (const char *name : SevenOrganisations) {
+    auto &added = it.NextConfiguration.Organisations[OrganisationId(name)];
+    added.Id = OrganisationId(name);
+    added.Keys = {KeyDigest::of(std::string(name) + "-key")};
+  }
+  it.applyNextConfiguration();
+  std::vector<membership::EntryVm> entries{{"", HallId("a")}};
+  for (const char *ip : {"10.9.9.1", "10.9.9.2", "10.9.9.3"}) {
+    entries.push_back({ip, HallId("a")});
+    it.Io.ConnectedLenders.insert(ip);
+  }
+  it.Core.setEntries(entries);
+  it.advance(milliseconds(4000));
+}
+
+/// Runs a write of the organisation; gives its lender, which is empty where an
+/// own connection served it.
+std::string runWrite(OrganisationFixture &it, const std::string &organisation) {
+  const std::string text = "WRITE x " + std::to_string(it.LastId);
+  it.ask(it.connectWith("current", organisation + "-key"), StatementKind::Write,
+         text.c_str());
+  for (int i = 0; i < 10 && !it.carrierOf(text); ++i) {
+    it.advance(milliseconds(10));
+    it.answerProxyCommands(markOf(3, 100));
+  }
+  const auto carrier = it.carrierOf(text);
+  REQUIRE(carrier);
+  const std::string lender = it.Io.Opened.at(*carrier).LenderIp;
+  it.answer(*carrier, it.replyAt(markOf(3, 101)));
+  return lender;
+}
+
+void loseLender(OrganisationFixture &it, const std::string &ip) {
+  for (const auto &[id, target] : std::map(it.Io.Opened))
+    if (target.LenderIp == ip) {
+      it.Io.closeConnection(id);
+      it.Core.connectionLost(it.Now, id);
+    }
+}
+
+} // namespace
+
+// Guards against a statement that waits for connections of other organisations,
+// which never serve it: for as long as a lender was paused, another one was
+// asked only if it lent nothing to anybody here.
+TEST_CASE("Organisation_NextLenderIsAskedAlsoIfItLendsForAnother") {
+  for (const char *lost : {"10.9.9.1", "10.9.9.2", "10.9.9.3"}) {
+    OrganisationFixture it;
+    shareWithThreeVms(it);
+    std::map<std::string, std::string> lenders;
+    for (const char *name : SevenOrganisations)
+      lenders[name] = runWrite(it, name);
+    loseLender(it, lost);
+    for (const auto &[name, lender] : lenders)
+      if (lender == lost)
+        CHECK(runWrite(it, name) != lost);
+  }
+}
+
 TEST_CASE("Organisation_OneUnderItsFairShareIsServedFirst") {
   OrganisationFixture it;
   // This VM may have one connection to each instance.
