--- a/src/proxy/tests/OrganisationTest.cpp
+++ b/src/proxy/tests/OrganisationTest.cpp
@@ -339,7 +339,7 @@
   }
   const auto carrier = it.carrierOf(text);
   REQUIRE(carrier);
-  const std::string lender = it.Io.Opened.at(*carrier).LenderIp;
+  std::string lender = it.Io.Opened.at(*carrier).LenderIp;
   it.answer(*carrier, it.replyAt(markOf(3, 101)));
   return lender;
 }
