--- a/src/proxy/tests/ProxyBorrowingTest.cpp
+++ b/src/proxy/tests/ProxyBorrowingTest.cpp
@@ -69,6 +69,18 @@
   }
 }
 
+/// Another VM borrows a connection to the primary for a write.
+void lendWrite(Fixture &it, const char *text) {
+  BorrowRequest request;
+  request.Service = "db";
+  request.Instance = InstanceId("p");
+  request.IsFirst = true;
+  request.Commands.emplace_back().Kind = CommandKind::ClientText;
+  request.Commands.back().Id = "lent";
+  request.Commands.back().Text = text;
+  it.Core.lender().request(it.Now, {"10.9.9.6", 1}, request);
+}
+
 /// The VM's own connections to the primary.
 std::ptrdiff_t ownAtPrimary(const Fixture &it) {
   return std::count_if(it.Io.Opened.begin(), it.Io.Opened.end(),
@@ -222,15 +234,7 @@
     REQUIRE(carrier);
     REQUIRE(it.Io.Opened.at(*carrier).isBorrowed());
   }
-  BorrowRequest request;
-  request.Service = "db";
-  request.Instance = InstanceId("p");
-  request.IsFirst = true;
-  request.Commands.emplace_back();
-  request.Commands.back().Kind = CommandKind::ClientText;
-  request.Commands.back().Id = "lent";
-  request.Commands.back().Text = "WRITE x lent";
-  it.Core.lender().request(it.Now, {"10.9.9.6", 1}, request);
+  lendWrite(it, "WRITE x lent");
   for (int i = 0; i < 5; ++i)
     it.advance(milliseconds(10));
   const auto carrier = it.carrierOf("WRITE x lent");
@@ -241,14 +245,7 @@
 TEST_CASE("Proxy_EndTellsBorrowersAndOwnClientsOfBorrowedStatements") {
   Fixture it;
   it.warmUp();
-  BorrowRequest request;
-  request.Service = "db";
-  request.Instance = InstanceId("p");
-  request.IsFirst = true;
-  request.Commands.emplace_back().Kind = CommandKind::ClientText;
-  request.Commands.back().Id = "lent";
-  request.Commands.back().Text = "WRITE x lent";
-  it.Core.lender().request(it.Now, {"10.9.9.6", 1}, request);
+  lendWrite(it, "WRITE x lent");
   REQUIRE(it.carrierOf("WRITE x lent"));
   shareWithSixVms(it);
   const auto client = it.connect("current");
