A control group that lacks a leader or a voter says so

Change: event=group_incomplete at a bounded rate, with the silent voters and the connections to them; event=group_complete; metrics silent_voters and without_leader_ms.

--- a/src/consensus/ConsensusNode.cpp
+++ b/src/consensus/ConsensusNode.cpp
@@ -70,6 +70,29 @@
   return !isVoter() || (!isLeader() && now - since > Options.RejoinAfter);
 }
 
+GroupHealth ConsensusNode::health(TimePoint now) const {
+  GroupHealth health;
+  health.Leads = isLeader();
+  health.Term = Term;
+  health.Commit = Commit;
+  health.LastIndex = lastIndex();
+  health.Voters = static_cast<std::size_t>(Voters.voters_size());
+  if (!isLeader())
+    health.WithoutLeader = now - std::max(LeaderContact, StartedAt);
+  if (Leader)
+    return health;
+  for (const auto &it : Voters.voters()) {
+    const auto heard = HeardAt.find(it.number());
+    const TimePoint since = heard == HeardAt.end() ? StartedAt : heard->second;
+    const auto other = Others.find(it.number());
+    if (it.number() != Self.number() && now - since > Options.AliveLimit)
+      health.SilentVoters.push_back(
+          {it.number(), it.ip(), now - since,
+           isLeader() && other != Others.end() ? other->second.Match : 0});
+  }
+  return health;
+}
+
 std::optional<wire::Member> ConsensusNode::leader() const {
   return isLeader() ? Self : Leader;
 }
@@ -123,6 +146,8 @@
   }
   if (message.to() != Self.number())
     return;
+  if (isVoter(message.from()))
+    HeardAt[message.from()] = now;
   // NOTE: a pre-vote's term is one that no member has entered, but a reply that
   // refuses a pre-vote carries the term of the member that refuses, which may
   // be newer.
--- a/src/consensus/ConsensusNode.h
+++ b/src/consensus/ConsensusNode.h
@@ -13,6 +13,7 @@
 
 #include "consensus/generated/Consensus.pb.h"
 #include "consensus/types/ConsensusOptions.h"
+#include "consensus/types/GroupHealth.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -26,8 +27,6 @@
 
 namespace stepledge::consensus {
 
-using MemberNumber = std::uint64_t;
-
 /// State that a member loads from its disk.
 struct DurableState {
   std::uint64_t Term = 0;
@@ -108,6 +107,7 @@
   std::uint64_t term() const { return Term; }
   std::uint64_t commitIndex() const { return Commit; }
   const wire::Member &self() const { return Self; }
+  GroupHealth health(TimePoint now) const;
 
 private:
   enum class MemberRole { Follower, PreCandidate, Candidate, Leader };
@@ -266,6 +266,8 @@
   /// have.
   std::uint64_t Round = 1;
   std::map<MemberNumber, Progress> Others;
+  /// Time of the last message from each voter.
+  std::map<MemberNumber, TimePoint> HeardAt;
   std::vector<PendingRead> Reads;
   std::uint64_t BytesSinceSnapshot = 0;
 
--- a/src/control/ControlModule.cpp
+++ b/src/control/ControlModule.cpp
@@ -44,7 +44,8 @@
                              ReadClock clock)
     : Context(context), Options(std::move(options)), Promoter(promoter),
       Probe(probe), Log(log), Clock(std::move(clock)),
-      Store(Options.DataFolder) {}
+      Store(Options.DataFolder),
+      HealthReport([this](const auto &ip) { return Hub->linksTo(ip); }) {}
 
 absl::Status ControlModule::start() {
   if (auto status = openLog(); !status.ok())
@@ -120,6 +121,8 @@
   const TimePoint now = Clock();
   Hub->tick(now);
   Node->tick(now);
+  if (const auto line = HealthReport.line(now, Consensus->health(now)))
+    Log.log(*line);
 }
 
 void ControlModule::append(std::uint64_t ticket,
--- a/src/control/ControlModule.h
+++ b/src/control/ControlModule.h
@@ -10,6 +10,7 @@
 #include "consensus/DiskWriter.h"
 #include "consensus/LogStore.h"
 #include "control/ControlNode.h"
+#include "control/internal/GroupHealthReport.h"
 #include "peer/PeerHub.h"
 
 #include "absl/status/status.h"
@@ -78,6 +79,7 @@
   std::unique_ptr<consensus::DiskWriter> Disk;
   std::unique_ptr<peer::PeerHub> Hub;
   std::unique_ptr<ControlNode> Node;
+  GroupHealthReport HealthReport;
 };
 
 } // namespace stepledge::control
--- /dev/null
+++ b/src/control/tests/GroupHealthReportTest.cpp
@@ -0,0 +1,58 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file A group that lacks a leader or a voter says so while it lasts.
+
+#include "control/internal/GroupHealthReport.h"
+
+#include <doctest/doctest.h>
+
+using namespace stepledge;
+using namespace stepledge::control;
+
+namespace {
+
+const TimePoint Start(milliseconds(10000));
+constexpr const char *VoterIp = "10.0.0.3";
+
+consensus::GroupHealth lackingAVoter() {
+  consensus::GroupHealth health;
+  health.Leads = true;
+  health.SilentVoters.push_back({7, VoterIp, milliseconds(1500), 15});
+  return health;
+}
+
+std::vector<peer::LinkState> ownLink(const std::string &ip) {
+  CHECK(ip == VoterIp);
+  return {{peer::LinkSide::Own, milliseconds(9000), true}};
+}
+
+} // namespace
+
+TEST_CASE("GroupHealthReport_SilentVoterIsNamedWithItsConnections") {
+  GroupHealthReport report(ownLink);
+  const auto line = report.line(Start, lackingAVoter());
+  REQUIRE(line);
+  CHECK(line->find("silent=7 ip=10.0.0.3 silent_ms=1500 match=15 "
+                   "link=own/9000/sends") != std::string::npos);
+}
+
+TEST_CASE("GroupHealthReport_LineIsRepeatedAtABoundedRate") {
+  GroupHealthReport report(ownLink);
+  int lines = 0;
+  for (Duration at{}; at < milliseconds(60000); at += milliseconds(20))
+    lines += report.line(Start + at, lackingAVoter()).has_value();
+  CHECK(lines == 12);
+  const auto end = report.line(Start + milliseconds(60000), {});
+  CHECK(end == "event=group_complete after_ms=60000");
+  CHECK_FALSE(report.line(Start + milliseconds(60020), {}));
+}
+
+TEST_CASE("GroupHealthReport_ElectionIsNoStandstill") {
+  GroupHealthReport report(ownLink);
+  consensus::GroupHealth health;
+  health.WithoutLeader = milliseconds(1500);
+  CHECK_FALSE(report.line(Start, health));
+  health.WithoutLeader = milliseconds(2500);
+  CHECK(report.line(Start + milliseconds(1000), health));
+}
--- a/src/node/ControlProgram.cpp
+++ b/src/node/ControlProgram.cpp
@@ -74,6 +74,9 @@
   page.set("leads", consensus.isLeader());
   page.set("is_voter", consensus.isVoter());
   page.set("term", static_cast<double>(consensus.term()));
+  const auto health = consensus.health(observe::readClock());
+  page.set("silent_voters", static_cast<double>(health.SilentVoters.size()));
+  page.set("without_leader_ms", toMilliseconds(health.WithoutLeader));
   page.set("commit_index", static_cast<double>(consensus.commitIndex()));
   page.set("configuration_version",
            static_cast<double>(Control.node().configurationVersion()));
--- a/src/peer/PeerHub.cpp
+++ b/src/peer/PeerHub.cpp
@@ -59,7 +59,7 @@
           return;
         *ip = message.hello().ip();
         Unnamed.erase(self);
-        auto old = std::exchange(IncomingLinks[*ip], Incoming{self, number});
+        auto old = std::exchange(IncomingLinks[*ip], Incoming{self, number, Now});
         if (old.Link) {
           old.Link->close(LinkEnd::Replaced);
           // NOTE: its own end finds the newer one in its place, and is silent.
@@ -75,9 +75,13 @@
         IncomingLinks.erase(it);
         Listener.peerLost(*ip, end);
       },
-      [this, ip] {
-        if (!ip->empty())
-          Listener.peerHeard(*ip);
+      [this, ip, number] {
+        if (ip->empty())
+          return;
+        const auto it = IncomingLinks.find(*ip);
+        if (it != IncomingLinks.end() && it->second.Number == number)
+          it->second.HeardAt = Now;
+        Listener.peerHeard(*ip);
       });
   *holder = link;
   Unnamed.insert(link);
@@ -201,6 +205,18 @@
   return true;
 }
 
+std::vector<LinkState> PeerHub::linksTo(const std::string &ip) const {
+  std::vector<LinkState> links;
+  const auto own = OutgoingLinks.find(ip);
+  if (own != OutgoingLinks.end() && own->second.Link)
+    links.push_back({LinkSide::Own, Now - own->second.HeardAt, true});
+  const auto other = IncomingLinks.find(ip);
+  if (other != IncomingLinks.end())
+    links.push_back(
+        {LinkSide::Other, Now - other->second.HeardAt, links.empty()});
+  return links;
+}
+
 bool PeerHub::hasUnsent() const {
   const auto isUnsent = [](const auto &it) {
     return it.second.Link && it.second.Link->hasUnsent();
--- a/src/peer/PeerHub.h
+++ b/src/peer/PeerHub.h
@@ -11,6 +11,7 @@
 #include "peer/IPeerSender.h"
 #include "peer/TrafficCount.h"
 #include "peer/internal/ConnectSchedule.h"
+#include "peer/types/LinkState.h"
 
 #include <asio.hpp>
 
@@ -44,6 +45,8 @@
   /// Opens and drops connections; call it some times a second.
   void tick(TimePoint now);
   const TrafficCount &traffic() const { return Traffic; }
+  /// The connections to \p ip, at most one from each side.
+  std::vector<LinkState> linksTo(const std::string &ip) const;
 
 private:
   struct Try {
@@ -60,6 +63,7 @@
   struct Incoming {
     std::shared_ptr<PeerLink> Link;
     std::uint64_t Number = 0;
+    TimePoint HeardAt{};
   };
 
   void accept();
