Log what entry VMs do with an organisation's quota

Cause: the logs couldn't tell whether leases, two homes or retries exceed a quota. Change: event=quota_use each second for organisations that were refused; event=retry names the organisation.

--- a/src/entry/QuotaService.cpp
+++ b/src/entry/QuotaService.cpp
@@ -3,10 +3,16 @@
 
 #include "entry/QuotaService.h"
 
+#include "absl/strings/str_cat.h"
+
 namespace stepledge::entry {
 
 namespace {
 
+constexpr Duration UseLogInterval = milliseconds(1000);
+/// The organisations that are logged in each interval.
+constexpr std::size_t MaxUseLines = 3;
+
 /// One that this version doesn't know says nothing of the quota.
 quota::GrantResult resultOf(std::uint32_t result) {
   const auto last = static_cast<std::uint32_t>(quota::GrantResult::Stopping);
@@ -44,6 +50,17 @@
   Now = now;
   Ledger.tick(now);
   keepHomes();
+  if (now - UseLoggedAt >= UseLogInterval)
+    logUse(now);
+}
+
+void QuotaService::logUse(TimePoint now) {
+  UseLoggedAt = now;
+  for (const auto &it : Ledger.takeUse(MaxUseLines))
+    Log.decision(absl::StrCat(
+        "event=quota_use organisation=", it.Organisation.str(),
+        " granted=", it.Granted, " refused=", it.Refused, " lent=", it.Lent,
+        " borrowed=", it.Borrowed, " held=", it.Held, " home=", it.IsHome));
 }
 
 void QuotaService::keepHomes() {
--- a/src/entry/QuotaService.h
+++ b/src/entry/QuotaService.h
@@ -40,8 +40,9 @@
 class QuotaService : public quota::IQuotaIo, public peer::IPeerListener {
 public:
   QuotaService(quota::QuotaOptions options, peer::IPeerSender &homes,
-               peer::IPeerSender &askers)
-      : Homes(homes), Askers(askers), Ledger(std::move(options), *this) {}
+               peer::IPeerSender &askers, proxy::IProxyLog &log)
+      : Homes(homes), Askers(askers), Log(log),
+        Ledger(std::move(options), *this) {}
 
   /// \p connections keeps the connections to the homes open.
   void wire(proxy::Proxy &proxy, BorrowedConnections &connections);
@@ -64,14 +65,17 @@
 
 private:
   void keepHomes();
+  void logUse(TimePoint now);
 
   peer::IPeerSender &Homes;
   peer::IPeerSender &Askers;
+  proxy::IProxyLog &Log;
   quota::QuotaLedger Ledger;
   proxy::Proxy *Proxy = nullptr;
   BorrowedConnections *Connections = nullptr;
   /// Homes of other halls that have been asked.
   std::set<std::string> FarHomes;
+  TimePoint UseLoggedAt{};
   TimePoint Now{};
 };
 
--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -311,8 +311,9 @@
       absl::StrCat("instance ", instance.str(), " refused with code ",
                    std::string(nameOf(code)));
   Log.decision(absl::StrCat(
-      "event=retry request=", work.Statement.Id, " instance=", instance.str(),
-      " code=", std::string(nameOf(code)), " sendings=", work.SendCount));
+      "event=retry request=", work.Statement.Id,
+      " organisation=", session.Organisation.str(),
+      " instance=", instance.str(), " code=", std::string(nameOf(code)), " sendings=", work.SendCount));
   Log.retried(code);
   if (code == ReplyCode::ReadOnly)
     instances.noteNotPrimary(now, instance);
--- a/src/quota/QuotaLedger.cpp
+++ b/src/quota/QuotaLedger.cpp
@@ -88,6 +88,7 @@
   if (takeLocal(now, organisation, account, rank, 1) > 0) {
     account.OwnRates.note(now, rank);
     account.OwnHallDemand.note(now, rank);
+    ++account.Use.Granted;
     return QuotaVerdict::Granted;
   }
   const std::chrono::duration<double> ahead = Options.ForecastTime;
@@ -98,6 +99,7 @@
       askForMore(now, organisation, account, rank, operations))
     return QuotaVerdict::Pending;
   account.OwnHallDemand.note(now, rank);
+  ++account.Use.Refused;
   return QuotaVerdict::Exhausted;
 }
 
@@ -354,6 +356,7 @@
   } else if (found != Accounts.end()) {
     auto &account = found->second;
     grant.Operations = grantTo(now, ask, account);
+    account.Use.Lent += grant.Operations;
     if (grant.Operations > 0)
       grant.Result = GrantResult::Lent;
     else if (ask.IsFromOtherHall || isExhausted(now, account, ask.Priority) ||
@@ -407,6 +410,7 @@
   switch (grant.Result) {
   case GrantResult::Lent:
     addLease(account, asked->first, grant.Operations, ask.AskedAt);
+    account.Use.Borrowed += grant.Operations;
     break;
   case GrantResult::Unknown:
     state.NextAskAt = now + Options.AskRetryDelay;
@@ -463,6 +467,27 @@
   }
 }
 
+std::vector<QuotaUse> QuotaLedger::takeUse(std::size_t most) {
+  std::vector<QuotaUse> uses;
+  for (auto &[id, account] : Accounts) {
+    QuotaUse use = std::exchange(account.Use, QuotaUse());
+    const bool wasHome = use.IsHome;
+    use.Organisation = id;
+    use.IsHome = account.Part.has_value();
+    for (const auto &it : account.Leases)
+      use.Held += it.Operations;
+    account.Use.IsHome = use.IsHome;
+    if (use.Refused > 0 || wasHome != use.IsHome)
+      uses.push_back(use);
+  }
+  std::sort(uses.begin(), uses.end(), [](const auto &a, const auto &b) {
+    return a.Granted + a.Refused > b.Granted + b.Refused;
+  });
+  if (uses.size() > most)
+    uses.resize(most);
+  return uses;
+}
+
 std::set<std::string> QuotaLedger::homesToConnect() const {
   if (Accounts.empty())
     return {};
--- a/src/quota/QuotaLedger.h
+++ b/src/quota/QuotaLedger.h
@@ -25,6 +25,7 @@
 #include "quota/QuotaHomes.h"
 #include "quota/RetryDelays.h"
 #include "quota/TokenBucket.h"
+#include "quota/types/QuotaUse.h"
 
 #include <deque>
 #include <map>
@@ -60,6 +61,10 @@
   void tick(TimePoint now);
   /// The VMs to stay connected to while quotas are configured.
   std::set<std::string> homesToConnect() const;
+  /// The use since the last call of the organisations that were refused or
+  /// whose home this VM has become or is no more: those with the greatest use,
+  /// \p most at most.
+  std::vector<QuotaUse> takeUse(std::size_t most);
 
 private:
   struct Lease {
@@ -107,6 +112,8 @@
     PriorityRates OwnHallDemand;
     PriorityRates OtherHallDemand;
     RetryDelays CallerRetries;
+    /// Since the last takeUse().
+    QuotaUse Use;
   };
 
   bool isUnavailable(TimePoint now, const std::string &ip) const;
