--- a/src/consensus/ConsensusNode.cpp
+++ b/src/consensus/ConsensusNode.cpp
@@ -82,13 +82,16 @@
   if (Leader)
     return health;
   for (const auto &it : Voters.voters()) {
-    const auto heard = HeardAt.find(it.number());
-    const TimePoint since = heard == HeardAt.end() ? StartedAt : heard->second;
     const auto other = Others.find(it.number());
+    const bool isFollower = isLeader() && other != Others.end();
+    const auto heard = HeardAt.find(it.number());
+    // NOTE: a voter that only asks for votes doesn't follow.
+    const TimePoint since = isFollower               ? other->second.LastReplyAt
+                            : heard == HeardAt.end() ? StartedAt
+                                                     : heard->second;
     if (it.number() != Self.number() && now - since > Options.AliveLimit)
-      health.SilentVoters.push_back(
-          {it.number(), it.ip(), now - since,
-           isLeader() && other != Others.end() ? other->second.Match : 0});
+      health.SilentVoters.push_back({it.number(), it.ip(), now - since,
+                                     isFollower ? other->second.Match : 0});
   }
   return health;
 }
--- a/src/consensus/types/GroupHealth.h
+++ b/src/consensus/types/GroupHealth.h
@@ -16,11 +16,11 @@
 
 using MemberNumber = std::uint64_t;
 
-/// A voter that isn't heard.
+/// A voter that doesn't answer the leader, or without a leader isn't heard.
 struct SilentVoter {
   MemberNumber Number = 0;
   std::string Ip;
-  /// Since its last message, or since this member's start.
+  /// Since its last answer or message, or since this member's start.
   Duration SilentFor{};
   /// The last entry that it is known to have; 0 unless this member leads.
   std::uint64_t Match = 0;
--- a/src/control/internal/GroupHealthReport.cpp
+++ b/src/control/internal/GroupHealthReport.cpp
@@ -16,10 +16,9 @@
 constexpr Duration LineInterval = milliseconds(5000);
 
 std::string linkText(const peer::LinkState &link) {
-  return absl::StrCat(" link=",
-                      std::string(nameIn(peer::LinkSideNames, link.Side)), "/",
-                      toMilliseconds(link.SilentFor),
-                      link.CarriesMessages ? "/sends" : "");
+  return absl::StrCat(
+      " link=", std::string(nameIn(peer::LinkSideNames, link.Side)), "/",
+      toMilliseconds(link.SilentFor), link.CarriesMessages ? "/sends" : "");
 }
 
 } // namespace
@@ -46,11 +45,11 @@
 
 std::string
 GroupHealthReport::describe(const consensus::GroupHealth &health) const {
-  std::string text = absl::StrCat(
-      "event=group_incomplete leads=", health.Leads, " term=", health.Term,
-      " commit=", health.Commit, " last=", health.LastIndex,
-      " voters=", health.Voters,
-      " without_leader_ms=", toMilliseconds(health.WithoutLeader));
+  std::string text =
+      absl::StrCat("event=group_incomplete leads=", health.Leads,
+                   " term=", health.Term, " commit=", health.Commit,
+                   " last=", health.LastIndex, " voters=", health.Voters,
+                   " without_leader_ms=", toMilliseconds(health.WithoutLeader));
   for (const auto &it : health.SilentVoters) {
     absl::StrAppend(&text, " silent=", it.Number, " ip=", it.Ip,
                     " silent_ms=", toMilliseconds(it.SilentFor),
--- a/src/peer/PeerHub.cpp
+++ b/src/peer/PeerHub.cpp
@@ -59,7 +59,8 @@
           return;
         *ip = message.hello().ip();
         Unnamed.erase(self);
-        auto old = std::exchange(IncomingLinks[*ip], Incoming{self, number, Now});
+        auto old =
+            std::exchange(IncomingLinks[*ip], Incoming{self, number, Now});
         if (old.Link) {
           old.Link->close(LinkEnd::Replaced);
           // NOTE: its own end finds the newer one in its place, and is silent.
--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -310,10 +310,11 @@
   work.LastRefusal =
       absl::StrCat("instance ", instance.str(), " refused with code ",
                    std::string(nameOf(code)));
-  Log.decision(absl::StrCat(
-      "event=retry request=", work.Statement.Id,
-      " organisation=", session.Organisation.str(),
-      " instance=", instance.str(), " code=", std::string(nameOf(code)), " sendings=", work.SendCount));
+  Log.decision(absl::StrCat("event=retry request=", work.Statement.Id,
+                            " organisation=", session.Organisation.str(),
+                            " instance=", instance.str(),
+                            " code=", std::string(nameOf(code)),
+                            " sendings=", work.SendCount));
   Log.retried(code);
   if (code == ReplyCode::ReadOnly)
     instances.noteNotPrimary(now, instance);
