Ping connections between VMs, and replace those that don't answer

Cause: a VM sends on the connection that it opened and hears on the one that the other opened, so between control VMs silence on the own connection said nothing, and PeerHub gave up silent ones at entry VMs only. A follower behind a one-way cut closes its side of the leader's connection; the reset is lost, and the leader sends into it for good. The group then has two working voters of three, and none to lose. Class: a one-way channel without an acknowledgement of its own, trusted until the system says otherwise. Change: the opener pings a connection on which nothing has come for 0.5 s after it sent something, control VMs also idle ones; without an answer for 2 s it is replaced. Ruled out: a reset in answer to later bytes: it came to a-1 and not to b-1 in the same moment, so it can't be counted on.

--- a/src/peer/PeerHub.cpp
+++ b/src/peer/PeerHub.cpp
@@ -14,9 +14,21 @@
 
 namespace {
 
-/// A peer that says nothing for this long is connected to anew; each sends
-/// a heartbeat at least once a second.
-constexpr Duration SilenceLimit = milliseconds(3000);
+/// An entry VM connects anew to a control VM that says nothing for this long;
+/// each sends a notice at least once a second.
+constexpr Duration NoticeLimit = milliseconds(3000);
+
+wire::Message ping() {
+  wire::Message message;
+  message.mutable_ping();
+  return message;
+}
+
+wire::Message pong() {
+  wire::Message message;
+  message.mutable_pong();
+  return message;
+}
 
 } // namespace
 
@@ -52,9 +64,11 @@
   auto link = std::make_shared<PeerLink>(
       std::move(socket),
       [this, ip, number, holder](const wire::Message &message) {
+        auto self = holder->lock();
+        if (message.has_ping() && self)
+          return self->send(pong());
         if (!ip->empty())
           return Listener.peerSaid(*ip, message);
-        auto self = holder->lock();
         if (!message.has_hello() || !self)
           return;
         *ip = message.hello().ip();
@@ -116,8 +130,7 @@
   Now = now;
   std::vector<std::shared_ptr<PeerLink>> silent;
   for (auto &[ip, it] : OutgoingLinks) {
-    const bool expectsWord = Self.kind() == wire::ENTRY;
-    if (expectsWord && it.Link && now - it.HeardAt > SilenceLimit)
+    if (it.Link && !isAlive(now, it))
       silent.push_back(it.Link);
     std::erase_if(it.Tries, [&](const Try &old) {
       return ConnectSchedule::isHung(old.StartedAt, now);
@@ -129,6 +142,22 @@
     it->close(LinkEnd::Silent);
 }
 
+bool PeerHub::isAlive(TimePoint now, Outgoing &outgoing) {
+  if (Self.kind() == wire::ENTRY)
+    return outgoing.Watch->silentFor(now) <= NoticeLimit;
+  switch (outgoing.Watch->decide(now)) {
+  case LinkAction::Close:
+    return false;
+  case LinkAction::Ping:
+    outgoing.Link->send(ping());
+    Traffic.noteSent(ping());
+    break;
+  case LinkAction::None:
+    break;
+  }
+  return true;
+}
+
 void PeerHub::open(TimePoint now, const std::string &ip, Outgoing &outgoing) {
   outgoing.Schedule.started(now);
   std::error_code ec;
@@ -165,25 +194,27 @@
   auto link = std::make_shared<PeerLink>(
       std::move(socket),
       [this, ip](const wire::Message &message) {
-        Listener.peerSaid(ip, message);
+        if (!message.has_pong())
+          Listener.peerSaid(ip, message);
       },
       [this, ip, holder](LinkEnd end) {
         const auto it = OutgoingLinks.find(ip);
         if (it == OutgoingLinks.end() || it->second.Link != holder->lock())
           return;
         it->second.Link.reset();
+        it->second.Watch.reset();
         Listener.peerLost(ip, end);
       },
       [this, ip] {
         const auto it = OutgoingLinks.find(ip);
-        if (it != OutgoingLinks.end())
-          it->second.HeardAt = Now;
+        if (it != OutgoingLinks.end() && it->second.Watch)
+          it->second.Watch->heard(Now);
         Listener.peerHeard(ip);
       });
   *holder = link;
   auto &outgoing = OutgoingLinks[ip];
   outgoing.Link = link;
-  outgoing.HeardAt = Now;
+  outgoing.Watch.emplace(Now, Self.kind() == wire::CONTROL);
   link->start();
   wire::Message hello;
   *hello.mutable_hello() = Self;
@@ -195,6 +226,7 @@
   const auto outgoing = OutgoingLinks.find(ip);
   if (outgoing != OutgoingLinks.end() && outgoing->second.Link) {
     outgoing->second.Link->send(message);
+    outgoing->second.Watch->sent(Now);
     Traffic.noteSent(message);
     return true;
   }
@@ -210,7 +242,7 @@
   std::vector<LinkState> links;
   const auto own = OutgoingLinks.find(ip);
   if (own != OutgoingLinks.end() && own->second.Link)
-    links.push_back({LinkSide::Own, Now - own->second.HeardAt, true});
+    links.push_back({LinkSide::Own, own->second.Watch->silentFor(Now), true});
   const auto other = IncomingLinks.find(ip);
   if (other != IncomingLinks.end())
     links.push_back(
--- a/src/peer/PeerHub.h
+++ b/src/peer/PeerHub.h
@@ -11,12 +11,14 @@
 #include "peer/IPeerSender.h"
 #include "peer/TrafficCount.h"
 #include "peer/internal/ConnectSchedule.h"
+#include "peer/internal/LinkWatch.h"
 #include "peer/types/LinkState.h"
 
 #include <asio.hpp>
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -58,7 +60,8 @@
     /// The first that is answered becomes the connection.
     std::vector<Try> Tries;
     ConnectSchedule Schedule;
-    TimePoint HeardAt{};
+    /// Set while there is a connection.
+    std::optional<LinkWatch> Watch;
   };
   struct Incoming {
     std::shared_ptr<PeerLink> Link;
@@ -67,6 +70,8 @@
   };
 
   void accept();
+  /// Pings \p outgoing if that is due; false if its connection is dead.
+  bool isAlive(TimePoint now, Outgoing &outgoing);
   void take(asio::ip::tcp::socket socket);
   void open(TimePoint now, const std::string &ip, Outgoing &outgoing);
   void tryEnded(const std::string &ip,
--- a/src/peer/tests/SilentConnectionTest.cpp
+++ b/src/peer/tests/SilentConnectionTest.cpp
@@ -50,7 +50,10 @@
 class Pipe : public std::enable_shared_from_this<Pipe> {
 public:
   Pipe(tcp::socket from, tcp::socket to)
-      : From(std::move(from)), To(std::move(to)) {}
+      : From(std::move(from)), To(std::move(to)) {
+    From.set_option(tcp::no_delay(true));
+    To.set_option(tcp::no_delay(true));
+  }
 
   void start() {
     pass(From, To, Forth);
