A home of a quota that left the list stays one while it is reached

Cause: control VMs take VMs that they don't hear out of the list, and the others choose new homes by it; those that were taken out keep their list and go on. Two VMs lend one part, each at its whole rate, for as long as the cut lasts. Class: a role that is held by one VM, given out by lists that differ, with no agreement between the holders. Change: a home that left the list stays a home for those that are connected to it and answered by it, so both sides choose the same one; one that doesn't know an organisation says so (NoQuota), and is passed over for it. Left: the limits of a home that is cut off are those that it heard last; a VM that starts during a cut doesn't know the homes that left.

--- a/src/entry/QuotaService.cpp
+++ b/src/entry/QuotaService.cpp
@@ -15,7 +15,7 @@
 
 /// One that this version doesn't know says nothing of the quota.
 quota::GrantResult resultOf(std::uint32_t result) {
-  const auto last = static_cast<std::uint32_t>(quota::GrantResult::Stopping);
+  const auto last = static_cast<std::uint32_t>(quota::GrantResult::NoQuota);
   return result <= last ? static_cast<quota::GrantResult>(result)
                         : quota::GrantResult::Unknown;
 }
@@ -73,8 +73,8 @@
 
 void QuotaService::peerConnected(const std::string &ip,
                                  const peer::wire::Hello &hello) {
-  (void)ip;
   (void)hello;
+  Ledger.homeConnected(ip);
 }
 
 void QuotaService::peerLost(const std::string &ip, peer::LinkEnd end) {
--- a/src/quota/IQuotaIo.h
+++ b/src/quota/IQuotaIo.h
@@ -37,6 +37,8 @@
   Exhausted,
   /// The VM is about to stop and keeps no quotas.
   Stopping,
+  /// The VM's configuration has no quota of the organisation.
+  NoQuota,
 };
 
 struct QuotaGrant {
--- a/src/quota/QuotaHomes.cpp
+++ b/src/quota/QuotaHomes.cpp
@@ -22,15 +22,46 @@
 } // namespace
 
 void QuotaHomes::setEntries(const std::vector<membership::EntryVm> &entries) {
-  ByHall.clear();
+  Listed.clear();
   for (const auto &it : entries)
-    ByHall[it.Hall].push_back(it.Ip);
+    Listed.emplace(it.Ip, it.Hall);
+  for (const auto &[hall, ips] : ByHall)
+    for (const auto &ip : ips)
+      if (Connected.contains(ip))
+        Departed.emplace(ip, hall);
+  std::erase_if(Departed,
+                [&](const auto &it) { return Listed.contains(it.first); });
+  choose();
+}
+
+void QuotaHomes::choose() {
+  ByHall.clear();
+  for (const auto *vms : {&Listed, &Departed})
+    for (const auto &[ip, hall] : *vms)
+      ByHall[hall].push_back(ip);
   for (auto &[hall, ips] : ByHall) {
     sortByWeight(ips, hall.str());
     ips.resize(std::min(ips.size(), HomesPerHall));
   }
 }
 
+void QuotaHomes::disconnected(const std::string &ip) {
+  Connected.erase(ip);
+  unavailable(ip);
+}
+
+void QuotaHomes::unavailable(const std::string &ip) {
+  if (Departed.erase(ip) > 0)
+    choose();
+}
+
+std::optional<HallId> QuotaHomes::hallOf(const std::string &ip) const {
+  for (const auto *vms : {&Listed, &Departed})
+    if (const auto it = vms->find(ip); it != vms->end())
+      return it->second;
+  return std::nullopt;
+}
+
 std::vector<std::string>
 QuotaHomes::homesOf(const HallId &hall,
                     const OrganisationId &organisation) const {
--- a/src/quota/QuotaLedger.cpp
+++ b/src/quota/QuotaLedger.cpp
@@ -67,9 +67,11 @@
 
 void QuotaLedger::setEntries(const std::vector<membership::EntryVm> &entries) {
   Homes.setEntries(entries);
-  HallOf.clear();
-  for (const auto &it : entries)
-    HallOf[it.Ip] = it.Hall;
+  for (const auto &[ip, until] : UnavailableHomes)
+    Homes.unavailable(ip);
+  for (auto &[id, account] : Accounts)
+    std::erase_if(account.HomesWithoutIt,
+                  [&](const auto &it) { return !Homes.hasDeparted(it); });
   VmsOfHall =
       std::max<int>(1, static_cast<int>(std::count_if(
                            entries.begin(), entries.end(), [&](const auto &it) {
@@ -234,7 +236,11 @@
 std::optional<std::string>
 QuotaLedger::homeIn(TimePoint now, const HallId &hall,
                     const OrganisationId &organisation) const {
+  const auto account = Accounts.find(organisation);
   for (const auto &it : Homes.homesOf(hall, organisation)) {
+    if (account != Accounts.end() &&
+        account->second.HomesWithoutIt.contains(it))
+      continue;
     const bool isOwn = it == Options.OwnIp;
     if (isOwn ? !IsStopping : !isUnavailable(now, it))
       return it;
@@ -306,6 +312,7 @@
 void QuotaLedger::noteUnavailable(TimePoint now, const std::string &ip) {
   UnavailableHomes[ip] = now + Options.UnavailableHomePause;
   Unconnected.erase(ip);
+  Homes.unavailable(ip);
 }
 
 Duration QuotaLedger::timeToNext(TimePoint now, const Account &account,
@@ -353,7 +360,9 @@
   const auto found = Accounts.find(ask.Organisation);
   if (IsStopping) {
     grant.Result = GrantResult::Stopping;
-  } else if (found != Accounts.end()) {
+  } else if (found == Accounts.end()) {
+    grant.Result = GrantResult::NoQuota;
+  } else {
     auto &account = found->second;
     grant.Operations = grantTo(now, ask, account);
     account.Use.Lent += grant.Operations;
@@ -377,8 +386,8 @@
     state.ExhaustedUntil = now + retryAfter;
     return;
   }
-  if (const auto hall = HallOf.find(ip); hall != HallOf.end())
-    state.ExhaustedHalls[hall->second] = now + Options.HallAskInterval;
+  if (const auto hall = Homes.hallOf(ip))
+    state.ExhaustedHalls[*hall] = now + Options.HallAskInterval;
 }
 
 void QuotaLedger::addLease(Account &account, int priority, int operations,
@@ -412,6 +421,12 @@
     addLease(account, asked->first, grant.Operations, ask.AskedAt);
     account.Use.Borrowed += grant.Operations;
     break;
+  case GrantResult::NoQuota:
+    // NOTE: one in the list has only to apply the newest configuration.
+    if (Homes.hasDeparted(ip))
+      account.HomesWithoutIt.insert(ip);
+    state.NextAskAt = now + Options.AskRetryDelay;
+    return;
   case GrantResult::Unknown:
     state.NextAskAt = now + Options.AskRetryDelay;
     return;
@@ -419,13 +434,18 @@
     noteExhausted(now, ip, state, ask, grant.RetryAfter);
     break;
   case GrantResult::Stopping:
-    UnavailableHomes[ip] = now + Options.UnavailableHomePause;
+    noteUnavailable(now, ip);
     break;
   }
   Io.quotaChanged(grant.Organisation);
 }
 
 void QuotaLedger::homeLost(TimePoint now, const std::string &ip) {
+  Homes.disconnected(ip);
+  giveUpAsks(now, ip);
+}
+
+void QuotaLedger::giveUpAsks(TimePoint now, const std::string &ip) {
   std::set<OrganisationId> waiting;
   for (auto &[id, account] : Accounts) {
     for (auto &[priority, state] : account.AskStates) {
@@ -449,7 +469,7 @@
       if (state.Ask && now - state.Ask->AskedAt > Options.SilenceLimit)
         silent.insert(state.Ask->Ip);
   for (const auto &it : silent)
-    homeLost(now, it);
+    giveUpAsks(now, it);
   std::erase_if(UnavailableHomes,
                 [&](const auto &it) { return it.second <= now; });
   if (now - PartsUpdatedAt < Options.PartUpdateInterval)
--- a/src/quota/QuotaLedger.h
+++ b/src/quota/QuotaLedger.h
@@ -56,6 +56,8 @@
   void receiveAsk(TimePoint now, const std::string &ip, const QuotaAsk &ask);
   void receiveGrant(TimePoint now, const std::string &ip,
                     const QuotaGrant &grant);
+  /// There is a connection to \p ip, which may be a home.
+  void homeConnected(const std::string &ip) { Homes.connected(ip); }
   /// Handles the loss of the connection to a home.
   void homeLost(TimePoint now, const std::string &ip);
   void tick(TimePoint now);
@@ -112,6 +114,9 @@
     PriorityRates OwnHallDemand;
     PriorityRates OtherHallDemand;
     RetryDelays CallerRetries;
+    /// Departed homes with a configuration that lacks the organisation, so that
+    /// they keep no part of its quota.
+    std::set<std::string> HomesWithoutIt;
     /// Since the last takeUse().
     QuotaUse Use;
   };
@@ -153,7 +158,10 @@
   /// before operations are asked for, and drops those that it is no longer the
   /// home of.
   void updateParts(TimePoint now);
+  /// \p ip isn't asked for a while.
   void noteUnavailable(TimePoint now, const std::string &ip);
+  /// Gives up the asks that \p ip hasn't answered.
+  void giveUpAsks(TimePoint now, const std::string &ip);
   void sendAsk(TimePoint now, const std::string &ip, AskState &state,
                QuotaAsk ask);
   /// How many of the \p operations that a VM asks for are unlikely to expire
@@ -176,7 +184,6 @@
   QuotaOptions Options;
   IQuotaIo &Io;
   QuotaHomes Homes;
-  std::map<std::string, HallId> HallOf;
   int VmsOfHall = 1;
   std::map<OrganisationId, Account> Accounts;
   /// Unavailable homes, and until when they aren't asked.
--- a/src/quota/tests/QuotaLedgerTest.cpp
+++ b/src/quota/tests/QuotaLedgerTest.cpp
@@ -195,3 +195,28 @@
   CHECK(it.granted() - granted <= 10 * 20 + 20 + 20);
   CHECK(it.granted() - granted >= 10 * 20 * 8 / 10);
 }
+
+TEST_CASE("QuotaLedger_DepartedHomeWithoutTheOrganisationIsPassedOver") {
+  RecordedIo io;
+  const std::vector<std::string> vms = {"10.0.0.1", "10.0.0.2", "10.0.0.3"};
+  auto asker = ledgerOf(io, vms);
+  for (const auto &it : vms)
+    asker.homeConnected(it);
+  asker.setEntries(
+      {{vms[0], HallId("h")}, {vms[1], HallId("h")}, {vms[2], HallId("h")}});
+  REQUIRE(asker.admit(Start, TheOrganisation, 0) == QuotaVerdict::Pending);
+  const auto [home, ask] = io.Asks.back();
+  std::vector<membership::EntryVm> others;
+  for (const auto &it : vms)
+    if (it != home)
+      others.push_back({it, HallId("h")});
+  asker.setEntries(others);
+  QuotaGrant none;
+  none.Number = ask.Number;
+  none.Organisation = TheOrganisation;
+  none.Result = GrantResult::NoQuota;
+  asker.receiveGrant(Start, home, none);
+  const TimePoint later = Start + milliseconds(10);
+  const auto verdict = asker.admit(later, TheOrganisation, 0);
+  CHECK((verdict == QuotaVerdict::Granted || io.Asks.back().first != home));
+}
--- a/src/quota/tests/SimulatedQuotas.cpp
+++ b/src/quota/tests/SimulatedQuotas.cpp
@@ -70,13 +70,21 @@
     Vms.push_back(std::make_unique<Vm>(
         *this, static_cast<std::size_t>(i),
         HallId("h" + std::to_string(i / vmsPerHall)), halls));
-  for (auto &it : Vms)
+  for (auto &it : Vms) {
+    connectToAll(*it);
     it->Ledger->setEntries(entries());
+  }
   setLimit(rate, burst);
 }
 
 SimulatedQuotas::~SimulatedQuotas() = default;
 
+void SimulatedQuotas::connectToAll(Vm &vm) {
+  for (const auto &it : Vms)
+    if (it->Number != vm.Number)
+      vm.Ledger->homeConnected(ipOf(it->Number));
+}
+
 std::vector<membership::EntryVm> SimulatedQuotas::entries() const {
   std::vector<membership::EntryVm> entries;
   for (const auto &it : Vms)
@@ -121,6 +129,7 @@
   ++it.Incarnation;
   it.Waiting.clear();
   it.begin();
+  connectToAll(it);
   it.Ledger->setEntries(entries());
   it.Ledger->setOrganisations(Organisations);
   it.PausedUntil = Now + RestartTime;
--- a/src/quota/tests/SimulatedQuotas.h
+++ b/src/quota/tests/SimulatedQuotas.h
@@ -106,6 +106,7 @@
             std::variant<QuotaAsk, QuotaGrant> body);
   void deliver();
   std::vector<membership::EntryVm> entries() const;
+  void connectToAll(Vm &vm);
 
   std::mt19937_64 Random;
   TimePoint Now = TimePoint(std::chrono::seconds(10));
