--- a/src/quota/tests/QuotaScheduleTest.cpp
+++ b/src/quota/tests/QuotaScheduleTest.cpp
@@ -138,3 +138,24 @@
     CHECK(it.maxIn(Window) <= allowed(rate, rate));
   }
 }
+
+TEST_CASE("QuotaSchedule_HalvesOfAllHallsShareOnePart") {
+  for (std::uint64_t seed = 401; seed <= 412; ++seed) {
+    const double rate = seed % 3 == 0 ? 30 : seed % 3 == 1 ? 150 : 330;
+    CAPTURE(seed);
+    CAPTURE(rate);
+    SimulatedQuotas it(seed, 4, 15, rate, rate);
+    it.setMaxReturns(2);
+    it.runAll(milliseconds(6000), {{0, 0.1 * rate}, {1, 0.5 * rate}});
+    it.partitionHalves(true);
+    it.runAll(milliseconds(2000), {{0, 0.1 * rate}, {1, 0.5 * rate}});
+    // Control VMs reach one half and take the other out of its list.
+    it.cutHalfOffFromLists();
+    it.runAll(milliseconds(500), {{0, 0.1 * rate}, {1, 0.5 * rate}});
+    it.runAll(milliseconds(6500), {{0, rate}, {1, 4 * rate}});
+    it.partitionHalves(false);
+    it.endCutOffFromLists();
+    it.runAll(milliseconds(6500), {{0, rate}, {1, 4 * rate}});
+    CHECK(it.maxIn(Window) <= allowed(rate, rate));
+  }
+}
--- a/src/quota/tests/SimulatedQuotas.cpp
+++ b/src/quota/tests/SimulatedQuotas.cpp
@@ -145,6 +145,8 @@
 }
 
 bool SimulatedQuotas::isLinked(std::size_t a, std::size_t b) const {
+  if (AreHalvesPartitioned && a % 2 != b % 2)
+    return false;
   const bool isSameHall = Vms[a]->Hall == Vms[b]->Hall;
   const auto &first = Vms.front()->Hall;
   const bool touchesFirst = Vms[a]->Hall == first || Vms[b]->Hall == first;
--- a/src/quota/tests/SimulatedQuotas.h
+++ b/src/quota/tests/SimulatedQuotas.h
@@ -48,6 +48,10 @@
   void partitionFirstHall(bool isPartitioned) {
     IsFirstHallPartitioned = isPartitioned;
   }
+  /// Partitions every other VM from the rest, or ends that.
+  void partitionHalves(bool isPartitioned) {
+    AreHalvesPartitioned = isPartitioned;
+  }
   /// Restarts a VM without its state; it is unreachable for a moment.
   void restart(std::size_t vm);
   void restartAll();
@@ -114,6 +118,7 @@
   std::deque<Message> InFlight;
   std::map<OrganisationId, control::Organisation> Organisations;
   bool IsFirstHallPartitioned = false;
+  bool AreHalvesPartitioned = false;
   std::vector<TimePoint> GrantedAt;
   Counts Grants;
   Counts Asked;
