--- a/src/quota/QuotaLedger.h
+++ b/src/quota/QuotaLedger.h
@@ -24,10 +24,10 @@
 #include "quota/PriorityRates.h"
 #include "quota/QuotaHomes.h"
 #include "quota/RetryDelays.h"
-#include "quota/TokenBucket.h"
+#include "quota/internal/HallPart.h"
+#include "quota/internal/QuotaLeases.h"
 #include "quota/types/QuotaUse.h"
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -69,13 +69,6 @@
   std::vector<QuotaUse> takeUse(std::size_t most);
 
 private:
-  struct Lease {
-    int Operations = 0;
-    TimePoint ExpiresAt{};
-    /// The least urgent priority that may use the lease before OpenToAllAt.
-    int Priority = 0;
-    TimePoint OpenToAllAt{};
-  };
   struct PendingAsk {
     std::string Ip;
     std::uint64_t Number = 0;
@@ -95,24 +88,11 @@
   };
   /// The state that this VM keeps of one organisation.
   struct Account {
-    explicit Account(Duration demandSmoothingTime)
-        : OwnHallDemand(demandSmoothingTime),
-          OtherHallDemand(demandSmoothingTime) {}
-
-    BucketLimit HallLimit;
-    /// The most urgent first.
-    std::deque<Lease> Leases;
+    HallPart Part;
+    QuotaLeases Leases;
     std::map<int, AskState> AskStates;
-    /// The hall's part, if this VM is its home.
-    std::optional<TokenBucket> Part;
-    /// When this VM began to keep the part.
-    TimePoint PartSince{};
     /// Operations granted to clients of this VM in about the last second.
     PriorityRates OwnRates{milliseconds(1000)};
-    /// Operations that were asked of this VM as the home, granted or not, by
-    /// its hall and by others.
-    PriorityRates OwnHallDemand;
-    PriorityRates OtherHallDemand;
     RetryDelays CallerRetries;
     /// Departed homes with a configuration that lacks the organisation, so that
     /// they keep no part of its quota.
@@ -129,25 +109,9 @@
   /// Takes up to \p most operations from the leases, then from the hall's part.
   int takeLocal(TimePoint now, const OrganisationId &organisation,
                 Account &account, int priority, int most);
-  static int takeLeased(TimePoint now, Account &account, int priority,
-                        int most);
-  TokenBucket &partOf(TimePoint now, Account &account);
-  /// The reserve for more urgent requests that use \p use operations per
-  /// second.
-  static double reserveFor(const Account &account, double use);
-  /// The reserve of the hall's part that \p priority may not use.
-  static double reserveAgainst(TimePoint now, const Account &account,
-                               int priority);
-  /// The same where another hall asks.
-  static double reserveAgainstOtherHall(TimePoint now, const Account &account,
-                                        int priority);
-  /// Whether the demand on this home exceeds its part's rate.
-  static bool isDemandOverRate(TimePoint now, const Account &account);
   /// Whether this priority or a more urgent one was refused and must wait for
   /// the refill.
   static bool isExhausted(TimePoint now, const Account &account, int priority);
-  void noteDemand(TimePoint now, const QuotaAsk &ask, Account &account,
-                  int operations);
   /// Asks the VM that may have operations: the hall's home or, if this VM is
   /// the home, another hall. Returns false if all have nothing left.
   bool askForMore(TimePoint now, const OrganisationId &organisation,
@@ -169,15 +133,10 @@
   /// are missing at another.
   int likelyUsed(int operations) const;
   int grantTo(TimePoint now, const QuotaAsk &ask, Account &account);
-  /// The time until the hall's part has an operation for \p priority again.
-  static Duration timeToNext(TimePoint now, const Account &account,
-                             int priority);
   /// The operations per second that this VM's clients of \p priority can
   /// expect.
   double expectedRate(TimePoint now, const Account &account,
                       int priority) const;
-  void addLease(Account &account, int priority, int operations,
-                TimePoint askedAt);
   void noteExhausted(TimePoint now, const std::string &ip, AskState &state,
                      const PendingAsk &ask, Duration retryAfter);
 
