Order the homes of an organisation once a list

Cause: each operation hashed and sorted the homes anew; perf on the schedule tests has hashing and sorting of names first.

--- a/src/quota/QuotaHomes.cpp
+++ b/src/quota/QuotaHomes.cpp
@@ -36,6 +36,7 @@
 
 void QuotaHomes::choose() {
   ByHall.clear();
+  Ordered.clear();
   for (const auto *vms : {&Listed, &Departed})
     for (const auto &[ip, hall] : *vms)
       ByHall[hall].push_back(ip);
@@ -62,12 +63,15 @@
   return std::nullopt;
 }
 
-std::vector<std::string>
+const std::vector<std::string> &
 QuotaHomes::homesOf(const HallId &hall,
                     const OrganisationId &organisation) const {
-  std::vector<std::string> homes = homesIn(hall);
-  sortByWeight(homes, organisation.str());
-  return homes;
+  const auto [it, isNew] = Ordered.try_emplace({hall, organisation});
+  if (isNew) {
+    it->second = homesIn(hall);
+    sortByWeight(it->second, organisation.str());
+  }
+  return it->second;
 }
 
 const std::vector<std::string> &QuotaHomes::homesIn(const HallId &hall) const {
--- a/src/quota/QuotaHomes.h
+++ b/src/quota/QuotaHomes.h
@@ -17,6 +17,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace stepledge::quota {
@@ -33,8 +34,8 @@
   /// The VM doesn't answer, or no longer keeps quotas.
   void unavailable(const std::string &ip);
   /// The homes of \p organisation in \p hall, the one to ask first in front.
-  std::vector<std::string> homesOf(const HallId &hall,
-                                   const OrganisationId &organisation) const;
+  const std::vector<std::string> &
+  homesOf(const HallId &hall, const OrganisationId &organisation) const;
   /// All VMs of \p hall that keep quotas.
   const std::vector<std::string> &homesIn(const HallId &hall) const;
   std::vector<HallId> halls() const;
@@ -55,6 +56,10 @@
   std::map<std::string, HallId> Departed;
   std::set<std::string> Connected;
   std::map<HallId, std::vector<std::string>> ByHall;
+  /// The homes in the order of each organisation that was asked for since they
+  /// were chosen: each operation asks.
+  mutable std::map<std::pair<HallId, OrganisationId>, std::vector<std::string>>
+      Ordered;
 };
 
 } // namespace stepledge::quota
