A home lends the share of its part that belongs to the VMs that it hears

Cause: entry VMs were partitioned into two halves across all halls; each half had a home of its own for a part, and each lent the whole of it. Class: a role held by one VM, given out by lists and reach that differ, with no agreement between its holders. Change: VMs tell the homes of their hall each 0.5 s that they are there (QuotaPresence). A home lends its part times the share of the hall's VMs that it has heard in the last 1.25 s; one that takes over counts whom it has heard since. A VM that left the list without saying so counts for a minute as one on the other side, so that a home that isn't told of a partition doesn't take its share. Why it works: a VM is heard on one side only, so the shares add up to one at most.

--- a/src/entry/QuotaService.cpp
+++ b/src/entry/QuotaService.cpp
@@ -39,6 +39,8 @@
                                 const peer::wire::Message &message) {
   if (message.has_quota_ask())
     Service.takeAsk(ip, message.quota_ask());
+  else if (message.has_quota_presence())
+    Service.takePresence(ip, message.quota_presence());
 }
 
 void QuotaService::wire(proxy::Proxy &proxy, BorrowedConnections &connections) {
@@ -101,6 +103,17 @@
                      ask.priority()});
 }
 
+void QuotaService::takePresence(const std::string &ip,
+                                const peer::wire::QuotaPresence &presence) {
+  Ledger.receivePresence(Now, ip, presence.is_leaving());
+}
+
+void QuotaService::tellPresence(const std::string &ip, bool isLeaving) {
+  peer::wire::Message message;
+  message.mutable_quota_presence()->set_is_leaving(isLeaving);
+  Homes.send(ip, message);
+}
+
 bool QuotaService::askHome(const std::string &ip, const quota::QuotaAsk &ask) {
   peer::wire::Message message;
   auto &out = *message.mutable_quota_ask();
--- a/src/entry/QuotaService.h
+++ b/src/entry/QuotaService.h
@@ -51,6 +51,9 @@
   void setTime(TimePoint now) { Now = now; }
   /// Another VM asks this one as a home.
   void takeAsk(const std::string &ip, const peer::wire::QuotaAsk &ask);
+  /// Another VM of the hall says that it is there.
+  void takePresence(const std::string &ip,
+                    const peer::wire::QuotaPresence &presence);
 
   void peerConnected(const std::string &ip,
                      const peer::wire::Hello &hello) override;
@@ -61,6 +64,7 @@
   bool askHome(const std::string &ip, const quota::QuotaAsk &ask) override;
   void sendGrant(const std::string &ip,
                  const quota::QuotaGrant &grant) override;
+  void tellPresence(const std::string &ip, bool isLeaving) override;
   void quotaChanged(const OrganisationId &organisation) override;
 
 private:
--- a/src/peer/TrafficCount.h
+++ b/src/peer/TrafficCount.h
@@ -36,6 +36,7 @@
     {MessageKind::kQuotaAsk, "quota_ask"},
     {MessageKind::kQuotaGrant, "quota_grant"},
     {MessageKind::kInstancesWanted, "instances_wanted"},
+    {MessageKind::kQuotaPresence, "quota_presence"},
     {MessageKind::kPing, "ping"},
     {MessageKind::kPong, "pong"},
     {MessageKind::BODY_NOT_SET, "none"},
--- a/src/quota/IQuotaIo.h
+++ b/src/quota/IQuotaIo.h
@@ -58,6 +58,8 @@
   /// opened.
   virtual bool askHome(const std::string &ip, const QuotaAsk &ask) = 0;
   virtual void sendGrant(const std::string &ip, const QuotaGrant &grant) = 0;
+  /// Tells the home that this VM is there, or that it is about to stop.
+  virtual void tellPresence(const std::string &ip, bool isLeaving) = 0;
   /// Waiting operations of \p organisation may be granted or refused now.
   virtual void quotaChanged(const OrganisationId &organisation) = 0;
 };
--- a/src/quota/QuotaLedger.cpp
+++ b/src/quota/QuotaLedger.cpp
@@ -28,7 +28,8 @@
 } // namespace
 
 QuotaLedger::QuotaLedger(QuotaOptions options, IQuotaIo &io)
-    : Options(std::move(options)), Io(io), Homes(Options.HomesPerHall) {}
+    : Options(std::move(options)), Io(io), Homes(Options.HomesPerHall),
+      Presence(Options.OwnHall, Options.OwnIp) {}
 
 void QuotaLedger::setOrganisations(
     const std::map<OrganisationId, control::Organisation> &organisations) {
@@ -48,6 +49,7 @@
 
 void QuotaLedger::setEntries(const std::vector<membership::EntryVm> &entries) {
   Homes.setEntries(entries);
+  Presence.setEntries(entries);
   for (const auto &[ip, until] : UnavailableHomes)
     Homes.unavailable(ip);
   for (auto &[id, account] : Accounts)
@@ -122,6 +124,7 @@
   const int lent = account.Leases.take(now, priority, most);
   if (lent == most || !isHome(now, organisation))
     return lent;
+  account.Part.keep(now, Presence);
   return lent + account.Part.take(now, most - lent, priority);
 }
 
@@ -170,6 +173,7 @@
                                                         : most);
   if (!isHome(now, ask.Organisation))
     return 0;
+  account.Part.keep(now, Presence);
   // NOTE: operations that other halls have lent aren't lent to a third hall.
   return account.Part.takeForOtherHall(now, most, ask.Priority);
 }
@@ -213,16 +217,30 @@
     giveUpAsks(now, it);
   std::erase_if(UnavailableHomes,
                 [&](const auto &it) { return it.second <= now; });
+  if (now - PresenceToldAt >= HallPresence::TellInterval)
+    tellPresence(now);
   if (now - PartsUpdatedAt < Options.PartUpdateInterval)
     return;
   PartsUpdatedAt = now;
   updateParts(now);
 }
 
+void QuotaLedger::tellPresence(TimePoint now) {
+  PresenceToldAt = now;
+  Presence.tick(now);
+  for (const auto &it : homesToConnect())
+    Io.tellPresence(it, IsStopping);
+}
+
+void QuotaLedger::receivePresence(TimePoint now, const std::string &ip,
+                                  bool isLeaving) {
+  Presence.heard(now, ip, isLeaving);
+}
+
 void QuotaLedger::updateParts(TimePoint now) {
   for (auto &[id, account] : Accounts) {
     if (isHome(now, id))
-      account.Part.keep(now);
+      account.Part.keep(now, Presence);
     else
       account.Part.drop();
   }
--- a/src/quota/QuotaLedger.h
+++ b/src/quota/QuotaLedger.h
@@ -5,11 +5,11 @@
 ///
 /// Each hall has a fixed part of a quota, kept by one of its VMs, the home; the
 /// other VMs borrow operations from it for a short time and as needed. A hall
-/// that has used its part up borrows from halls that have some left. So the sum
-/// over all VMs stays within the quota if VMs are partitioned, restart or have
-/// different VM lists: no two homes lend the same part, except at the moment at
-/// which one is considered lost, and then the new one begins with almost
-/// nothing.
+/// that has used its part up borrows from halls that have some left. A home
+/// lends the share of its part that belongs to the VMs that it hears. So the
+/// sum over all VMs stays within the quota if VMs are partitioned, restart or
+/// have different VM lists: homes on several sides of a partition lend one part
+/// together, and a home that takes over begins with almost nothing.
 ///
 /// While an organisation asks for more than its rate, a home reserves what its
 /// more urgent requests have used recently, against the less urgent ones of all
@@ -19,6 +19,7 @@
 #define STEPLEDGE_QUOTA_QUOTALEDGER_H
 
 #include "control/types/Configuration.h"
+#include "quota/HallPresence.h"
 #include "quota/IOperationQuota.h"
 #include "quota/IQuotaIo.h"
 #include "quota/PriorityRates.h"
@@ -52,6 +53,8 @@
   Duration retryAfter(TimePoint now, const OrganisationId &organisation,
                       int priority) override;
 
+  /// Another VM of the hall is there, or is about to stop.
+  void receivePresence(TimePoint now, const std::string &ip, bool isLeaving);
   /// Handles an ask of another VM to this one as a home.
   void receiveAsk(TimePoint now, const std::string &ip, const QuotaAsk &ask);
   void receiveGrant(TimePoint now, const std::string &ip,
@@ -122,6 +125,8 @@
   /// before operations are asked for, and drops those that it is no longer the
   /// home of.
   void updateParts(TimePoint now);
+  /// Tells the homes of the own hall that this VM is there.
+  void tellPresence(TimePoint now);
   /// \p ip isn't asked for a while.
   void noteUnavailable(TimePoint now, const std::string &ip);
   /// Gives up the asks that \p ip hasn't answered.
@@ -143,6 +148,7 @@
   QuotaOptions Options;
   IQuotaIo &Io;
   QuotaHomes Homes;
+  HallPresence Presence;
   int VmsOfHall = 1;
   std::map<OrganisationId, Account> Accounts;
   /// Unavailable homes, and until when they aren't asked.
@@ -151,6 +157,7 @@
   /// needed.
   std::map<std::string, TimePoint> Unconnected;
   TimePoint PartsUpdatedAt{};
+  TimePoint PresenceToldAt{};
   std::uint64_t LastNumber = 0;
   bool IsStopping = false;
 };
--- a/src/quota/internal/HallPart.cpp
+++ b/src/quota/internal/HallPart.cpp
@@ -43,22 +43,43 @@
     : OwnHallDemand(DemandSmoothingTime), OtherHallDemand(DemandSmoothingTime) {
 }
 
-void HallPart::keep(TimePoint now) {
+void HallPart::setLimit(const BucketLimit &limit) {
+  Limit = limit;
+  setShare(Share);
+}
+
+void HallPart::setShare(double share) {
+  Share = share;
+  // NOTE: what a part begins with is kept until other VMs are heard.
+  const double capacity = std::max(initialTokens(), Limit.Capacity * share);
+  Lendable = {Limit.TokensPerSecond * share,
+              std::min(Limit.Capacity, capacity)};
+}
+
+double HallPart::initialTokens() const {
+  return 1 + TakeoverSeconds * Limit.TokensPerSecond;
+}
+
+void HallPart::drop() {
+  Bucket.reset();
+  setShare(1);
+}
+
+void HallPart::keep(TimePoint now, const HallPresence &presence) {
   // NOTE: it isn't known here what the previous home has lent.
   if (!Bucket) {
-    Bucket.emplace(now, 1 + TakeoverSeconds * Limit.TokensPerSecond);
+    Bucket.emplace(now, initialTokens());
     KeptSince = now;
   }
-  Bucket->refill(now, Limit);
+  setShare(presence.share(now, KeptSince));
+  Bucket->refill(now, Lendable);
 }
 
 int HallPart::take(TimePoint now, int most, int priority) {
-  keep(now);
   return Bucket->take(most, reserveAgainst(now, priority));
 }
 
 int HallPart::takeForOtherHall(TimePoint now, int most, int priority) {
-  keep(now);
   return Bucket->take(most, reserveAgainstOtherHall(now, priority));
 }
 
@@ -67,7 +88,7 @@
   // return with all the requests that they have deferred.
   if (now - KeptSince < PartFillTime)
     return false;
-  const double rate = Limit.TokensPerSecond;
+  const double rate = Lendable.TokensPerSecond;
   // NOTE: random variation alone makes a demand of just the rate look higher,
   // the more so the shorter it was counted.
   const double counted = OwnHallDemand.countedSeconds(now);
@@ -79,7 +100,7 @@
 
 double HallPart::reserveFor(double use) const {
   return std::min(ReserveDeviations * std::sqrt(use * ReserveBurstSeconds),
-                  Limit.Capacity * MaxReservedFraction);
+                  Lendable.Capacity * MaxReservedFraction);
 }
 
 double HallPart::reserveAgainst(TimePoint now, int priority) const {
@@ -90,12 +111,12 @@
 }
 
 double HallPart::reserveAgainstOtherHall(TimePoint now, int priority) const {
-  const double reserve = Limit.TokensPerSecond * OwnHallReserveSeconds;
+  const double reserve = Lendable.TokensPerSecond * OwnHallReserveSeconds;
   // NOTE: a hall that asks others has used up its own part.
   if (!isDemandOverRate(now))
     return std::clamp(
         reserve + reserveFor(OtherHallDemand.perSecondUpTo(now, priority - 1)),
-        reserve, std::max(reserve, Limit.Capacity * MaxReservedFraction));
+        reserve, std::max(reserve, Lendable.Capacity * MaxReservedFraction));
   // NOTE: more urgent requests of another hall go before less urgent ones of
   // this hall.
   const double all = OwnHallDemand.totalPerSecond(now);
@@ -107,7 +128,8 @@
 Duration HallPart::timeToNext(TimePoint now, int priority) const {
   const double tokens = Bucket ? Bucket->tokens() : 0;
   const double needed = 1 + reserveAgainst(now, priority);
-  const double seconds = std::max(0.0, needed - tokens) / Limit.TokensPerSecond;
+  const double seconds =
+      std::max(0.0, needed - tokens) / Lendable.TokensPerSecond;
   const auto time = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(std::min(seconds, 1.0)));
   return std::clamp(time, MinRetryDelay, MaxRetryDelay);
--- a/src/quota/internal/HallPart.h
+++ b/src/quota/internal/HallPart.h
@@ -7,6 +7,7 @@
 #ifndef STEPLEDGE_QUOTA_INTERNAL_HALLPART_H
 #define STEPLEDGE_QUOTA_INTERNAL_HALLPART_H
 
+#include "quota/HallPresence.h"
 #include "quota/PriorityRates.h"
 #include "quota/TokenBucket.h"
 
@@ -18,16 +19,19 @@
 public:
   HallPart();
 
-  void setLimit(const BucketLimit &limit) { Limit = limit; }
-  const BucketLimit &limit() const { return Limit; }
+  void setLimit(const BucketLimit &limit);
+  /// The share of the limit that this VM may lend; the whole one if it isn't
+  /// the home.
+  const BucketLimit &limit() const { return Lendable; }
 
   /// Whether this VM keeps the part, as its home.
   bool isKept() const { return Bucket.has_value(); }
-  /// Begins to keep the part, or refills it.
-  void keep(TimePoint now);
-  void drop() { Bucket.reset(); }
+  /// Begins to keep the part, or refills it with the share of the hall that
+  /// \p presence has heard since then.
+  void keep(TimePoint now, const HallPresence &presence);
+  void drop();
 
-  /// Takes up to \p most operations for the own hall; begins to keep the part.
+  /// Takes up to \p most operations for the own hall, after keep().
   int take(TimePoint now, int most, int priority);
   /// The same for another hall, which leaves some for the own one.
   int takeForOtherHall(TimePoint now, int most, int priority);
@@ -52,7 +56,13 @@
   /// The same where another hall asks.
   double reserveAgainstOtherHall(TimePoint now, int priority) const;
 
+  void setShare(double share);
+  /// The operations that a home begins with.
+  double initialTokens() const;
+
   BucketLimit Limit;
+  BucketLimit Lendable;
+  double Share = 1;
   std::optional<TokenBucket> Bucket;
   /// When this VM began to keep the part.
   TimePoint KeptSince{};
--- a/src/quota/tests/QuotaLedgerTest.cpp
+++ b/src/quota/tests/QuotaLedgerTest.cpp
@@ -25,6 +25,10 @@
     (void)ip;
     Grants.push_back(grant);
   }
+  void tellPresence(const std::string &ip, bool isLeaving) override {
+    (void)ip;
+    (void)isLeaving;
+  }
   void quotaChanged(const OrganisationId &organisation) override {
     (void)organisation;
   }
--- a/src/quota/tests/SimulatedQuotas.cpp
+++ b/src/quota/tests/SimulatedQuotas.cpp
@@ -45,6 +45,10 @@
   void sendGrant(const std::string &ip, const QuotaGrant &grant) override {
     Simulation.send(Number, ip, grant);
   }
+  void tellPresence(const std::string &ip, bool isLeaving) override {
+    (void)isLeaving;
+    Simulation.send(Number, ip, SimulatedPresence());
+  }
   void quotaChanged(const OrganisationId &organisation) override {
     (void)organisation;
     HasQuotaChanged = true;
@@ -154,8 +158,8 @@
 }
 
 void SimulatedQuotas::send(std::size_t from, const std::string &ip,
-                           std::variant<QuotaAsk, QuotaGrant> body) {
-  ++MessageCount;
+                           SimulatedBody body) {
+  MessageCount += !std::holds_alternative<SimulatedPresence>(body);
   const auto to = static_cast<std::size_t>(std::stoi(ip.substr(7)));
   if (isLinked(from, to))
     InFlight.push_back(
@@ -175,9 +179,10 @@
       continue;
     if (const auto *ask = std::get_if<QuotaAsk>(&it.Body))
       to.Ledger->receiveAsk(Now, ipOf(it.From), *ask);
+    else if (const auto *grant = std::get_if<QuotaGrant>(&it.Body))
+      to.Ledger->receiveGrant(Now, ipOf(it.From), *grant);
     else
-      to.Ledger->receiveGrant(Now, ipOf(it.From),
-                              std::get<QuotaGrant>(it.Body));
+      to.Ledger->receivePresence(Now, ipOf(it.From), false);
   }
   for (auto &it : InFlight)
     kept.push_back(std::move(it));
--- a/src/quota/tests/SimulatedQuotas.h
+++ b/src/quota/tests/SimulatedQuotas.h
@@ -26,6 +26,10 @@
   double PerSecond = 0;
 };
 
+/// A VM says that it is there.
+struct SimulatedPresence {};
+using SimulatedBody = std::variant<QuotaAsk, QuotaGrant, SimulatedPresence>;
+
 /// One organisation, "o", asks for operations through all VMs.
 class SimulatedQuotas {
 public:
@@ -76,7 +80,7 @@
   int refused(int priority) const { return countOf(Refused, priority); }
   int asked() const { return sumOf(Asked); }
   int asked(int priority) const { return countOf(Asked, priority); }
-  /// Messages between VMs.
+  /// Asks and grants between VMs.
   int messageCount() const { return MessageCount; }
 
 private:
@@ -87,7 +91,7 @@
     std::size_t To = 0;
     /// The sender's incarnation; messages of an earlier one are lost.
     int Incarnation = 0;
-    std::variant<QuotaAsk, QuotaGrant> Body;
+    SimulatedBody Body;
   };
 
   struct Caller {
@@ -106,8 +110,7 @@
   void refuse(Vm &vm, Caller caller);
   void admitWaiting(Vm &vm);
   bool isLinked(std::size_t a, std::size_t b) const;
-  void send(std::size_t from, const std::string &ip,
-            std::variant<QuotaAsk, QuotaGrant> body);
+  void send(std::size_t from, const std::string &ip, SimulatedBody body);
   void deliver();
   std::vector<membership::EntryVm> entries() const;
   void connectToAll(Vm &vm);
