Entry VMs watch their connections to control VMs as control VMs do

Cause: found on reading the change again: PeerHub had a limit of its own for entry VMs beside the pings. Change: they ping an idle connection too, and give it up after the same 3 s in all; what they sent is to be answered within 2 s.

--- a/src/peer/PeerHub.cpp
+++ b/src/peer/PeerHub.cpp
@@ -14,10 +14,6 @@
 
 namespace {
 
-/// An entry VM connects anew to a control VM that says nothing for this long;
-/// each sends a notice at least once a second.
-constexpr Duration NoticeLimit = milliseconds(3000);
-
 wire::Message ping() {
   wire::Message message;
   message.mutable_ping();
@@ -130,7 +126,7 @@
   Now = now;
   std::vector<std::shared_ptr<PeerLink>> silent;
   for (auto &[ip, it] : OutgoingLinks) {
-    if (it.Link && !isAlive(now, it))
+    if (it.Link && !keepAlive(now, it))
       silent.push_back(it.Link);
     std::erase_if(it.Tries, [&](const Try &old) {
       return ConnectSchedule::isHung(old.StartedAt, now);
@@ -142,9 +138,7 @@
     it->close(LinkEnd::Silent);
 }
 
-bool PeerHub::isAlive(TimePoint now, Outgoing &outgoing) {
-  if (Self.kind() == wire::ENTRY)
-    return outgoing.Watch->silentFor(now) <= NoticeLimit;
+bool PeerHub::keepAlive(TimePoint now, Outgoing &outgoing) {
   switch (outgoing.Watch->decide(now)) {
   case LinkAction::Close:
     return false;
@@ -214,7 +208,10 @@
   *holder = link;
   auto &outgoing = OutgoingLinks[ip];
   outgoing.Link = link;
-  outgoing.Watch.emplace(Now, Self.kind() == wire::CONTROL);
+  // NOTE: most connections to lenders are idle, and their users notice silence
+  // themselves.
+  const bool pingsWhenIdle = Self.kind() != wire::BORROWER;
+  outgoing.Watch.emplace(Now, pingsWhenIdle);
   link->start();
   wire::Message hello;
   *hello.mutable_hello() = Self;
--- a/src/peer/PeerHub.h
+++ b/src/peer/PeerHub.h
@@ -71,7 +71,7 @@
 
   void accept();
   /// Pings \p outgoing if that is due; false if its connection is dead.
-  bool isAlive(TimePoint now, Outgoing &outgoing);
+  bool keepAlive(TimePoint now, Outgoing &outgoing);
   void take(asio::ip::tcp::socket socket);
   void open(TimePoint now, const std::string &ip, Outgoing &outgoing);
   void tryEnded(const std::string &ip,
