Tests of quotas under partitions share their load; one fall-through for both answers

Cause: found on reading the change again: two schedule tests wrote the same load; NoQuota repeated Unknown's lines.

--- a/src/consensus/ConsensusNode.h
+++ b/src/consensus/ConsensusNode.h
@@ -107,6 +107,7 @@
   std::uint64_t term() const { return Term; }
   std::uint64_t commitIndex() const { return Commit; }
   const wire::Member &self() const { return Self; }
+  /// What keeps the group from committing, as far as this member can tell.
   GroupHealth health(TimePoint now) const;
 
 private:
--- a/src/quota/HallPresence.h
+++ b/src/quota/HallPresence.h
@@ -30,7 +30,8 @@
   /// partition: two messages and a delay.
   static constexpr Duration HeardLimit = milliseconds(1250);
   /// A VM that has left the list without saying so counts as partitioned for
-  /// this time; then it is taken for ended.
+  /// this time, longer than most partitions; then it is taken for ended. One
+  /// that is gone for good costs its hall that share meanwhile.
   static constexpr Duration DepartedLifetime = milliseconds(60000);
 
   HallPresence(HallId ownHall, std::string ownIp)
--- a/src/quota/internal/QuotaAsks.cpp
+++ b/src/quota/internal/QuotaAsks.cpp
@@ -101,8 +101,7 @@
     // NOTE: one in the list has only to apply the newest configuration.
     if (Homes.hasDeparted(ip))
       account.HomesWithoutIt.insert(ip);
-    state.NextAskAt = now + Options.AskRetryDelay;
-    return;
+    [[fallthrough]];
   case GrantResult::Unknown:
     state.NextAskAt = now + Options.AskRetryDelay;
     return;
--- a/src/quota/tests/QuotaScheduleTest.cpp
+++ b/src/quota/tests/QuotaScheduleTest.cpp
@@ -122,40 +122,58 @@
   }
 }
 
+namespace {
+
+/// The rates that the seeds of the partitions take in turn.
+double rateOf(std::uint64_t seed) {
+  return seed % 3 == 0 ? 30 : seed % 3 == 1 ? 150 : 330;
+}
+
+void runUsualUse(SimulatedQuotas &it, Duration time, double rate) {
+  it.runAll(time, {{0, 0.1 * rate}, {1, 0.5 * rate}});
+}
+
+/// Longer than a window.
+void runFlood(SimulatedQuotas &it, double rate) {
+  it.runAll(milliseconds(6500), {{0, rate}, {1, 4 * rate}});
+}
+
+} // namespace
+
 TEST_CASE("QuotaSchedule_VmsWithDifferentListsKeepOnePartOnce") {
   for (std::uint64_t seed = 301; seed <= 312; ++seed) {
-    const double rate = seed % 3 == 0 ? 30 : seed % 3 == 1 ? 150 : 330;
+    const double rate = rateOf(seed);
     CAPTURE(seed);
     CAPTURE(rate);
     SimulatedQuotas it(seed, 4, 15, rate, rate);
     it.setMaxReturns(2);
-    it.runAll(milliseconds(6000), {{0, 0.1 * rate}, {1, 0.5 * rate}});
+    runUsualUse(it, milliseconds(6000), rate);
     it.cutHalfOffFromLists();
-    it.runAll(milliseconds(1500), {{0, 0.1 * rate}, {1, 0.5 * rate}});
-    it.runAll(milliseconds(6500), {{0, rate}, {1, 4 * rate}});
+    runUsualUse(it, milliseconds(1500), rate);
+    runFlood(it, rate);
     it.endCutOffFromLists();
-    it.runAll(milliseconds(6500), {{0, rate}, {1, 4 * rate}});
+    runFlood(it, rate);
     CHECK(it.maxIn(Window) <= allowed(rate, rate));
   }
 }
 
 TEST_CASE("QuotaSchedule_HalvesOfAllHallsShareOnePart") {
   for (std::uint64_t seed = 401; seed <= 412; ++seed) {
-    const double rate = seed % 3 == 0 ? 30 : seed % 3 == 1 ? 150 : 330;
+    const double rate = rateOf(seed);
     CAPTURE(seed);
     CAPTURE(rate);
     SimulatedQuotas it(seed, 4, 15, rate, rate);
     it.setMaxReturns(2);
-    it.runAll(milliseconds(6000), {{0, 0.1 * rate}, {1, 0.5 * rate}});
+    runUsualUse(it, milliseconds(6000), rate);
     it.partitionHalves(true);
-    it.runAll(milliseconds(2000), {{0, 0.1 * rate}, {1, 0.5 * rate}});
+    runUsualUse(it, milliseconds(2000), rate);
     // Control VMs reach one half and take the other out of its list.
     it.cutHalfOffFromLists();
-    it.runAll(milliseconds(500), {{0, 0.1 * rate}, {1, 0.5 * rate}});
-    it.runAll(milliseconds(6500), {{0, rate}, {1, 4 * rate}});
+    runUsualUse(it, milliseconds(500), rate);
+    runFlood(it, rate);
     it.partitionHalves(false);
     it.endCutOffFromLists();
-    it.runAll(milliseconds(6500), {{0, rate}, {1, 4 * rate}});
+    runFlood(it, rate);
     CHECK(it.maxIn(Window) <= allowed(rate, rate));
   }
 }
