--- a/src/quota/tests/HallPresenceTest.cpp
+++ b/src/quota/tests/HallPresenceTest.cpp
@@ -18,9 +18,9 @@
 
 std::string ipOf(int vm) { return "10.0.0." + std::to_string(vm); }
 
-/// VM 0 of \p vms in the hall, beside VMs of another one.
-HallPresence presenceAmong(int vms) {
-  HallPresence presence(TheHall, ipOf(0));
+/// VM \p vm of \p vms in the hall, beside VMs of another one.
+HallPresence presenceAmong(int vms, int vm = 0) {
+  HallPresence presence(TheHall, ipOf(vm));
   std::vector<membership::EntryVm> entries = {{"10.1.0.1", HallId("other")}};
   for (int i = 0; i < vms; ++i)
     entries.push_back({ipOf(i), TheHall});
@@ -44,12 +44,7 @@
   const TimePoint later = Start + HallPresence::HeardLimit + milliseconds(1);
   hear(one, later, 1, 3);
   CHECK(one.share(later, Start) == doctest::Approx(0.4));
-  HallPresence two(TheHall, ipOf(9));
-  std::vector<membership::EntryVm> entries;
-  for (int i = 0; i < 10; ++i)
-    entries.push_back({ipOf(i), TheHall});
-  two.setEntries(entries);
-  two.tick(Start);
+  auto two = presenceAmong(10, 9);
   hear(two, later, 4, 8);
   CHECK(one.share(later, Start) + two.share(later, Start) ==
         doctest::Approx(1));
