--- a/cmake/StepledgeModule.cmake
+++ b/cmake/StepledgeModule.cmake
@@ -1,5 +1,6 @@
 # stepledge_module(NAME name SOURCES ... DEPS ... TESTS ...)
-# One static library a module, and one test program where it has tests.
+# One static library a module, and one test program where it has tests. Each
+# file of tests runs by itself, so that long ones run side by side.
 function(stepledge_module)
   cmake_parse_arguments(M "" "NAME" "SOURCES;DEPS;TESTS;TEST_DEPS" ${ARGN})
   add_library(sl_${M_NAME} STATIC ${M_SOURCES})
@@ -10,6 +11,27 @@
     target_link_libraries(test_${M_NAME} PRIVATE sl_${M_NAME} ${M_TEST_DEPS})
     target_compile_definitions(test_${M_NAME} PRIVATE
       STEPLEDGE_TEST_DATA="${CMAKE_CURRENT_SOURCE_DIR}/tests/data")
-    add_test(NAME ${M_NAME} COMMAND test_${M_NAME})
+    foreach(file ${M_TESTS})
+      stepledge_add_test_file(${M_NAME} ${file})
+    endforeach()
+  endif()
+endfunction()
+
+# The test cases of one file; a helper without any is passed over.
+function(stepledge_add_test_file module file)
+  get_filename_component(name ${file} NAME)
+  get_filename_component(stem ${file} NAME_WE)
+  if(NOT stem MATCHES "Test$")
+    file(STRINGS ${file} cases REGEX "TEST_CASE" LIMIT_COUNT 1)
+    if(cases)
+      message(FATAL_ERROR "${file} has test cases, but its name doesn't end in Test")
+    endif()
+    return()
+  endif()
+  add_test(NAME ${module}.${stem}
+    COMMAND test_${module} "--source-file=*/${name}")
+  if(stem MATCHES "ScheduleTest$")
+    # NOTE: these take longest, so they begin first.
+    set_tests_properties(${module}.${stem} PROPERTIES COST 1000)
   endif()
 endfunction()
