A vote that a slow disk still writes isn't overtaken by the next candidacy

Cause: elections time out after 0.5 to 1 s, counted from the moment of the vote, while a vote leaves only once it is on disk. Where a sync takes about as long, each candidacy raises the term before the votes for the last one arrive, and the group never has a leader. Change: a member that writes its vote starts no pre-vote and grants none; if its time ran out meanwhile, it begins again when the vote leaves. Nothing changes on fast disks.

--- a/src/consensus/ConsensusNode.cpp
+++ b/src/consensus/ConsensusNode.cpp
@@ -8,6 +8,25 @@
 
 namespace stepledge::consensus {
 
+namespace {
+
+/// A member's own candidacy, or its vote for another member; both are on disk
+/// before they leave.
+bool isVote(const wire::Message &message) {
+  if (message.has_vote_request())
+    return !message.vote_request().is_trial();
+  return message.has_vote_reply() && message.vote_reply().granted() &&
+         !message.vote_reply().is_trial();
+}
+
+/// Whether a vote waits for the disk.
+bool holdsVote(const auto &heldMessages) {
+  return std::any_of(heldMessages.begin(), heldMessages.end(),
+                     [](const auto &it) { return isVote(it.second.Message); });
+}
+
+} // namespace
+
 ConsensusNode::ConsensusNode(wire::Member self, ConsensusOptions options,
                              DurableState durable, std::uint64_t seed,
                              TimePoint now)
@@ -135,7 +154,9 @@
     maintainVoters(now);
     return;
   }
-  if (now >= ElectionAt && isVoter())
+  // NOTE: on a slow disk the next candidacy would always overtake the vote of
+  // this one.
+  if (now >= ElectionAt && isVoter() && !holdsVote(MessagesAwaitingSync))
     startPreVote(now);
 }
 
@@ -165,7 +186,8 @@
   if (message.has_vote_request() && hasLeader)
     return;
   // NOTE: the member that got its vote may become leader in a moment.
-  if (message.has_vote_request() && isPreVote && now < VoteProtectedUntil)
+  if (message.has_vote_request() && isPreVote &&
+      (now < VoteProtectedUntil || holdsVote(MessagesAwaitingSync)))
     return;
   const bool hasNewerTerm = message.term() > Term && !isPreVote;
   if (hasNewerTerm)
@@ -329,6 +351,9 @@
          MessagesAwaitingSync.front().first <= ticket) {
     auto heldMessage = std::move(MessagesAwaitingSync.front().second);
     MessagesAwaitingSync.pop_front();
+    // NOTE: only now can the vote elect somebody.
+    if (isVote(heldMessage.Message) && now >= ElectionAt)
+      resetElectionTimer(now);
     // NOTE: a vote of an earlier term is no longer valid.
     if (heldMessage.Message.term() >= Term)
       Pending.Messages.push_back(std::move(heldMessage));
