--- a/cmake/StepledgeModule.cmake
+++ b/cmake/StepledgeModule.cmake
@@ -31,7 +31,7 @@
   add_test(NAME ${module}.${stem}
     COMMAND test_${module} "--source-file=*/${name}")
   if(stem MATCHES "ScheduleTest$")
-    # NOTE: these take longest, so they begin first.
+    # NOTE: these are among the longest, so they begin first.
     set_tests_properties(${module}.${stem} PROPERTIES COST 1000)
   endif()
 endfunction()
--- a/src/quota/QuotaHomes.h
+++ b/src/quota/QuotaHomes.h
@@ -56,8 +56,8 @@
   std::map<std::string, HallId> Departed;
   std::set<std::string> Connected;
   std::map<HallId, std::vector<std::string>> ByHall;
-  /// The homes in the order of each organisation that was asked for since they
-  /// were chosen: each operation asks.
+  /// By organisation, its homes in order, computed when first needed and kept
+  /// until the homes change, since every operation looks them up.
   mutable std::map<std::pair<HallId, OrganisationId>, std::vector<std::string>>
       Ordered;
 };
