--- a/src/consensus/ConsensusNode.cpp
+++ b/src/consensus/ConsensusNode.cpp
@@ -19,12 +19,6 @@
          !message.vote_reply().is_trial();
 }
 
-/// Whether a vote waits for the disk.
-bool holdsVote(const auto &heldMessages) {
-  return std::any_of(heldMessages.begin(), heldMessages.end(),
-                     [](const auto &it) { return isVote(it.second.Message); });
-}
-
 } // namespace
 
 ConsensusNode::ConsensusNode(wire::Member self, ConsensusOptions options,
@@ -115,6 +109,11 @@
   return health;
 }
 
+bool ConsensusNode::isWritingVote() const {
+  return std::any_of(MessagesAwaitingSync.begin(), MessagesAwaitingSync.end(),
+                     [](const auto &it) { return isVote(it.second.Message); });
+}
+
 std::optional<wire::Member> ConsensusNode::leader() const {
   return isLeader() ? Self : Leader;
 }
@@ -156,7 +155,7 @@
   }
   // NOTE: on a slow disk the next candidacy would always overtake the vote of
   // this one.
-  if (now >= ElectionAt && isVoter() && !holdsVote(MessagesAwaitingSync))
+  if (now >= ElectionAt && isVoter() && !isWritingVote())
     startPreVote(now);
 }
 
@@ -187,7 +186,7 @@
     return;
   // NOTE: the member that got its vote may become leader in a moment.
   if (message.has_vote_request() && isPreVote &&
-      (now < VoteProtectedUntil || holdsVote(MessagesAwaitingSync)))
+      (now < VoteProtectedUntil || isWritingVote()))
     return;
   const bool hasNewerTerm = message.term() > Term && !isPreVote;
   if (hasNewerTerm)
--- a/src/consensus/ConsensusNode.h
+++ b/src/consensus/ConsensusNode.h
@@ -155,6 +155,8 @@
   /// or until it becomes leader itself.
   bool isStarting() const { return LeaderContact == TimePoint{}; }
   bool canStartPreVote(TimePoint now) const;
+  /// Whether a vote of this member waits for the disk.
+  bool isWritingVote() const;
   /// How long members become candidates in order; longer after an election
   /// without a leader.
   Duration orderedCandidacyTime() const {
