Count pongs in the traffic that a VM logs

What operators saw: event=traffic counts pings, but never the answers to them. Cause: the answer went past the count. Messages on a connection now leave by one function, which counts them. SilentConnection_PongsAreInTheTrafficCount failed before.

--- a/src/peer/PeerHub.cpp
+++ b/src/peer/PeerHub.cpp
@@ -62,7 +62,7 @@
       [this, ip, number, holder](const wire::Message &message) {
         auto self = holder->lock();
         if (message.has_ping() && self)
-          return self->send(pong());
+          return sendOn(*self, pong());
         if (!ip->empty())
           return Listener.peerSaid(*ip, message);
         if (!message.has_hello() || !self)
@@ -143,8 +143,7 @@
   case LinkAction::Close:
     return false;
   case LinkAction::Ping:
-    outgoing.Link->send(ping());
-    Traffic.noteSent(ping());
+    sendOn(*outgoing.Link, ping());
     break;
   case LinkAction::None:
     break;
@@ -222,19 +221,22 @@
 bool PeerHub::send(const std::string &ip, const wire::Message &message) {
   const auto outgoing = OutgoingLinks.find(ip);
   if (outgoing != OutgoingLinks.end() && outgoing->second.Link) {
-    outgoing->second.Link->send(message);
     outgoing->second.Watch->sent(Now);
-    Traffic.noteSent(message);
+    sendOn(*outgoing->second.Link, message);
     return true;
   }
   const auto incoming = IncomingLinks.find(ip);
   if (incoming == IncomingLinks.end())
     return false;
-  incoming->second.Link->send(message);
-  Traffic.noteSent(message);
+  sendOn(*incoming->second.Link, message);
   return true;
 }
 
+void PeerHub::sendOn(PeerLink &link, const wire::Message &message) {
+  link.send(message);
+  Traffic.noteSent(message);
+}
+
 std::vector<LinkState> PeerHub::linksTo(const std::string &ip) const {
   std::vector<LinkState> links;
   const auto own = OutgoingLinks.find(ip);
--- a/src/peer/PeerHub.h
+++ b/src/peer/PeerHub.h
@@ -78,6 +78,8 @@
                 const std::shared_ptr<asio::ip::tcp::socket> &socket,
                 std::error_code ec);
   void opened(const std::string &ip, asio::ip::tcp::socket socket);
+  /// Sends over \p link, and counts the message.
+  void sendOn(PeerLink &link, const wire::Message &message);
 
   asio::io_context &Context;
   wire::Hello Self;
--- a/src/peer/tests/SilentConnectionTest.cpp
+++ b/src/peer/tests/SilentConnectionTest.cpp
@@ -139,6 +139,7 @@
   }
   int heard() const { return ReceiverEvents.Consensus; }
   const std::vector<LinkEnd> &ends() const { return SenderEvents.Ends; }
+  const TrafficCount &sentBack() const { return Receiver.traffic(); }
 
 private:
   void accept() {
@@ -196,3 +197,9 @@
     CHECK(pair.ends().empty());
   }
 }
+
+TEST_CASE("SilentConnection_PongsAreInTheTrafficCount") {
+  RelayedPair pair(wire::CONTROL);
+  pair.run(milliseconds(5000), false);
+  CHECK(pair.sentBack().byKind().contains(MessageKind::kPong));
+}
