--- /dev/null
+++ b/review/2/case.cpp
@@ -0,0 +1,98 @@
+// Case 2: the control group never has a majority again. A planned replacement
+// of a core machine, whose successor has long caught up, and the loss of one
+// other disk two seconds later.
+#include "../standins/harness.h"
+
+using namespace review;
+
+namespace {
+
+/// The successor runs for longer than catch_up_s (4) before the old machine is
+/// told to stop.
+constexpr int CatchUpMs = 6000;
+/// From the end of the replaced machine's process to the loss of the disk.
+constexpr int GapMs = 2000;
+/// A process starts again after a short delay.
+constexpr int RestartMs = 300;
+/// How long the operator asks: more than contact_ms, outer_ms, recovery_s and
+/// ack_timeout_ms together.
+constexpr double AskS = 45.0;
+
+} // namespace
+
+int main(int argc, char **argv) {
+  ::signal(SIGPIPE, SIG_IGN);
+  const std::string folder = argc > 1 ? argv[1] : ".";
+  record.open(folder + "/record.txt");
+  const char *logs = std::getenv("KEEP_LOGS");
+  const bool isTrouble = hasTrouble();
+  note("trouble=", isTrouble);
+  if (!takeNet())
+    return CouldNotRun;
+  Fleet fleet;
+  Group group("svc1", 3, 0);
+  const std::vector<int> first{0, 1, 2};
+  std::vector<std::unique_ptr<Instance>> instances;
+  for (std::size_t i = 0; i < 3; ++i)
+    instances.push_back(
+        std::make_unique<Instance>(group, i, std::vector<int>{0, 1, 2, 3}));
+  Platform platform(group);
+  bool isUp = platform.run();
+  for (auto &it : instances)
+    isUp = isUp && it->run();
+  for (int i = 0; i < 3; ++i)
+    fleet.start(cat("control-", i));
+  for (int i = 0; i < 2; ++i)
+    fleet.start(cat("entry-", i));
+  const auto document = configuration(7, {{"db1", "primary"}}, 0);
+  isUp = isUp && replaceConfiguration(first, document, 15000);
+  for (int i = 0; i < 2; ++i)
+    isUp = isUp && awaitReady(i, 15000);
+  if (!isUp) {
+    note("the system did not start");
+    finish(fleet, CouldNotRun, logs);
+  }
+  note("configuration 7 is acknowledged");
+  pauseMs(2000);
+  // Planned: the new machine first, then SIGTERM.
+  fleet.start("control-3", true);
+  pauseMs(CatchUpMs);
+  fleet.signal("control-2", SIGTERM);
+  if (!fleet.awaitEnd("control-2", 6000))
+    fleet.kill("control-2");
+  note("control-2 has been replaced by control-3 and never comes back");
+  fleet.Seeds = {0, 1, 3};
+  pauseMs(GapMs);
+  if (isTrouble) {
+    fleet.kill("control-1");
+    fleet.wipeDisk("control-1");
+    pauseMs(RestartMs);
+    fleet.start("control-1", true);
+  }
+  const std::vector<int> nodes{0, 1, 3};
+  const double until = now() + AskS;
+  bool isRead = false;
+  while (!isRead && now() < until) {
+    for (const int it : nodes) {
+      const auto answer =
+          http(controlIp(it), ControlPort, "GET", "/-/Config.Get");
+      note("operator: Config.Get at control-", it, " -> ", answer.Status,
+           answer.Status == 200 ? " " + answer.Body.substr(0, 20) : "");
+      isRead = isRead || (answer.Status == 200 && answer.Body == document);
+    }
+    pauseMs(1000);
+  }
+  const bool isOrdered = replaceConfiguration(
+      nodes, configuration(8, {{"db1", "primary"}}, 0), 15000);
+  for (const int it : nodes)
+    if (fleet.hasEnded(cat("control-", it)))
+      note("control-", it, " doesn't run");
+  if (!isRead)
+    note("CONFIG: the acknowledged configuration does not come, from any of "
+         "the three machines, for ",
+         AskS, " s");
+  if (!isOrdered)
+    note("no acknowledgement of configuration 8 for 15 s");
+  std::printf("read back=%d next order acknowledged=%d\n", isRead, isOrdered);
+  finish(fleet, isRead && isOrdered ? Held : Broken, logs);
+}
