--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -22,21 +22,23 @@
 
 int main(int argc, char **argv) {
   ::signal(SIGPIPE, SIG_IGN);
-  const std::string folder = argc > 1 ? argv[1] : ".";
-  record.open(folder + "/record.txt");
+  const auto arguments = readArguments(argc, argv);
+  if (!arguments)
+    return CouldNotRun;
+  record.open(arguments->Record + "/record.txt");
   const char *logs = std::getenv("KEEP_LOGS");
-  const bool isTrouble = hasTrouble();
+  const bool isTrouble = arguments->IsTrouble;
   note("trouble=", isTrouble);
   if (!takeNet())
     return CouldNotRun;
-  Fleet fleet;
+  Fleet fleet(arguments->Temporary);
   Group group("svc1", 3, 0);
   const std::vector<int> first{0, 1, 2};
   std::vector<std::unique_ptr<Instance>> instances;
   for (std::size_t i = 0; i < 3; ++i)
     instances.push_back(
         std::make_unique<Instance>(group, i, std::vector<int>{0, 1, 2}));
-  Platform platform(group);
+  Platform platform({&group});
   bool isUp = platform.run();
   for (auto &it : instances)
     isUp = isUp && it->run();
--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -227,22 +227,39 @@
 inline std::string instanceIp(int n) { return ipOf(80 + n); }
 inline std::string platformIp() { return ipOf(5); }
 
-/// Takes a loopback network that nothing listens in.
+/// Takes a loopback network in which every address of a case is free.
 inline bool takeNet() {
   std::mt19937 random(std::random_device{}());
   for (int i = 0; i < 50; ++i) {
     Net = 20 + static_cast<int>(random() % 200);
+    // The claim stays, so that two cases don't take the same network.
     const int claim = listenAt(ipOf(250), ControlPort);
-    const int probe = listenAt(controlIp(0), ControlPort);
-    const int other = listenAt(entryIp(0), FrontPort);
-    if (probe >= 0)
-      ::close(probe);
-    if (other >= 0)
-      ::close(other);
-    if (claim >= 0 && probe >= 0 && other >= 0)
+    if (claim < 0)
+      continue;
+    std::vector<std::pair<std::string, int>> wanted{
+        {platformIp(), PromotePort}};
+    for (int n = 0; n < 3; ++n) {
+      wanted.emplace_back(controlIp(n), ControlPort);
+      wanted.emplace_back(entryIp(n), FrontPort);
+      wanted.emplace_back(entryIp(n), ReadyPort);
+    }
+    for (int n = 0; n < 9; ++n)
+      wanted.emplace_back(instanceIp(n), InstancePort);
+    for (const int port : {7440, 7441, 7442})
+      for (int n = 0; n < 3; ++n) {
+        wanted.emplace_back(controlIp(n), port);
+        wanted.emplace_back(entryIp(n), port);
+      }
+    bool areFree = true;
+    for (const auto &[ip, port] : wanted) {
+      const int probe = listenAt(ip, port);
+      areFree = areFree && probe >= 0;
+      if (probe >= 0)
+        ::close(probe);
+    }
+    if (areFree)
       return true;
-    if (claim >= 0)
-      ::close(claim);
+    ::close(claim);
   }
   return false;
 }
@@ -251,18 +268,14 @@
 /// writes for it.
 class Fleet {
 public:
-  Fleet() {
-    char name[] = "/tmp/review-XXXXXX";
-    Folder = ::mkdtemp(name);
-  }
+  /// \p folder: a temporary one, for settings, disks and logs.
+  explicit Fleet(std::string folder) : Folder(std::move(folder)) {}
   ~Fleet() {
     for (auto &[name, pid] : Pids)
       if (pid > 0) {
         ::kill(pid, SIGKILL);
         ::waitpid(pid, nullptr, 0);
       }
-    std::error_code ec;
-    std::filesystem::remove_all(Folder, ec);
   }
   /// The machines that seed_nodes names in settings written from now on.
   std::vector<int> Seeds{0, 1, 2};
@@ -279,8 +292,7 @@
     std::ofstream(path) << settings(name, isControl, n, ip, data, isFirst);
     const std::string log = cat(Folder, "/", name, ".log");
     const std::string boot = "STEPLEDGE_BOOT=" + path;
-    const std::string searchPath =
-        cat("PATH=", std::getenv("PATH") ? std::getenv("PATH") : "/usr/bin");
+    const std::string home = "HOME=" + Folder;
     const pid_t pid = ::fork();
     if (pid == 0) {
       // The processes end with this one, however it ends.
@@ -292,8 +304,7 @@
       const char *program = "target/platform/stepledge";
       const char *role = isControl ? "control" : "entry";
       const char *argv[] = {program, role, nullptr};
-      const char *env[] = {boot.c_str(), searchPath.c_str(), "HOME=/tmp",
-                           "LANG=C", nullptr};
+      const char *env[] = {boot.c_str(), home.c_str(), "LANG=C", nullptr};
       ::execve(program, const_cast<char *const *>(argv),
                const_cast<char *const *>(env));
       ::_exit(127);
@@ -890,7 +901,7 @@
 
 class Platform {
 public:
-  explicit Platform(Group &group) : It(group) {}
+  explicit Platform(std::vector<Group *> groups) : Groups(std::move(groups)) {}
   /// While it holds, calls are not answered and not carried out.
   std::atomic<bool> IsDown{false};
   /// Called after a promotion.
@@ -943,15 +954,21 @@
     }
     const auto at = body.find("\"id\":\"");
     const std::string id = body.substr(at + 6, body.find('"', at + 6) - at - 6);
+    Group *subject = nullptr;
+    for (auto *it : Groups)
+      if (body.find("\"" + it->Service + "\"") != std::string::npos)
+        subject = it;
+    if (!subject)
+      return;
     bool isStale = false;
     {
-      const std::lock_guard lock(It.Mutex);
-      isStale = fence < It.NewestFence;
-      It.NewestFence = std::max(It.NewestFence, fence);
+      const std::lock_guard lock(subject->Mutex);
+      isStale = fence < subject->NewestFence;
+      subject->NewestFence = std::max(subject->NewestFence, fence);
     }
     if (!isStale) {
       pauseMs(PromoteMs);
-      It.promote(id);
+      subject->promote(id);
       Promoted();
     }
     sendAll(fd, cat("HTTP/1.1 ", isStale ? "409 Conflict" : "200 OK",
@@ -959,7 +976,7 @@
   }
 
   static constexpr int PromoteMs = 300;
-  Group &It;
+  std::vector<Group *> Groups;
 };
 
 // --- clients ---------------------------------------------------------------
@@ -1028,9 +1045,20 @@
   int Number = 0;
 };
 
-inline bool hasTrouble() {
-  const char *value = std::getenv("TROUBLE");
-  return !value || std::string(value) != "0";
+/// What run.sh hands to a case.
+struct Arguments {
+  /// Where record.txt goes.
+  std::string Record;
+  /// A temporary folder for what the processes write.
+  std::string Temporary;
+  /// From the variable TROUBLE: false leaves the disruption out.
+  bool IsTrouble = true;
+};
+
+inline std::optional<Arguments> readArguments(int argc, char **argv) {
+  if (argc != 4)
+    return std::nullopt;
+  return Arguments{argv[1], argv[2], std::string(argv[3]) != "0"};
 }
 
 constexpr int Held = 0;
