Joint changes of voters: no step needs a machine the old voters didn't need

Cause: a change of voters added the machine's new number before it took its old one out. Between the two entries three of four voters were needed, and two of the four were this one machine. Evidence: event=group_incomplete at the old leader with voters=4, two of them silent numbers of one address, last=8 above commit=7 (the change itself).

Change: a joint change, as in Raft: until the new set is committed, votes, commits, reads and the leader's check need majorities of both sets. The plan of the next voters is a function of its own: one machine is never planned as two voters, the group grows by odd sizes and never shrinks below its target. A process told to stop asks the leader to be replaced and runs until it is, until there is no spare, or for 1.5 s; before, the successor waited 3 s for silence. The group's health names all voters, the wiped ones, and whether a majority is still possible.

--- a/src/consensus/ConsensusNode.cpp
+++ b/src/consensus/ConsensusNode.cpp
@@ -38,8 +38,8 @@
 }
 
 bool ConsensusNode::isVoter(MemberNumber number) const {
-  return std::any_of(Voters.voters().begin(), Voters.voters().end(),
-                     [&](const auto &it) { return it.number() == number; });
+  return contains(Voters.voters(), number) ||
+         contains(Voters.next_voters(), number);
 }
 
 std::uint64_t ConsensusNode::lastIndex() const {
@@ -62,10 +62,6 @@
   return Log[index - Base.index() - 1];
 }
 
-std::size_t ConsensusNode::majority() const {
-  return static_cast<std::size_t>(Voters.voters_size()) / 2 + 1;
-}
-
 bool ConsensusNode::canServe() const {
   return isLeader() && termAt(Commit) == Term;
 }
@@ -79,33 +75,60 @@
 }
 
 bool ConsensusNode::needsToJoin(TimePoint now) const {
+  if (LeaveRequestAt)
+    return false;
   const TimePoint since = std::max(LeaderContact, StartedAt);
   return !isVoter() || (!isLeader() && now - since > Options.RejoinAfter);
 }
 
+bool ConsensusNode::canEnd() const {
+  return IsLeaveRefused || (!isVoter() && Commit >= VotersIndex);
+}
+
 GroupHealth ConsensusNode::health(TimePoint now) const {
   GroupHealth health;
   health.Leads = isLeader();
   health.Term = Term;
   health.Commit = Commit;
   health.LastIndex = lastIndex();
-  health.Voters = static_cast<std::size_t>(Voters.voters_size());
+  for (const auto &it : voters())
+    health.Voters.push_back(voterHealth(now, it));
+  const auto canVote = [&](MemberNumber number) {
+    return std::none_of(
+        health.Voters.begin(), health.Voters.end(),
+        [&](const auto &it) { return it.Number == number && it.IsWiped; });
+  };
+  // NOTE: a member that hasn't joined yet knows no voter.
+  health.HasMajority = health.Voters.empty() || hasMajority(Voters, canVote);
   if (!isLeader())
     health.WithoutLeader = now - std::max(LeaderContact, StartedAt);
-  if (Leader)
+  return health;
+}
+
+VoterHealth ConsensusNode::voterHealth(TimePoint now,
+                                       const wire::Member &voter) const {
+  VoterHealth health;
+  health.Number = voter.number();
+  health.Ip = voter.ip();
+  health.IsOld = contains(Voters.voters(), voter.number());
+  health.IsNext = contains(Voters.next_voters(), voter.number());
+  if (voter.number() == Self.number())
     return health;
-  for (const auto &it : Voters.voters()) {
-    const auto other = Others.find(it.number());
-    const bool isFollower = isLeader() && other != Others.end();
-    const auto heard = HeardAt.find(it.number());
-    // NOTE: a voter that only asks for votes doesn't follow.
-    const TimePoint since = isFollower               ? other->second.LastReplyAt
-                            : heard == HeardAt.end() ? StartedAt
-                                                     : heard->second;
-    if (it.number() != Self.number() && now - since > Options.AliveLimit)
-      health.SilentVoters.push_back({it.number(), it.ip(), now - since,
-                                     isFollower ? other->second.Match : 0});
-  }
+  const auto other = Others.find(voter.number());
+  const bool isFollower = isLeader() && other != Others.end();
+  const auto heard = HeardAt.find(voter.number());
+  // NOTE: a voter that only asks for votes doesn't follow.
+  const TimePoint since = isFollower               ? other->second.LastReplyAt
+                          : heard == HeardAt.end() ? StartedAt
+                                                   : heard->second;
+  // NOTE: to a follower the other followers have nothing to tell.
+  health.SilentFor = Leader ? Duration{} : now - since;
+  health.IsSilent = health.SilentFor > Options.AliveLimit;
+  health.Match = isFollower ? other->second.Match : 0;
+  const auto join = LastJoins.find(voter.ip());
+  health.IsWiped = join != LastJoins.end() &&
+                   join->second.Number != voter.number() &&
+                   join->second.At > since;
   return health;
 }
 
@@ -119,7 +142,7 @@
 }
 
 std::string ConsensusNode::ipOf(MemberNumber number) const {
-  for (const auto &it : Voters.voters())
+  for (const auto &it : voters())
     if (it.number() == number)
       return it.ip();
   const auto it = Others.find(number);
@@ -144,12 +167,15 @@
 }
 
 void ConsensusNode::tick(TimePoint now) {
+  if (LeaveRequestAt && now >= *LeaveRequestAt)
+    requestLeave(now);
   if (isLeader()) {
     checkQuorum(now);
     if (!isLeader() || now < HeartbeatAt)
       return;
     HeartbeatAt = now + Options.HeartbeatInterval;
     replicateAll(now, true);
+    removeOldSpares(now);
     maintainVoters(now);
     return;
   }
@@ -161,6 +187,8 @@
 
 void ConsensusNode::receive(TimePoint now, const wire::Message &message) {
   if (message.has_join_request()) {
+    const auto &joining = message.join_request().member();
+    LastJoins[joining.ip()] = {joining.number(), now};
     if (isLeader())
       onJoinRequest(now, message.join_request().member());
     else if (Leader && Leader->number() != message.from())
@@ -171,6 +199,12 @@
     return;
   if (isVoter(message.from()))
     HeardAt[message.from()] = now;
+  if (message.has_leave_request())
+    return onLeaveRequest(now, message.from());
+  if (message.has_leave_refusal()) {
+    IsLeaveRefused = true;
+    return;
+  }
   // NOTE: a pre-vote's term is one that no member has entered, but a reply that
   // refuses a pre-vote carries the term of the member that refuses, which may
   // be newer.
@@ -229,7 +263,7 @@
   LeaderContact = now;
   HeartbeatAt = now;
   Others.clear();
-  for (const auto &it : Voters.voters()) {
+  for (const auto &it : voters()) {
     if (it.number() == Self.number())
       continue;
     auto &progress = Others[it.number()];
@@ -357,9 +391,9 @@
     if (heldMessage.Message.term() >= Term)
       Pending.Messages.push_back(std::move(heldMessage));
   }
-  if (isLeader()) {
-    advanceCommit(now);
-  } else if (Leader) {
+  if (isLeader())
+    return advanceCommit(now);
+  if (Leader) {
     wire::Message reply;
     reply.set_term(Term);
     reply.mutable_append_reply()->set_accepted(true);
--- a/src/consensus/ConsensusNode.h
+++ b/src/consensus/ConsensusNode.h
@@ -5,12 +5,13 @@
 /// membership changes, as a state machine without clock, disk or sockets.
 ///
 /// The log is replicated as in Raft, with pre-votes, a leader that steps down
-/// without a majority, and membership changes of one voter at a time. Messages
-/// that need durable records are sent after persisted().
+/// without a majority, and joint changes of voters. Messages that need durable
+/// records are sent after persisted().
 
 #ifndef STEPLEDGE_CONSENSUS_CONSENSUSNODE_H
 #define STEPLEDGE_CONSENSUS_CONSENSUSNODE_H
 
+#include "consensus/VoterSets.h"
 #include "consensus/generated/Consensus.pb.h"
 #include "consensus/types/ConsensusOptions.h"
 #include "consensus/types/GroupHealth.h"
@@ -27,6 +28,9 @@
 
 namespace stepledge::consensus {
 
+struct VoterCandidates;
+enum class VoterLoss;
+
 /// State that a member loads from its disk.
 struct DurableState {
   std::uint64_t Term = 0;
@@ -95,6 +99,12 @@
   /// ago.
   bool isFresh(TimePoint now) const;
   bool isVoter() const { return isVoter(Self.number()); }
+  /// This process is about to end: it asks to be replaced as a voter while it
+  /// still runs.
+  void leave(TimePoint now);
+  /// True if leave() has nothing left to do: this member is no voter any more,
+  /// or there is no spare for it.
+  bool canEnd() const;
   /// True if this member is no voter, or its log may be too old to show it; it
   /// then asks the other members to join.
   bool needsToJoin(TimePoint now) const;
@@ -104,6 +114,8 @@
   TimePoint leaderContact() const { return LeaderContact; }
   TimePoint startedAt() const { return StartedAt; }
   const wire::Membership &membership() const { return Voters; }
+  /// All voters, during a change those of both sets.
+  std::vector<wire::Member> voters() const { return allVoters(Voters); }
   std::uint64_t term() const { return Term; }
   std::uint64_t commitIndex() const { return Commit; }
   const wire::Member &self() const { return Self; }
@@ -121,6 +133,8 @@
     std::uint64_t Round = 0;
     TimePoint LastReplyAt{};
     TimePoint JoinedAt{};
+    /// Time of its last request to be replaced.
+    std::optional<TimePoint> LeftAt;
     /// A batch or snapshot is unanswered.
     bool HasBatchInFlight = false;
     /// First entry of the unanswered batch, which ends before Next; a snapshot
@@ -140,15 +154,16 @@
   };
 
   bool isVoter(MemberNumber number) const;
+  VoterHealth voterHealth(TimePoint now, const wire::Member &voter) const;
   std::uint64_t lastIndex() const;
   std::uint64_t lastTerm() const;
   std::uint64_t termAt(std::uint64_t index) const;
   const wire::Entry &entryAt(std::uint64_t index) const;
-  std::size_t majority() const;
 
   void becomeFollower(TimePoint now, std::uint64_t term);
   void startPreVote(TimePoint now);
   void startElection(TimePoint now);
+  bool isElected(const std::set<MemberNumber> &votes) const;
   void requestVotes(bool isPreVote);
   void requestVote(bool isPreVote, const wire::Member &voter);
   /// True until the first message of a leader since the start of this member,
@@ -193,6 +208,7 @@
   void followLeader(TimePoint now, const wire::Message &message);
   void onSnapshotRequest(TimePoint now, const wire::Message &message);
   void onJoinRequest(TimePoint now, const wire::Member &member);
+  void onLeaveRequest(TimePoint now, MemberNumber number);
 
   void append(wire::Entry entry);
   void truncateFrom(std::uint64_t index);
@@ -219,9 +235,23 @@
   void confirmReads();
   void failReads();
   void checkQuorum(TimePoint now);
+  /// Starts a change of voters if one is due.
   void maintainVoters(TimePoint now);
+  void removeOldSpares(TimePoint now);
+  /// Ends a joint change once its entry is committed; a leader that is no voter
+  /// afterwards steps down.
+  void finishVoterChange(TimePoint now);
   void proposeVoters(wire::Membership voters);
-  const Progress *bestSpare(TimePoint now) const;
+  bool isChangingVoters() const {
+    return isJoint(Voters) || VotersIndex > Commit;
+  }
+  VoterCandidates voterCandidates(TimePoint now) const;
+  VoterLoss lossOf(TimePoint now, MemberNumber voter) const;
+  /// True if a member with another number has replied later from the same
+  /// address: the disk of \p progress is gone.
+  bool isWiped(MemberNumber number, const Progress &progress) const;
+  bool isLeaving(TimePoint now, const Progress &progress) const;
+  void requestLeave(TimePoint now);
   std::string ipOf(MemberNumber number) const;
 
   wire::Member Self;
@@ -269,6 +299,15 @@
   /// have.
   std::uint64_t Round = 1;
   std::map<MemberNumber, Progress> Others;
+  /// Set once this process is about to end; time of the next request.
+  std::optional<TimePoint> LeaveRequestAt;
+  bool IsLeaveRefused = false;
+  struct JoinAt {
+    MemberNumber Number = 0;
+    TimePoint At{};
+  };
+  /// The last request to join from each address.
+  std::map<std::string, JoinAt> LastJoins;
   /// Time of the last message from each voter.
   std::map<MemberNumber, TimePoint> HeardAt;
   std::vector<PendingRead> Reads;
--- a/src/consensus/internal/Election.cpp
+++ b/src/consensus/internal/Election.cpp
@@ -25,22 +25,22 @@
   }
   // NOTE: the old and the new number of a wiped disk may both be voters at this
   // address.
-  std::vector<wire::Member> voters;
-  for (const auto &it : Voters.voters())
+  std::vector<wire::Member> reached;
+  for (const auto &it : voters())
     if (it.ip() == ip && it.number() != Self.number())
-      voters.push_back(it);
-  if (!isStarting() || !isVoter() || voters.empty())
+      reached.push_back(it);
+  if (!isStarting() || !isVoter() || reached.empty())
     return;
   const bool isOrdered = now < OrderedCandidacyUntil;
   OrderedCandidacyUntil = now + orderedCandidacyTime();
-  for (const auto &it : voters)
+  for (const auto &it : reached)
     SkippedCandidates.erase(it.number());
   // NOTE: earlier requests didn't reach the voter. Votes of other members stay,
   // except pre-votes that competing candidates gave each other after the
   // ordered candidacy had ended.
   const bool isPreVote = Role == MemberRole::PreCandidate && isOrdered;
   if (isPreVote || Role == MemberRole::Candidate)
-    for (const auto &it : voters)
+    for (const auto &it : reached)
       requestVote(isPreVote, it);
   else if (canStartPreVote(now))
     startPreVote(now);
@@ -52,7 +52,7 @@
   Leader.reset();
   resetPreVoteTimer(now);
   PreVotes = {Self.number()};
-  if (PreVotes.size() >= majority())
+  if (isElected(PreVotes))
     return startElection(now);
   requestVotes(true);
 }
@@ -69,13 +69,18 @@
   // NOTE: the own vote counts at once: vote requests leave only when it is on
   // disk.
   Votes = {Self.number()};
-  if (Votes.size() >= majority())
+  if (isElected(Votes))
     return becomeLeader(now);
   requestVotes(false);
 }
 
+bool ConsensusNode::isElected(const std::set<MemberNumber> &votes) const {
+  return hasMajority(
+      Voters, [&](MemberNumber number) { return votes.contains(number); });
+}
+
 void ConsensusNode::requestVotes(bool isPreVote) {
-  for (const auto &it : Voters.voters())
+  for (const auto &it : voters())
     if (it.number() != Self.number())
       requestVote(isPreVote, it);
 }
@@ -106,9 +111,10 @@
   if (!isStarting() || !isVoter() || now >= OrderedCandidacyUntil ||
       SkippedCandidates.contains(preVote.from()))
     return nullptr;
-  for (const auto &it : Voters.voters())
-    if (it.number() == preVote.from())
-      return &it;
+  for (const auto *list : {&Voters.voters(), &Voters.next_voters()})
+    for (const auto &it : *list)
+      if (it.number() == preVote.from())
+        return &it;
   return nullptr;
 }
 
@@ -195,7 +201,7 @@
   auto &votes = reply.is_trial() ? PreVotes : Votes;
   if (isVoter(message.from()))
     votes.insert(message.from());
-  if (votes.size() < majority())
+  if (!isElected(votes))
     return;
   if (reply.is_trial())
     startElection(now);
--- a/src/consensus/internal/Replication.cpp
+++ b/src/consensus/internal/Replication.cpp
@@ -5,6 +5,7 @@
 /// maintains the voters.
 
 #include "consensus/ConsensusNode.h"
+#include "consensus/internal/VoterPlan.h"
 
 #include <algorithm>
 #include <utility>
@@ -143,6 +144,9 @@
   }
   // NOTE: otherwise the entries that this refusal asks for are already sent.
   advanceCommit(now);
+  // NOTE: a leader that was replaced as a voter has just stepped down.
+  if (!isLeader())
+    return;
   confirmReads();
   if (progress.Next <= lastIndex())
     replicate(now, progress, false);
@@ -252,27 +256,24 @@
 }
 
 void ConsensusNode::advanceCommit(TimePoint now) {
-  std::vector<std::uint64_t> matches;
-  for (const auto &it : Voters.voters()) {
-    const auto other = Others.find(it.number());
-    if (it.number() == Self.number())
-      matches.push_back(DurableIndex);
-    else
-      matches.push_back(other == Others.end() ? 0 : other->second.Match);
-  }
-  if (matches.empty())
-    return;
-  std::sort(matches.begin(), matches.end(), std::greater<>());
-  const std::uint64_t index = matches[majority() - 1];
+  const std::uint64_t index =
+      reachedByMajority(Voters, [&](MemberNumber number) {
+        const auto other = Others.find(number);
+        if (number == Self.number())
+          return DurableIndex;
+        return other == Others.end() ? 0 : other->second.Match;
+      });
   // NOTE: entries of earlier terms commit only together with one of this term.
   if (index <= Commit || termAt(index) != Term)
     return;
   const bool isFirst = !canServe();
+  const bool hasNewVoters = Commit < VotersIndex && index >= VotersIndex;
   setCommit(index);
-  // NOTE: followers serve once they have the new commit index, so it is sent
-  // now and not with the next heartbeat.
-  if (isFirst)
+  // NOTE: followers serve, and a replaced voter ends, once they have the new
+  // commit index, so it is sent now and not with the next heartbeat.
+  if (isFirst || hasNewVoters)
     replicateAll(now, true);
+  finishVoterChange(now);
 }
 
 void ConsensusNode::setCommit(std::uint64_t index) {
@@ -284,13 +285,12 @@
 
 void ConsensusNode::confirmReads() {
   std::erase_if(Reads, [&](const PendingRead &read) {
-    std::size_t confirmed = 0;
-    for (const auto &it : Voters.voters()) {
-      const auto other = Others.find(it.number());
-      confirmed += it.number() == Self.number() ||
-                   (other != Others.end() && other->second.Round >= read.Round);
-    }
-    if (confirmed < majority())
+    const bool isConfirmed = hasMajority(Voters, [&](MemberNumber number) {
+      const auto other = Others.find(number);
+      return number == Self.number() ||
+             (other != Others.end() && other->second.Round >= read.Round);
+    });
+    if (!isConfirmed)
       return false;
     Pending.ConfirmedReads.push_back(read.Token);
     return true;
@@ -304,14 +304,13 @@
 }
 
 void ConsensusNode::checkQuorum(TimePoint now) {
-  std::size_t responsive = 0;
-  for (const auto &it : Voters.voters()) {
-    const auto other = Others.find(it.number());
-    responsive += it.number() == Self.number() ||
-                  (other != Others.end() &&
-                   now - other->second.LastReplyAt < Options.AliveLimit);
-  }
-  if (responsive >= majority()) {
+  const bool hasQuorum = hasMajority(Voters, [&](MemberNumber number) {
+    const auto other = Others.find(number);
+    return number == Self.number() ||
+           (other != Others.end() &&
+            now - other->second.LastReplyAt < Options.AliveLimit);
+  });
+  if (hasQuorum) {
     LeaderContact = now;
     return;
   }
@@ -319,50 +318,39 @@
 }
 
 void ConsensusNode::maintainVoters(TimePoint now) {
+  if (!canServe() || isChangingVoters())
+    return;
+  auto next = planVoters(voterCandidates(now), Options.TargetVoters);
+  if (!next)
+    return;
+  wire::Membership joint = Voters;
+  *joint.mutable_next_voters() = *std::move(next);
+  proposeVoters(std::move(joint));
+  replicateAll(now, false);
+}
+
+void ConsensusNode::removeOldSpares(TimePoint now) {
   std::erase_if(Others, [&](const auto &it) {
     return !isVoter(it.first) &&
            now - it.second.JoinedAt > Options.SpareLifetime;
   });
-  if (!canServe() || VotersIndex > Commit)
+}
+
+void ConsensusNode::finishVoterChange(TimePoint now) {
+  if (VotersIndex > Commit)
     return;
-  const int count = Voters.voters_size();
-  const wire::Member *lost = nullptr;
-  int alive = 0;
-  for (const auto &it : Voters.voters()) {
-    if (it.number() == Self.number()) {
-      ++alive;
-      continue;
-    }
-    const auto &progress = Others[it.number()];
-    alive += now - progress.LastReplyAt < Options.AliveLimit;
-    // NOTE: a member with another number and a later reply at the same address
-    // means that the disk was wiped.
-    const bool isWiped =
-        std::any_of(Others.begin(), Others.end(), [&](const auto &other) {
-          return other.first != it.number() &&
-                 other.second.Member.ip() == it.ip() &&
-                 other.second.LastReplyAt > progress.LastReplyAt;
-        });
-    if (isWiped || (!lost && now - progress.LastReplyAt > Options.ReplaceAfter))
-      lost = &it;
-  }
-  wire::Membership voters = Voters;
-  if (lost && count > Options.TargetVoters) {
-    const MemberNumber number = lost->number();
-    voters.clear_voters();
+  if (isJoint(Voters)) {
+    // NOTE: replaced voters get the rest of the change as spares do.
     for (const auto &it : Voters.voters())
-      if (it.number() != number)
-        *voters.add_voters() = it;
-    return proposeVoters(std::move(voters));
+      if (const auto other = Others.find(it.number()); other != Others.end())
+        other->second.JoinedAt = now;
+    wire::Membership next;
+    *next.mutable_voters() = Voters.next_voters();
+    proposeVoters(std::move(next));
+    return replicateAll(now, false);
   }
-  const bool needsSpare =
-      count < Options.TargetVoters || (lost && count == Options.TargetVoters);
-  const auto *spare = needsSpare ? bestSpare(now) : nullptr;
-  const int needed = (count + 1) / 2 + 1;
-  if (!spare || alive + 1 < needed)
-    return;
-  *voters.add_voters() = spare->Member;
-  proposeVoters(std::move(voters));
+  if (!isVoter())
+    becomeFollower(now, Term);
 }
 
 void ConsensusNode::proposeVoters(wire::Membership voters) {
@@ -371,21 +359,78 @@
   append(std::move(entry));
 }
 
-const ConsensusNode::Progress *ConsensusNode::bestSpare(TimePoint now) const {
-  const auto votersIn = [&](const std::string &hall) {
-    return std::count_if(Voters.voters().begin(), Voters.voters().end(),
-                         [&](const auto &it) { return it.hall() == hall; });
-  };
-  const Progress *best = nullptr;
-  for (const auto &[number, it] : Others) {
-    const bool isEligible = !isVoter(number) && it.Match >= Commit &&
-                            now - it.LastReplyAt < Options.AliveLimit;
-    if (!isEligible)
-      continue;
-    if (!best || votersIn(it.Member.hall()) < votersIn(best->Member.hall()))
-      best = &it;
+VoterCandidates ConsensusNode::voterCandidates(TimePoint now) const {
+  VoterCandidates candidates;
+  for (const auto &it : Voters.voters())
+    candidates.Voters.push_back({it, lossOf(now, it.number())});
+  for (const auto &[number, it] : Others)
+    if (!isVoter(number) && it.Match >= Commit && !isWiped(number, it) &&
+        !isLeaving(now, it) && now - it.LastReplyAt < Options.AliveLimit)
+      candidates.Spares.push_back(it.Member);
+  return candidates;
+}
+
+VoterLoss ConsensusNode::lossOf(TimePoint now, MemberNumber voter) const {
+  if (voter == Self.number())
+    return LeaveRequestAt ? VoterLoss::Leaving : VoterLoss::None;
+  const auto it = Others.find(voter);
+  if (it == Others.end())
+    return VoterLoss::None;
+  const auto &progress = it->second;
+  if (isWiped(voter, progress))
+    return VoterLoss::Wiped;
+  if (isLeaving(now, progress))
+    return VoterLoss::Leaving;
+  return now - progress.LastReplyAt > Options.ReplaceAfter ? VoterLoss::Silent
+                                                           : VoterLoss::None;
+}
+
+bool ConsensusNode::isWiped(MemberNumber number,
+                            const Progress &progress) const {
+  return std::any_of(Others.begin(), Others.end(), [&](const auto &other) {
+    return other.first != number &&
+           other.second.Member.ip() == progress.Member.ip() &&
+           other.second.LastReplyAt > progress.LastReplyAt;
+  });
+}
+
+bool ConsensusNode::isLeaving(TimePoint now, const Progress &progress) const {
+  return progress.LeftAt && now - *progress.LeftAt < Options.LeaveLifetime;
+}
+
+void ConsensusNode::leave(TimePoint now) {
+  if (!LeaveRequestAt)
+    requestLeave(now);
+}
+
+void ConsensusNode::requestLeave(TimePoint now) {
+  LeaveRequestAt = now + Options.HeartbeatInterval;
+  if (isLeader()) {
+    maintainVoters(now);
+    IsLeaveRefused = canServe() && !isChangingVoters();
+    return;
   }
-  return best;
+  if (!Leader)
+    return;
+  wire::Message message;
+  message.set_term(Term);
+  message.mutable_leave_request();
+  send(Leader->ip(), Leader->number(), std::move(message));
+}
+
+void ConsensusNode::onLeaveRequest(TimePoint now, MemberNumber number) {
+  const auto it = Others.find(number);
+  if (!isLeader() || it == Others.end())
+    return;
+  auto &progress = it->second;
+  progress.LeftAt = now;
+  maintainVoters(now);
+  if (!canServe() || isChangingVoters())
+    return;
+  wire::Message refusal;
+  refusal.set_term(Term);
+  refusal.mutable_leave_refusal();
+  send(progress.Member.ip(), number, std::move(refusal));
 }
 
 } // namespace stepledge::consensus
--- a/src/consensus/tests/SimulatedGroup.cpp
+++ b/src/consensus/tests/SimulatedGroup.cpp
@@ -154,6 +154,11 @@
   Members[member].Disk = SimulatedDisk();
 }
 
+void SimulatedGroup::leave(std::size_t member) {
+  Members[member].Node->leave(Now);
+  runEffects(member);
+}
+
 void SimulatedGroup::stallDisk(std::size_t member, Duration time) {
   Members[member].DiskStalledUntil = Now + time;
 }
--- a/src/consensus/tests/SimulatedGroup.h
+++ b/src/consensus/tests/SimulatedGroup.h
@@ -72,6 +72,15 @@
   void kill(std::size_t member);
   void wipe(std::size_t member);
   void start(std::size_t member);
+  /// The member asks to be replaced as a voter, and runs on.
+  void leave(std::size_t member);
+  /// True if a member that leaves has nothing left to wait for.
+  bool canEnd(std::size_t member) const {
+    return Members[member].Node->canEnd();
+  }
+  GroupHealth health(std::size_t member) const {
+    return Members[member].Node->health(Now);
+  }
   void stallDisk(std::size_t member, Duration time);
   /// Messages from \p from to \p to are dropped.
   void blockLink(std::size_t from, std::size_t to) {
--- a/src/consensus/types/ConsensusOptions.h
+++ b/src/consensus/types/ConsensusOptions.h
@@ -52,6 +52,9 @@
   Duration RejoinAfter = milliseconds(2000);
   /// A spare without a join request for this time is removed.
   Duration SpareLifetime = milliseconds(3000);
+  /// How long a member's request to be replaced counts; it repeats the request
+  /// as long as it runs.
+  Duration LeaveLifetime = milliseconds(1000);
   /// Number of voters the group keeps: 2f + 1.
   int TargetVoters = 3;
   /// Added to SnapshotEntries to tell when a snapshot is due. A snapshot keeps
--- a/src/consensus/types/GroupHealth.h
+++ b/src/consensus/types/GroupHealth.h
@@ -8,6 +8,7 @@
 
 #include "base/types/Time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -17,13 +18,22 @@
 using MemberNumber = std::uint64_t;
 
 /// A voter that doesn't answer the leader, or without a leader isn't heard.
-struct SilentVoter {
+struct VoterHealth {
   MemberNumber Number = 0;
   std::string Ip;
+  /// Whether it is in the set of voters, and in the one that replaces it.
+  bool IsOld = false;
+  bool IsNext = false;
+  /// It doesn't answer. Never set on a follower, to which the other followers
+  /// have nothing to tell.
+  bool IsSilent = false;
   /// Since its last answer or message, or since this member's start.
   Duration SilentFor{};
   /// The last entry that it is known to have; 0 unless this member leads.
   std::uint64_t Match = 0;
+  /// Its disk is gone: another member has since asked to join from its address,
+  /// so this number never votes again.
+  bool IsWiped = false;
 };
 
 struct GroupHealth {
@@ -31,11 +41,24 @@
   std::uint64_t Term = 0;
   std::uint64_t Commit = 0;
   std::uint64_t LastIndex = 0;
-  std::size_t Voters = 0;
+  std::vector<VoterHealth> Voters;
+  /// False if too many voters are wiped: the group never commits again.
+  bool HasMajority = true;
   /// Since the last message of a leader; zero on a leader.
   Duration WithoutLeader{};
-  /// Empty on a follower: other followers have nothing to tell it.
-  std::vector<SilentVoter> SilentVoters;
+
+  std::size_t silentCount() const {
+    return count([](const auto &it) { return it.IsSilent; });
+  }
+  std::size_t wipedCount() const {
+    return count([](const auto &it) { return it.IsWiped; });
+  }
+
+private:
+  template <typename Predicate> std::size_t count(Predicate predicate) const {
+    return static_cast<std::size_t>(
+        std::count_if(Voters.begin(), Voters.end(), predicate));
+  }
 };
 
 } // namespace stepledge::consensus
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -40,6 +40,12 @@
   startCall(now, {}, true, std::move(onDone));
 }
 
+void ControlNode::leave(TimePoint now) {
+  Now = now;
+  Node.leave(now);
+  runEffects(now);
+}
+
 void ControlNode::tick(TimePoint now) {
   Now = now;
   Node.tick(now);
@@ -237,7 +243,7 @@
   // The member that forwarded the call to this leader waits for its end.
   if (!Node.isLeader() || command.proposer() == 0)
     return;
-  for (const auto &it : Node.membership().voters())
+  for (const auto &it : Node.voters())
     if (it.number() == command.proposer())
       return reply({it.ip(), command.number()}, true, entry.index());
   // NOTE: a process that isn't a voter yet applies the entry itself.
@@ -272,7 +278,7 @@
   out.set_is_fresh(IsFresh);
   if (!isFull)
     return message;
-  for (const auto &it : Node.membership().voters())
+  for (const auto &it : Node.voters())
     out.add_control_ips(it.ip());
   for (const auto &[service, it] : State.promotions()) {
     auto &promotion = *out.add_promotions();
@@ -294,7 +300,7 @@
 
 void ControlNode::updatePeers() {
   KnownControls.clear();
-  for (const auto &it : Node.membership().voters())
+  for (const auto &it : Node.voters())
     KnownControls.insert(it.ip());
   // NOTE: a process that isn't a voter, or whose log is too old, may not have
   // the addresses of all control VMs.
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -140,6 +140,8 @@
   /// Answers the pending calls, whose outcomes aren't known, and from now on
   /// each new one at once: this VM ends before it could do more for them.
   void endCalls();
+  /// Asks to be replaced as a voter, since the process is about to end.
+  void leave(TimePoint now);
   bool isEnding() const { return IsEnding; }
 
   void tick(TimePoint now);
--- a/src/control/internal/GroupHealthReport.cpp
+++ b/src/control/internal/GroupHealthReport.cpp
@@ -21,12 +21,21 @@
       toMilliseconds(link.SilentFor), link.CarriesMessages ? "/sends" : "");
 }
 
+/// Tells what a decision of the group has to do with the voter.
+std::string setText(const consensus::VoterHealth &voter) {
+  std::string text = voter.IsWiped ? " wiped=1" : "";
+  if (!voter.IsOld)
+    text += " set=next";
+  return text;
+}
+
 } // namespace
 
 std::optional<std::string>
 GroupHealthReport::line(TimePoint now, const consensus::GroupHealth &health) {
   const bool isIncomplete = health.WithoutLeader > LeaderlessLimit ||
-                            (health.Leads && !health.SilentVoters.empty());
+                            !health.HasMajority ||
+                            (health.Leads && health.silentCount() > 0);
   if (!isIncomplete) {
     const auto since = std::exchange(IncompleteSince, std::nullopt);
     NextLineAt = now;
@@ -45,18 +54,28 @@
 
 std::string
 GroupHealthReport::describe(const consensus::GroupHealth &health) const {
+  std::string text = absl::StrCat(
+      "event=group_incomplete leads=", health.Leads, " term=", health.Term,
+      " commit=", health.Commit, " last=", health.LastIndex,
+      " voters=", health.Voters.size(), " wiped=", health.wipedCount(),
+      " has_majority=", health.HasMajority,
+      " without_leader_ms=", toMilliseconds(health.WithoutLeader));
+  for (const auto &it : health.Voters)
+    text += voterText(it);
+  return text;
+}
+
+std::string
+GroupHealthReport::voterText(const consensus::VoterHealth &voter) const {
+  if (!voter.IsSilent)
+    return absl::StrCat(" voter=", voter.Number, " ip=", voter.Ip,
+                        setText(voter));
   std::string text =
-      absl::StrCat("event=group_incomplete leads=", health.Leads,
-                   " term=", health.Term, " commit=", health.Commit,
-                   " last=", health.LastIndex, " voters=", health.Voters,
-                   " without_leader_ms=", toMilliseconds(health.WithoutLeader));
-  for (const auto &it : health.SilentVoters) {
-    absl::StrAppend(&text, " silent=", it.Number, " ip=", it.Ip,
-                    " silent_ms=", toMilliseconds(it.SilentFor),
-                    " match=", it.Match);
-    for (const auto &link : Links(it.Ip))
-      text += linkText(link);
-  }
+      absl::StrCat(" silent=", voter.Number, " ip=", voter.Ip,
+                   " silent_ms=", toMilliseconds(voter.SilentFor),
+                   " match=", voter.Match, setText(voter));
+  for (const auto &link : Links(voter.Ip))
+    text += linkText(link);
   return text;
 }
 
--- a/src/control/internal/GroupHealthReport.h
+++ b/src/control/internal/GroupHealthReport.h
@@ -33,6 +33,7 @@
 
 private:
   std::string describe(const consensus::GroupHealth &health) const;
+  std::string voterText(const consensus::VoterHealth &voter) const;
 
   LinksTo Links;
   std::optional<TimePoint> IncompleteSince;
--- a/src/control/tests/GroupHealthReportTest.cpp
+++ b/src/control/tests/GroupHealthReportTest.cpp
@@ -18,7 +18,14 @@
 consensus::GroupHealth lackingAVoter() {
   consensus::GroupHealth health;
   health.Leads = true;
-  health.SilentVoters.push_back({7, VoterIp, milliseconds(1500), 15});
+  consensus::VoterHealth voter;
+  voter.Number = 7;
+  voter.Ip = VoterIp;
+  voter.IsOld = true;
+  voter.IsSilent = true;
+  voter.SilentFor = milliseconds(1500);
+  voter.Match = 15;
+  health.Voters.push_back(voter);
   return health;
 }
 
@@ -48,6 +55,19 @@
   CHECK_FALSE(report.line(Start + milliseconds(60020), {}));
 }
 
+TEST_CASE("GroupHealthReport_LostMajorityIsToldWithTheWipedVoters") {
+  GroupHealthReport report(ownLink);
+  auto health = lackingAVoter();
+  health.Leads = false;
+  health.HasMajority = false;
+  health.Voters[0].IsWiped = true;
+  health.Voters[0].IsOld = false;
+  const auto line = report.line(Start, health);
+  REQUIRE(line);
+  CHECK(line->find("voters=1 wiped=1 has_majority=0") != std::string::npos);
+  CHECK(line->find("match=15 wiped=1 set=next") != std::string::npos);
+}
+
 TEST_CASE("GroupHealthReport_ElectionIsNoStandstill") {
   GroupHealthReport report(ownLink);
   consensus::GroupHealth health;
--- a/src/node/ControlProgram.cpp
+++ b/src/node/ControlProgram.cpp
@@ -21,6 +21,8 @@
 constexpr Duration CallTime = milliseconds(300);
 /// From these answers to the end, for their way to the callers.
 constexpr Duration AnswerTime = milliseconds(100);
+/// Time that a change of voters gets at the most before the process ends.
+constexpr Duration MaxLeaveTime = milliseconds(1500);
 
 } // namespace
 
@@ -53,10 +55,12 @@
 
 std::optional<Duration> ControlProgram::tick() {
   const TimePoint now = observe::readClock();
-  if (StoppingSince && now >= *StoppingSince + CallTime + AnswerTime)
+  if (EndsAt && now >= *EndsAt)
     return std::nullopt;
-  if (StoppingSince && now >= *StoppingSince + CallTime)
+  if (StoppingSince && !EndsAt && canEnd(now)) {
+    EndsAt = now + AnswerTime;
     Control.node().endCalls();
+  }
   Control.tick();
   Loop.noteTraffic(now, Control.traffic());
   return Tick;
@@ -67,6 +71,13 @@
     return;
   StoppingSince = observe::readClock();
   log("event=stopping");
+  Control.node().leave(*StoppingSince);
+}
+
+bool ControlProgram::canEnd(TimePoint now) const {
+  const Duration time = now - *StoppingSince;
+  return time >= CallTime &&
+         (Control.consensus().canEnd() || time >= MaxLeaveTime);
 }
 
 void ControlProgram::fillMetrics(observe::MetricsPage &page) {
@@ -75,7 +86,10 @@
   page.set("is_voter", consensus.isVoter());
   page.set("term", static_cast<double>(consensus.term()));
   const auto health = consensus.health(observe::readClock());
-  page.set("silent_voters", static_cast<double>(health.SilentVoters.size()));
+  page.set("voters", static_cast<double>(health.Voters.size()));
+  page.set("silent_voters", static_cast<double>(health.silentCount()));
+  page.set("wiped_voters", static_cast<double>(health.wipedCount()));
+  page.set("has_majority", health.HasMajority);
   page.set("without_leader_ms", toMilliseconds(health.WithoutLeader));
   page.set("commit_index", static_cast<double>(consensus.commitIndex()));
   page.set("configuration_version",
--- a/src/node/ControlProgram.h
+++ b/src/node/ControlProgram.h
@@ -54,6 +54,9 @@
 private:
   std::optional<Duration> tick();
   void stop();
+  /// True once calls had their time and this VM's place among the voters is
+  /// taken, or won't be.
+  bool canEnd(TimePoint now) const;
   void fillMetrics(observe::MetricsPage &page);
 
   ControlProgramOptions Options;
@@ -65,6 +68,8 @@
   std::unique_ptr<http::ICallHandler> Calls;
   /// When the program was told to stop.
   std::optional<TimePoint> StoppingSince;
+  /// When the process ends; it takes no calls any more.
+  std::optional<TimePoint> EndsAt;
 };
 
 } // namespace stepledge::node
