Failover with sync_replicas: rely on pauses alone, until the order is carried out

Cause: an attempt knew its number, not its question. An answer to STATUS that came during the pauses counted as one to PAUSE; its replica received on, and the one that had been paused was promoted.

Change: answers to STATUS and to PAUSE are different types, kept apart, and count for the incarnation that was asked. A late status lets its replica be paused.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -89,7 +89,7 @@
     Detector.clear();
     PingMissedSince.clear();
     UnansweredPingSentAt.clear();
-    Failover->reset();
+    Failover->reset(now);
   }
   if (Node.canServe()) {
     pingInstances(now);
--- a/src/control/IPromoter.h
+++ b/src/control/IPromoter.h
@@ -51,6 +51,12 @@
   Term Known{};
 };
 
+/// Where a replica stopped receiving: a position that stays. Not the same as a
+/// status, which a replica that receives on has passed when it arrives.
+struct PausedStatus {
+  InstanceStatus Status;
+};
+
 class IInstanceProbe {
 public:
   virtual ~IInstanceProbe() = default;
@@ -62,8 +68,11 @@
   /// it is promoted or resumed; reports where it stopped.
   virtual void
   pause(const membership::InstanceRecord &instance, Term term,
-        std::function<void(std::optional<InstanceStatus>)> onDone) = 0;
-  virtual void resume(const membership::InstanceRecord &instance) = 0;
+        std::function<void(std::optional<PausedStatus>)> onDone) = 0;
+  /// Ends a pause. \p onDone is called once the request is answered or can't
+  /// arrive any more: it names no pause, and would end a later one as well.
+  virtual void resume(const membership::InstanceRecord &instance,
+                      std::function<void()> onDone) = 0;
   /// Checks whether the instance answers at all; takes none of its slots.
   virtual void ping(const membership::InstanceRecord &instance,
                     std::function<void(bool)> onDone) = 0;
--- a/src/control/internal/FailoverCoordinator.cpp
+++ b/src/control/internal/FailoverCoordinator.cpp
@@ -28,9 +28,23 @@
 constexpr Duration AttemptPause = milliseconds(150);
 /// An attempt that isn't finished by then is aborted and started again.
 constexpr Duration AttemptTimeout = milliseconds(3000);
+/// For two questions to a slow replica.
+constexpr Duration PauseTimeout = milliseconds(1200);
+/// Time in which an order may still be carried out.
+constexpr Duration OpenOrderTime = milliseconds(5000);
+constexpr Duration ConfirmInterval = milliseconds(100);
 
 } // namespace
 
+void FailoverCoordinator::reset(TimePoint now) {
+  Attempts.clear();
+  PromotionOrderedAt.clear();
+  OpenOrders.clear();
+  for (const auto &it : services())
+    if (Node.syncReplicasOf(it) > 0)
+      OpenOrders[it] = {std::nullopt, {}, now + OpenOrderTime};
+}
+
 std::vector<std::string> FailoverCoordinator::services() const {
   return Node.Directory.services();
 }
@@ -93,8 +107,9 @@
     if (it == Attempts.end()) {
       bool isPlanned = false;
       const auto finishedAt = FinishedAt.find(service);
-      const bool isPaused = finishedAt != FinishedAt.end() &&
-                            now - finishedAt->second < AttemptPause;
+      const bool isPaused = PendingResumes.contains(service) ||
+                            (finishedAt != FinishedAt.end() &&
+                             now - finishedAt->second < AttemptPause);
       if (!isPaused && needsFailover(now, service, isPlanned))
         start(now, service, isPlanned);
       continue;
@@ -106,17 +121,30 @@
       finishAttempt(now, service);
       continue;
     }
-    const bool isDone = attempt.PendingAnswers == 0 ||
-                        now - attempt.StageStartedAt > StatusTimeout;
-    const bool mustPause = attempt.CurrentStage == Stage::QueryingStatus &&
-                           Node.syncReplicasOf(service) > 0;
-    const bool isAsking = attempt.CurrentStage == Stage::QueryingStatus ||
-                          attempt.CurrentStage == Stage::Pausing;
-    if (isAsking && isDone && mustPause)
-      pauseReplicas(now, service, attempt);
-    else if (isAsking && isDone)
+    proceed(now, service, attempt);
+  }
+  closeOrders(now);
+}
+
+void FailoverCoordinator::proceed(TimePoint now, const std::string &service,
+                                  Attempt &attempt) {
+  const bool areStatusesDone = attempt.AwaitedStatuses.empty();
+  const Duration waited = now - attempt.StageStartedAt;
+  if (attempt.CurrentStage == Stage::Pausing) {
+    pauseNext(service, attempt);
+    const bool arePausesDone =
+        attempt.AwaitedStatuses.empty() && attempt.AwaitedPauses.empty();
+    if (arePausesDone || waited > PauseTimeout)
       orderPromotion(now, service, attempt);
+    return;
   }
+  if (attempt.CurrentStage != Stage::QueryingStatus ||
+      (!areStatusesDone && waited <= StatusTimeout))
+    return;
+  if (Node.syncReplicasOf(service) > 0)
+    pauseReplicas(now, service, attempt);
+  else
+    orderPromotion(now, service, attempt);
 }
 
 void FailoverCoordinator::start(TimePoint now, const std::string &service,
@@ -151,120 +179,291 @@
                                         Attempt &attempt) {
   attempt.CurrentStage = Stage::QueryingStatus;
   attempt.StageStartedAt = now;
-  const std::uint64_t number = attempt.Number;
-  for (const auto *it : Node.Directory.ofService(service)) {
-    if (it->State != InstanceState::Ready)
-      continue;
-    ++attempt.PendingAnswers;
-    Probe.askStatus(*it, [this, service, number,
-                          id = it->Id](std::optional<InstanceStatus> status) {
-      receiveStatus(service, number, id, status);
-    });
-  }
+  const bool asksLeaving = Node.syncReplicasOf(service) > 0;
+  std::vector<const InstanceRecord *> asked;
+  for (const auto *it : Node.Directory.ofService(service))
+    if (it->State == InstanceState::Ready ||
+        (asksLeaving && it->State == InstanceState::Leaving))
+      asked.push_back(it);
+  for (const auto *it : asked)
+    attempt.AwaitedStatuses[it->Id] = it->StartTimeMs;
+  for (const auto *it : asked)
+    askStatus(service, attempt, *it);
+}
+
+void FailoverCoordinator::askStatus(const std::string &service,
+                                    Attempt &attempt,
+                                    const InstanceRecord &instance) {
+  attempt.AwaitedStatuses[instance.Id] = instance.StartTimeMs;
+  Probe.askStatus(instance,
+                  [this, service, number = attempt.Number,
+                   id = instance.Id](std::optional<InstanceStatus> status) {
+                    receiveStatus(service, number, id, status);
+                  });
+}
+
+FailoverCoordinator::Attempt *
+FailoverCoordinator::findAttempt(const std::string &service,
+                                 std::uint64_t number) {
+  const auto it = Attempts.find(service);
+  return it == Attempts.end() || it->second.Number != number ? nullptr
+                                                             : &it->second;
 }
 
 void FailoverCoordinator::receiveStatus(
     const std::string &service, std::uint64_t number,
     const InstanceId &instance, const std::optional<InstanceStatus> &status) {
-  const auto found = Attempts.find(service);
-  if (found == Attempts.end() || found->second.Number != number)
+  auto *attempt = findAttempt(service, number);
+  if (!attempt)
     return;
-  --found->second.PendingAnswers;
-  if (status)
-    found->second.Answers[instance] = *status;
+  const auto asked = attempt->AwaitedStatuses.extract(instance);
+  if (asked.empty() || !status || Node.startTimeOf(instance) != asked.mapped())
+    return;
+  attempt->Statuses[instance] = *status;
+}
+
+void FailoverCoordinator::receivePause(
+    const std::string &service, std::uint64_t number,
+    const InstanceId &instance, const std::optional<PausedStatus> &status) {
+  auto *attempt = findAttempt(service, number);
+  if (!attempt)
+    return;
+  const auto asked = attempt->AwaitedPauses.extract(instance);
+  if (asked.empty() || !status || Node.startTimeOf(instance) != asked.mapped())
+    return;
+  attempt->Pauses[instance] = *status;
+}
+
+bool FailoverCoordinator::hasPrimary(const Attempt &attempt) {
+  return std::any_of(
+      attempt.Statuses.begin(), attempt.Statuses.end(),
+      [](const auto &it) { return it.second.Role == InstanceRole::Primary; });
 }
 
 void FailoverCoordinator::pauseReplicas(TimePoint now,
                                         const std::string &service,
                                         Attempt &attempt) {
-  Term newest;
-  for (const auto &[id, it] : attempt.Answers)
-    newest = std::max({newest, it.Known, it.Received.WrittenIn});
-  const Term next{newest.Number + 1};
-  const auto answers = std::exchange(attempt.Answers, {});
+  // NOTE: otherwise writes would wait behind pauses that are of no use.
+  const bool mayCover = coversCommits(
+      service, Node.syncReplicasOf(service), [&](const InstanceId &id) {
+        return attempt.Statuses.contains(id) ||
+               attempt.AwaitedStatuses.contains(id);
+      });
+  if (hasPrimary(attempt) && !attempt.IsPlanned)
+    return orderPromotion(now, service, attempt);
+  if (!mayCover)
+    return finishUnsure(now, service, attempt);
   attempt.CurrentStage = Stage::Pausing;
   attempt.StageStartedAt = now;
-  attempt.PendingAnswers = 0;
-  const std::uint64_t number = attempt.Number;
-  for (const auto &[id, status] : answers) {
+  pauseNext(service, attempt);
+}
+
+void FailoverCoordinator::pauseNext(const std::string &service,
+                                    Attempt &attempt) {
+  std::vector<InstanceId> unpaused;
+  for (const auto &[id, it] : attempt.Statuses)
+    if (it.Role == InstanceRole::Replica && !attempt.PauseAsked.contains(id) &&
+        !attempt.AwaitedStatuses.contains(id))
+      unpaused.push_back(id);
+  for (const auto &id : unpaused) {
     const auto *record = Node.Directory.find(id);
-    const bool isPrimary = status.Role == InstanceRole::Primary;
-    if (isPrimary)
-      attempt.Answers[id] = status;
-    if (!record || isPrimary)
-      continue;
-    ++attempt.PendingAnswers;
-    Probe.pause(
-        *record, next,
-        [this, service, number, it = id](std::optional<InstanceStatus> paused) {
-          receiveStatus(service, number, it, paused);
-        });
+    if (canPause(attempt, id))
+      pauseReplica(service, attempt, id);
+    else if (record)
+      askStatus(service, attempt, *record);
   }
 }
 
+bool FailoverCoordinator::isLeaving(const InstanceId &id) const {
+  const auto *record = Node.Directory.find(id);
+  return record && record->State == InstanceState::Leaving;
+}
+
+bool FailoverCoordinator::canPause(const Attempt &attempt,
+                                   const InstanceId &id) const {
+  if (isLeaving(id) || !hasPrimary(attempt))
+    return true;
+  const auto isBehind = [&](const auto &paused) {
+    return isLeaving(paused.first) &&
+           paused.second.Status.Received > attempt.Statuses.at(id).Received;
+  };
+  const auto isAwaited = [&](const auto &it) { return isLeaving(it.first); };
+  return std::none_of(attempt.Pauses.begin(), attempt.Pauses.end(), isBehind) &&
+         std::none_of(attempt.AwaitedPauses.begin(),
+                      attempt.AwaitedPauses.end(), isAwaited);
+}
+
+void FailoverCoordinator::pauseReplica(const std::string &service,
+                                       Attempt &attempt, const InstanceId &id) {
+  const auto *record = Node.Directory.find(id);
+  if (!record)
+    return;
+  Term newest;
+  for (const auto &[other, it] : attempt.Statuses)
+    newest = std::max({newest, it.Known, it.Received.WrittenIn});
+  attempt.AwaitedPauses[id] = record->StartTimeMs;
+  attempt.PauseAsked.insert(id);
+  const std::uint64_t number = attempt.Number;
+  Probe.pause(*record, Term{newest.Number + 1},
+              [this, service, number, id](std::optional<PausedStatus> paused) {
+                receivePause(service, number, id, paused);
+              });
+}
+
 void FailoverCoordinator::resumeReplicas(const std::string &service) {
+  std::vector<const InstanceRecord *> replicas;
   for (const auto *it : Node.Directory.ofService(service))
-    if (it->State == InstanceState::Ready && it->Role == InstanceRole::Replica)
-      Probe.resume(*it);
+    if (it->State != InstanceState::Gone && it->Role == InstanceRole::Replica)
+      replicas.push_back(it);
+  if (!replicas.empty())
+    PendingResumes[service] += static_cast<int>(replicas.size());
+  for (const auto *it : replicas)
+    Probe.resume(*it, [this, service] {
+      const auto pending = PendingResumes.find(service);
+      if (pending != PendingResumes.end() && --pending->second == 0)
+        PendingResumes.erase(pending);
+    });
 }
 
-bool FailoverCoordinator::hasEnoughAnswers(const std::string &service,
-                                           const Attempt &attempt) const {
-  const int sync = Node.syncReplicasOf(service);
-  if (sync <= 0)
-    return true;
-  int replicas = 0;
-  int answered = 0;
+void FailoverCoordinator::closeOrders(TimePoint now) {
+  std::vector<std::string> closed;
+  for (auto &[service, it] : OpenOrders) {
+    if (Attempts.contains(service))
+      continue;
+    if (now >= it.Until)
+      closed.push_back(service);
+    else if (it.Target && now >= it.AskAt)
+      confirmOrder(now, service, it);
+  }
+  for (const auto &it : closed) {
+    OpenOrders.erase(it);
+    resumeReplicas(it);
+  }
+}
+
+void FailoverCoordinator::confirmOrder(TimePoint now,
+                                       const std::string &service,
+                                       OpenOrder &order) {
+  order.AskAt = now + ConfirmInterval;
+  const auto *record = Node.Directory.find(*order.Target);
+  if (!record)
+    return;
+  Probe.askStatus(*record, [this, service, target = *order.Target](
+                               std::optional<InstanceStatus> status) {
+    const auto it = OpenOrders.find(service);
+    const bool isCarriedOut = status && status->Role == InstanceRole::Primary;
+    if (isCarriedOut && it != OpenOrders.end() && it->second.Target == target)
+      it->second.Until = Node.Now;
+  });
+}
+
+std::vector<const InstanceRecord *>
+FailoverCoordinator::possibleHolders(const std::string &service) const {
+  const auto all = Node.Directory.ofService(service);
   const auto *primary = currentPrimary(Node.Now, service);
-  for (const auto *it : Node.Directory.ofService(service)) {
-    if (it == primary || it->State == InstanceState::Gone)
+  const auto hasSuccessor = [&](const InstanceRecord &gone) {
+    return std::any_of(all.begin(), all.end(), [&](const auto *it) {
+      return it->State != InstanceState::Gone && it->Address == gone.Address;
+    });
+  };
+  std::vector<const InstanceRecord *> holders;
+  for (const auto *it : all)
+    if (it != primary &&
+        (it->State != InstanceState::Gone || !hasSuccessor(*it)))
+      holders.push_back(it);
+  return holders;
+}
+
+bool FailoverCoordinator::coversCommits(
+    const std::string &service, int sync,
+    const std::function<bool(const InstanceId &)> &counts) const {
+  const auto holders = possibleHolders(service);
+  const auto counted =
+      std::count_if(holders.begin(), holders.end(),
+                    [&](const auto *it) { return counts(it->Id); });
+  // NOTE: the newest acknowledged commit may be on any `sync` replicas alone.
+  return counted >= static_cast<std::ptrdiff_t>(holders.size()) - sync + 1;
+}
+
+std::optional<std::pair<InstanceId, InstanceStatus>>
+FailoverCoordinator::chooseReplica(const Attempt &attempt) const {
+  std::map<InstanceId, InstanceStatus> replicas;
+  if (attempt.CurrentStage == Stage::Pausing) {
+    for (const auto &[id, it] : attempt.Pauses)
+      replicas[id] = it.Status;
+  } else {
+    replicas = attempt.Statuses;
+  }
+  const std::pair<const InstanceId, InstanceStatus> *best = nullptr;
+  const std::pair<const InstanceId, InstanceStatus> *bestLeaving = nullptr;
+  for (const auto &it : replicas) {
+    const auto *record = Node.Directory.find(it.first);
+    if (it.second.Role == InstanceRole::Primary || !record)
       continue;
-    ++replicas;
-    answered += attempt.Answers.contains(it->Id);
+    const bool isReady = record->State == InstanceState::Ready;
+    auto &longest = isReady ? best : bestLeaving;
+    if (!longest || it.second.Received > longest->second.Received)
+      longest = &it;
   }
-  // The newest acknowledged commit may be on any `sync` replicas alone.
-  return answered >= replicas - sync + 1;
+  const bool isBehind = bestLeaving && (!best || bestLeaving->second.Received >
+                                                     best->second.Received);
+  if (isBehind && hasPrimary(attempt))
+    return std::nullopt;
+  if (isBehind)
+    best = bestLeaving;
+  return best ? std::optional(std::pair(best->first, best->second))
+              : std::nullopt;
+}
+
+void FailoverCoordinator::finishUnsure(TimePoint now,
+                                       const std::string &service,
+                                       const Attempt &attempt) {
+  std::string unpaused;
+  for (const auto *it : possibleHolders(service))
+    if (!attempt.Pauses.contains(it->Id))
+      absl::StrAppend(&unpaused, unpaused.empty() ? "" : ",", it->Id.str());
+  Log.log(absl::StrCat(
+      "event=replacement_unsure service=", service,
+      " answers=", attempt.Statuses.size(), " paused=", attempt.Pauses.size(),
+      " unpaused=", unpaused, " sync=", Node.syncReplicasOf(service)));
+  finishAttempt(now, service);
 }
 
 void FailoverCoordinator::orderPromotion(TimePoint now,
                                          const std::string &service,
                                          Attempt &attempt) {
-  const std::pair<const InstanceId, InstanceStatus> *best = nullptr;
-  for (const auto &it : attempt.Answers) {
-    const bool isPrimary = it.second.Role == InstanceRole::Primary;
-    // NOTE: a primary that answers and isn't leaving needs no successor.
-    if (isPrimary && !attempt.IsPlanned) {
-      Log.log(absl::StrCat("event=replacement_unneeded service=", service,
-                           " primary=", it.first.str()));
-      return finishAttempt(now, service);
-    }
-    if (!isPrimary && (!best || it.second.Received > best->second.Received))
-      best = &it;
+  // NOTE: a primary that answers and isn't leaving needs no successor.
+  if (hasPrimary(attempt) && !attempt.IsPlanned) {
+    Log.log(absl::StrCat("event=replacement_unneeded service=", service));
+    return finishAttempt(now, service);
   }
+  const int sync = Node.syncReplicasOf(service);
+  const bool isSure =
+      sync <= 0 || coversCommits(service, sync, [&](const InstanceId &id) {
+        return attempt.Pauses.contains(id);
+      });
+  if (!isSure)
+    return finishUnsure(now, service, attempt);
+  const auto best = chooseReplica(attempt);
   if (!best) {
     Log.log(
         absl::StrCat("event=replacement_without_candidate service=", service));
     return finishAttempt(now, service);
   }
-  if (!hasEnoughAnswers(service, attempt)) {
-    Log.log(absl::StrCat("event=replacement_unsure service=", service,
-                         " answers=", attempt.Answers.size(),
-                         " sync=", Node.syncReplicasOf(service)));
-    return finishAttempt(now, service);
-  }
   attempt.CurrentStage = Stage::Promoting;
   PromotionOrderedAt[service] = now;
   attempt.StageStartedAt = now;
   attempt.Target = best->first;
+  attempt.HasOpenOrder = true;
   attempt.TargetStartTimeMs = Node.startTimeOf(best->first);
   const PromotionOrder order{service, best->first, Node.Options.NodeName,
                              attempt.Fence};
-  Log.log(absl::StrCat("event=promotion_ordered service=", service,
-                       " instance=", best->first.str(),
-                       " fence=", attempt.Fence,
-                       " term=", best->second.Received.WrittenIn.Number,
-                       " position=", best->second.Received.Position.Offset,
-                       " answers=", attempt.Answers.size()));
+  Log.log(absl::StrCat(
+      "event=promotion_ordered service=", service,
+      " instance=", best->first.str(), " fence=", attempt.Fence,
+      " term=", best->second.Received.WrittenIn.Number,
+      " position=", best->second.Received.Position.Offset,
+      " answers=", attempt.Statuses.size(), " paused=", attempt.Pauses.size()));
   const std::uint64_t number = attempt.Number;
   Promoter.promote(
       order, [this, service, number, id = best->first](PromotionResult result) {
@@ -285,8 +484,10 @@
                        it->second.Fence, " result=", static_cast<int>(result)));
   // NOTE: an order without an answer may still be carried out, so entry VMs
   // receive it too; they rely on the role that the instance itself reports.
-  if (result == PromotionResult::Rejected)
+  if (result == PromotionResult::Rejected) {
+    it->second.HasOpenOrder = false;
     return finishAttempt(now, service);
+  }
   wire::Command command;
   auto &promotion = *command.mutable_record_promotion();
   promotion.set_service(service);
@@ -303,7 +504,11 @@
   const auto it = Attempts.find(instance.Service);
   if (it == Attempts.end())
     return;
-  it->second.Answers.erase(instance.Id);
+  // NOTE: what it answers late belongs to its earlier incarnation.
+  it->second.AwaitedStatuses.erase(instance.Id);
+  it->second.AwaitedPauses.erase(instance.Id);
+  it->second.Statuses.erase(instance.Id);
+  it->second.Pauses.erase(instance.Id);
   if (it->second.Target != instance.Id)
     return;
   Log.log(absl::StrCat("event=promotion_void service=", instance.Service,
@@ -317,17 +522,21 @@
 
 void FailoverCoordinator::finishAttempt(TimePoint now,
                                         const std::string &service) {
-  // NOTE: resuming a replica that was promoted or never paused has no effect.
-  if (Node.syncReplicasOf(service) > 0)
-    resumeReplicas(service);
   Node.Detector.noteFailover(now, service);
   endAttempt(now, service);
 }
 
 void FailoverCoordinator::endAttempt(TimePoint now,
                                      const std::string &service) {
-  Attempts.erase(service);
+  const auto attempt = Attempts.extract(service);
   FinishedAt[service] = now;
+  // NOTE: resuming a replica that was promoted or never paused has no effect.
+  if (attempt.empty() || attempt.mapped().PauseAsked.empty())
+    return;
+  if (attempt.mapped().HasOpenOrder)
+    OpenOrders[service] = {attempt.mapped().Target, now, now + OpenOrderTime};
+  else if (!OpenOrders.contains(service))
+    resumeReplicas(service);
 }
 
 } // namespace stepledge::control
--- a/src/control/tests/FakeControls.cpp
+++ b/src/control/tests/FakeControls.cpp
@@ -31,8 +31,15 @@
 } // namespace
 
 FakeControls::FakeControls(Decode decode)
+    : FakeControls(std::move(decode), &Platform, &Platform) {}
+
+FakeControls::FakeControls(IPromoter &promoter, IInstanceProbe &probe)
+    : FakeControls({}, &promoter, &probe) {}
+
+FakeControls::FakeControls(Decode decode, IPromoter *promoter,
+                           IInstanceProbe *probe)
     : DecodeDocument(decode ? std::move(decode) : decodeTestDocument),
-      Vms(Size) {
+      Promoter(promoter), Probe(probe), Vms(Size) {
   for (std::size_t i = 0; i < Size; ++i) {
     Vms[i].Group = this;
     Vms[i].Number = i;
@@ -69,7 +76,7 @@
   options.FirstCallNumber = it.Incarnation * 1000;
   options.Decode = DecodeDocument;
   it.Node = std::make_unique<ControlNode>(options, *it.Consensus, it, it,
-                                          Platform, Platform, it);
+                                          *Promoter, *Probe, it);
 }
 
 void FakeControls::kill(std::size_t vm) {
--- a/src/control/tests/FakeControls.h
+++ b/src/control/tests/FakeControls.h
@@ -42,14 +42,17 @@
     const auto it = Statuses.find(instance.Id);
     onDone(it == Statuses.end() ? std::nullopt : std::optional(it->second));
   }
-  void
-  pause(const membership::InstanceRecord &instance, Term term,
-        std::function<void(std::optional<InstanceStatus>)> onDone) override {
+  void pause(const membership::InstanceRecord &instance, Term term,
+             std::function<void(std::optional<PausedStatus>)> onDone) override {
     Paused[instance.Id] = term;
-    askStatus(instance, std::move(onDone));
+    askStatus(instance, [onDone = std::move(onDone)](const auto &status) {
+      onDone(status ? std::optional(PausedStatus{*status}) : std::nullopt);
+    });
   }
-  void resume(const membership::InstanceRecord &instance) override {
+  void resume(const membership::InstanceRecord &instance,
+              std::function<void()> onDone) override {
     Paused.erase(instance.Id);
+    onDone();
   }
   void ping(const membership::InstanceRecord &instance,
             std::function<void(bool)> onDone) override {
@@ -92,6 +95,8 @@
   /// \p decode decodes the operators' documents; without it all give the same
   /// configuration, but for those that begin with "sync".
   explicit FakeControls(Decode decode = {});
+  /// The same with other instances than Platform.
+  FakeControls(IPromoter &promoter, IInstanceProbe &probe);
 
   void run(Duration time);
   void kill(std::size_t vm);
@@ -141,6 +146,8 @@
   FakePlatform Platform;
 
 private:
+  FakeControls(Decode decode, IPromoter *promoter, IInstanceProbe *probe);
+
   struct Vm : public ILogWriter, public peer::IPeerSender, public IControlLog {
     FakeControls *Group = nullptr;
     std::size_t Number = 0;
@@ -170,6 +177,8 @@
   };
 
   Decode DecodeDocument;
+  IPromoter *Promoter = nullptr;
+  IInstanceProbe *Probe = nullptr;
   std::vector<Vm> Vms;
   std::deque<Packet> Packets;
   std::set<std::size_t> Isolated;
--- a/src/gateway/InstanceProbe.cpp
+++ b/src/gateway/InstanceProbe.cpp
@@ -27,15 +27,19 @@
 
 void InstanceProbe::pause(
     const membership::InstanceRecord &instance, Term term,
-    std::function<void(std::optional<control::InstanceStatus>)> onDone) {
+    std::function<void(std::optional<control::PausedStatus>)> onDone) {
   ask(instance, Codec.formatPause(term), 1,
       [this, onDone = std::move(onDone)](const auto &reply) {
-        onDone(reply ? Codec.parseStatus(*reply) : std::nullopt);
+        const auto status = reply ? Codec.parseStatus(*reply) : std::nullopt;
+        onDone(status ? std::optional(control::PausedStatus{*status})
+                      : std::nullopt);
       });
 }
 
-void InstanceProbe::resume(const membership::InstanceRecord &instance) {
-  ask(instance, Codec.formatResume(), 1, [](const auto &) {});
+void InstanceProbe::resume(const membership::InstanceRecord &instance,
+                           std::function<void()> onDone) {
+  ask(instance, Codec.formatResume(), 1,
+      [onDone = std::move(onDone)](const auto &) { onDone(); });
 }
 
 void InstanceProbe::ping(const membership::InstanceRecord &instance,
@@ -76,8 +80,10 @@
     it.IsReady = true;
     it.Link->send(std::exchange(it.Unsent, {}));
   };
-  handlers.Answered = [this, id](const proxy::StatementReply &reply) {
-    if (const auto it = Connections.find(id); it != Connections.end())
+  handlers.Answered = [this, id, number](const proxy::StatementReply &reply) {
+    // NOTE: an answer on an earlier connection is none to a later question.
+    if (const auto it = Connections.find(id);
+        it != Connections.end() && it->second.Number == number)
       it->second.Questions.answered(reply);
   };
   handlers.Lost = [this, id, number] { lost(id, number); };
@@ -104,8 +110,11 @@
   auto questions = std::move(it->second.Questions);
   const auto link = it->second.Link;
   Connections.erase(it);
-  if (link)
+  // NOTE: a request that is held up on its way must not arrive later.
+  if (link && questions.isEmpty())
     link->close();
+  else if (link)
+    link->abort();
   questions.fail();
 }
 
--- a/src/gateway/InstanceProbe.h
+++ b/src/gateway/InstanceProbe.h
@@ -29,9 +29,10 @@
                  std::function<void(std::optional<control::InstanceStatus>)>
                      onDone) override;
   void pause(const membership::InstanceRecord &instance, Term term,
-             std::function<void(std::optional<control::InstanceStatus>)> onDone)
+             std::function<void(std::optional<control::PausedStatus>)> onDone)
       override;
-  void resume(const membership::InstanceRecord &instance) override;
+  void resume(const membership::InstanceRecord &instance,
+              std::function<void()> onDone) override;
   void ping(const membership::InstanceRecord &instance,
             std::function<void(bool)> onDone) override;
   void cancelRequests(const InstanceId &instance) override;
--- a/src/gateway/internal/InstanceLink.cpp
+++ b/src/gateway/internal/InstanceLink.cpp
@@ -96,4 +96,9 @@
   Socket.close();
 }
 
+void InstanceLink::abort() {
+  IsOver = true;
+  Socket.abort();
+}
+
 } // namespace stepledge::gateway
--- a/src/gateway/internal/InstanceLink.h
+++ b/src/gateway/internal/InstanceLink.h
@@ -34,6 +34,8 @@
   void send(const std::string &lines);
   /// Nothing is told after this.
   void close();
+  /// The same, and nothing that is on its way to the instance arrives.
+  void abort();
 
 private:
   void take();
--- a/src/lines/LineSocket.cpp
+++ b/src/lines/LineSocket.cpp
@@ -81,6 +81,13 @@
 
 void LineSocket::close() { closeState(*Shared); }
 
+void LineSocket::abort() {
+  std::error_code ec;
+  // NOTE: a socket that isn't connected has nothing on its way.
+  Shared->Socket.set_option(asio::socket_base::linger(true, 0), ec);
+  close();
+}
+
 void LineSocket::closeState(State &state) {
   if (std::exchange(state.IsClosed, true))
     return;
--- a/src/lines/LineSocket.h
+++ b/src/lines/LineSocket.h
@@ -43,6 +43,8 @@
   /// Ends the connection once all that was written is sent.
   void finish();
   void close();
+  /// Closes so that what the far end hasn't received yet never reaches it.
+  void abort();
   bool isOpen() const { return !Shared->IsClosed; }
   /// Whether something that was written isn't sent yet.
   bool hasUnsent() const { return isOpen() && !Shared->Writing.empty(); }
