A client's queued statements: handled without depth, and bounded

Cause: answer() handled the next queued statement, and each refused one was answered a level deeper; a session's queue had no bound.

Change: one loop per session handles its queue, and an answer within it only goes on with that loop. With 64 statements or 256 KiB behind its current one a client isn't read until half are left; nor with 256 KiB of answers unsent. No statement is refused for it.

Memory and p99 beside such clients weren't measured.

--- a/src/entry/BorrowedConnections.h
+++ b/src/entry/BorrowedConnections.h
@@ -65,6 +65,12 @@
   void closeClient(proxy::ClientId client) override {
     Sockets.closeClient(client);
   }
+  void holdClient(proxy::ClientId client) override {
+    Sockets.holdClient(client);
+  }
+  void releaseClient(proxy::ClientId client) override {
+    Sockets.releaseClient(client);
+  }
   void openConnection(ConnectionId connection,
                       const proxy::ConnectionTarget &target) override;
   void send(ConnectionId connection,
--- a/src/entry/tests/LendingScheduleTest.cpp
+++ b/src/entry/tests/LendingScheduleTest.cpp
@@ -54,6 +54,10 @@
   void closeClient(proxy::ClientId client) override {
     Group.closeClient(client);
   }
+  void holdClient(proxy::ClientId client) override { Group.holdClient(client); }
+  void releaseClient(proxy::ClientId client) override {
+    Group.releaseClient(client);
+  }
   void openConnection(ConnectionId connection,
                       const proxy::ConnectionTarget &target) override {
     Group.openConnection(globalId(connection), target);
--- a/src/gateway/EntrySockets.cpp
+++ b/src/gateway/EntrySockets.cpp
@@ -12,6 +12,13 @@
 
 namespace stepledge::gateway {
 
+namespace {
+
+/// A client with more bytes of answers unsent is read no further.
+constexpr std::size_t MaxUnsentBytes = 256 << 10;
+
+} // namespace
+
 using proxy::ClientId;
 using proxy::SessionEnd;
 
@@ -37,6 +44,7 @@
       const ClientId id{++LastClient};
       auto &client = Clients[id];
       client.Socket = std::make_unique<lines::LineSocket>(std::move(socket));
+      client.Socket->limitUnsent(MaxUnsentBytes);
       client.Socket->read([this, id](bool isGood) {
         take(id);
         if (!isGood)
@@ -50,7 +58,8 @@
 void EntrySockets::take(ClientId id) {
   while (true) {
     const auto it = Clients.find(id);
-    if (it == Clients.end() || !it->second.Socket->isOpen())
+    if (it == Clients.end() || !it->second.Socket->isOpen() ||
+        it->second.IsHeld)
       return;
     auto line = it->second.Socket->lines().next();
     if (!line)
@@ -111,6 +120,7 @@
     return;
   it->second.Socket->write(Codec.formatRejected(reply));
   it->second.Socket->finish();
+  releaseClient(client);
 }
 
 void EntrySockets::answerClient(ClientId client,
@@ -121,8 +131,32 @@
 
 void EntrySockets::closeClient(ClientId client) {
   // NOTE: the client's own end of the connection ends it fully.
-  if (const auto it = Clients.find(client); it != Clients.end())
-    it->second.Socket->finish();
+  const auto it = Clients.find(client);
+  if (it == Clients.end())
+    return;
+  it->second.Socket->finish();
+  releaseClient(client);
+}
+
+void EntrySockets::holdClient(ClientId client) {
+  const auto it = Clients.find(client);
+  if (it == Clients.end())
+    return;
+  it->second.IsHeld = true;
+  it->second.Socket->hold();
+}
+
+void EntrySockets::releaseClient(ClientId client) {
+  const auto it = Clients.find(client);
+  if (it == Clients.end() || !std::exchange(it->second.IsHeld, false))
+    return;
+  // NOTE: later, since the proxy may be handling this client's statements.
+  asio::post(Context, [this, client] {
+    take(client);
+    const auto released = Clients.find(client);
+    if (released != Clients.end() && !released->second.IsHeld)
+      released->second.Socket->resume();
+  });
 }
 
 bool EntrySockets::hasUnsent() const {
--- a/src/gateway/EntrySockets.h
+++ b/src/gateway/EntrySockets.h
@@ -42,6 +42,8 @@
   void answerClient(proxy::ClientId client,
                     const proxy::StatementReply &reply) override;
   void closeClient(proxy::ClientId client) override;
+  void holdClient(proxy::ClientId client) override;
+  void releaseClient(proxy::ClientId client) override;
   bool hasUnsent() const override;
   void openConnection(ConnectionId connection,
                       const proxy::ConnectionTarget &target) override;
@@ -53,6 +55,7 @@
   struct Client {
     std::unique_ptr<lines::LineSocket> Socket;
     bool IsConnected = false;
+    bool IsHeld = false;
   };
 
   void accept();
--- a/src/gateway/tests/EntrySocketsTest.cpp
+++ b/src/gateway/tests/EntrySocketsTest.cpp
@@ -129,3 +129,61 @@
   instance.leave();
   CHECK(it.runUntil([&] { return client->has("outcome_unknown "); }));
 }
+
+TEST_CASE("EntrySockets_ClientThatDoesNotWaitIsReadNoFurtherAndLosesNothing") {
+  // All that a client sent was kept, however much it was.
+  constexpr int Statements = 20000;
+  Fixture it;
+  const auto client = it.connect();
+  client->say("connect orders");
+  REQUIRE(it.runUntil([&] { return client->has("welcome"); }));
+  client->say("write x");
+  REQUIRE(it.runUntil([&] { return !it.Instances.Peers.empty(); }));
+  auto &instance = *it.Instances.Peers.front();
+  REQUIRE(it.runUntil([&] { return instance.has("hello db i-1"); }));
+  // Lines that aren't understood: each gets its refusal.
+  std::string lines;
+  for (int i = 0; i < Statements - 1; ++i)
+    lines += "nonsense\r\n";
+  client->say(lines + "nonsense");
+  REQUIRE(it.runUntil([&] { return it.Log.HeldBack == 1; }));
+  instance.say("ok");
+  REQUIRE(it.runUntil([&] { return instance.has("run x"); }));
+  instance.say("signed");
+  REQUIRE(it.runUntil([&] { return client->Lines.size() == Statements + 2; }));
+  CHECK(client->Lines[1] == "success signed");
+}
+
+TEST_CASE("EntrySockets_HeldClientThatLeavesIsDropped") {
+  Fixture it;
+  const auto client = it.connect();
+  client->say("connect orders");
+  client->say("write x");
+  REQUIRE(it.runUntil([&] { return !it.Instances.Peers.empty(); }));
+  auto &instance = *it.Instances.Peers.front();
+  instance.say("ok");
+  REQUIRE(it.runUntil([&] { return instance.has("run x"); }));
+  for (int i = 0; i < 1000; ++i)
+    client->say("nonsense");
+  REQUIRE(it.runUntil([&] { return it.Log.HeldBack == 1; }));
+  client->leave();
+  instance.say("signed");
+  CHECK(it.runUntil([&] { return it.Core.sessionCount() == 0; }));
+}
+
+TEST_CASE("EntrySockets_HeldClientIsToldOfTheEndOfItsSession") {
+  Fixture it;
+  const auto client = it.connect();
+  client->say("connect orders");
+  client->say("write x");
+  REQUIRE(it.runUntil([&] { return !it.Instances.Peers.empty(); }));
+  it.Instances.Peers.front()->say("ok");
+  REQUIRE(
+      it.runUntil([&] { return it.Instances.Peers.front()->has("run x"); }));
+  for (int i = 0; i < 1000; ++i)
+    client->say("nonsense");
+  REQUIRE(it.runUntil([&] { return it.Log.HeldBack == 1; }));
+  it.Core.endAllWork(it.Now);
+  CHECK(it.runUntil([&] { return client->IsOver; }));
+  CHECK(client->has("outcome_unknown "));
+}
--- a/src/lines/LineSocket.cpp
+++ b/src/lines/LineSocket.cpp
@@ -33,11 +33,24 @@
         // NOTE: the handler may close the socket, and drop itself with it.
         const auto handler = state->OnBytes;
         handler(isGood);
-        if (isGood && !state->IsClosed)
-          readMore(state);
+        state->IsReadDue = isGood;
+        readIfFree(state);
       });
 }
 
+void LineSocket::readIfFree(const std::shared_ptr<State> &state) {
+  const bool isFull = state->Waiting.size() > state->MaxUnsentBytes;
+  if (state->IsClosed || state->IsHeld || isFull ||
+      !std::exchange(state->IsReadDue, false))
+    return;
+  readMore(state);
+}
+
+void LineSocket::resume() {
+  Shared->IsHeld = false;
+  readIfFree(Shared);
+}
+
 void LineSocket::write(const std::string &bytes) {
   auto &state = *Shared;
   if (state.IsClosed || state.IsFinishing)
@@ -62,8 +75,9 @@
                       if (ec || state->IsClosed)
                         return;
                       if (!state->Waiting.empty())
-                        return writeMore(state);
-                      if (state->IsFinishing)
+                        writeMore(state);
+                      readIfFree(state);
+                      if (state->Writing.empty() && state->IsFinishing)
                         state->Socket.shutdown(
                             asio::ip::tcp::socket::shutdown_send, ec);
                     });
--- a/src/lines/LineSocket.h
+++ b/src/lines/LineSocket.h
@@ -11,6 +11,7 @@
 #include <asio.hpp>
 
 #include <array>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -39,6 +40,12 @@
   LineReader &lines() { return Shared->Lines; }
   /// Calls \p onBytes after each read, with false at the end or a fault.
   void read(std::function<void(bool)> onBytes);
+  /// Reads no further until resume(); a read that is under way may still come.
+  void hold() { Shared->IsHeld = true; }
+  void resume();
+  /// Reads no further while more than \p bytes wait to be sent, so that a far
+  /// end that doesn't read is not served on.
+  void limitUnsent(std::size_t bytes) { Shared->MaxUnsentBytes = bytes; }
   void write(const std::string &bytes);
   /// Ends the connection once all that was written is sent.
   void finish();
@@ -60,11 +67,17 @@
     std::string Writing;
     std::function<void(bool)> OnBytes;
     SocketEnd End = SocketEnd::None;
+    std::size_t MaxUnsentBytes = SIZE_MAX;
+    bool IsHeld = false;
+    /// No read is under way, since the socket was held.
+    bool IsReadDue = false;
     bool IsFinishing = false;
     bool IsClosed = false;
   };
 
   static void readMore(const std::shared_ptr<State> &state);
+  /// Reads on if nothing holds the socket.
+  static void readIfFree(const std::shared_ptr<State> &state);
   static void writeMore(const std::shared_ptr<State> &state);
   static void closeState(State &state);
 
--- a/src/node/EntryProgram.cpp
+++ b/src/node/EntryProgram.cpp
@@ -105,6 +105,10 @@
                        wasSent ? "sent" : "waiting");
 }
 
+void EntryProgram::heldBack() {
+  Loop.metrics().count("clients_held_back_total", "unanswered");
+}
+
 void EntryProgram::refusedByQuota(int priority) {
   Loop.metrics().count("quota_refusals_total",
                        std::to_string(quota::quotaPriorityOf(priority)));
--- a/src/node/EntryProgram.h
+++ b/src/node/EntryProgram.h
@@ -49,6 +49,7 @@
   void unanswered(const std::string &reason) override;
   void givenUp(bool wasSent) override;
   void refusedByQuota(int priority) override;
+  void heldBack() override;
   /// The balancer's question.
   void handle(http::HttpCall call, http::Reply reply) override;
 
--- a/src/proxy/IProxyIo.h
+++ b/src/proxy/IProxyIo.h
@@ -59,6 +59,10 @@
   virtual void rejectClient(ClientId client, const StatementReply &reply) = 0;
   virtual void answerClient(ClientId client, const StatementReply &reply) = 0;
   virtual void closeClient(ClientId client) = 0;
+  /// Nothing more of the client is read until releaseClient().
+  virtual void holdClient(ClientId client) { (void)client; }
+  /// Reads on; the client's statements come after this call has returned.
+  virtual void releaseClient(ClientId client) { (void)client; }
   /// Whether something for a client still waits to be sent, as its connection
   /// takes no more for now.
   virtual bool hasUnsent() const { return false; }
@@ -112,6 +116,8 @@
   /// A client disconnected before its statement was answered; \p wasSent if the
   /// statement had been sent to an instance.
   virtual void givenUp(bool wasSent) { (void)wasSent; }
+  /// A client has as many statements unanswered as it may have.
+  virtual void heldBack() {}
   /// A statement was refused because its organisation's quota is used up.
   virtual void refusedByQuota(int priority) { (void)priority; }
 };
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -156,9 +156,9 @@
   if (!it)
     return logUnanswered(client, statement);
   it->LastActive = now;
+  it->QueuedBytes += statement.byteSize();
   it->Queue.push_back(std::move(statement));
   handleNext(now, *it);
-  endIfMustReconnect(now, client);
 }
 
 ClientSession *Proxy::session(ClientId client) {
@@ -183,14 +183,41 @@
 }
 
 void Proxy::handleNext(TimePoint now, ClientSession &session) {
+  // NOTE: an answer handles the next statement, here and not one level deeper.
+  if (std::exchange(session.IsHandlingQueue, true))
+    return;
   const ClientId id = session.Id;
   auto *it = &session;
   while (it && !it->Current && !it->Queue.empty()) {
     ClientStatement statement = std::move(it->Queue.front());
     it->Queue.pop_front();
+    it->QueuedBytes -= statement.byteSize();
     handle(now, *it, std::move(statement));
     it = this->session(id);
   }
+  if (!it)
+    return;
+  it->IsHandlingQueue = false;
+  limitQueue(*it);
+  endIfKeyWithdrawn(now, id);
+  endIfMustReconnect(now, id);
+}
+
+void Proxy::limitQueue(ClientSession &session) {
+  const std::size_t statements = session.Queue.size();
+  const std::size_t bytes = session.QueuedBytes;
+  const bool isFull = statements >= Options.MaxQueuedStatements ||
+                      bytes >= Options.MaxQueuedBytes;
+  const bool isHalfFree = statements <= Options.MaxQueuedStatements / 2 &&
+                          bytes <= Options.MaxQueuedBytes / 2;
+  if (!session.IsHeld && isFull) {
+    session.IsHeld = true;
+    Log.heldBack();
+    Io.holdClient(session.Id);
+  } else if (session.IsHeld && isHalfFree) {
+    session.IsHeld = false;
+    Io.releaseClient(session.Id);
+  }
 }
 
 void Proxy::handle(TimePoint now, ClientSession &session,
@@ -325,10 +352,7 @@
   session.LastActive = now;
   reply.State = session.State;
   Io.answerClient(session.Id, reply);
-  const ClientId id = session.Id;
   handleNext(now, session);
-  endIfKeyWithdrawn(now, id);
-  endIfMustReconnect(now, id);
 }
 
 void Proxy::refuse(TimePoint now, ClientSession &session, ReplyCode code,
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -245,7 +245,10 @@
   }
   void abandonLent(TimePoint now, InstanceConnection &connection) override;
 
+  /// Handles queued statements until one waits for an instance.
   void handleNext(TimePoint now, ClientSession &session);
+  /// Holds the client back or releases it, by what it has queued.
+  void limitQueue(ClientSession &session);
   void handle(TimePoint now, ClientSession &session, ClientStatement statement);
   bool handleLocally(ClientSession &session, const ClientStatement &statement);
   void handleRollback(TimePoint now, ClientSession &session);
--- a/src/proxy/internal/ClientSession.h
+++ b/src/proxy/internal/ClientSession.h
@@ -90,6 +90,11 @@
   std::optional<Mark> LastCommit;
   std::optional<PendingStatement> Current;
   std::deque<ClientStatement> Queue;
+  std::size_t QueuedBytes = 0;
+  /// Nothing is read from the client.
+  bool IsHeld = false;
+  /// The statements of Queue are being handled, further up the stack.
+  bool IsHandlingQueue = false;
   TimePoint LastActive{};
 
   /// No statement is pending and no transaction is open.
--- a/src/proxy/tests/FakeIo.h
+++ b/src/proxy/tests/FakeIo.h
@@ -26,6 +26,8 @@
     Answers[client].push_back(reply);
   }
   void closeClient(ClientId client) override { Closed.insert(client); }
+  void holdClient(ClientId client) override { HeldClients.insert(client); }
+  void releaseClient(ClientId client) override { HeldClients.erase(client); }
   bool hasUnsent() const override { return HasUnsent; }
   void openConnection(ConnectionId connection,
                       const ConnectionTarget &target) override {
@@ -50,6 +52,7 @@
   }
   void decision(const std::string &line) override { Lines.push_back(line); }
   void retried(ReplyCode code) override { Retried.push_back(code); }
+  void heldBack() override { ++HeldBack; }
   void refusedByQuota(int priority) override {
     RefusedByQuota.push_back(priority);
   }
@@ -73,10 +76,12 @@
   std::map<ClientId, StatementReply> Rejected;
   std::map<ClientId, std::vector<StatementReply>> Answers;
   std::set<ClientId> Closed;
+  std::set<ClientId> HeldClients;
   std::map<ConnectionId, ConnectionTarget> Opened;
   std::map<ConnectionId, std::deque<InstanceCommand>> Sent;
   std::vector<std::string> Lines;
   std::vector<ReplyCode> Retried;
+  int HeldBack = 0;
   /// The priorities of the statements refused by quota.
   std::vector<int> RefusedByQuota;
   /// The replies and reports sent to borrowers.
--- a/src/proxy/types/ClientStatement.h
+++ b/src/proxy/types/ClientStatement.h
@@ -40,6 +40,11 @@
   std::string Value;
   /// Whether a prepared statement reads or writes.
   AccessMode Mode = AccessMode::Read;
+
+  /// The bytes that came from the client.
+  std::size_t byteSize() const {
+    return Id.size() + Text.size() + Name.size() + Value.size();
+  }
 };
 
 } // namespace stepledge::proxy
--- a/src/proxy/types/ProxyOptions.h
+++ b/src/proxy/types/ProxyOptions.h
@@ -113,6 +113,11 @@
   /// The maximum number of statements that such a client may have sent; a
   /// client that waits to be accepted sends none.
   std::size_t MaxEarlyStatements = 16;
+  /// A client with this many statements behind its current one, or this many
+  /// bytes of them, is read no further until half of them are left. One message
+  /// may be longer.
+  std::size_t MaxQueuedStatements = 64;
+  std::size_t MaxQueuedBytes = 256 << 10;
   /// The maximum number of statements that wait for one service.
   std::size_t QueueLength = 200;
   /// The maximum number of borrowed connections to one instance: one for each
