--- a/src/control/tests/SyncedService.cpp
+++ b/src/control/tests/SyncedService.cpp
@@ -125,7 +125,7 @@
 }
 
 void SyncedService::answerAfterWork(const InstanceId &id, Duration work,
-                                    OnStatus onDone) {
+                                    const OnStatus &onDone) {
   if (work > AnswerLimit)
     return answer(AnswerLimit, [onDone] { onDone(std::nullopt); });
   // The answer tells the state before its last millisecond.
@@ -140,8 +140,7 @@
 void SyncedService::askStatus(const membership::InstanceRecord &instance,
                               OnStatus onDone) {
   const auto *it = running(instance.Id);
-  answerAfterWork(instance.Id, it ? it->WorkTime : AnswerLimit,
-                  std::move(onDone));
+  answerAfterWork(instance.Id, it ? it->WorkTime : AnswerLimit, onDone);
 }
 
 void SyncedService::pause(
--- a/src/control/tests/SyncedService.h
+++ b/src/control/tests/SyncedService.h
@@ -94,7 +94,8 @@
   using OnStatus = std::function<void(std::optional<InstanceStatus>)>;
 
   void replicate(SyncedInstance &replica);
-  void answerAfterWork(const InstanceId &id, Duration work, OnStatus onDone);
+  void answerAfterWork(const InstanceId &id, Duration work,
+                       const OnStatus &onDone);
   InstanceStatus statusOf(const SyncedInstance &instance) const;
   void schedule(Duration delay, std::function<void()> action);
   /// The same, unless the asker has ended by then.
