A client that reads nothing and breaks off is dropped

What callers would have seen: nothing; the VM kept the session and the connection for good. It came with the bound on unsent answers: while they wait nothing is read, and a failed write told nobody; a write after it waits for an event that the system doesn't repeat (trace: sendto ECONNRESET, 55 reads, then neither). Found by reading, and by the test, which failed before.

Change: after a failed write nothing more is written, and the connection is read to its end.

--- a/src/gateway/tests/EntrySocketsTest.cpp
+++ b/src/gateway/tests/EntrySocketsTest.cpp
@@ -171,6 +171,32 @@
   CHECK(it.runUntil([&] { return it.Core.sessionCount() == 0; }));
 }
 
+TEST_CASE("EntrySockets_ClientThatReadsNothingAndBreaksOffIsDropped") {
+  // While its answers wait nothing is read, and so no end either.
+  Fixture it;
+  auto client = it.connect();
+  client->say("connect orders");
+  REQUIRE(it.runUntil([&] { return client->has("welcome"); }));
+  client->stopReading();
+  std::string lines;
+  for (int i = 0; i < 20000; ++i)
+    lines += "nonsense\r\n";
+  // The system's own buffers take some megabytes.
+  bool isRead = true;
+  for (int i = 0; i < 100 && isRead; ++i) {
+    const auto refusals = it.Log.Lines.size();
+    client->say(lines);
+    int turns = 0;
+    it.runUntil([&] { return ++turns > 20; });
+    isRead = it.Log.Lines.size() > refusals;
+  }
+  CHECK_FALSE(isRead);
+  CHECK(it.Sockets.hasUnsent());
+  CHECK(it.Core.sessionCount() == 1);
+  client.reset();
+  CHECK(it.runUntil([&] { return it.Core.sessionCount() == 0; }));
+}
+
 TEST_CASE("EntrySockets_HeldClientIsToldOfTheEndOfItsSession") {
   Fixture it;
   const auto client = it.connect();
--- a/src/lines/LineSocket.cpp
+++ b/src/lines/LineSocket.cpp
@@ -72,12 +72,18 @@
   asio::async_write(state->Socket, asio::buffer(state->Writing),
                     [state](std::error_code ec, std::size_t) {
                       state->Writing.clear();
-                      if (ec || state->IsClosed)
+                      if (state->IsClosed)
                         return;
+                      // NOTE: nothing more is written, and only a read tells
+                      // the owner of the loss.
+                      if (ec) {
+                        state->IsFinishing = true;
+                        state->Waiting.clear();
+                      }
                       if (!state->Waiting.empty())
                         writeMore(state);
                       readIfFree(state);
-                      if (state->Writing.empty() && state->IsFinishing)
+                      if (!ec && state->Writing.empty() && state->IsFinishing)
                         state->Socket.shutdown(
                             asio::ip::tcp::socket::shutdown_send, ec);
                     });
