FailoverCoordinator split by job

An attempt's callbacks hold it weakly in place of a number, so an answer after its end reaches no later attempt.

--- /dev/null
+++ b/src/control/internal/FailoverAttempt.h
@@ -0,0 +1,69 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file What one attempt to replace a primary has asked and been told.
+
+#ifndef STEPLEDGE_CONTROL_INTERNAL_FAILOVERATTEMPT_H
+#define STEPLEDGE_CONTROL_INTERNAL_FAILOVERATTEMPT_H
+
+#include "control/IPromoter.h"
+
+#include "base/types/Time.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace stepledge::control {
+
+enum class FailoverStage {
+  TakingFence,
+  QueryingStatus,
+  Pausing,
+  Promoting,
+  Recording
+};
+
+/// Callbacks hold it weakly: an answer that comes after the attempt has ended
+/// is none to a later attempt.
+struct FailoverAttempt {
+  FailoverStage Stage = FailoverStage::TakingFence;
+  std::uint64_t Fence = 0;
+  bool IsPlanned = false;
+  TimePoint StartedAt{};
+  TimePoint StageStartedAt{};
+  /// By question, the instances that owe an answer, and the start time of the
+  /// incarnation that was asked.
+  std::map<InstanceId, std::uint64_t> AwaitedStatuses;
+  std::map<InstanceId, std::uint64_t> AwaitedPauses;
+  std::map<InstanceId, InstanceStatus> Statuses;
+  std::map<InstanceId, PausedStatus> Pauses;
+  /// Those to which PAUSE was sent.
+  std::set<InstanceId> PauseAsked;
+  /// The order to promote was given and not rejected.
+  bool HasOpenOrder = false;
+  /// The instance that was ordered to become primary.
+  std::optional<InstanceId> Target;
+  std::uint64_t TargetStartTimeMs = 0;
+
+  /// Whether a primary has answered.
+  bool hasPrimary() const {
+    return std::any_of(Statuses.begin(), Statuses.end(), [](const auto &it) {
+      return it.second.Role == membership::InstanceRole::Primary;
+    });
+  }
+
+  /// The instance has started again: what it has answered, or answers late,
+  /// belongs to its earlier incarnation.
+  void forget(const InstanceId &instance) {
+    AwaitedStatuses.erase(instance);
+    AwaitedPauses.erase(instance);
+    Statuses.erase(instance);
+    Pauses.erase(instance);
+  }
+};
+
+} // namespace stepledge::control
+
+#endif // STEPLEDGE_CONTROL_INTERNAL_FAILOVERATTEMPT_H
