The record of a promotion ends only the attempt that ordered it

What callers saw: a replacement begun again 150 ms later than it could have been, under one more fence.

Cause: the call that records a promotion ended whatever attempt of the service was running. An attempt that is given up while its record waits for the disk is followed by another, which waits for its fence behind that record. Evidence: SyncedFailover_LateRecordOfAnAttemptDoesNotEndTheNextOne: before, the replica isn't asked 80 ms after both entries were written; after, it is.

Change: the callback holds its attempt weakly, as the other ones do.

--- a/src/control/internal/FailoverCoordinator.cpp
+++ b/src/control/internal/FailoverCoordinator.cpp
@@ -286,7 +286,10 @@
   promotion.set_born_ms(attempt->TargetStartTimeMs);
   attempt->Stage = FailoverStage::Recording;
   Node.startCall(now, std::move(command), false,
-                 [this, service](bool) { finishAttempt(Node.Now, service); });
+                 [this, service, weak = std::weak_ptr(attempt)](bool) {
+                   if (!weak.expired())
+                     finishAttempt(Node.Now, service);
+                 });
 }
 
 void FailoverCoordinator::instanceRestarted(TimePoint now,
--- a/src/control/tests/SyncedFailoverTest.cpp
+++ b/src/control/tests/SyncedFailoverTest.cpp
@@ -296,3 +296,38 @@
     CHECK(play.Service.lost() == 0);
   }
 }
+
+TEST_CASE("SyncedFailover_LateRecordOfAnAttemptDoesNotEndTheNextOne") {
+  // The end of the record of a promotion ended whatever attempt was running.
+  FakeControls group;
+  group.run(milliseconds(1500));
+  auto &platform = group.Platform;
+  platform.HoldsOrders = true;
+  const auto heartbeats = [&](std::uint64_t sequence) {
+    for (const char *id : {"p", "r1"}) {
+      membership::InstanceRecord record;
+      record.Id = InstanceId(id);
+      record.Service = "db";
+      record.Address = std::string("10.1.0.1:") + id;
+      record.Sequence = sequence;
+      record.Role = id[0] == 'p' ? membership::InstanceRole::Primary
+                                 : membership::InstanceRole::Replica;
+      record.State =
+          id[0] == 'p' ? InstanceState::Leaving : InstanceState::Ready;
+      group.node(group.leader())
+          .receiveHeartbeat(group.now(), record, [](bool) {});
+    }
+  };
+  platform.Statuses[InstanceId("r1")] = {};
+  heartbeats(1);
+  group.run(milliseconds(2900));
+  REQUIRE(platform.HeldOrders.size() == 1);
+  group.stallDisks(milliseconds(600));
+  platform.HeldOrders.front()(PromotionResult::NoAnswer);
+  platform.HoldsStatuses = true;
+  // The first attempt is given up, the next one waits for its fence behind the
+  // record of the first one, and asks the replica at once when both are
+  // written.
+  group.run(milliseconds(680));
+  CHECK(platform.HeldStatuses.size() == 1);
+}
