A request to resume that was given up holds back the next pause

What callers would have seen: writes answered with DONE that are gone after a planned replacement, where an instance is slow with its queue.

Cause: a RESUME without an answer counted as one that can't arrive any more. It may wait in the instance's queue, names no pause, and ended that of the next attempt.

Change: the probe says whether a RESUME was answered. After one that wasn't, no replica of the service is paused for 3 s, the time after which instances drop a connection whose far end is gone.

--- a/src/control/IPromoter.h
+++ b/src/control/IPromoter.h
@@ -69,10 +69,11 @@
   virtual void
   pause(const membership::InstanceRecord &instance, Term term,
         std::function<void(std::optional<PausedStatus>)> onDone) = 0;
-  /// Ends a pause. \p onDone is called once the request is answered or can't
-  /// arrive any more: it names no pause, and would end a later one as well.
+  /// Ends a pause. \p onDone is told whether the request was answered; one that
+  /// wasn't may still be carried out, and names no pause: it would end a later
+  /// one as well.
   virtual void resume(const membership::InstanceRecord &instance,
-                      std::function<void()> onDone) = 0;
+                      std::function<void(bool)> onDone) = 0;
   /// Checks whether the instance answers at all; takes none of its slots.
   virtual void ping(const membership::InstanceRecord &instance,
                     std::function<void(bool)> onDone) = 0;
--- a/src/control/internal/ReplicaResumer.cpp
+++ b/src/control/internal/ReplicaResumer.cpp
@@ -3,6 +3,7 @@
 
 #include "control/internal/ReplicaResumer.h"
 
+#include <utility>
 #include <vector>
 
 namespace stepledge::control {
@@ -16,6 +17,9 @@
 /// Time in which an order may still be carried out.
 constexpr Duration OpenOrderTime = milliseconds(5000);
 constexpr Duration ConfirmInterval = milliseconds(100);
+/// Instances drop a connection whose far end is gone within this time, and what
+/// waits on it.
+constexpr Duration GivenUpRequestTime = milliseconds(3000);
 
 } // namespace
 
@@ -32,17 +36,27 @@
     if (it->State != InstanceState::Gone && it->Role == InstanceRole::Replica)
       replicas.push_back(it);
   if (!replicas.empty())
-    Pending[service] += static_cast<int>(replicas.size());
+    Pending[service].Unanswered += static_cast<int>(replicas.size());
   for (const auto *it : replicas)
-    Probe.resume(*it, [this, service] {
-      const auto pending = Pending.find(service);
-      if (pending != Pending.end() && --pending->second == 0)
-        Pending.erase(pending);
+    Probe.resume(*it, [this, service](bool isAnswered) {
+      auto &pending = Pending[service];
+      --pending.Unanswered;
+      pending.IsGivenUp |= !isAnswered;
     });
 }
 
+void ReplicaResumer::removeDone(TimePoint now) {
+  for (auto &[service, it] : Pending)
+    if (std::exchange(it.IsGivenUp, false))
+      it.Until = now + GivenUpRequestTime;
+  std::erase_if(Pending, [&](const auto &it) {
+    return it.second.Unanswered == 0 && now >= it.second.Until;
+  });
+}
+
 void ReplicaResumer::tick(
     TimePoint now, const std::function<bool(const std::string &)> &isBusy) {
+  removeDone(now);
   std::vector<std::string> closed;
   for (auto &[service, it] : OpenOrders) {
     if (isBusy(service))
--- a/src/control/internal/ReplicaResumer.h
+++ b/src/control/internal/ReplicaResumer.h
@@ -37,8 +37,8 @@
   /// more, but not those of a service that \p isBusy with an attempt.
   void tick(TimePoint now,
             const std::function<bool(const std::string &)> &isBusy);
-  /// Whether requests to resume are unanswered. No replica of the service is
-  /// paused meanwhile: a late one would end that pause.
+  /// Whether a request to resume may still be carried out. No replica of the
+  /// service is paused meanwhile: a late one would end that pause.
   bool isPending(const std::string &service) const {
     return Pending.contains(service);
   }
@@ -53,13 +53,22 @@
     bool IsCarriedOut = false;
   };
 
+  struct PendingRequests {
+    int Unanswered = 0;
+    /// One was given up since the last tick.
+    bool IsGivenUp = false;
+    /// Until then one that was given up may be carried out.
+    TimePoint Until{};
+  };
+
   void confirm(TimePoint now, const std::string &service, OpenOrder &order);
+  void removeDone(TimePoint now);
 
   const membership::InstanceDirectory &Directory;
   IInstanceProbe &Probe;
   std::map<std::string, OpenOrder> OpenOrders;
-  /// By service, the number of unanswered requests.
-  std::map<std::string, int> Pending;
+  /// By service.
+  std::map<std::string, PendingRequests> Pending;
 };
 
 } // namespace stepledge::control
--- a/src/control/tests/FakeControls.h
+++ b/src/control/tests/FakeControls.h
@@ -50,9 +50,9 @@
     });
   }
   void resume(const membership::InstanceRecord &instance,
-              std::function<void()> onDone) override {
+              std::function<void(bool)> onDone) override {
     Paused.erase(instance.Id);
-    onDone();
+    onDone(true);
   }
   void ping(const membership::InstanceRecord &instance,
             std::function<void(bool)> onDone) override {
--- a/src/control/tests/SyncedFailoverTest.cpp
+++ b/src/control/tests/SyncedFailoverTest.cpp
@@ -98,8 +98,7 @@
 } // namespace
 
 TEST_CASE("SyncedFailover_LateAnswersNeverCountAsPauses") {
-  // An answer to STATUS that came during the pauses counted as one to PAUSE:
-  // its replica went on receiving, and the paused one was promoted.
+  // An answer to STATUS that came during the pauses counted as one to PAUSE.
   for (int work = 10; work <= 700; work += 10) {
     CAPTURE(work);
     Play play(2);
@@ -130,8 +129,7 @@
 }
 
 TEST_CASE("SyncedFailover_PausesOfAnEarlierLeaderEnd") {
-  // The primary doesn't answer for a while, and the leader that has paused its
-  // replicas ends; the next one finds nothing to replace.
+  // A leader that has paused replicas ends; the next one has nothing to do.
   for (int at = 0; at <= 1000; at += 50) {
     CAPTURE(at);
     Play play(2);
@@ -150,9 +148,8 @@
 }
 
 TEST_CASE("SyncedFailover_LateResumeNeverEndsALaterPause") {
-  // RESUME names no pause: one of an attempt that was given up, still waiting
-  // in a slow instance's queue, ended the pause of the next attempt.
-  for (int resume = 10; resume <= 900; resume += 30) {
+  // One that waits in a slow instance's queue ended the next attempt's pause.
+  for (int resume = 10; resume <= 2500; resume += 30) {
     CAPTURE(resume);
     Play play(2);
     play.Service.at("r1").ResumeTime = milliseconds(resume);
@@ -167,8 +164,7 @@
 }
 
 TEST_CASE("SyncedFailover_ReplicasStayPausedUntilAnOrderIsCarriedOut") {
-  // They were resumed with the answer to the order, while the old primary still
-  // committed.
+  // They were resumed while the old primary still committed.
   for (const bool answers : {true, false})
     for (int time = 0; time <= 2400; time += 100) {
       CAPTURE(answers);
@@ -325,9 +321,6 @@
   group.stallDisks(milliseconds(600));
   platform.HeldOrders.front()(PromotionResult::NoAnswer);
   platform.HoldsStatuses = true;
-  // The first attempt is given up, the next one waits for its fence behind the
-  // record of the first one, and asks the replica at once when both are
-  // written.
   group.run(milliseconds(680));
   CHECK(platform.HeldStatuses.size() == 1);
 }
--- a/src/control/tests/SyncedService.cpp
+++ b/src/control/tests/SyncedService.cpp
@@ -162,14 +162,18 @@
 }
 
 void SyncedService::resume(const membership::InstanceRecord &instance,
-                           std::function<void()> onDone) {
+                           std::function<void(bool)> onDone) {
   const auto *it = running(instance.Id);
-  const Duration time = it ? it->ResumeTime : AnswerLimit;
+  if (!it)
+    return answer(AnswerLimit, [onDone] { onDone(false); });
+  const Duration time = it->ResumeTime;
   schedule(time, [this, id = instance.Id] {
     if (auto *paused = running(id))
       paused->PausedIn.reset();
   });
-  answer(time, std::move(onDone));
+  // One that is given up may wait in the instance's queue, and is carried out.
+  answer(std::min(time, AnswerLimit),
+         [onDone, isAnswered = time <= AnswerLimit] { onDone(isAnswered); });
 }
 
 void SyncedService::ping(const membership::InstanceRecord &instance,
--- a/src/control/tests/SyncedService.h
+++ b/src/control/tests/SyncedService.h
@@ -82,7 +82,7 @@
   void pause(const membership::InstanceRecord &instance, Term term,
              std::function<void(std::optional<PausedStatus>)> onDone) override;
   void resume(const membership::InstanceRecord &instance,
-              std::function<void()> onDone) override;
+              std::function<void(bool)> onDone) override;
   void ping(const membership::InstanceRecord &instance,
             std::function<void(bool)> onDone) override;
   void cancelRequests(const InstanceId &instance) override { (void)instance; }
--- a/src/gateway/InstanceProbe.cpp
+++ b/src/gateway/InstanceProbe.cpp
@@ -37,9 +37,11 @@
 }
 
 void InstanceProbe::resume(const membership::InstanceRecord &instance,
-                           std::function<void()> onDone) {
+                           std::function<void(bool)> onDone) {
   ask(instance, Codec.formatResume(), 1,
-      [onDone = std::move(onDone)](const auto &) { onDone(); });
+      [onDone = std::move(onDone)](const auto &reply) {
+        onDone(reply.has_value());
+      });
 }
 
 void InstanceProbe::ping(const membership::InstanceRecord &instance,
@@ -80,10 +82,8 @@
     it.IsReady = true;
     it.Link->send(std::exchange(it.Unsent, {}));
   };
-  handlers.Answered = [this, id, number](const proxy::StatementReply &reply) {
-    // NOTE: an answer on an earlier connection is none to a later question.
-    if (const auto it = Connections.find(id);
-        it != Connections.end() && it->second.Number == number)
+  handlers.Answered = [this, id](const proxy::StatementReply &reply) {
+    if (const auto it = Connections.find(id); it != Connections.end())
       it->second.Questions.answered(reply);
   };
   handlers.Lost = [this, id, number] { lost(id, number); };
--- a/src/gateway/InstanceProbe.h
+++ b/src/gateway/InstanceProbe.h
@@ -32,7 +32,7 @@
              std::function<void(std::optional<control::PausedStatus>)> onDone)
       override;
   void resume(const membership::InstanceRecord &instance,
-              std::function<void()> onDone) override;
+              std::function<void(bool)> onDone) override;
   void ping(const membership::InstanceRecord &instance,
             std::function<void(bool)> onDone) override;
   void cancelRequests(const InstanceId &instance) override;
--- a/src/gateway/tests/InstanceProbeTest.cpp
+++ b/src/gateway/tests/InstanceProbeTest.cpp
@@ -9,6 +9,7 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <optional>
 
 using namespace stepledge;
@@ -92,3 +93,51 @@
   it.Probe.retainConnections({InstanceId("i-2")});
   CHECK(runUntil(it.Context, [&] { return instance.IsOver; }));
 }
+
+TEST_CASE("InstanceProbe_AnswerOnAnEarlierConnectionIsNoneToALaterQuestion") {
+  // The first answer ends the connection, and the same bytes hold another one.
+  Fixture it;
+  std::optional<bool> later;
+  it.Probe.ping(it.Record, [&](bool isAlive) {
+    it.Answer = isAlive;
+    it.Probe.cancelRequests(it.Record.Id);
+    it.Probe.ping(it.Record, [&](bool isLaterAlive) { later = isLaterAlive; });
+  });
+  REQUIRE(runUntil(it.Context, [&] { return it.Server.Peers.size() == 1; }));
+  auto &instance = *it.Server.Peers.front();
+  instance.say("ok");
+  REQUIRE(runUntil(it.Context, [&] { return instance.has("undo"); }));
+  instance.say("ok\r\nok\r\nok\r\nok");
+  REQUIRE(runUntil(it.Context, [&] { return it.Server.Peers.size() == 2; }));
+  CHECK(it.Answer == true);
+  CHECK_FALSE(later.has_value());
+}
+
+TEST_CASE("InstanceProbe_RequestThatIsGivenUpIsReset") {
+  // What is held up on its way must not arrive later.
+  Fixture it;
+  asio::ip::tcp::acceptor acceptor(it.Context,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+  it.Record.Address =
+      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  asio::ip::tcp::socket instance(it.Context);
+  bool isAccepted = false;
+  acceptor.async_accept(instance, [&](std::error_code) {
+    isAccepted = true;
+    asio::write(instance, asio::buffer(std::string("ok\r\n")));
+  });
+  bool isDone = false;
+  it.Probe.resume(it.Record, [&](bool isAnswered) {
+    CHECK_FALSE(isAnswered);
+    isDone = true;
+  });
+  REQUIRE(runUntil(it.Context, [&] { return isAccepted; }));
+  it.Now += milliseconds(600);
+  REQUIRE(runUntil(it.Context, [&] { return isDone; }));
+  std::error_code end;
+  while (!end) {
+    std::array<char, 100> bytes{};
+    instance.read_some(asio::buffer(bytes), end);
+  }
+  CHECK(end == asio::error::connection_reset);
+}
