--- a/src/gateway/tests/EntrySocketsTest.cpp
+++ b/src/gateway/tests/EntrySocketsTest.cpp
@@ -70,6 +70,19 @@
     return std::make_unique<LinePeer>(std::move(socket));
   }
 
+  /// A client whose statement "write x" has reached the instance.
+  std::unique_ptr<LinePeer> connectAndWrite() {
+    auto client = connect();
+    client->say("connect orders");
+    client->say("write x");
+    REQUIRE(runUntil([&] { return !Instances.Peers.empty(); }));
+    instance().say("ok");
+    REQUIRE(runUntil([&] { return instance().has("run x"); }));
+    return client;
+  }
+
+  LinePeer &instance() { return *Instances.Peers.front(); }
+
   asio::io_context Context;
   PlainCodec Codec;
   TimePoint Now = TimePoint(std::chrono::seconds(10));
@@ -119,14 +132,8 @@
 
 TEST_CASE("EntrySockets_LostInstanceIsToldToTheProxy") {
   Fixture it;
-  const auto client = it.connect();
-  client->say("connect orders");
-  client->say("write x");
-  REQUIRE(it.runUntil([&] { return !it.Instances.Peers.empty(); }));
-  auto &instance = *it.Instances.Peers.front();
-  instance.say("ok");
-  REQUIRE(it.runUntil([&] { return instance.has("run x"); }));
-  instance.leave();
+  const auto client = it.connectAndWrite();
+  it.instance().leave();
   CHECK(it.runUntil([&] { return client->has("outcome_unknown "); }));
 }
 
@@ -134,40 +141,25 @@
   // All that a client sent was kept, however much it was.
   constexpr int Statements = 20000;
   Fixture it;
-  const auto client = it.connect();
-  client->say("connect orders");
-  REQUIRE(it.runUntil([&] { return client->has("welcome"); }));
-  client->say("write x");
-  REQUIRE(it.runUntil([&] { return !it.Instances.Peers.empty(); }));
-  auto &instance = *it.Instances.Peers.front();
-  REQUIRE(it.runUntil([&] { return instance.has("hello db i-1"); }));
-  // Lines that aren't understood: each gets its refusal.
+  const auto client = it.connectAndWrite();
   std::string lines;
   for (int i = 0; i < Statements - 1; ++i)
     lines += "nonsense\r\n";
   client->say(lines + "nonsense");
   REQUIRE(it.runUntil([&] { return it.Log.HeldBack == 1; }));
-  instance.say("ok");
-  REQUIRE(it.runUntil([&] { return instance.has("run x"); }));
-  instance.say("signed");
+  it.instance().say("signed");
   REQUIRE(it.runUntil([&] { return client->Lines.size() == Statements + 2; }));
   CHECK(client->Lines[1] == "success signed");
 }
 
 TEST_CASE("EntrySockets_HeldClientThatLeavesIsDropped") {
   Fixture it;
-  const auto client = it.connect();
-  client->say("connect orders");
-  client->say("write x");
-  REQUIRE(it.runUntil([&] { return !it.Instances.Peers.empty(); }));
-  auto &instance = *it.Instances.Peers.front();
-  instance.say("ok");
-  REQUIRE(it.runUntil([&] { return instance.has("run x"); }));
+  const auto client = it.connectAndWrite();
   for (int i = 0; i < 1000; ++i)
     client->say("nonsense");
   REQUIRE(it.runUntil([&] { return it.Log.HeldBack == 1; }));
   client->leave();
-  instance.say("signed");
+  it.instance().say("signed");
   CHECK(it.runUntil([&] { return it.Core.sessionCount() == 0; }));
 }
 
@@ -199,13 +191,7 @@
 
 TEST_CASE("EntrySockets_HeldClientIsToldOfTheEndOfItsSession") {
   Fixture it;
-  const auto client = it.connect();
-  client->say("connect orders");
-  client->say("write x");
-  REQUIRE(it.runUntil([&] { return !it.Instances.Peers.empty(); }));
-  it.Instances.Peers.front()->say("ok");
-  REQUIRE(
-      it.runUntil([&] { return it.Instances.Peers.front()->has("run x"); }));
+  const auto client = it.connectAndWrite();
   for (int i = 0; i < 1000; ++i)
     client->say("nonsense");
   REQUIRE(it.runUntil([&] { return it.Log.HeldBack == 1; }));
--- a/src/gateway/tests/LinePeer.h
+++ b/src/gateway/tests/LinePeer.h
@@ -45,9 +45,7 @@
 
   void say(const std::string &line) { Socket.write(line + "\r\n"); }
   void leave() { Socket.finish(); }
-  /// Reads nothing until it reads again.
   void stopReading() { Socket.hold(); }
-  void readAgain() { Socket.resume(); }
   bool has(const std::string &line) const {
     return std::find(Lines.begin(), Lines.end(), line) != Lines.end();
   }
--- a/src/proxy/tests/PipelinedStatementsTest.cpp
+++ b/src/proxy/tests/PipelinedStatementsTest.cpp
@@ -31,8 +31,7 @@
 } // namespace
 
 TEST_CASE("Pipelined_RefusalsOfManyStatementsTakeNoDepth") {
-  // Each refused statement handled the next one a level deeper, until the stack
-  // was used up.
+  // Each refused statement handled the next one a level deeper.
   const std::function<void(ProxyFixture &, ConnectionId)> ends[] = {
       [](auto &it, auto carrier) {
         it.answer(carrier, ProxyFixture::replyAt(markOf(3, 100)));
