Leader and health tell a wiped voter by the same rule

Both looked for a newer number at the voter's address, the one among replies, the other among requests to join; now by the latter.

--- a/src/consensus/ConsensusNode.cpp
+++ b/src/consensus/ConsensusNode.cpp
@@ -125,10 +125,7 @@
   health.SilentFor = Leader ? Duration{} : now - since;
   health.IsSilent = health.SilentFor > Options.AliveLimit;
   health.Match = isFollower ? other->second.Match : 0;
-  const auto join = LastJoins.find(voter.ip());
-  health.IsWiped = join != LastJoins.end() &&
-                   join->second.Number != voter.number() &&
-                   join->second.At > since;
+  health.IsWiped = isWiped(voter, since);
   return health;
 }
 
--- a/src/consensus/ConsensusNode.h
+++ b/src/consensus/ConsensusNode.h
@@ -252,9 +252,9 @@
   /// Whether all voters that may take part read joint changes.
   bool canChangeJointly(const VoterCandidates &candidates) const;
   VoterLoss lossOf(TimePoint now, MemberNumber voter) const;
-  /// True if a member with another number has replied later from the same
-  /// address: the disk of \p progress is gone.
-  bool isWiped(MemberNumber number, const Progress &progress) const;
+  /// True if a member with another number has asked to join from the same
+  /// address since \p heardAt, when \p member was heard last: its disk is gone.
+  bool isWiped(const wire::Member &member, TimePoint heardAt) const;
   bool isLeaving(TimePoint now, const Progress &progress) const;
   void requestLeave(TimePoint now);
   std::string ipOf(MemberNumber number) const;
--- a/src/consensus/internal/Replication.cpp
+++ b/src/consensus/internal/Replication.cpp
@@ -369,7 +369,7 @@
     candidates.Voters.push_back({it, lossOf(now, it.number())});
   for (const auto &[number, it] : Others)
     if (!isVoter(number) && it.ReadsJointChanges && it.Match >= Commit &&
-        !isWiped(number, it) && !isLeaving(now, it) &&
+        !isWiped(it.Member, it.LastReplyAt) && !isLeaving(now, it) &&
         now - it.LastReplyAt < Options.AliveLimit)
       candidates.Spares.push_back(it.Member);
   return candidates;
@@ -393,7 +393,7 @@
   if (it == Others.end())
     return VoterLoss::None;
   const auto &progress = it->second;
-  if (isWiped(voter, progress))
+  if (isWiped(progress.Member, progress.LastReplyAt))
     return VoterLoss::Wiped;
   if (isLeaving(now, progress))
     return VoterLoss::Leaving;
@@ -401,13 +401,11 @@
                                                            : VoterLoss::None;
 }
 
-bool ConsensusNode::isWiped(MemberNumber number,
-                            const Progress &progress) const {
-  return std::any_of(Others.begin(), Others.end(), [&](const auto &other) {
-    return other.first != number &&
-           other.second.Member.ip() == progress.Member.ip() &&
-           other.second.LastReplyAt > progress.LastReplyAt;
-  });
+bool ConsensusNode::isWiped(const wire::Member &member,
+                            TimePoint heardAt) const {
+  const auto join = LastJoins.find(member.ip());
+  return join != LastJoins.end() && join->second.Number != member.number() &&
+         join->second.At > heardAt;
 }
 
 bool ConsensusNode::isLeaving(TimePoint now, const Progress &progress) const {
