Logs: what control VMs announce, and what an entry VM works by as it refuses a route

Cause: the record of the incident has config=34 at a refused route, and can't tell whether a newer version was known to the VM, to which control VM, and whether a majority stood behind the one held. So its hypotheses can't be told apart.

Change: an entry VM logs each control VM's version and freshness as they change (event=control_version), and at a missing route from whom it has its configuration, whether it was taken fresh, its age and the newest announced (connect_refused, and the new route_missing for a session that stays open). A control VM logs what it tells, as that changes, and to how many entry VMs (event=notice). No decision changes.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -74,6 +74,7 @@
     if (std::exchange(IsNoticeDue, false))
       FullNoticeAt = now;
     NoticeAt = now + Options.NoticeInterval;
+    logNotice();
     auto message = notice(FullNoticeAt <= now);
     Entries.listChanges(*message.mutable_notice());
     sendToEntries(message);
@@ -160,6 +161,7 @@
   // notice and the instances that the log kept.
   if (IsNoticeDue && IsFresh) {
     IsNoticeDue = false;
+    logNotice();
     sendToEntries(notice(true));
     sendUnsentInstances();
   }
@@ -271,6 +273,19 @@
       Peers.send(it, message);
 }
 
+void ControlNode::logNotice() {
+  const auto version = Configurations.newest().Version;
+  const bool isSame = NoticedVersion == version && NoticedFresh == IsFresh;
+  if (isSame)
+    return;
+  NoticedVersion = version;
+  NoticedFresh = IsFresh;
+  Log.log(absl::StrCat("event=notice version=", version, " fresh=", IsFresh,
+                       " leads=", Node.isLeader(), " term=", Node.term(),
+                       " commit=", Node.commitIndex(),
+                       " entries=", Entries.halls().size()));
+}
+
 peer::wire::Message ControlNode::notice(bool isFull) const {
   peer::wire::Message message;
   auto &out = *message.mutable_notice();
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -228,6 +228,8 @@
   /// of a start, in a simulation.
   void sendUnsentInstances();
   void sendToControls(const peer::wire::Message &message);
+  /// Logs what entry VMs are told next, if it differs from the last time.
+  void logNotice();
   /// A full notice also lists the control VMs and the promotions.
   peer::wire::Message notice(bool isFull) const;
   peer::wire::Message allInstances() const;
@@ -278,6 +280,8 @@
   TimePoint JoinAt{};
   TimePoint PingAt{};
   TimePoint Now{};
+  std::uint64_t NoticedVersion = 0;
+  bool NoticedFresh = false;
   bool IsNoticeDue = false;
   bool IsFresh = false;
   /// The state was fresh at least once since the start.
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -116,6 +116,7 @@
   Connected.erase(ip);
   ToldSights.erase(ip);
   Contact.lost(ip);
+  Announced.lost(ip);
   Sources.lost(ip);
   Entries.lost(ip);
   Fetch.connectionLost(ip);
@@ -151,6 +152,7 @@
                          const peer::wire::Notice &notice) {
   // NOTE: the control VM of a hall that is cut off goes on speaking.
   Contact.heard(Now, ip, notice.is_fresh());
+  noteVersion(ip, notice);
   if (notice.is_fresh())
     Sources.heardFresh(Now, ip);
   if (Entries.take(ip, notice))
@@ -181,6 +183,18 @@
   }
 }
 
+void EntryNode::noteVersion(const std::string &ip,
+                            const peer::wire::Notice &notice) {
+  const ControlVersion announced{notice.configuration_version(),
+                                 notice.is_fresh()};
+  if (Announced.heard(ip, announced))
+    Log.decision(absl::StrCat(
+        "event=control_version ip=", ip, " version=", announced.Version,
+        " fresh=", announced.IsFresh, " held=", Proxy.configurationVersion()));
+  Source.NewestAnnounced = Announced.newest();
+  Proxy.setSource(Source);
+}
+
 void EntryNode::shareEntries() {
   auto all = Entries.all();
   all.insert({Options.Ip, HallId(Options.Hall)});
@@ -211,7 +225,7 @@
   case distribution::PartResult::Complete:
     break;
   }
-  NeedsWhole = !takeChange();
+  NeedsWhole = !takeChange(ip);
   if (NeedsWhole)
     return Fetch.reject(Now);
   Fetch.accept();
@@ -219,7 +233,7 @@
   fetch();
 }
 
-bool EntryNode::takeChange() {
+bool EntryNode::takeChange(const std::string &ip) {
   const auto &change = Fetch.delta();
   if (change.To <= Proxy.configurationVersion())
     return true;
@@ -232,11 +246,13 @@
   }
   Log.decision(absl::StrCat("event=configuration version=", change.To,
                             " from=", change.From,
-                            " routes=", configuration.Routes.size()));
+                            " routes=", configuration.Routes.size(), " ip=", ip,
+                            " fresh=", Announced.isFresh(ip)));
   if (Proxy.configurationVersion() == 0)
-    Log.decision(absl::StrCat(
-        "event=first_configuration after_ms=", toMilliseconds(Now - StartedAt),
-        " ip=", AnnouncerIp));
+    Log.decision(absl::StrCat("event=first_configuration after_ms=",
+                              toMilliseconds(Now - StartedAt), " ip=", ip));
+  Source = {ip, Announced.isFresh(ip), Now, Announced.newest()};
+  Proxy.setSource(Source);
   Proxy.applyConfiguration(Now, std::move(configuration));
   return true;
 }
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -10,6 +10,7 @@
 #include "base/LineBudget.h"
 #include "distribution/ConfigurationFetch.h"
 #include "entry/ControlContact.h"
+#include "entry/ControlVersions.h"
 #include "entry/EntryLists.h"
 #include "entry/InstanceSources.h"
 #include "peer/IPeerListener.h"
@@ -67,13 +68,15 @@
   void onInstance(const std::string &ip, const peer::wire::Instance &instance);
   void onNotice(const std::string &ip, const peer::wire::Notice &notice);
   void onPart(const std::string &ip, const peer::wire::ConfigurationPart &part);
-  /// Takes the change that was fetched; false where it doesn't fit.
-  bool takeChange();
+  /// Takes the change that was fetched from \p ip; false where it doesn't fit.
+  bool takeChange(const std::string &ip);
   /// Asks for the newest configuration that was announced, if it isn't held.
   void fetch();
   void tellSights(const std::vector<proxy::PrimaryObservation> &all);
   void checkIsolation(const std::vector<proxy::PrimaryObservation> &sights);
   void shareEntries();
+  /// Notes what the control VM at \p ip announces.
+  void noteVersion(const std::string &ip, const peer::wire::Notice &notice);
   /// Tells control VMs from which of them it wants to hear of the instances.
   void reviewSources();
 
@@ -95,6 +98,9 @@
   /// The last change didn't fit: the next fetch is for the whole.
   bool NeedsWhole = false;
   ControlContact Contact;
+  ControlVersions Announced;
+  /// Of the configuration held.
+  proxy::ConfigurationSource Source;
   bool IsIsolated = false;
   std::set<std::string> Connected;
   EntryLists Entries;
--- a/src/entry/tests/EntryTest.cpp
+++ b/src/entry/tests/EntryTest.cpp
@@ -138,3 +138,20 @@
   REQUIRE(third.size() == 1);
   CHECK(third.front().sights_size() == 1);
 }
+
+TEST_CASE("Entry_RefusalOfAMissingRouteTellsWhatIsHeldAndAnnounced") {
+  Fixture it;
+  it.notice(7, true);
+  it.giveWhole(7);
+  it.notice(9, false);
+  it.advance(milliseconds(300));
+  it.Core.clientConnected(it.Now, proxy::ClientId{5}, DatabaseId("absent"), {});
+  const auto has = [&](const std::string &text) {
+    return std::any_of(
+        it.Io.Lines.begin(), it.Io.Lines.end(),
+        [&](const auto &l) { return l.find(text) != std::string::npos; });
+  };
+  CHECK(has("event=control_version ip=10.0.0.1 version=9 fresh=0 held=7"));
+  CHECK(has("code=unknown_database config=7 from=10.0.0.1 fresh=1 age_ms=300 "
+            "announced=9"));
+}
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -67,6 +67,13 @@
   }
 }
 
+void Proxy::refuseUnrouted(TimePoint now, ClientSession &session) {
+  Log.decision(absl::StrCat("event=route_missing client=", session.Id.Number,
+                            " database=", session.Database.str(), " config=",
+                            Configuration.Version, " ", Source.describe(now)));
+  refuse(now, session, ReplyCode::UnknownDatabase, "the database has no route");
+}
+
 void Proxy::applyInstance(TimePoint now,
                           const membership::InstanceRecord &record) {
   if (tracker(record.Service).update(now, record))
@@ -124,10 +131,10 @@
     reply.Detail = isRouted
                        ? UnknownKey
                        : absl::StrCat("no route for database ", database.str());
-    Log.decision(absl::StrCat("event=connect_refused client=", client.Number,
-                              " database=", database.str(),
-                              " code=", std::string(nameOf(reply.Code)),
-                              " config=", Configuration.Version));
+    Log.decision(absl::StrCat(
+        "event=connect_refused client=", client.Number,
+        " database=", database.str(), " code=", std::string(nameOf(reply.Code)),
+        " config=", Configuration.Version, " ", Source.describe(now)));
     EndedSessions[client] = SessionEnd::NotAccepted;
     Io.rejectClient(client, reply);
     return;
@@ -299,8 +306,7 @@
                       ClientStatement statement) {
   const auto *route = routeOf(session);
   if (!route)
-    return refuse(now, session, ReplyCode::UnknownDatabase,
-                  "the database has no route");
+    return refuseUnrouted(now, session);
   const bool isOpen = session.State == SessionState::InTransaction;
   switch (statement.Kind) {
   case StatementKind::Begin:
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -22,6 +22,7 @@
 #include "proxy/internal/LoadShedder.h"
 #include "proxy/internal/RouteStatementTimes.h"
 #include "proxy/internal/ServiceWatch.h"
+#include "proxy/types/ConfigurationSource.h"
 #include "proxy/types/ProxyOptions.h"
 #include "proxy/types/SessionEnd.h"
 #include "quota/IOperationQuota.h"
@@ -53,12 +54,12 @@
 
 class Proxy : private ILendablePool {
 public:
-  /// \p borrowers carries the replies to the VMs that borrow connections;
-  /// \p quota limits the organisations' operation rates.
+  /// \p borrowers carries the replies to borrowers; \p quota limits rates.
   Proxy(ProxyOptions options, IProxyIo &io, IProxyLog &log,
         IBorrowerIo &borrowers, quota::IOperationQuota &quota);
 
   void applyConfiguration(TimePoint now, control::Configuration configuration);
+  void setSource(ConfigurationSource source) { Source = std::move(source); }
   void applyInstance(TimePoint now, const membership::InstanceRecord &record);
   void applyPromotion(TimePoint now, const std::string &service,
                       const Promotion &promotion);
@@ -161,7 +162,7 @@
   void removeClient(TimePoint now, ClientId client);
   /// Logs the statement, if any, that a disconnecting client still waits for.
   void logAbandonedStatement(TimePoint now, ClientId client);
-  /// Logs how many clients waited for the first configuration, and how long.
+  /// Logs how many clients waited for a first configuration.
   void logEarlyClients(TimePoint now);
   /// Logs a statement that arrived after its session's end and gets no answer.
   void logUnanswered(ClientId client, const ClientStatement &statement);
@@ -183,6 +184,7 @@
   void endIfKeyWithdrawn(TimePoint now, ClientId client);
   InstanceTracker &tracker(const std::string &service);
   const control::Route *routeOf(const ClientSession &session) const;
+  void refuseUnrouted(TimePoint now, ClientSession &session);
   int usableConnections(const std::string &service) const;
   /// How many connections one instance of the service allows.
   int maxConnections(const std::string &service) const;
@@ -451,6 +453,7 @@
   IProxyLog &Log;
   quota::IOperationQuota &Quota;
   control::Configuration Configuration;
+  ConfigurationSource Source;
   std::map<std::string, std::unique_ptr<InstanceTracker>> Trackers;
   std::map<std::string, TimePoint> ProbedAt;
   ServiceWatch Watch;
--- /dev/null
+++ b/src/proxy/types/ConfigurationSource.h
@@ -0,0 +1,38 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file Where the configuration that a VM works by came from, and what is
+/// announced beside it.
+
+#ifndef STEPLEDGE_PROXY_TYPES_CONFIGURATIONSOURCE_H
+#define STEPLEDGE_PROXY_TYPES_CONFIGURATIONSOURCE_H
+
+#include "base/types/Time.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <cstdint>
+#include <string>
+
+namespace stepledge::proxy {
+
+struct ConfigurationSource {
+  /// The control VM that sent it.
+  std::string Ip;
+  /// A majority of the control VMs stood behind it when it was taken.
+  bool WasFresh = false;
+  TimePoint TakenAt{};
+  /// The newest version that a control VM has announced.
+  std::uint64_t NewestAnnounced = 0;
+
+  /// For a log line.
+  std::string describe(TimePoint now) const {
+    return absl::StrCat("from=", Ip, " fresh=", WasFresh,
+                        " age_ms=", toMilliseconds(now - TakenAt),
+                        " announced=", NewestAnnounced);
+  }
+};
+
+} // namespace stepledge::proxy
+
+#endif // STEPLEDGE_PROXY_TYPES_CONFIGURATIONSOURCE_H
