--- a/src/soak/FaultPlan.cpp
+++ b/src/soak/FaultPlan.cpp
@@ -28,9 +28,36 @@
 /// Until after the kill.
 constexpr std::int64_t HoldLastsMs = 3000;
 /// A seed draws from the kinds before this one; the others are asked for.
-constexpr std::size_t DrawnKinds = FaultNames.size() - 3;
+constexpr std::size_t DrawnKinds = FaultNames.size() - 5;
 static_assert(FaultNames[DrawnKinds].Value == FaultKind::LongWays);
 
+/// From one replacement of a control VM to the next: what a successor has to
+/// catch up, and up to twice that.
+constexpr std::int64_t LeastReplacementGapMs = 5000;
+constexpr std::int64_t ReplacementGapSpreadMs = 6000;
+/// From a control VM's end to the start of its successor.
+constexpr std::int64_t MostSuccessorDelayMs = 2000;
+constexpr int Replacements = 2;
+
+/// Two control VMs that are replaced, and the loss of power at the end.
+std::vector<PlannedFault> planReplacements(std::uint64_t seed,
+                                           std::chrono::milliseconds length) {
+  std::mt19937_64 random(seed);
+  std::vector<PlannedFault> plan;
+  std::int64_t at = FirstMs;
+  for (int i = 0; i < Replacements; ++i) {
+    const auto delay =
+        static_cast<std::int64_t>(random() % MostSuccessorDelayMs);
+    plan.push_back({std::chrono::milliseconds(at),
+                    std::chrono::milliseconds(delay), FaultKind::ReplaceControl,
+                    random()});
+    at += LeastReplacementGapMs +
+          static_cast<std::int64_t>(random() % ReplacementGapSpreadMs);
+  }
+  plan.push_back({length, {}, FaultKind::LosePower, random()});
+  return plan;
+}
+
 bool isWipe(FaultKind kind) { return kind == FaultKind::WipeControl; }
 
 } // namespace
@@ -38,6 +65,8 @@
 std::vector<PlannedFault> planFaults(std::uint64_t seed,
                                      std::chrono::milliseconds length,
                                      FirstFaults first) {
+  if (first.ReplacesControls)
+    return planReplacements(seed, length);
   std::mt19937_64 random(seed);
   std::vector<PlannedFault> plan;
   std::int64_t wipedAt = -WipeGapMs;
--- a/src/soak/FaultPlan.h
+++ b/src/soak/FaultPlan.h
@@ -37,6 +37,12 @@
   CutOffEntries,
   /// Instances run clients' statements and keep the answers back.
   HoldAnswers,
+  /// A control VM goes for good without a word; as the fault ends, an empty one
+  /// at another address has started in its place.
+  ReplaceControl,
+  /// A control VM loses its disk and all others their power, right after an
+  /// acknowledgement.
+  LosePower,
 };
 
 constexpr auto FaultNames = std::to_array<NameEntry<FaultKind>>({
@@ -58,6 +64,8 @@
     {FaultKind::LongWays, "long_ways"},
     {FaultKind::CutOffEntries, "cut_off_entries"},
     {FaultKind::HoldAnswers, "hold_answers"},
+    {FaultKind::ReplaceControl, "replace_control"},
+    {FaultKind::LosePower, "lose_power"},
 });
 
 constexpr std::string_view nameOf(FaultKind kind) {
@@ -82,6 +90,10 @@
   /// limit.
   bool StopsAtItsLimit = false;
 
+  /// Control VMs are replaced in series, and at last a disk is lost while all
+  /// others lose power; nothing else is played.
+  bool ReplacesControls = false;
+
   bool isAny() const { return CutsOff || Stops || StopsAtItsLimit; }
 };
 
--- a/src/soak/LoopbackProxy.cpp
+++ b/src/soak/LoopbackProxy.cpp
@@ -4,6 +4,7 @@
 #include "soak/LoopbackProxy.h"
 
 #include <array>
+#include <future>
 #include <utility>
 #include <vector>
 
@@ -19,6 +20,8 @@
 /// sender is held up as by a full window; the system's own buffers take some
 /// MB.
 constexpr int NarrowBuffer = 32768;
+/// More than a queue of length 0 takes.
+constexpr int QueueFillers = 3;
 
 void closeWithReset(tcp::socket &socket) {
   std::error_code ec;
@@ -50,6 +53,12 @@
         });
   }
 
+  /// Neither side hears of the other any more, nor of its end.
+  void fallSilent() { IsDead = true; }
+  bool isOf(const std::string &ip) const {
+    return FirstBytes.find(ip) != std::string::npos;
+  }
+
   void close() {
     closeWithReset(Caller);
     closeWithReset(Target);
@@ -92,6 +101,8 @@
     way.From.async_read_some(
         asio::buffer(way.Chunk),
         [self = shared_from_this(), &way](std::error_code ec, std::size_t n) {
+          if (self->IsDead)
+            return;
           if (ec)
             return self->end();
           self->charge(way, n);
@@ -104,8 +115,10 @@
   }
 
   void charge(Way &way, std::size_t n) {
-    if (way.IsToTarget && !std::exchange(HasCalled, true))
-      chooseRate({way.Chunk.data(), n});
+    if (way.IsToTarget && FirstBytes.empty()) {
+      FirstBytes.assign(way.Chunk.data(), n);
+      chooseRate(FirstBytes);
+    }
     if (way.Bucket)
       way.Bucket->take(TokenBucket::Clock::now(), n);
   }
@@ -131,7 +144,7 @@
     way.Timer.expires_after(isSilent(way) ? HoldTime : time);
     way.Timer.async_wait(
         [self = shared_from_this(), &way, n](std::error_code ec) {
-          if (ec)
+          if (ec || self->IsDead)
             return;
           if (self->isSilent(way))
             return self->wait(way, n, HoldTime);
@@ -143,6 +156,8 @@
     asio::async_write(
         way.To, asio::buffer(way.Chunk.data(), n),
         [self = shared_from_this(), &way](std::error_code ec, std::size_t) {
+          if (self->IsDead)
+            return;
           if (ec)
             return self->end();
           self->read(way);
@@ -165,7 +180,8 @@
   std::weak_ptr<State> Owner;
   double Luck;
   bool IsEnding = false;
-  bool HasCalled = false;
+  bool IsDead = false;
+  std::string FirstBytes;
   Way ToTarget;
   Way ToCaller;
 };
@@ -185,6 +201,8 @@
   Acceptor.async_accept([this](std::error_code ec, tcp::socket socket) {
     if (ec == asio::error::operation_aborted)
       return;
+    if (IsDark)
+      return;
     if (!ec) {
       auto pipe = std::make_shared<Pipe>(Context, std::move(socket), Shared);
       Shared->Pipes.insert(pipe);
@@ -194,6 +212,54 @@
   });
 }
 
+void LoopbackProxy::runThere(const std::function<void()> &task) {
+  std::promise<void> done;
+  asio::post(Context, [&task, &done] {
+    task();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+void LoopbackProxy::losePower() {
+  runThere([this] {
+    IsDark = true;
+    for (const auto &it : Shared->Pipes)
+      it->fallSilent();
+    std::error_code ec;
+    Acceptor.cancel(ec);
+    Acceptor.listen(0, ec);
+    fillQueue();
+  });
+}
+
+void LoopbackProxy::fillQueue() {
+  for (int i = 0; i < QueueFillers; ++i) {
+    Fillers.emplace_back(Context);
+    Fillers.back().async_connect(Acceptor.local_endpoint(),
+                                 [](std::error_code) {});
+  }
+}
+
+void LoopbackProxy::regainPower() {
+  runThere([this] {
+    if (!std::exchange(IsDark, false))
+      return;
+    Fillers.clear();
+    std::error_code ec;
+    Acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    accept();
+  });
+}
+
+void LoopbackProxy::losePowerOf(const std::string &ip) {
+  runThere([this, &ip] {
+    for (const auto &it : Shared->Pipes)
+      if (it->isOf(ip))
+        it->fallSilent();
+  });
+}
+
 void LoopbackProxy::setHarm(const LinkHarm &harm) {
   asio::post(Context, [state = Shared, harm] { state->Harm = harm; });
 }
--- a/src/soak/LoopbackProxy.h
+++ b/src/soak/LoopbackProxy.h
@@ -16,8 +16,10 @@
 #include <memory>
 #include <random>
 #include <set>
+#include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace stepledge::soak {
 
@@ -44,6 +46,13 @@
   /// From any thread.
   void setHarm(const LinkHarm &harm);
   void resetConnections();
+  /// The machine behind this proxy has lost its power, seen by those in touch
+  /// with it once this returns: what was open falls silent for good, and a new
+  /// connection isn't answered until regainPower().
+  void losePower();
+  void regainPower();
+  /// The same for what the VM that calls itself \p ip has opened here.
+  void losePowerOf(const std::string &ip);
 
 private:
   class Pipe;
@@ -57,11 +66,18 @@
   };
 
   void accept();
+  /// Runs \p task in the context, and waits for it.
+  void runThere(const std::function<void()> &task);
+  /// Fills the queue of new connections, so that the system drops their opening
+  /// packets.
+  void fillQueue();
 
   asio::io_context &Context;
   asio::ip::tcp::acceptor Acceptor;
   asio::ip::tcp::endpoint Target;
   std::shared_ptr<State> Shared;
+  bool IsDark = false;
+  std::vector<asio::ip::tcp::socket> Fillers;
 };
 
 } // namespace stepledge::soak
