--- a/src/consensus/tests/SimulatedGroup.h
+++ b/src/consensus/tests/SimulatedGroup.h
@@ -82,6 +82,7 @@
     return Members[member].Node->health(Now);
   }
   void stallDisk(std::size_t member, Duration time);
+  void setStep(Duration step) { Timing.Step = step; }
   /// Messages from \p from to \p to are dropped.
   void blockLink(std::size_t from, std::size_t to) {
     BlockedLinks.insert({from, to});
