Soak: a leading control VM that its successor outlives, then another one's disk

Cause: with real processes the group never committed again where a caught-up successor was there, the leading control VM went without a word and 3.5 s later another one lost its disk; the soak didn't play it.

--- a/src/soak/FaultPlan.cpp
+++ b/src/soak/FaultPlan.cpp
@@ -28,7 +28,7 @@
 /// Until after the kill.
 constexpr std::int64_t HoldLastsMs = 3000;
 /// A seed draws from the kinds before this one; the others are asked for.
-constexpr std::size_t DrawnKinds = FaultNames.size() - 5;
+constexpr std::size_t DrawnKinds = FaultNames.size() - 6;
 static_assert(FaultNames[DrawnKinds].Value == FaultKind::LongWays);
 
 /// From one replacement of a control VM to the next: what a successor has to
@@ -58,6 +58,19 @@
   return plan;
 }
 
+/// Above the time in which a successor has to catch up.
+constexpr std::int64_t OutlivedAfterMs = 6000;
+/// From the end of the one that led to the loss of another one's disk.
+constexpr std::int64_t WipedAfterMs = 3500;
+
+std::vector<PlannedFault> planOutlivedControl(std::uint64_t seed) {
+  const std::chrono::milliseconds begin(FirstMs);
+  const std::chrono::milliseconds lasts(OutlivedAfterMs);
+  const std::chrono::milliseconds wipedAfter(WipedAfterMs);
+  return {{begin, lasts, FaultKind::OutliveControl, seed},
+          {begin + lasts + wipedAfter, {}, FaultKind::WipeControl, seed}};
+}
+
 bool isWipe(FaultKind kind) { return kind == FaultKind::WipeControl; }
 
 } // namespace
@@ -67,6 +80,8 @@
                                      FirstFaults first) {
   if (first.ReplacesControls)
     return planReplacements(seed, length);
+  if (first.OutlivesControl)
+    return planOutlivedControl(seed);
   std::mt19937_64 random(seed);
   std::vector<PlannedFault> plan;
   std::int64_t wipedAt = -WipeGapMs;
--- a/src/soak/FaultPlan.h
+++ b/src/soak/FaultPlan.h
@@ -40,6 +40,9 @@
   /// A control VM goes for good without a word; as the fault ends, an empty one
   /// at another address has started in its place.
   ReplaceControl,
+  /// An empty control VM starts at another address; as the fault ends, the one
+  /// that leads goes for good without a word.
+  OutliveControl,
   /// A control VM loses its disk and all others their power, right after an
   /// acknowledgement.
   LosePower,
@@ -65,6 +68,7 @@
     {FaultKind::CutOffEntries, "cut_off_entries"},
     {FaultKind::HoldAnswers, "hold_answers"},
     {FaultKind::ReplaceControl, "replace_control"},
+    {FaultKind::OutliveControl, "outlive_control"},
     {FaultKind::LosePower, "lose_power"},
 });
 
@@ -93,6 +97,9 @@
   /// Control VMs are replaced in series, and at last a disk is lost while all
   /// others lose power; nothing else is played.
   bool ReplacesControls = false;
+  /// The leading control VM goes once its successor has caught up, and then
+  /// another one loses its disk; nothing else is played.
+  bool OutlivesControl = false;
 
   bool isAny() const { return CutsOff || Stops || StopsAtItsLimit; }
 };
