A voter that goes without a word is replaced after a second, so another disk may be lost

What callers saw, with real processes: a control VM had started as the successor 6 s before, the leading one went without a word, and 3.5 s later another one's disk was lost. From then on no change was acknowledged, no configuration read back, no new route served.

Cause: a leader replaced a silent voter after 3 s, and a new leader counted the silence of the last one anew, though that silence had made it leader. In that time {gone, wiped, one} had no majority of the old voters, for good. The class: a loss that is known is waited for.

Change: a voter is suspected after 1 s of silence and then replaced by a spare that leaves the voters in as many halls; any other spare takes its place after 3 s as before, so that a hall that is cut off for seconds keeps its voter. A new leader counts the last leader's silence from its last message, and knows from it (a field of append requests) whether it reads joint changes.

Conclusion: mended; that it is the incident's cause isn't shown.

--- a/src/consensus/ConsensusNode.cpp
+++ b/src/consensus/ConsensusNode.cpp
@@ -257,7 +257,8 @@
   // NOTE: a late vote doesn't restore a lost leadership.
   CandidateTerm = 0;
   Leader.reset();
-  LeaderContact = now;
+  // NOTE: the last leader's silence is what made this member one.
+  const TimePoint lastLeaderAt = std::exchange(LeaderContact, now);
   HeartbeatAt = now;
   Others.clear();
   for (const auto &it : voters()) {
@@ -267,7 +268,12 @@
     progress.Member = it;
     progress.Next = lastIndex() + 1;
     progress.LastReplyAt = now;
+    if (it.number() != LastLeader.Number)
+      continue;
+    progress.LastReplyAt = lastLeaderAt;
+    progress.ReadsJointChanges = LastLeader.ReadsJointChanges;
   }
+  LastLeader = {};
   wire::Entry first;
   append(std::move(first));
   replicateAll(now, true);
--- a/src/consensus/ConsensusNode.h
+++ b/src/consensus/ConsensusNode.h
@@ -274,6 +274,13 @@
   MemberRole Role = MemberRole::Follower;
   std::optional<wire::Member> Leader;
   TimePoint LeaderContact{};
+  /// The leader of the last request, and whether its program reads joint
+  /// changes.
+  struct KnownLeader {
+    MemberNumber Number = 0;
+    bool ReadsJointChanges = false;
+  };
+  KnownLeader LastLeader;
   TimePoint StartedAt{};
   /// Highest commit index in the messages of the leader.
   std::uint64_t LeaderCommit = 0;
--- a/src/consensus/internal/Replication.cpp
+++ b/src/consensus/internal/Replication.cpp
@@ -25,6 +25,7 @@
   }
   followLeader(now, message);
   const auto &request = message.append_request();
+  LastLeader = {message.from(), request.reads_joint_changes()};
   wire::Message reply;
   reply.set_term(Term);
   auto &result = *reply.mutable_append_reply();
@@ -195,6 +196,7 @@
   request.set_previous_term(termAt(next - 1));
   request.set_commit(Commit);
   request.set_round(Round);
+  request.set_reads_joint_changes(true);
   std::uint64_t bytes = 0;
   for (std::uint64_t index = next;
        !progress.HasBatchInFlight && index <= lastIndex(); ++index) {
@@ -397,8 +399,11 @@
     return VoterLoss::Wiped;
   if (isLeaving(now, progress))
     return VoterLoss::Leaving;
-  return now - progress.LastReplyAt > Options.ReplaceAfter ? VoterLoss::Silent
-                                                           : VoterLoss::None;
+  const Duration silentFor = now - progress.LastReplyAt;
+  if (silentFor > Options.ReplaceAfter)
+    return VoterLoss::Silent;
+  return silentFor > Options.SuspectAfter ? VoterLoss::Suspected
+                                          : VoterLoss::None;
 }
 
 bool ConsensusNode::isWiped(const wire::Member &member,
--- a/src/consensus/internal/VoterPlan.cpp
+++ b/src/consensus/internal/VoterPlan.cpp
@@ -43,7 +43,7 @@
   void removeSurplus() {
     while (Voters.size() > Target) {
       const auto it = findLost();
-      if (it == Voters.end())
+      if (it == Voters.end() || it->Loss == VoterLoss::Suspected)
         return;
       Voters.erase(it);
       IsChanged = true;
@@ -54,7 +54,9 @@
     for (auto it = findLost(); it != Voters.end(); it = findLost()) {
       const auto lost = std::move(*it);
       Voters.erase(it);
-      if (!addSpare()) {
+      const bool isUrgent = lost.Loss != VoterLoss::Suspected;
+      const auto most = isUrgent ? Voters.size() : votersIn(lost.Member.hall());
+      if (!addSpare(most)) {
         // NOTE: it stays, so that entries are on as many disks as before.
         Voters.push_back({lost.Member, VoterLoss::None});
         continue;
@@ -67,7 +69,7 @@
     while (Voters.size() < Target) {
       const std::size_t needed = 1 + Voters.size() % 2;
       const auto before = Voters.size();
-      for (std::size_t i = 0; i < needed && addSpare(); ++i)
+      for (std::size_t i = 0; i < needed && addSpare(Voters.size()); ++i)
         continue;
       if (Voters.size() < before + needed)
         return Voters.resize(before);
@@ -75,15 +77,16 @@
     }
   }
 
-  /// Adds the spare in the hall with the fewest voters. False if there is none.
-  bool addSpare() {
+  /// Adds the spare in the hall with the fewest voters, which may be \p
+  /// mostInHall. False if there is none.
+  bool addSpare(std::size_t mostInHall) {
     auto best = Spares.end();
     for (auto it = Spares.begin(); it != Spares.end(); ++it)
       if (!hasVoterAt(it->ip()) &&
           (best == Spares.end() ||
            votersIn(it->hall()) < votersIn(best->hall())))
         best = it;
-    if (best == Spares.end())
+    if (best == Spares.end() || votersIn(best->hall()) > mostInHall)
       return false;
     Voters.push_back({std::move(*best), VoterLoss::None});
     Spares.erase(best);
@@ -95,10 +98,11 @@
                        [&](const auto &it) { return it.Member.ip() == ip; });
   }
 
-  std::ptrdiff_t votersIn(const std::string &hall) const {
-    return std::count_if(Voters.begin(), Voters.end(), [&](const auto &it) {
-      return it.Member.hall() == hall;
-    });
+  std::size_t votersIn(const std::string &hall) const {
+    const auto n =
+        std::count_if(Voters.begin(), Voters.end(),
+                      [&](const auto &it) { return it.Member.hall() == hall; });
+    return static_cast<std::size_t>(n);
   }
 
   std::vector<VoterCandidates::Voter> Voters;
--- a/src/consensus/internal/VoterPlan.h
+++ b/src/consensus/internal/VoterPlan.h
@@ -21,6 +21,9 @@
   Leaving,
   /// It hasn't replied for long.
   Silent,
+  /// It hasn't replied for a short time, so it is replaced only by a spare that
+  /// leaves the voters in as many halls.
+  Suspected,
   /// It isn't lost.
   None,
 };
--- a/src/consensus/tests/VoterPlanTest.cpp
+++ b/src/consensus/tests/VoterPlanTest.cpp
@@ -105,3 +105,26 @@
   addSpare(candidates, 8, "8", "4");
   CHECK(plan(candidates, 3) == Numbers{2, 3, 8});
 }
+
+TEST_CASE("VoterPlan_SuspectedVoterIsReplacedWhereTheVotersStayInAsManyHalls") {
+  auto candidates = votersOf(3);
+  candidates.Voters[2].Loss = VoterLoss::Suspected;
+  addSpare(candidates, 11, "11", "1");
+  CHECK(plan(candidates, 3) == Numbers{});
+  addSpare(candidates, 13, "13", "3");
+  CHECK(plan(candidates, 3) == Numbers{1, 2, 13});
+  candidates.Spares.pop_back();
+  addSpare(candidates, 14, "14", "4");
+  CHECK(plan(candidates, 3) == Numbers{1, 2, 14});
+  candidates.Voters[2].Loss = VoterLoss::Silent;
+  candidates.Spares.pop_back();
+  CHECK(plan(candidates, 3) == Numbers{1, 2, 11});
+}
+
+TEST_CASE("VoterPlan_SuspectedVoterIsNoSurplus") {
+  auto candidates = votersOf(5);
+  candidates.Voters[2].Loss = VoterLoss::Suspected;
+  CHECK(plan(candidates, 3) == Numbers{});
+  candidates.Voters[2].Loss = VoterLoss::Silent;
+  CHECK(plan(candidates, 3) == Numbers{1, 2, 4, 5});
+}
--- a/src/consensus/types/ConsensusOptions.h
+++ b/src/consensus/types/ConsensusOptions.h
@@ -44,6 +44,9 @@
   /// A voter that has not replied for longer may be replaced by a caught-up
   /// spare.
   Duration ReplaceAfter = milliseconds(3000);
+  /// Sooner, if the spare leaves the voters in as many halls: another disk may
+  /// be lost any time. As long as a leader counts a voter as alive.
+  Duration SuspectAfter = milliseconds(1000);
   /// A member that replied within this time counts as alive.
   Duration AliveLimit = milliseconds(1000);
   /// A voter that has no leader for this time asks to join as a spare does: it
