--- a/src/consensus/tests/VoterReplacementTest.cpp
+++ b/src/consensus/tests/VoterReplacementTest.cpp
@@ -41,6 +41,28 @@
   return group.violation();
 }
 
+/// Empty machines at addresses of their own.
+constexpr std::size_t Successors[] = {3, 4};
+
+/// \p lost goes for good; orders come all the time.
+void replace(SimulatedGroup &group, std::size_t lost, std::size_t successor) {
+  group.wipe(lost);
+  group.run(milliseconds(1500));
+  group.start(successor);
+  for (int i = 0; i < 80; ++i) {
+    group.propose();
+    group.run(milliseconds(100));
+  }
+}
+
+/// A voter from the beginning other than \p gone, the leader if it is one.
+std::size_t originalVoter(const SimulatedGroup &group, std::size_t gone) {
+  const std::size_t leader = *group.leader();
+  if (leader < Successors[0])
+    return leader;
+  return gone == 0 ? 1 : 0;
+}
+
 } // namespace
 
 TEST_CASE("VoterChange_SilentMachineIsReplacedOnceItsTimeIsOver") {
@@ -109,3 +131,36 @@
       }
     }
 }
+
+TEST_CASE("VoterChange_TwoReplacedThenADiskLostWithAllPowerLosesNothing") {
+  for (std::uint64_t seed = 1; seed <= 4; ++seed)
+    for (const bool leaderFirst : {false, true})
+      for (int step = 0; step < ChangeSteps; ++step) {
+        CAPTURE(seed);
+        CAPTURE(leaderFirst);
+        CAPTURE(step);
+        SimulatedGroup group(5, 3, 3, seed);
+        for (const auto it : Successors)
+          group.wipe(it);
+        group.run(milliseconds(4000));
+        const auto first =
+            leaderFirst ? *group.leader() : followers(group).front();
+        replace(group, first, Successors[0]);
+        const auto second = originalVoter(group, first);
+        replace(group, second, Successors[1]);
+        // An order is under way.
+        group.propose();
+        group.run(StepTime * step);
+        const std::size_t lasting = 0 + 1 + 2 - first - second;
+        group.wipe(lasting);
+        for (const auto it : Successors)
+          group.kill(it);
+        group.run(milliseconds(800));
+        for (const auto it : {lasting, Successors[0], Successors[1]}) {
+          group.start(it);
+          group.run(StepTime * static_cast<int>(group.pick(30)));
+        }
+        CHECK(commitsAgain(group));
+        CHECK(group.violation() == "");
+      }
+}
