Control VMs that don't answer no longer keep the others from being asked

What callers could see: an entry VM stays on its version for longer than the target of 3 s though a control VM would send it the newer one.

Cause: each fetch that gave way doubled the limit of the next one, whoever it was with: 1 s, 2 s, 4 s, 8 s, and the VM that had just been silent could be asked again before one that was never tried. Change: the doubled limit is for control VMs that have been tried since a delta was applied; one that wasn't may take over after the first limit, 1 s. So at most one short try a VM is added, and a slow link still sees doubled limits.

--- a/src/distribution/ConfigurationFetch.cpp
+++ b/src/distribution/ConfigurationFetch.cpp
@@ -17,11 +17,12 @@
   // NOTE: a part in flight is never requested again: on a narrow link, the
   // copies take all bandwidth, and none arrives in time.
   const bool isInProgress = !Ip.empty();
-  const Duration limit = ip == Ip ? 2 * Timeout : Timeout;
-  if (isInProgress && lagBehindMinRate(now) <= limit)
+  if (isInProgress && lagBehindMinRate(now) <= limitFor(ip))
     return false;
-  if (isInProgress)
+  if (isInProgress) {
+    Abandoned.insert(Ip);
     doubleTimeout();
+  }
   Ip = ip;
   HeldVersion = held;
   ++Fetch;
@@ -31,6 +32,12 @@
   return true;
 }
 
+Duration ConfigurationFetch::limitFor(const std::string &ip) const {
+  if (ip == Ip)
+    return 2 * Timeout;
+  return Abandoned.contains(ip) ? Timeout : InitialTimeout;
+}
+
 Duration ConfigurationFetch::lagBehindMinRate(TimePoint now) const {
   constexpr std::int64_t MicrosecondsInSecond = 1'000'000;
   const auto bytes = static_cast<std::int64_t>(Received.size());
@@ -77,6 +84,7 @@
 }
 
 void ConfigurationFetch::connectionLost(const std::string &ip) {
+  Abandoned.erase(ip);
   if (ip == Ip)
     finish();
 }
--- a/src/distribution/ConfigurationFetch.h
+++ b/src/distribution/ConfigurationFetch.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace stepledge::distribution {
@@ -35,7 +36,8 @@
   /// another control VM if one is announced, and by more than twice this at the
   /// same one; it is some sixty times the transfer time of a part on a link of
   /// 2 Mbit/s. The limit doubles with each such restart, so that repeats can't
-  /// fill a link that is slower than MinBytesPerSecond.
+  /// fill a link that is slower than MinBytesPerSecond; but it stays the first
+  /// one for a control VM that wasn't tried yet.
   static constexpr Duration InitialTimeout = milliseconds(1000);
   static constexpr Duration MaxTimeout = milliseconds(8000);
   /// Bytes per second: a quarter of a link of 2 Mbit/s. Without it, in a
@@ -54,7 +56,10 @@
   /// The delta of the last take() that returned Complete.
   const ConfigurationDelta &delta() const { return Delta; }
   /// The delta was applied.
-  void accept() { Timeout = InitialTimeout; }
+  void accept() {
+    Timeout = InitialTimeout;
+    Abandoned.clear();
+  }
   /// The delta could not be applied: the next fetch waits for Timeout, and
   /// twice as long after each further rejection. Without this delay, 240
   /// fetches went over the link in 10 s when six control VMs announced their
@@ -67,6 +72,8 @@
   void ask();
   void finish() { Ip.clear(); }
   void doubleTimeout();
+  /// How far the fetch in progress may be behind before \p ip is asked instead.
+  Duration limitFor(const std::string &ip) const;
   /// Time by which the fetch is behind MinBytesPerSecond.
   Duration lagBehindMinRate(TimePoint now) const;
 
@@ -80,6 +87,8 @@
   /// Earliest time of the next fetch after a rejected delta.
   TimePoint NotBefore{};
   Duration Timeout = InitialTimeout;
+  /// Control VMs whose fetch fell too far behind since a delta was applied.
+  std::set<std::string> Abandoned;
   ConfigurationDelta Delta;
 };
 
