A database or key that a newer configuration may have is refused for now, not for good

What callers saw: requests refused as only an older configuration allows, after a newer one had been acknowledged.

Cause: an entry VM answered 'unknown database' from what it held, whether or not it could know that this is the newest: taken without a majority behind it once 3 s had passed, with a newer version announced and still on its way, or with no control VM of a majority heard. The class: a final refusal that rests on knowledge of unchecked age. The same for an unknown key.

Change: where a newer version is announced than the one held, or no majority of the control VMs is heard, what is missing is refused as busy ('this VM may lack the newest configuration'): a promise that nothing is kept, on which clients come again. What is in the configuration is served as before. Whether control is lost is now part of ConfigurationSource.

Organisation_KeyThatANewerConfigurationMayHaveIsRefusedForNow is new. Conclusion: a VM that knows that it may be behind no longer says what only the newest state can tell.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -55,7 +55,7 @@
   const bool isMostSilent = 2 * silent > static_cast<int>(sights.size());
   const bool isControlLost = Contact.isLost(Now);
   const bool isIsolated = isControlLost && isMostSilent;
-  Proxy.setControlLost(isControlLost);
+  updateSource();
   if (std::exchange(IsIsolated, isIsolated) == isIsolated)
     return;
   Proxy.setIsolated(isIsolated);
@@ -191,7 +191,12 @@
     Log.decision(absl::StrCat(
         "event=control_version ip=", ip, " version=", announced.Version,
         " fresh=", announced.IsFresh, " held=", Proxy.configurationVersion()));
+  updateSource();
+}
+
+void EntryNode::updateSource() {
   Source.NewestAnnounced = Announced.newest();
+  Source.IsControlLost = Contact.isLost(Now);
   Proxy.setSource(Source);
 }
 
@@ -251,8 +256,10 @@
   if (Proxy.configurationVersion() == 0)
     Log.decision(absl::StrCat("event=first_configuration after_ms=",
                               toMilliseconds(Now - StartedAt), " ip=", ip));
-  Source = {ip, Announced.isFresh(ip), Now, Announced.newest()};
-  Proxy.setSource(Source);
+  Source.Ip = ip;
+  Source.WasFresh = Announced.isFresh(ip);
+  Source.TakenAt = Now;
+  updateSource();
   Proxy.applyConfiguration(Now, std::move(configuration));
   return true;
 }
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -75,6 +75,8 @@
   void tellSights(const std::vector<proxy::PrimaryObservation> &all);
   void checkIsolation(const std::vector<proxy::PrimaryObservation> &sights);
   void shareEntries();
+  /// Tells the proxy how far the configuration that it holds can be relied on.
+  void updateSource();
   /// Notes what the control VM at \p ip announces.
   void noteVersion(const std::string &ip, const peer::wire::Notice &notice);
   /// Tells control VMs from which of them it wants to hear of the instances.
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -71,7 +71,21 @@
   Log.decision(absl::StrCat("event=route_missing client=", session.Id.Number,
                             " database=", session.Database.str(), " config=",
                             Configuration.Version, " ", Source.describe(now)));
-  refuse(now, session, ReplyCode::UnknownDatabase, "the database has no route");
+  const auto reply =
+      refusalOfUnknown(ReplyCode::UnknownDatabase, "the database has no route");
+  refuse(now, session, reply.Code, reply.Detail);
+}
+
+StatementReply Proxy::refusalOfUnknown(ReplyCode code,
+                                       std::string detail) const {
+  StatementReply reply;
+  reply.Code = code;
+  reply.Detail = std::move(detail);
+  if (!Source.mayBeOutdated(Configuration.Version))
+    return reply;
+  reply.Code = ReplyCode::Busy;
+  reply.Detail = "this VM may lack the newest configuration";
+  return reply;
 }
 
 void Proxy::applyInstance(TimePoint now,
@@ -125,12 +139,11 @@
   const auto organisation =
       isRouted ? organisationOf(route->second, key) : std::nullopt;
   if (!organisation) {
-    StatementReply reply;
-    reply.Code =
-        isRouted ? ReplyCode::Unauthorised : ReplyCode::UnknownDatabase;
-    reply.Detail = isRouted
-                       ? UnknownKey
-                       : absl::StrCat("no route for database ", database.str());
+    const StatementReply reply =
+        isRouted ? refusalOfUnknown(ReplyCode::Unauthorised, UnknownKey)
+                 : refusalOfUnknown(
+                       ReplyCode::UnknownDatabase,
+                       absl::StrCat("no route for database ", database.str()));
     Log.decision(absl::StrCat(
         "event=connect_refused client=", client.Number,
         " database=", database.str(), " code=", std::string(nameOf(reply.Code)),
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -74,8 +74,6 @@
   /// Starts the shutdown: new clients are refused, and each session ends after
   /// its next answer.
   void beginShutdown() { IsShuttingDown = true; }
-  /// Set while nothing is received from a control VM that has a majority.
-  void setControlLost(bool isLost) { IsControlLost = isLost; }
   /// Serves the VMs that borrow connections from this one.
   Lender &lender() { return Lending; }
   /// The lender of \p connection can't lend for now. It expects such a borrow
@@ -185,6 +183,8 @@
   InstanceTracker &tracker(const std::string &service);
   const control::Route *routeOf(const ClientSession &session) const;
   void refuseUnrouted(TimePoint now, ClientSession &session);
+  /// The reply for what the configuration doesn't have.
+  StatementReply refusalOfUnknown(ReplyCode code, std::string detail) const;
   int usableConnections(const std::string &service) const;
   /// How many connections one instance of the service allows.
   int maxConnections(const std::string &service) const;
@@ -483,7 +483,6 @@
   /// When the first configuration arrived.
   TimePoint StartedAt{};
   bool IsIsolated = false;
-  bool IsControlLost = false;
   bool IsShuttingDown = false;
   /// The shutdown's time is up: no statement is sent any more.
   bool IsEnding = false;
--- a/src/proxy/internal/Maintenance.cpp
+++ b/src/proxy/internal/Maintenance.cpp
@@ -118,7 +118,7 @@
   // NOTE: without control this VM may get no report of a new primary, while
   // other VMs may have one.
   facts.IsUnsendable =
-      IsIsolated || (IsControlLost && work.PrimaryOnly &&
+      IsIsolated || (Source.IsControlLost && work.PrimaryOnly &&
                      !tracker(session.Route.Service).primary(now));
   return facts;
 }
--- a/src/proxy/tests/OrganisationTest.cpp
+++ b/src/proxy/tests/OrganisationTest.cpp
@@ -23,6 +23,16 @@
   CHECK(it.Core.sessionCount() == 0);
 }
 
+TEST_CASE("Organisation_KeyThatANewerConfigurationMayHaveIsRefusedForNow") {
+  OrganisationFixture it;
+  ConfigurationSource source;
+  source.NewestAnnounced = it.Core.configurationVersion() + 1;
+  it.Core.setSource(source);
+  const auto client = it.connectWith("current", "nobody's");
+  REQUIRE(it.Io.Rejected.contains(client));
+  CHECK(it.Io.Rejected[client].Code == ReplyCode::Busy);
+}
+
 TEST_CASE("Organisation_PublicRouteAsksForNoKey") {
   OrganisationFixture it;
   it.NextConfiguration.Routes[DatabaseId("current")].IsPublic = true;
--- a/src/proxy/types/ConfigurationSource.h
+++ b/src/proxy/types/ConfigurationSource.h
@@ -24,12 +24,19 @@
   TimePoint TakenAt{};
   /// The newest version that a control VM has announced.
   std::uint64_t NewestAnnounced = 0;
+  /// Nothing is received from a control VM that has a majority.
+  bool IsControlLost = false;
 
+  /// There may be a newer configuration than the one of version \p held.
+  bool mayBeOutdated(std::uint64_t held) const {
+    return IsControlLost || NewestAnnounced > held;
+  }
   /// For a log line.
   std::string describe(TimePoint now) const {
     return absl::StrCat("from=", Ip, " fresh=", WasFresh,
                         " age_ms=", toMilliseconds(now - TakenAt),
-                        " announced=", NewestAnnounced);
+                        " announced=", NewestAnnounced,
+                        " control_lost=", IsControlLost);
   }
 };
 
