A connection whose other side speaks but hears nothing is found and replaced

What callers could see: an entry VM that hears notices of a newer configuration and whose requests for it never arrive stays on the old one, for as long as the connection lives.

Cause: whatever a control VM said on a connection counted as an answer, also the notices that it sends by itself four times a second. So a connection that had gone silent in one direction only, with something on the way that still acknowledges bytes, was never pinged and never closed. Change: every 3 s a ping asks whether this side is heard; without a pong for 5 s (it may wait behind some hundred KB on a narrow link) the connection is closed and opened anew. Two small messages a connection in 3 s.

--- a/src/peer/PeerHub.cpp
+++ b/src/peer/PeerHub.cpp
@@ -188,7 +188,10 @@
       std::move(socket),
       [this, ip](const wire::Message &message) {
         if (!message.has_pong())
-          Listener.peerSaid(ip, message);
+          return Listener.peerSaid(ip, message);
+        const auto it = OutgoingLinks.find(ip);
+        if (it != OutgoingLinks.end() && it->second.Watch)
+          it->second.Watch->answered(Now);
       },
       [this, ip, holder](LinkEnd end) {
         const auto it = OutgoingLinks.find(ip);
--- a/src/peer/internal/LinkWatch.h
+++ b/src/peer/internal/LinkWatch.h
@@ -35,9 +35,16 @@
   /// A VM that hasn't looked for longer was paused, and hasn't read either.
   static constexpr Duration PauseLimit = milliseconds(500);
 
+  /// What the other side says by itself doesn't show that it hears this side;
+  /// an answer to a ping does, and one is asked for so often.
+  static constexpr Duration ProofInterval = milliseconds(3000);
+  /// A pong may wait behind some hundred KB on a link of 2 Mbit/s.
+  static constexpr Duration ProofLimit = milliseconds(5000);
+
   /// \p pingsWhenIdle: a dead connection is found before it is needed.
   LinkWatch(TimePoint now, bool pingsWhenIdle)
-      : HeardAt(now), DecidedAt(now), PingsWhenIdle(pingsWhenIdle) {}
+      : HeardAt(now), DecidedAt(now), ProvenAt(now),
+        PingsWhenIdle(pingsWhenIdle) {}
 
   void heard(TimePoint now) {
     HeardAt = now;
@@ -47,25 +54,43 @@
     if (!UnansweredSince)
       UnansweredSince = now;
   }
+  void answered(TimePoint now) {
+    ProvenAt = now;
+    ProofAskedAt.reset();
+  }
   Duration silentFor(TimePoint now) const { return now - HeardAt; }
 
   LinkAction decide(TimePoint now) {
     const Duration passed = now - std::exchange(DecidedAt, now);
-    if (UnansweredSince && passed > PauseLimit)
-      *UnansweredSince = std::min(now, *UnansweredSince + passed);
+    if (passed > PauseLimit)
+      forgive(now, passed);
+    if (isOver(UnansweredSince, now, SilenceLimit) ||
+        isOver(ProofAskedAt, now, ProofLimit))
+      return LinkAction::Close;
+    if (PingsWhenIdle && !ProofAskedAt && now - ProvenAt >= ProofInterval) {
+      ProofAskedAt = now;
+      return ping(now);
+    }
     if (!UnansweredSince)
       return PingsWhenIdle && silentFor(now) >= IdlePingInterval
                  ? ping(now)
                  : LinkAction::None;
-    const Duration unanswered = now - *UnansweredSince;
-    if (unanswered >= SilenceLimit)
-      return LinkAction::Close;
-    const bool isPingDue =
-        unanswered >= PingInterval && now - PingedAt >= PingInterval;
+    const bool isPingDue = now - *UnansweredSince >= PingInterval &&
+                           now - PingedAt >= PingInterval;
     return isPingDue ? ping(now) : LinkAction::None;
   }
 
 private:
+  static bool isOver(const std::optional<TimePoint> &since, TimePoint now,
+                     Duration limit) {
+    return since && now - *since >= limit;
+  }
+  /// Time in which this side was paused doesn't count.
+  void forgive(TimePoint now, Duration paused) {
+    for (auto *it : {&UnansweredSince, &ProofAskedAt})
+      if (*it)
+        **it = std::min(now, **it + paused);
+  }
   LinkAction ping(TimePoint now) {
     PingedAt = now;
     sent(now);
@@ -77,6 +102,10 @@
   TimePoint PingedAt{};
   /// The first send since something was heard.
   std::optional<TimePoint> UnansweredSince;
+  /// The last answer to a ping, or the link's beginning.
+  TimePoint ProvenAt;
+  /// The first ping since then that was sent for it.
+  std::optional<TimePoint> ProofAskedAt;
   bool PingsWhenIdle;
 };
 
--- a/src/peer/tests/LinkWatchTest.cpp
+++ b/src/peer/tests/LinkWatchTest.cpp
@@ -72,3 +72,33 @@
   CHECK_FALSE(decideFor(watch, later, milliseconds(1900)).ClosedAfter);
   CHECK(decideFor(watch, later, milliseconds(2100)).ClosedAfter);
 }
+
+namespace {
+
+/// The other side speaks by itself all the time; when the link is closed.
+std::optional<Duration> closedBesideNotices(bool isAnswering) {
+  constexpr Duration NoticeInterval = milliseconds(250);
+  LinkWatch watch(Start, true);
+  for (Duration at{}; at < milliseconds(30000); at += Tick) {
+    const TimePoint now = Start + at;
+    watch.sent(now);
+    if (at % NoticeInterval < Tick)
+      watch.heard(now);
+    const auto action = watch.decide(now);
+    if (action == LinkAction::Ping && isAnswering)
+      watch.answered(now);
+    if (action == LinkAction::Close)
+      return at;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+TEST_CASE("LinkWatch_SideThatSpeaksAndHearsNothingIsClosed") {
+  const auto closedAfter = closedBesideNotices(false);
+  REQUIRE(closedAfter);
+  CHECK(*closedAfter <=
+        LinkWatch::ProofInterval + LinkWatch::ProofLimit + Tick);
+  CHECK_FALSE(closedBesideNotices(true));
+}
