Logs that tell the hypotheses on dropped routes apart

A version's digest at entry and control VMs (two contents under one number), how long a VM serves what may not be the newest (an older state; one VM behind), statements of a transaction whose route is gone (in spite of the newer version), and the spares that a leader knows with their silence (a successor that never joins). No logic changes.

--- a/src/consensus/ConsensusNode.cpp
+++ b/src/consensus/ConsensusNode.cpp
@@ -93,6 +93,11 @@
   health.LastIndex = lastIndex();
   for (const auto &it : voters())
     health.Voters.push_back(voterHealth(now, it));
+  if (isLeader())
+    for (const auto &[number, it] : Others)
+      if (!isVoter(number))
+        health.Spares.push_back(
+            {number, it.Member.ip(), now - it.LastReplyAt, it.Match});
   const auto canVote = [&](MemberNumber number) {
     return std::none_of(
         health.Voters.begin(), health.Voters.end(),
--- a/src/consensus/types/GroupHealth.h
+++ b/src/consensus/types/GroupHealth.h
@@ -36,12 +36,24 @@
   bool IsWiped = false;
 };
 
+/// A member that follows and is no voter, as the leader knows it.
+struct SpareHealth {
+  MemberNumber Number = 0;
+  std::string Ip;
+  /// Since its last answer, or since it was noted.
+  Duration SilentFor{};
+  /// The last entry that it is known to have.
+  std::uint64_t Match = 0;
+};
+
 struct GroupHealth {
   bool Leads = false;
   std::uint64_t Term = 0;
   std::uint64_t Commit = 0;
   std::uint64_t LastIndex = 0;
   std::vector<VoterHealth> Voters;
+  /// Empty unless this member leads.
+  std::vector<SpareHealth> Spares;
   /// False if too many voters are wiped: the group never commits again.
   bool HasMajority = true;
   /// Since the last message of a leader; zero on a leader.
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -280,10 +280,11 @@
     return;
   NoticedVersion = version;
   NoticedFresh = IsFresh;
-  Log.log(absl::StrCat("event=notice version=", version, " fresh=", IsFresh,
-                       " leads=", Node.isLeader(), " term=", Node.term(),
-                       " commit=", Node.commitIndex(),
-                       " entries=", Entries.halls().size()));
+  Log.log(absl::StrCat(
+      "event=notice version=", version,
+      " digest=", absl::Hex(distribution::digestOf(Configurations.newest())),
+      " fresh=", IsFresh, " leads=", Node.isLeader(), " term=", Node.term(),
+      " commit=", Node.commitIndex(), " entries=", Entries.halls().size()));
 }
 
 peer::wire::Message ControlNode::notice(bool isFull) const {
--- a/src/control/internal/GroupHealthReport.cpp
+++ b/src/control/internal/GroupHealthReport.cpp
@@ -62,6 +62,10 @@
       " without_leader_ms=", toMilliseconds(health.WithoutLeader));
   for (const auto &it : health.Voters)
     text += voterText(it);
+  for (const auto &it : health.Spares)
+    text += absl::StrCat(" spare=", it.Number, " ip=", it.Ip,
+                         " silent_ms=", toMilliseconds(it.SilentFor),
+                         " match=", it.Match);
   return text;
 }
 
--- a/src/control/tests/GroupHealthReportTest.cpp
+++ b/src/control/tests/GroupHealthReportTest.cpp
@@ -68,6 +68,16 @@
   CHECK(line->find("match=15 wiped=1 set=next") != std::string::npos);
 }
 
+TEST_CASE("GroupHealthReport_SparesAreToldWithWhatTheyHave") {
+  GroupHealthReport report(ownLink);
+  auto health = lackingAVoter();
+  health.Spares.push_back({9, "10.0.0.9", milliseconds(2100), 4});
+  const auto line = report.line(Start, health);
+  REQUIRE(line);
+  CHECK(line->find("spare=9 ip=10.0.0.9 silent_ms=2100 match=4") !=
+        std::string::npos);
+}
+
 TEST_CASE("GroupHealthReport_ElectionIsNoStandstill") {
   GroupHealthReport report(ownLink);
   consensus::GroupHealth health;
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -198,6 +198,11 @@
   Source.NewestAnnounced = Announced.newest();
   Source.IsControlLost = Contact.isLost(Now);
   Proxy.setSource(Source);
+  const auto held = Proxy.configurationVersion();
+  const bool mayBeOutdated = held > 0 && Source.mayBeOutdated(held);
+  if (const auto line = Outdated.line(Now, mayBeOutdated))
+    Log.decision(
+        absl::StrCat(*line, " config=", held, " ", Source.describe(Now)));
 }
 
 void EntryNode::shareEntries() {
@@ -250,6 +255,7 @@
     return false;
   }
   Log.decision(absl::StrCat("event=configuration version=", change.To,
+                            " digest=", absl::Hex(change.Digest),
                             " from=", change.From,
                             " routes=", configuration.Routes.size(), " ip=", ip,
                             " fresh=", Announced.isFresh(ip)));
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -13,6 +13,7 @@
 #include "entry/ControlVersions.h"
 #include "entry/EntryLists.h"
 #include "entry/InstanceSources.h"
+#include "entry/OutdatedReport.h"
 #include "peer/IPeerListener.h"
 #include "peer/IPeerSender.h"
 #include "proxy/Proxy.h"
@@ -75,7 +76,8 @@
   void tellSights(const std::vector<proxy::PrimaryObservation> &all);
   void checkIsolation(const std::vector<proxy::PrimaryObservation> &sights);
   void shareEntries();
-  /// Tells the proxy how far the configuration that it holds can be relied on.
+  /// Tells the proxy, and if it lasts the log, how far the configuration that
+  /// is held can be relied on.
   void updateSource();
   /// Notes what the control VM at \p ip announces.
   void noteVersion(const std::string &ip, const peer::wire::Notice &notice);
@@ -103,6 +105,7 @@
   ControlVersions Announced;
   /// Of the configuration held.
   proxy::ConfigurationSource Source;
+  OutdatedReport Outdated;
   bool IsIsolated = false;
   std::set<std::string> Connected;
   EntryLists Entries;
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -30,6 +30,15 @@
   return rates;
 }
 
+/// The open transaction's route isn't in the configuration any more, or leads
+/// to another service.
+bool isOldRoute(const control::Configuration &configuration,
+                const ClientSession &session) {
+  const auto it = configuration.Routes.find(session.Database);
+  return it == configuration.Routes.end() ||
+         it->second.Service != session.Route.Service;
+}
+
 StatementReply localSuccess(SessionState state) {
   StatementReply reply;
   reply.State = state;
@@ -321,6 +330,11 @@
   if (!route)
     return refuseUnrouted(now, session);
   const bool isOpen = session.State == SessionState::InTransaction;
+  if (isOpen && isOldRoute(Configuration, session))
+    Log.decision(absl::StrCat("event=old_route client=", session.Id.Number,
+                              " database=", session.Database.str(),
+                              " service=", session.Route.Service,
+                              " config=", Configuration.Version));
   switch (statement.Kind) {
   case StatementKind::Begin:
   case StatementKind::BeginRead:
