--- a/src/soak/FaultPlan.h
+++ b/src/soak/FaultPlan.h
@@ -100,6 +100,9 @@
   /// The leading control VM goes once its successor has caught up, and then
   /// another one loses its disk; nothing else is played.
   bool OutlivesControl = false;
+  /// At the end the power may go before the change is acknowledged, and
+  /// machines start up to four seconds apart, at times all of one kind first.
+  bool IsStaggered = false;
 
   bool isAny() const { return CutsOff || Stops || StopsAtItsLimit; }
 };
--- a/src/soak/HarmBook.h
+++ b/src/soak/HarmBook.h
@@ -32,6 +32,13 @@
     return it != Until.end() && now < it->second;
   }
 
+  /// The end of its last harm, which may be to come.
+  Clock::time_point harmedUntil(std::string_view part) const {
+    const std::lock_guard lock(Mutex);
+    const auto it = Until.find(part);
+    return it == Until.end() ? Clock::time_point{} : it->second;
+  }
+
   bool isAnyHarmed(Clock::time_point now) const {
     const std::lock_guard lock(Mutex);
     return std::any_of(Until.begin(), Until.end(),
