A control VM joins by whichever control VM it is in contact with

What callers see: after two replacements in series no change is acknowledged again and nothing is read back once the oldest disk is lost, for good; entry VMs that kept their power go on with what they had.

Cause: a request to join that came by a follower or a spare is answered by the leader at an address to which it has no connection, since connections are kept to voters only, and the new VM opens some to its seeds only. And a VM with an empty disk whose seeds are gone asked nobody, though the voters keep connections to its address. The class: an answer that relies on the other side having opened the way.

--- a/src/consensus/ConsensusNode.cpp
+++ b/src/consensus/ConsensusNode.cpp
@@ -143,6 +143,17 @@
   return isLeader() ? Self : Leader;
 }
 
+std::set<std::string> ConsensusNode::peerIps() const {
+  std::set<std::string> ips;
+  for (const auto &it : voters())
+    ips.insert(it.ip());
+  if (isLeader())
+    for (const auto &[number, it] : Others)
+      ips.insert(it.Member.ip());
+  ips.erase(Self.ip());
+  return ips;
+}
+
 std::string ConsensusNode::ipOf(MemberNumber number) const {
   for (const auto &it : voters())
     if (it.number() == number)
--- a/src/consensus/ConsensusNode.h
+++ b/src/consensus/ConsensusNode.h
@@ -116,6 +116,9 @@
   const wire::Membership &membership() const { return Voters; }
   /// All voters, during a change those of both sets.
   std::vector<wire::Member> voters() const { return allVoters(Voters); }
+  /// The addresses of all other members that this one sends to: those of the
+  /// voters, and on a leader those of the spares too.
+  std::set<std::string> peerIps() const;
   std::uint64_t term() const { return Term; }
   std::uint64_t commitIndex() const { return Commit; }
   const wire::Member &self() const { return Self; }
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -68,6 +68,11 @@
     *join.mutable_join_request()->mutable_member() = Node.self();
     message.set_consensus(join.SerializeAsString());
     sendToControls(message);
+    // NOTE: the seeds may be gone, while members of the group keep a connection
+    // to this address.
+    for (const auto &it : IncomingControls)
+      if (!KnownControls.contains(it))
+        Peers.send(it, message);
   }
   updateFreshness(now);
   if (IsNoticeDue || now >= NoticeAt) {
@@ -323,7 +328,11 @@
   if (Node.needsToJoin(Now))
     KnownControls.insert(Options.SeedIps.begin(), Options.SeedIps.end());
   KnownControls.erase(Options.Ip);
-  Peers.keepConnected(KnownControls);
+  // NOTE: a spare has connections to its seeds only, and its request to join
+  // may have come by one of them.
+  auto kept = Node.peerIps();
+  kept.insert(KnownControls.begin(), KnownControls.end());
+  Peers.keepConnected(kept);
 }
 
 void ControlNode::peerConnected(const std::string &ip,
@@ -331,6 +340,8 @@
   const bool isEntry = !hello.ip().empty() && hello.kind() == peer::wire::ENTRY;
   if (isEntry)
     Entries.join(ip, hello.hall());
+  else if (!hello.ip().empty())
+    IncomingControls.insert(ip);
   // NOTE: only after a failed send: otherwise the other side's connection may
   // have existed all the time, and a copy of what is in flight there would be
   // sent for nothing.
@@ -355,6 +366,7 @@
   Log.log(absl::StrCat("event=peer_lost ip=", ip, " reason=",
                        std::string(nameIn(peer::LinkEndNames, end))));
   Entries.leave(ip);
+  IncomingControls.erase(ip);
   Configurations.forget(ip);
   LastObservations.erase(ip);
   // NOTE: without this, a follower still had no document of 260 KB 50 ms after
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -262,6 +262,8 @@
   /// The last observations of primaries that each entry VM reported.
   std::map<std::string, peer::wire::PrimarySights> LastObservations;
   std::set<std::string> KnownControls;
+  /// Control VMs that have opened a connection to this one.
+  std::set<std::string> IncomingControls;
   /// Control VMs that a message couldn't be sent to for lack of a connection.
   std::set<std::string> UnreachableControls;
   std::map<std::uint64_t, PendingCall> Calls;
