A transaction takes its route with its first statement, not with BEGIN

What callers see: a statement is run by a route that was dropped, or moved, any time before; at one VM, the one with that client's session, whatever version it holds.

Cause: a VM answers BEGIN itself and bound the route at that moment. Nothing has begun at an instance then, so the transaction isn't among those that end after their rest, and its client may come with the first statement minutes later. The class: a decision is kept from the moment that it was first thinkable, and not from the one where it takes effect.

The route is looked up with the first statement; from there on the transaction keeps it, as before (Proxy_ChangedRouteBindsFromTheNextTransaction). Where it is gone the client gets the true answer, and its transaction has failed.

--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -204,8 +204,10 @@
 }
 
 const control::Route *Proxy::routeOf(const ClientSession &session) const {
-  // NOTE: an open transaction keeps the route that it began with.
-  if (session.State == SessionState::InTransaction)
+  // NOTE: an open transaction keeps the route of its first statement. Before
+  // that one nothing has begun at any instance, and the client may rest for
+  // long.
+  if (session.State == SessionState::InTransaction && session.HasRoute)
     return &session.Route;
   const auto it = Configuration.Routes.find(session.Database);
   return it == Configuration.Routes.end() ? nullptr : &it->second;
@@ -285,10 +287,9 @@
   switch (statement.Kind) {
   case StatementKind::Begin:
   case StatementKind::BeginRead: {
-    const auto *route = routeOf(session);
-    if (session.State != SessionState::Idle || !route)
+    if (session.State != SessionState::Idle || !routeOf(session))
       return false;
-    session.Route = *route;
+    session.HasRoute = false;
     session.State = SessionState::InTransaction;
     session.Mode = statement.Kind == StatementKind::Begin
                        ? TransactionMode::ReadWrite
@@ -330,7 +331,7 @@
   if (!route)
     return refuseUnrouted(now, session);
   const bool isOpen = session.State == SessionState::InTransaction;
-  if (isOpen && isOldRoute(Configuration, session))
+  if (isOpen && session.HasRoute && isOldRoute(Configuration, session))
     Log.decision(absl::StrCat("event=old_route client=", session.Id.Number,
                               " database=", session.Database.str(),
                               " service=", session.Route.Service,
@@ -368,10 +369,10 @@
   work.Deadline =
       now + (hasTimeout ? route->StatementTimeout : DefaultStatementTimeout);
   work.Statement = std::move(statement);
-  if (!isOpen) {
-    session.Route = *route;
+  if (!isOpen)
     session.IsAdmitted = false;
-  }
+  if (!isOpen || !std::exchange(session.HasRoute, true))
+    session.Route = *route;
   session.Current = std::move(work);
   dispatch(now, session);
 }
--- a/src/proxy/internal/ClientSession.h
+++ b/src/proxy/internal/ClientSession.h
@@ -69,9 +69,11 @@
   std::map<std::string, PreparedShape> Prepared;
   SessionState State = SessionState::Idle;
   TransactionMode Mode = TransactionMode::None;
-  /// The route of the current statement, or that the open transaction began
-  /// with.
+  /// The route of the current statement, or that of the open transaction's first
+  /// one.
   control::Route Route;
+  /// The open transaction's first statement has come.
+  bool HasRoute = false;
   /// The connection that holds the transaction.
   std::optional<ConnectionId> Pinned;
   /// The operation, a statement or an open transaction, is counted in its
