A change is acknowledged once the entry VMs in contact work by it

What callers see: after an acknowledgement, all control VMs lose power; entry VMs that weren't told in the last milliseconds go on running routes that the change has dropped, until the group leads again.

Cause: the acknowledgement waited for the commit alone, and what an entry VM works by was known to nobody. The class: a promise about others, given on what one side knows.

Entry VMs that don't tell it, as older programs, aren't awaited.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -33,7 +33,23 @@
   wire::Command command;
   command.mutable_put_configuration()->set_version(version);
   command.mutable_put_configuration()->set_document(std::move(document));
-  startCall(now, std::move(command), false, std::move(onDone));
+  startCall(now, std::move(command), false,
+            [this, version, until = now + Options.CallTimeout,
+             onDone = std::move(onDone)](bool isCommitted) {
+              if (!isCommitted || IsEnding)
+                return onDone(isCommitted);
+              Spread.add(std::min(Now + SpreadWait::Limit, until), version,
+                         [onDone] { onDone(true); });
+            });
+}
+
+void ControlNode::acknowledgeSpread(std::vector<SpreadWait::Change> changes) {
+  for (const auto &it : changes) {
+    if (it.Behind > 0)
+      Log.log(absl::StrCat("event=acknowledged_early version=", it.Version,
+                           " behind=", it.Behind));
+    it.Done();
+  }
 }
 
 void ControlNode::confirmNewest(TimePoint now, OnDone onDone) {
@@ -170,6 +186,7 @@
     sendToEntries(notice(true));
     sendUnsentInstances();
   }
+  acknowledgeSpread(Spread.takeEnded(now, Entries));
 }
 
 void ControlNode::updateFreshness(TimePoint now) {
@@ -390,6 +407,8 @@
       updateFromWire(Now, it);
   } else if (message.has_configuration_request()) {
     sendConfiguration(ip, message.configuration_request());
+  } else if (message.has_configuration_held()) {
+    Entries.setHeld(ip, message.configuration_held().version());
   } else if (message.has_instances_wanted()) {
     Entries.setSubscribed(ip, message.instances_wanted().is_wanted());
     if (message.instances_wanted().is_wanted())
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -13,6 +13,7 @@
 #include "control/EntryRoster.h"
 #include "control/IPromoter.h"
 #include "control/PrimaryFailureDetector.h"
+#include "control/internal/SpreadWait.h"
 #include "control/internal/UncommittedCalls.h"
 #include "control/types/Configuration.h"
 #include "distribution/ConfigurationSender.h"
@@ -111,7 +112,9 @@
               IInstanceProbe &probe, IControlLog &log);
   ~ControlNode() override;
 
-  /// Makes \p document the configuration if its version is the highest.
+  /// Makes \p document the configuration if its version is the highest. The
+  /// call succeeds once it is committed and the entry VMs that are connected to
+  /// this VM work by it, as far as they do so soon.
   void putConfiguration(TimePoint now, std::uint64_t version,
                         std::string document, OnDone onDone);
   /// If the call succeeds, document() is the latest acknowledged document or a
@@ -178,6 +181,9 @@
     std::uint64_t Number = 0;
   };
 
+  /// Answers the operators whose changes the entry VMs work by, or were waited
+  /// for long enough.
+  void acknowledgeSpread(std::vector<SpreadWait::Change> changes);
   std::uint64_t startCall(TimePoint now, wire::Command command, bool isRead,
                           OnDone onDone);
   void tryCall(TimePoint now, std::uint64_t number, PendingCall &call);
@@ -269,6 +275,7 @@
   std::map<std::uint64_t, PendingCall> Calls;
   std::map<std::uint64_t, RemoteCall> RemoteReads;
   UncommittedCalls Uncommitted;
+  SpreadWait Spread;
   std::uint64_t LastCallNumber = 0;
   LineBudget UnreadableLines;
   std::map<InstanceId, TimePoint> AliveReportedAt;
--- a/src/control/EntryRoster.cpp
+++ b/src/control/EntryRoster.cpp
@@ -3,6 +3,8 @@
 
 #include "control/EntryRoster.h"
 
+#include <algorithm>
+
 namespace stepledge::control {
 
 namespace {
@@ -19,11 +21,24 @@
   Halls[ip] = hall;
   // NOTE: an entry VM subscribes again on each connection.
   InstanceSubscribers.erase(ip);
+  Held.erase(ip);
 }
 
 void EntryRoster::leave(const std::string &ip) {
   Halls.erase(ip);
   InstanceSubscribers.erase(ip);
+  Held.erase(ip);
+}
+
+void EntryRoster::setHeld(const std::string &ip, std::uint64_t version) {
+  if (Halls.contains(ip))
+    Held[ip] = version;
+}
+
+std::size_t EntryRoster::countBehind(std::uint64_t version) const {
+  return static_cast<std::size_t>(
+      std::count_if(Held.begin(), Held.end(),
+                    [&](const auto &it) { return it.second < version; }));
 }
 
 void EntryRoster::setSubscribed(const std::string &ip, bool isWanted) {
--- a/src/control/EntryRoster.h
+++ b/src/control/EntryRoster.h
@@ -9,6 +9,8 @@
 
 #include "peer/generated/Peer.pb.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -24,6 +26,12 @@
   /// The halls of the connected entry VMs, by address.
   const std::map<std::string, std::string> &halls() const { return Halls; }
 
+  /// The VM at \p ip, if it is connected, works by \p version.
+  void setHeld(const std::string &ip, std::uint64_t version);
+  /// Of the VMs that tell what they hold, the number of those that work by an
+  /// older version than \p version.
+  std::size_t countBehind(std::uint64_t version) const;
+
   /// Starts or ends the subscription of \p ip to the instances, which lasts as
   /// long as its connection.
   void setSubscribed(const std::string &ip, bool isWanted);
@@ -42,6 +50,8 @@
 private:
   std::map<std::string, std::string> Halls;
   std::set<std::string> InstanceSubscribers;
+  /// By VM, the version that it works by.
+  std::map<std::string, std::uint64_t> Held;
   /// The entry VMs as of the last call of listChanges().
   std::map<std::string, std::string> LastListed;
 };
--- a/src/control/internal/Calls.cpp
+++ b/src/control/internal/Calls.cpp
@@ -37,6 +37,7 @@
     pending.push_back(number);
   for (const auto it : pending)
     finishCall(it, false);
+  acknowledgeSpread(Spread.takeAll());
 }
 
 void ControlNode::tryCall(TimePoint now, std::uint64_t number,
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -109,9 +109,19 @@
   ToldSights.erase(ip);
   Sources.connected(Now, ip);
   reviewSources();
+  tellHeld(ip);
   Log.decision(absl::StrCat("event=control_connected ip=", ip));
 }
 
+void EntryNode::tellHeld(const std::string &ip) {
+  if (Proxy.configurationVersion() == 0)
+    return;
+  peer::wire::Message message;
+  message.mutable_configuration_held()->set_version(
+      Proxy.configurationVersion());
+  Peers.send(ip, message);
+}
+
 void EntryNode::peerLost(const std::string &ip, peer::LinkEnd end) {
   Connected.erase(ip);
   ToldSights.erase(ip);
@@ -267,6 +277,8 @@
   Source.TakenAt = Now;
   updateSource();
   Proxy.applyConfiguration(Now, std::move(configuration));
+  for (const auto &it : Connected)
+    tellHeld(it);
   return true;
 }
 
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -71,6 +71,8 @@
   void onPart(const std::string &ip, const peer::wire::ConfigurationPart &part);
   /// Takes the change that was fetched from \p ip; false where it doesn't fit.
   bool takeChange(const std::string &ip);
+  /// Tells the control VM at \p ip which version this VM works by.
+  void tellHeld(const std::string &ip);
   /// Asks for the newest configuration that was announced, if it isn't held.
   void fetch();
   void tellSights(const std::vector<proxy::PrimaryObservation> &all);
--- a/src/entry/tests/EntryTest.cpp
+++ b/src/entry/tests/EntryTest.cpp
@@ -158,6 +158,32 @@
 
 namespace {
 
+/// The version that the control VM at \p ip was last told to be held.
+std::uint64_t toldHeld(const Fixture &it, const std::string &ip) {
+  std::uint64_t version = 0;
+  for (const auto &[to, message] : it.Control.Sent)
+    if (to == ip && message.has_configuration_held())
+      version = message.configuration_held().version();
+  return version;
+}
+
+} // namespace
+
+TEST_CASE("Entry_TellsAllControlVmsWhichVersionItWorksBy") {
+  Fixture it;
+  it.Node.peerConnected("10.0.0.1", {});
+  it.Node.peerConnected("10.0.0.2", {});
+  CHECK(toldHeld(it, "10.0.0.1") == 0);
+  it.notice(7, true);
+  it.giveWhole(7);
+  CHECK(toldHeld(it, "10.0.0.1") == 7);
+  CHECK(toldHeld(it, "10.0.0.2") == 7);
+  it.Node.peerConnected("10.0.0.3", {});
+  CHECK(toldHeld(it, "10.0.0.3") == 7);
+}
+
+namespace {
+
 /// What a client is told that asks for a database without a route.
 proxy::ReplyCode refusalOfAbsent(Fixture &it) {
   static std::uint64_t last = 0;
--- a/src/peer/TrafficCount.h
+++ b/src/peer/TrafficCount.h
@@ -26,6 +26,7 @@
     {MessageKind::kNotice, "notice"},
     {MessageKind::kConfigurationRequest, "configuration_request"},
     {MessageKind::kConfigurationPart, "configuration_part"},
+    {MessageKind::kConfigurationHeld, "configuration_held"},
     {MessageKind::kSights, "sights"},
     {MessageKind::kCall, "call"},
     {MessageKind::kReply, "reply"},
