An entry VM waits for a sure configuration from the first word of control on

What callers see: after all machines lost power, one or two VMs run statements of routes that an acknowledged change has dropped, for as long as the control group needs to lead; new sessions are accepted for them.

The class: a time-out that counts while nothing can have come yet.

The 3 s count from the first notice of a control VM.

Entry_VmThatStartsBeforeControlWaitsForWhatIsSure fails before; two tests that let the time pass before the first notice now let it pass after it, and one of them also checks that nothing is taken sooner.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -43,7 +43,8 @@
             });
 }
 
-void ControlNode::acknowledgeSpread(std::vector<SpreadWait::Change> changes) {
+void ControlNode::acknowledgeSpread(
+    const std::vector<SpreadWait::Change> &changes) {
   for (const auto &it : changes) {
     if (it.Behind > 0)
       Log.log(absl::StrCat("event=acknowledged_early version=", it.Version,
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -183,7 +183,7 @@
 
   /// Answers the operators whose changes the entry VMs work by, or were waited
   /// for long enough.
-  void acknowledgeSpread(std::vector<SpreadWait::Change> changes);
+  void acknowledgeSpread(const std::vector<SpreadWait::Change> &changes);
   std::uint64_t startCall(TimePoint now, wire::Command command, bool isRead,
                           OnDone onDone);
   void tryCall(TimePoint now, std::uint64_t number, PendingCall &call);
--- a/src/entry/tests/EntryTest.cpp
+++ b/src/entry/tests/EntryTest.cpp
@@ -78,8 +78,13 @@
 
 TEST_CASE("Entry_TakesAnOlderStateOnceItHasWaited") {
   Fixture it;
-  for (int i = 0; i < 40; ++i)
+  it.notice(3, false);
+  for (int i = 0; i < 30; ++i) {
     it.advance(milliseconds(100));
+    it.notice(3, false);
+    CHECK_FALSE(it.hasAsked());
+  }
+  it.advance(milliseconds(100));
   it.notice(3, false);
   CHECK(it.hasAsked());
 }
@@ -169,6 +174,27 @@
 
 } // namespace
 
+TEST_CASE("Entry_VmThatStartsBeforeControlWaitsForWhatIsSure") {
+  Fixture it;
+  it.advance(milliseconds(3400));
+  it.notice(7, false);
+  CHECK_FALSE(it.hasAsked());
+  it.advance(milliseconds(2900));
+  it.notice(7, false);
+  CHECK_FALSE(it.hasAsked());
+  SUBCASE("a leader stands in time") {
+    it.notice(9, true);
+    CHECK(it.hasAsked());
+    it.giveWhole(9);
+    CHECK(it.Core.configurationVersion() == 9);
+  }
+  SUBCASE("none does") {
+    it.advance(milliseconds(200));
+    it.notice(7, false);
+    CHECK(it.hasAsked());
+  }
+}
+
 TEST_CASE("Entry_TellsAllControlVmsWhichVersionItWorksBy") {
   Fixture it;
   it.Node.peerConnected("10.0.0.1", {});
@@ -199,6 +225,7 @@
   using proxy::ReplyCode;
   SUBCASE("taken without a majority behind it") {
     Fixture it;
+    it.notice(7, false);
     it.advance(milliseconds(3100));
     it.notice(7, false);
     it.giveWhole(7);
--- a/src/proxy/internal/ClientSession.h
+++ b/src/proxy/internal/ClientSession.h
@@ -69,8 +69,8 @@
   std::map<std::string, PreparedShape> Prepared;
   SessionState State = SessionState::Idle;
   TransactionMode Mode = TransactionMode::None;
-  /// The route of the current statement, or that of the open transaction's first
-  /// one.
+  /// The route of the current statement, or that of the open transaction's
+  /// first one.
   control::Route Route;
   /// The open transaction's first statement has come.
   bool HasRoute = false;
--- a/src/soak/DroppedRouteJudge.cpp
+++ b/src/soak/DroppedRouteJudge.cpp
@@ -29,7 +29,7 @@
 
 std::optional<std::string> DroppedRouteJudge::ran(const RunByRoute &run,
                                                   const Touch &touch) {
-  if (const auto fault = judgeOld(run, touch))
+  if (auto fault = judgeOld(run, touch))
     return fault;
   return judgeReturn(run);
 }
