Wait for a sure configuration anew with each control VM that comes back

The wait of 3 s now begins anew with each control VM that is heard for the first time; a VM that hears only some of them waits no longer for it.

Entry_VmThatStartsBeforeControlWaitsForWhatIsSure has a case for it, which fails before.

--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -182,12 +182,12 @@
     Peers.keepConnected(ips);
   }
   // NOTE: while the control group has no leader, an older state is better than
-  // none, but only once there was time for a newer one. The time before the
-  // first control VM was heard doesn't count: the others may follow at once.
-  if (!NoticedAt)
+  // none, but only once there was time for a newer one. While control VMs come
+  // back one after the other, the next one may make a majority.
+  if (NoticedIps.insert(ip).second)
     NoticedAt = Now;
   const bool mayTake =
-      notice.is_fresh() || Now - *NoticedAt > Options.FreshLimit;
+      notice.is_fresh() || Now - NoticedAt > Options.FreshLimit;
   if (mayTake &&
       notice.configuration_version() > Proxy.configurationVersion()) {
     AnnouncerIp = ip;
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -42,9 +42,9 @@
   /// Without word from a control VM that hears a majority, and from most
   /// primaries for this long, a VM is cut off: three heartbeats.
   Duration IsolationLimit = milliseconds(750);
-  /// How long an entry VM without a configuration waits, from the first word of
-  /// a control VM on, for one that a majority stands behind, before it takes
-  /// what it can get.
+  /// How long an entry VM waits for a configuration that a majority stands
+  /// behind, from when one more control VM was heard, before it takes what it
+  /// can get.
   Duration FreshLimit = milliseconds(3000);
   /// A jump of the clock by more than this means that the VM stood still.
   Duration StandstillLimit = milliseconds(400);
@@ -94,8 +94,10 @@
   TimePoint Now{};
   TimePoint TickedAt{};
   TimePoint StartedAt{};
-  /// The first notice since the start.
-  std::optional<TimePoint> NoticedAt;
+  /// The control VMs that have sent a notice since the start, and when the last
+  /// of them sent its first one.
+  std::set<std::string> NoticedIps;
+  TimePoint NoticedAt{};
   TimePoint SightsAt{};
   TimePoint AllSightsAt{};
   /// By control VM, the sights that it was told last.
--- a/src/entry/tests/EntryFixture.h
+++ b/src/entry/tests/EntryFixture.h
@@ -49,10 +49,14 @@
   }
 
   void notice(std::uint64_t version, bool isFresh) {
+    noticeOf("10.0.0.1", version, isFresh);
+  }
+
+  void noticeOf(const std::string &ip, std::uint64_t version, bool isFresh) {
     peer::wire::Message message;
     message.mutable_notice()->set_configuration_version(version);
     message.mutable_notice()->set_is_fresh(isFresh);
-    Node.peerSaid("10.0.0.1", message);
+    Node.peerSaid(ip, message);
   }
 
   /// With one route, for the database "orders".
--- a/src/entry/tests/EntryTest.cpp
+++ b/src/entry/tests/EntryTest.cpp
@@ -193,6 +193,15 @@
     it.notice(7, false);
     CHECK(it.hasAsked());
   }
+  SUBCASE("another control VM is back") {
+    it.noticeOf("10.0.0.2", 5, false);
+    it.advance(milliseconds(2900));
+    it.notice(7, false);
+    CHECK_FALSE(it.hasAsked());
+    it.advance(milliseconds(200));
+    it.notice(7, false);
+    CHECK(it.hasAsked());
+  }
 }
 
 TEST_CASE("Entry_TellsAllControlVmsWhichVersionItWorksBy") {
