--- a/src/control/tests/FakeControls.cpp
+++ b/src/control/tests/FakeControls.cpp
@@ -3,6 +3,8 @@
 
 #include "control/tests/FakeControls.h"
 
+#include "control/tests/DiskRecords.h"
+
 #include <utility>
 
 namespace stepledge::control::tests {
@@ -52,24 +54,10 @@
   consensus::DurableState state;
   for (std::size_t i = 0; i < Size; ++i)
     *state.Snapshot.mutable_membership()->add_voters() = memberOf(i, ipOf(i));
-  for (const auto &record : it.Disk) {
-    if (record.has_vote()) {
-      state.Term = record.term();
-      state.VotedFor = record.voted_for();
-    }
-    if (record.has_snapshot())
-      state.Snapshot = record.snapshot();
-    if (!record.has_entry())
-      continue;
-    while (!state.Entries.empty() &&
-           state.Entries.back().index() >= record.entry().index())
-      state.Entries.pop_back();
-    state.Entries.push_back(record.entry());
-  }
   ++it.Incarnation;
   it.Consensus = std::make_unique<consensus::ConsensusNode>(
-      memberOf(vm, ipOf(vm)), consensus::ConsensusOptions(), std::move(state),
-      vm + it.Incarnation * 10, Now);
+      memberOf(vm, ipOf(vm)), consensus::ConsensusOptions(),
+      replayed(std::move(state), it.Disk), vm + it.Incarnation * 10, Now);
   ControlOptions options;
   options.NodeName = "control-" + std::to_string(vm);
   options.Ip = ipOf(vm);
--- a/src/control/tests/JoiningControls.cpp
+++ b/src/control/tests/JoiningControls.cpp
@@ -3,6 +3,8 @@
 
 #include "control/tests/JoiningControls.h"
 
+#include "control/tests/DiskRecords.h"
+
 #include <algorithm>
 
 namespace stepledge::control::tests {
@@ -49,22 +51,9 @@
     voter.set_ip(ipOf(i));
     voter.set_hall("hall-" + std::to_string(i));
   }
-  for (const auto &record : vm.Disk) {
-    if (record.has_vote()) {
-      state.Term = record.term();
-      state.VotedFor = record.voted_for();
-    }
-    if (record.has_snapshot())
-      state.Snapshot = record.snapshot();
-    if (!record.has_entry())
-      continue;
-    while (!state.Entries.empty() &&
-           state.Entries.back().index() >= record.entry().index())
-      state.Entries.pop_back();
-    state.Entries.push_back(record.entry());
-  }
   vm.Consensus = std::make_unique<consensus::ConsensusNode>(
-      self, consensus::ConsensusOptions(), std::move(state), ++Starts, Now);
+      self, consensus::ConsensusOptions(), replayed(std::move(state), vm.Disk),
+      ++Starts, Now);
   ControlOptions options;
   options.NodeName = "control-" + std::to_string(vm.Index);
   options.Ip = ipOf(vm.Index);
