--- a/src/soak/DroppedRouteJudge.h
+++ b/src/soak/DroppedRouteJudge.h
@@ -32,7 +32,7 @@
 struct RunByRoute {
   using Clock = RouteLedger::Clock;
   std::string Route;
-  /// When the statement, or the first one of its transaction, was sent.
+  /// When the statement, or the BEGIN of its transaction, was sent.
   Clock::time_point SentAt{};
   /// The process that ran it: the VM's starts are counted.
   int Life = 0;
