--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -7,6 +7,7 @@
 import asyncio
 import itertools
 import json
+import math
 import os
 import random
 import signal
@@ -63,6 +64,7 @@
         self.state = "ready"
         self.sequence = 0
         self.paused_term = 0
+        self.lag = (-1, 0.0)
         self.is_deaf = False
         self.is_over = False
         self.busy_until = 0.0
@@ -71,6 +73,17 @@
         self.server = None
         self.beating = None
         self.wake = asyncio.Event()
+        self.joined = asyncio.Event()
+        self.joined.set()
+
+    def cut(self):
+        """The nodes of the system no longer reach it, nor it them."""
+        self.joined.clear()
+        self.fleet.record.write("instance", self.id, "is cut off from the nodes")
+
+    def heal(self):
+        self.joined.set()
+        self.fleet.record.write("instance", self.id, "reaches the nodes again")
 
     @property
     def address(self):
@@ -99,6 +112,7 @@
 
     async def beat(self):
         while not self.is_over:
+            await self.joined.wait()
             await self.tell("Heartbeat")
             try:
                 await asyncio.wait_for(self.wake.wait(), HEARTBEAT_S)
@@ -145,7 +159,7 @@
         self.connections.add(writer)
         try:
             await Connection(self, reader, writer).run()
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, asyncio.CancelledError):
             pass
         finally:
             self.connections.discard(writer)
@@ -175,6 +189,7 @@
 
     async def run(self):
         words = (await self.line()).split(" ")
+        await self.at.joined.wait()
         if words[0] != "CONNECT" or words[1] != self.at.group.service or (len(words) > 3 and words[3] != self.at.id):
             return self.send("ERROR WRONGNODE %s" % self.at.id)
         if len(self.at.connections) > self.at.fleet.max_connections:
@@ -186,6 +201,7 @@
             if line == "QUIT":
                 return
             word, request, text = line.split(" ", 2)
+            await self.at.joined.wait()
             await self.query(request, text)
             await self.writer.drain()
 
@@ -243,8 +259,6 @@
             word, words = mode, [mode] + words[2:]
         if word == "WRITE" and (at.role != "primary" or self.state == "T" and self.is_read_only):
             return self.fail("READONLY")
-        if at.group.is_promoting:
-            pass
         async with at.slots:
             await asyncio.sleep(0.004)
             if word == "READ":
@@ -269,6 +283,7 @@
         if entry is not None:
             await at.group.synced(at, entry)
         self.state = "I"
+        await at.joined.wait()
         self.done(at.fleet.signature())
 
     def manage(self, word, words):
@@ -296,8 +311,8 @@
         self.sync_replicas, self.promote_s = sync_replicas, promote_s
         self.term = 1
         self.instances = []
-        self.is_promoting = False
         self.receipts = {}
+        self.on_promote = None
 
     def primary(self):
         for it in self.instances:
@@ -314,7 +329,13 @@
         return entry
 
     def delay_to(self, replica):
-        return self.lag_s * self.fleet.random.uniform(0.5, 1.5)
+        """The replica's lag of this second; as a site file has it, lag_ms =
+        { mean = 60.0, spread = 0.6, max = 360.0 }."""
+        second = int(self.fleet.record.now())
+        if replica.lag[0] != second:
+            drawn = self.fleet.random.lognormvariate(math.log(self.lag_s) - 0.18, 0.6)
+            replica.lag = (second, min(drawn, 6 * self.lag_s))
+        return replica.lag[1]
 
     def receive(self, replica, primary, entry):
         """\\p entry reaches \\p replica with all before it."""
@@ -354,6 +375,8 @@
         if target is old:
             return
         self.term += 1
+        if self.on_promote:
+            self.on_promote(old, target)
         if old:
             old.role = "replica"
             old.wake.set()
@@ -376,7 +399,7 @@
         self.fleet, self.ip = fleet, ip
         self.fences = {}
         self.server = None
-        self.holds_answers = False
+        self.late_calls = 0
         self.late_s = 0.0
 
     async def up(self):
@@ -396,7 +419,8 @@
             fields = {name.lower(): value for name, value in fields.items()}
             body = json.loads(await reader.readexactly(int(fields.get("content-length", 0))))
             fence, holder = int(fields["x-fencing-token"]), fields["x-lease-holder"]
-            if self.holds_answers:
+            if self.late_calls > 0:
+                self.late_calls -= 1
                 self.fleet.record.write("platform: call", body["service"], body["id"], "fence", fence, "by", holder, "gets no answer")
                 await asyncio.sleep(self.late_s)
                 status = self.carry_out(body, fence)
