--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -172,6 +172,7 @@
     def __init__(self, instance, reader, writer):
         self.at, self.reader, self.writer = instance, reader, writer
         self.state = "I"
+        self.who = "-"
         self.is_read_only = False
         self.was_primary = False
         self.pending = []
@@ -192,6 +193,7 @@
         await self.at.joined.wait()
         if words[0] != "CONNECT" or words[1] != self.at.group.service or (len(words) > 3 and words[3] != self.at.id):
             return self.send("ERROR WRONGNODE %s" % self.at.id)
+        self.who = words[2]
         if len(self.at.connections) > self.at.fleet.max_connections:
             return self.send("ERROR TOOMANY %s" % self.at.id)
         await asyncio.sleep(0.012)
@@ -260,15 +262,18 @@
         if word == "WRITE" and (at.role != "primary" or self.state == "T" and self.is_read_only):
             return self.fail("READONLY")
         async with at.slots:
-            await asyncio.sleep(0.004)
+            # NOTE: a thing whose name says so takes that many ms of work.
+            slow = words[1].partition("-slow-")[2] if len(words) > 1 else ""
+            await asyncio.sleep(int(slow) / 1000 if slow else 0.004)
             if word == "READ":
                 if after and not at.has(after):
                     return self.fail("LAGGING")
                 row = at.value(words[1])
-                at.fleet.ran(at, request, text)
+                at.fleet.ran(at, request, text, self.who)
                 return self.done(at.fleet.signature(), [row])
             if word == "WRITE" and self.state == "T":
                 self.pending.append((words[1], " ".join(words[2:]), request))
+                at.fleet.ran(at, request, text, self.who)
                 return self.done(at.fleet.signature())
             if word not in ("WRITE", "COMMIT"):
                 return self.fail("MALFORMED")
@@ -278,7 +283,7 @@
             entry = None
             for thing, data, origin in writes:
                 entry = at.group.append(at, thing, data, origin)
-            at.fleet.ran(at, request, text)
+            at.fleet.ran(at, request, text, self.who)
         self.pending = []
         if entry is not None:
             await at.group.synced(at, entry)
@@ -479,10 +484,10 @@
         self.fleet, self.entry = fleet, entry
         self.reader = self.writer = None
 
-    async def connect(self, database):
+    async def connect(self, database, key="u1"):
         self.reader, self.writer = await asyncio.wait_for(
             asyncio.open_connection(self.entry.ip, FRONT_PORT, limit=1 << 21), 2)
-        self.writer.write(("CONNECT %s u1\r\n" % database).encode())
+        self.writer.write(("CONNECT %s %s\r\n" % (database, key)).encode())
         line = await asyncio.wait_for(self.line(), 2)
         if not line.startswith("READY"):
             self.close()
@@ -650,6 +655,8 @@
         self.platform = Platform(self, next(self.ips))
         self.controls, self.entries, self.groups, self.databases = [], [], {}, {}
         self.version = 0
+        self.tenants = None
+        self.runs = []
         self.tasks = []
         for i, zone in enumerate(ZONES):
             self.controls.append(Machine(self, "control", zone, next(self.ips), 1))
@@ -663,9 +670,10 @@
     def signature(self):
         return "%x.%08x" % (next(self.signatures), self.random.getrandbits(32))
 
-    def ran(self, instance, request, text):
+    def ran(self, instance, request, text, who):
         if request != "-":
-            self.record.write("ran", instance.id, request, text)
+            self.runs.append((self.record.now(), request, who))
+            self.record.write("ran", instance.id, "for", who, request, text)
 
     def control_order(self, zone):
         ips = [it.ip for it in self.controls]
@@ -683,7 +691,8 @@
                   for database, (service, policy) in sorted(self.databases.items())]
         services = [{"name": it, "health_path": "/health", "max_connections": self.max_connections, "protocol": "h1", "tls": False, "sync_replicas": self.sync_replicas}
                     for it in self.service_names]
-        return {"version": self.version, "routes": routes, "services": services,
+        tenants = {} if self.tenants is None else {"tenants": [{"name": name, "api_keys": keys} for name, keys in sorted(self.tenants.items())]}
+        return {"version": self.version, "routes": routes, "services": services, **tenants,
                 "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, "tx_idle_ms": 3000}}
 
     async def send_configuration(self, for_s=8.0):
@@ -748,12 +757,12 @@
         self.record.close()
 
 
-def run_case(folder, case, limit_s=115, **options):
+def run_case(folder, case, limit_s=115, fleet_class=None, **options):
     """Runs \\p case(fleet, is_trouble); its True means that the rule was broken."""
     is_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main():
-        fleet = Fleet(folder, seed=int(os.environ.get("SEED", "1")), **options)
+        fleet = (fleet_class or Fleet)(folder, seed=int(os.environ.get("SEED", "1")), **options)
         try:
             await fleet.start()
             is_broken = await asyncio.wait_for(case(fleet, is_trouble), limit_s - fleet.record.now())
