--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -147,6 +147,24 @@
         self.fleet.record.write("instance", self.id, "deregistered", is_told, "and ends, role", self.role)
         await self.end()
 
+    async def crash(self, down_s):
+        """Says nothing, and is back at its address under a new id, with its log:
+        as primary, or as replica if another was promoted meanwhile."""
+        was_primary, at = self.role == "primary", self.ip
+        self.fleet.record.write("instance", self.id, "of", self.group.service, "crashes, role", self.role)
+        self.is_over = True
+        self.beating.cancel()
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+        await asyncio.sleep(down_s)
+        self.group.removed(self)
+        role = "primary" if was_primary and not self.group.primary() else "replica"
+        back = Instance(self.fleet, self.group, self.zone, at, role, self.log)
+        self.group.instances.append(back)
+        await back.start()
+        self.fleet.record.write("instance", back.id, "is back at its address, role", role)
+
     async def end(self):
         self.is_over = True
         self.beating.cancel()
@@ -735,6 +753,14 @@
         if not all(it.is_ready for it in self.entries):
             raise CannotRun("an entry isn't ready")
 
+    async def wipe_control(self, down_s):
+        """A machine of the core loses power and its disk."""
+        it = self.controls[0]
+        await it.stop(signal.SIGKILL)
+        shutil.rmtree(os.path.join(it.folder, "data"), ignore_errors=True)
+        await asyncio.sleep(down_s)
+        await it.start()
+
     async def kill_all(self, down_s):
         machines = self.controls + self.entries
         for it in machines:
