--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -163,6 +163,8 @@
         back = Instance(self.fleet, self.group, self.zone, at, role, self.log)
         self.group.instances.append(back)
         await back.start()
+        if role == "replica":
+            self.group.catch_up(back)
         self.fleet.record.write("instance", back.id, "is back at its address, role", role)
 
     async def end(self):
