--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,8 +8,8 @@
 import glob
 import sys
 
-if sys.version_info < (3, 11):
-    sys.exit("Python 3.11 or later is needed")
+if sys.version_info < (3, 9):
+    sys.exit("Python 3.9 or later is needed")
 for path in sorted(glob.glob("standins-2/*.py") + glob.glob("[4-8]/*.py")):
     with open(path) as source:
         ast.parse(source.read(), path)
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -11,7 +11,6 @@
 import os
 import random
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -790,6 +789,10 @@
     is_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main():
+        # NOTE: whoever ends this program ends what it has started, too.
+        this = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, this.cancel)
         fleet = (fleet_class or Fleet)(folder, seed=int(os.environ.get("SEED", "1")), **options)
         try:
             await fleet.start()
@@ -797,7 +800,7 @@
             fleet.record.write("verdict: the rule", "was broken" if is_broken else "held")
             print("the rule was broken" if is_broken else "the rule held")
             return 1 if is_broken else 0
-        except (CannotRun, asyncio.TimeoutError, OSError) as e:
+        except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as e:
             fleet.record.write("verdict: couldn't run:", repr(e))
             print("couldn't run:", repr(e))
             return 2
