--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,6 +9,8 @@
 
 CUT_S = 3.0
 LATE_S = 9.0
+# NOTE: which replica lags more at the promotion is a matter of chance.
+ROUNDS = 4
 WRITERS = 5
 
 
@@ -47,18 +49,21 @@
     for group in fleet.groups.values():
         group.on_promote = judge
     tasks = [asyncio.create_task(writer(service, database)) for database, (service, _) in fleet.databases.items() for _ in range(WRITERS)]
-    await asyncio.sleep(4)
-    if is_trouble:
-        fleet.platform.late_calls, fleet.platform.late_s = len(fleet.groups), LATE_S
-        primaries = [it.primary() for it in fleet.groups.values()]
-        for it in primaries:
-            it.cut()
-        await asyncio.sleep(CUT_S)
-        for it in primaries:
-            it.heal()
-    else:
-        await asyncio.sleep(CUT_S)
-    await asyncio.sleep(LATE_S + 3)
+    for _ in range(ROUNDS):
+        await asyncio.sleep(4)
+        if is_trouble:
+            fleet.platform.late_calls, fleet.platform.late_s = len(fleet.groups), LATE_S
+            primaries = [it.primary() for it in fleet.groups.values()]
+            for it in primaries:
+                it.cut()
+            await asyncio.sleep(CUT_S)
+            for it in primaries:
+                it.heal()
+        else:
+            await asyncio.sleep(CUT_S)
+        await asyncio.sleep(LATE_S + 3)
+        if missing:
+            break
     for it in tasks:
         it.cancel()
     fleet.record.write("acknowledged in all:", sum(map(len, acknowledged.values())), "missing at a promoted instance:", len(missing))
