--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,6 +9,7 @@
 
 RECOVERY_S = 12.0
 PLATFORM_DOWN_S = 12.0
+GAP_S = 1.0
 
 
 async def case(fleet, is_trouble):
@@ -21,12 +22,18 @@
     if is_trouble:
         await fleet.platform.down()
     await asyncio.sleep(0.5)
-    leaving = [asyncio.create_task(it.primary().leave()) for it in fleet.groups.values()]
-    await asyncio.sleep(PLATFORM_DOWN_S - 0.5)
+    leaving = []
+    for group in fleet.groups.values():
+        leaving.append(asyncio.create_task(group.primary().leave()))
+        await asyncio.sleep(GAP_S)
+    await asyncio.sleep(PLATFORM_DOWN_S - 0.5 - GAP_S * len(leaving))
     if is_trouble:
         await fleet.platform.up()
     await asyncio.gather(*leaving)
     await asyncio.sleep(6)
+    # NOTE: the final fault strikes right after the acknowledgement of a change.
+    if not await fleet.send_configuration():
+        raise standins.CannotRun("the configuration wasn't acknowledged")
     fault_at = fleet.record.now()
     await fleet.kill_all(1.0)
     back_at = fleet.record.now()
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A promotion that got no answer is carried out after the replicas were resumed."""
+"""A paused replica restarts before the other one leads, and receives again."""
 import asyncio
 import os
 import sys
@@ -7,10 +7,9 @@
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
 import fleet as standins  # noqa: E402
 
-CUT_S = 3.0
-LATE_S = 9.0
-# NOTE: which replica lags more at the promotion is a matter of chance.
-ROUNDS = 4
+DOWN_S = 0.1
+GAP_S = 1.0
+PROMOTE_S = 0.3
 WRITERS = 5
 
 
@@ -46,25 +45,28 @@
                            "acknowledged and missing:", ",".join(lost) or "none")
         missing.extend(lost)
 
+    carry_out = fleet.platform.carry_out
+
+    def promote(body, fence):
+        """Once the order is taken, the service's other replica crashes."""
+        status = carry_out(body, fence)
+        for it in list(fleet.groups[body["service"]].instances):
+            if status == 200 and is_trouble and it.role == "replica" and not it.is_over and it.id != body["id"]:
+                asyncio.create_task(it.crash(DOWN_S))
+        return status
+
+    fleet.platform.carry_out = promote
     for group in fleet.groups.values():
+        group.promote_s = PROMOTE_S
         group.on_promote = judge
     tasks = [asyncio.create_task(writer(service, database)) for database, (service, _) in fleet.databases.items() for _ in range(WRITERS)]
-    for _ in range(ROUNDS):
-        await asyncio.sleep(4)
-        if is_trouble:
-            fleet.platform.late_calls, fleet.platform.late_s = len(fleet.groups), LATE_S
-            primaries = [it.primary() for it in fleet.groups.values()]
-            for it in primaries:
-                it.cut()
-            await asyncio.sleep(CUT_S)
-            for it in primaries:
-                it.heal()
-        else:
-            await asyncio.sleep(CUT_S)
-        await asyncio.sleep(LATE_S + 3)
-        if missing:
-            break
-    for it in tasks:
+    await asyncio.sleep(4)
+    leaving = []
+    for group in fleet.groups.values():
+        leaving.append(asyncio.create_task(group.primary().leave()))
+        await asyncio.sleep(GAP_S)
+    await asyncio.sleep(3)
+    for it in leaving + tasks:
         it.cancel()
     fleet.record.write("acknowledged in all:", sum(map(len, acknowledged.values())), "missing at a promoted instance:", len(missing))
     if min(map(len, acknowledged.values())) < 50:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""A paused replica restarts before the other one leads, and receives again."""
+"""A route is moved to another service and back between a session's write and its read."""
 import asyncio
 import os
 import sys
@@ -7,68 +7,69 @@
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
 import fleet as standins  # noqa: E402
 
-DOWN_S = 0.1
-PROMOTE_S = 0.3
-WRITERS = 5
+ROUNDS = 6
+DEAF_S = 6.0
+READS = 8
 
 
-async def case(fleet, is_trouble):
-    acknowledged = {it: set() for it in fleet.groups}
-    missing = []
-
-    async def writer(service, database):
-        session = None
-        while True:
-            try:
-                if session is None:
-                    session = standins.Session(fleet, fleet.any_entry())
-                    await session.connect(database)
-                thing = "%x" % fleet.random.randrange(2000)
-                request, code, _, _, position = await session.ask("WRITE %s %08x" % (thing, fleet.random.getrandbits(32)))
-            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-                code = "NOCONNECTION"
-            if code == "DONE":
-                acknowledged[service].add(request)
-                fleet.record.write("acknowledged", request, "at", position)
-            else:
-                fleet.record.write("not acknowledged", code)
-                session.close()
-                session = None
-                await asyncio.sleep(0.05)
+async def one_round(fleet, is_trouble, number):
+    """True if the session's read lacked its own acknowledged write."""
+    first, second = fleet.service_names
+    group = fleet.groups[first]
+    database = "db-%s-r" % first
+    session = standins.Session(fleet, fleet.any_entry())
+    await session.connect(database)
+    if is_trouble:
+        for it in group.instances:
+            it.is_deaf = it.role == "replica"
+        fleet.record.write("round", number, "the replicas of", first, "receive nothing")
+    thing, value = "t%d" % number, "v%d" % number
+    request, code, _, _, position = await session.ask("WRITE %s %s" % (thing, value))
+    fleet.record.write("session write", request, code, "at", position, "of", first)
+    if code != "DONE":
+        raise standins.CannotRun("the write got " + code)
 
-    def judge(old, target):
-        service = target.group.service
-        held = {it[4] for it in target.log}
-        lost = sorted(acknowledged[service] - held)
-        fleet.record.write("promoted", service, target.id, "at", target.position(), "the old primary is at", old.position() if old else "-",
-                           "acknowledged and missing:", ",".join(lost) or "none")
-        missing.extend(lost)
+    async def move(service):
+        fleet.databases[database] = (service, "read_your_writes")
+        if not await fleet.send_configuration():
+            raise standins.CannotRun("a configuration wasn't acknowledged")
+        await asyncio.sleep(0.15)
 
-    carry_out = fleet.platform.carry_out
+    if is_trouble:
+        await move(second)
+    other = await session.ask("WRITE u%d x" % number)
+    fleet.record.write("session write", other[0], other[1], "at", other[4])
+    if is_trouble:
+        await move(first)
+    is_stale = False
+    for _ in range(READS):
+        request, code, rows, _, position = await session.ask("READ " + thing)
+        fleet.record.write("session read", request, code, rows, "at", position)
+        is_stale |= code == "DONE" and rows != [value]
+    session.close()
+    if is_trouble:
+        await asyncio.sleep(1)
+        for it in group.instances:
+            it.is_deaf = False
+            group.catch_up(it)
+    await asyncio.sleep(2)
+    return is_stale
 
-    def promote(body, fence):
-        """Once the order is taken, the service's other replica crashes."""
-        status = carry_out(body, fence)
-        for it in list(fleet.groups[body["service"]].instances):
-            if status == 200 and is_trouble and it.role == "replica" and not it.is_over and it.id != body["id"]:
-                asyncio.create_task(it.crash(DOWN_S))
-        return status
 
-    fleet.platform.carry_out = promote
-    for group in fleet.groups.values():
-        group.promote_s = PROMOTE_S
-        group.on_promote = judge
-    tasks = [asyncio.create_task(writer(service, database)) for database, (service, _) in fleet.databases.items() for _ in range(WRITERS)]
-    await asyncio.sleep(4)
-    leaving = [asyncio.create_task(it.primary().leave()) for it in fleet.groups.values()]
-    await asyncio.sleep(5)
-    for it in leaving + tasks:
-        it.cancel()
-    fleet.record.write("acknowledged in all:", sum(map(len, acknowledged.values())), "missing at a promoted instance:", len(missing))
-    if min(map(len, acknowledged.values())) < 50:
-        raise standins.CannotRun("too little was acknowledged")
-    return bool(missing)
+async def case(fleet, is_trouble):
+    # NOTE: positions are proven, and the first service's log is the longer one.
+    fill = standins.Session(fleet, fleet.any_entry())
+    await fill.connect("db-%s-p" % fleet.service_names[0])
+    for i in range(150):
+        await fill.ask("WRITE f%d %d" % (i, i))
+    load = standins.Load(fleet, clients=8)
+    await asyncio.sleep(3)
+    stale = [await one_round(fleet, is_trouble, it) for it in range(ROUNDS)]
+    load.stop()
+    fill.close()
+    fleet.record.write("rounds with a read that lacked the session's own write:", sum(stale), "of", ROUNDS)
+    return any(stale)
 
 
 if __name__ == "__main__":
-    standins.run_case(HERE, case, sync_replicas=1, policies=("primary",))
+    standins.run_case(HERE, case, services=2, policies=("primary", "read_your_writes"))
