A believed primary ends with what is observed, not never

What callers saw: after a crash of a primary that was back within a second under a new id, no request to its service was served any more.

Cause: entry VMs kept the id that had proved its lead through every refusal of its connections, and the control leader, answered by the new id, ended each attempt with replacement_unneeded and told nobody. Ruled out: that the new id's heartbeats don't arrive (both sides had its record), and that the primary refuses writes (its log served them once it was asked).

An answer as primary is recorded as the lead under a fencing token; several that report to lead have the instances asked; a refusal of the connection by another id, or silence while another is said to lead, ends an entry VM's belief; the record of the believed primary doesn't expire; silent reports count whichever instance they name, and VMs that know no primary report so.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -102,8 +102,7 @@
     sendToEntries(message);
     if (FullNoticeAt <= now)
       FullNoticeAt = now + Options.FullNoticeInterval;
-    for (const auto &it : Directory.expire(now, Options.InstanceTimeout))
-      dropInstance(now, it);
+    dropSilentInstances(now);
     updatePeers();
   }
   if (std::exchange(WasLeader, Node.isLeader()) != Node.isLeader()) {
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -218,7 +218,9 @@
   /// removes it.
   void keepInstance(TimePoint now, const InstanceId &id,
                     std::uint64_t startTimeMs);
-  /// Handles an instance whose heartbeats have stopped.
+  /// Drops the instances whose heartbeats have stopped, but not one that counts
+  /// as the primary: without it, none would know that it is to be replaced.
+  void dropSilentInstances(TimePoint now);
   void dropInstance(TimePoint now, const membership::InstanceRecord &record);
   /// The same as updateInstance() for a record from another VM or from the log.
   void updateFromWire(TimePoint now, const peer::wire::Instance &instance);
--- a/src/control/IPromoter.h
+++ b/src/control/IPromoter.h
@@ -10,6 +10,7 @@
 #include "base/types/LogPosition.h"
 #include "membership/types/InstanceRecord.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -49,6 +50,11 @@
   Mark Received;
   /// The newest term that it has seen.
   Term Known{};
+  /// The term that it leads or follows.
+  Term Current{};
+
+  /// The newest term that its role or its log shows to have begun.
+  Term begun() const { return std::max(Current, Received.WrittenIn); }
 };
 
 /// Where a replica stopped receiving: a position that stays. Not the same as a
--- a/src/control/PrimaryFailureDetector.cpp
+++ b/src/control/PrimaryFailureDetector.cpp
@@ -49,8 +49,8 @@
   });
 }
 
-bool PrimaryFailureDetector::isLost(TimePoint now, const std::string &service,
-                                    const InstanceId &primary) const {
+bool PrimaryFailureDetector::isLost(TimePoint now,
+                                    const std::string &service) const {
   const auto it = Services.find(service);
   if (it == Services.end())
     return false;
@@ -61,7 +61,7 @@
   int missing = 0;
   Duration longest{};
   for (const auto &[observer, report] : it->second.Reports) {
-    if (report.Primary != primary || now - report.At > Options.ReportValidity)
+    if (now - report.At > Options.ReportValidity)
       continue;
     ++reporting;
     missing += report.SilentFor >= Options.SilenceLimit;
--- a/src/control/PrimaryFailureDetector.h
+++ b/src/control/PrimaryFailureDetector.h
@@ -57,10 +57,10 @@
   /// SilenceLimit.
   bool isSuspected(TimePoint now, const std::string &service,
                    const InstanceId &primary) const;
-  /// Whether enough of the VMs that report on \p primary, and at least two,
-  /// report it as silent.
-  bool isLost(TimePoint now, const std::string &service,
-              const InstanceId &primary) const;
+  /// Whether enough of the VMs that report on the service, and at least two,
+  /// get no answers from its primary. A VM may take another instance for the
+  /// primary than this one does; that it is silent counts the same.
+  bool isLost(TimePoint now, const std::string &service) const;
   void clear() { Services.clear(); }
 
 private:
--- a/src/control/internal/FailoverAttempt.h
+++ b/src/control/internal/FailoverAttempt.h
@@ -7,6 +7,7 @@
 #define STEPLEDGE_CONTROL_INTERNAL_FAILOVERATTEMPT_H
 
 #include "control/IPromoter.h"
+#include "control/internal/ServiceLead.h"
 
 #include "base/types/Time.h"
 
@@ -14,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace stepledge::control {
 
@@ -30,7 +32,8 @@
 struct FailoverAttempt {
   FailoverStage Stage = FailoverStage::TakingFence;
   std::uint64_t Fence = 0;
-  bool IsPlanned = false;
+  /// Why the instances are asked.
+  LeadState Reason = LeadState::Unknown;
   TimePoint StartedAt{};
   TimePoint StageStartedAt{};
   /// By question, the instances that owe an answer, and the start time of the
@@ -54,6 +57,25 @@
     });
   }
 
+  bool isPlanned() const { return control::isPlanned(Reason); }
+
+  /// The instance that leads by the answers: one that answers as primary, of
+  /// the newest term, while no answer shows a later term.
+  std::optional<InstanceId> leader() const {
+    const auto isEarlier = [](const auto &a, const auto &b) {
+      const auto rankOf = [](const InstanceStatus &it) {
+        return std::pair(it.begun(),
+                         it.Role == membership::InstanceRole::Primary);
+      };
+      return rankOf(a.second) < rankOf(b.second);
+    };
+    const auto it =
+        std::max_element(Statuses.begin(), Statuses.end(), isEarlier);
+    const bool leads = it != Statuses.end() &&
+                       it->second.Role == membership::InstanceRole::Primary;
+    return leads ? std::optional(it->first) : std::nullopt;
+  }
+
   /// The instance has started again: what it has answered, or answers late,
   /// belongs to its earlier incarnation.
   void forget(const InstanceId &instance) {
--- a/src/control/internal/FailoverCoordinator.cpp
+++ b/src/control/internal/FailoverCoordinator.cpp
@@ -13,7 +13,6 @@
 namespace stepledge::control {
 
 using membership::InstanceRecord;
-using membership::InstanceRole;
 using membership::InstanceState;
 
 namespace {
@@ -25,6 +24,9 @@
 /// The pause before the next attempt for a service: an instance that was full
 /// may have a free slot by then.
 constexpr Duration AttemptPause = milliseconds(150);
+/// The same where nothing but a confirmation is sought, which costs a log entry
+/// each time.
+constexpr Duration ConfirmPause = milliseconds(1500);
 /// An attempt that isn't finished by then is aborted and started again.
 constexpr Duration AttemptTimeout = milliseconds(3000);
 /// For two questions to a slow replica.
@@ -52,16 +54,6 @@
   return Node.Directory.services();
 }
 
-bool FailoverCoordinator::needsFailover(TimePoint now,
-                                        const std::string &service,
-                                        bool &isPlanned) const {
-  const InstanceRecord *primary = currentPrimary(now, service);
-  if (!primary)
-    return false;
-  isPlanned = primary->State == InstanceState::Leaving || hasLostData(*primary);
-  return isPlanned || Node.Detector.isLost(now, service, primary->Id);
-}
-
 bool FailoverCoordinator::isPromoted(const InstanceRecord &record) const {
   const auto it = Node.State.promotions().find(record.Service);
   return it != Node.State.promotions().end() &&
@@ -69,52 +61,55 @@
          it->second.born_ms() == record.StartTimeMs;
 }
 
-bool FailoverCoordinator::hasLostData(const InstanceRecord &primary) const {
-  if (!primary.HasRestarted || isPromoted(primary))
-    return false;
-  const auto all = Node.Directory.ofService(primary.Service);
-  return std::any_of(all.begin(), all.end(), [](const auto *it) {
-    return it->State == InstanceState::Ready && !it->HasRestarted;
+LeadFacts FailoverCoordinator::factsOf(TimePoint now,
+                                       const std::string &service) const {
+  LeadFacts facts;
+  facts.Instances = Node.Directory.ofService(service);
+  for (const auto *it : facts.Instances)
+    if (it->State != InstanceState::Gone && isPromoted(*it))
+      facts.Promoted = it;
+  const auto orderedAt = PromotionOrderedAt.find(service);
+  facts.IsOrderRecent = orderedAt != PromotionOrderedAt.end() &&
+                        now - orderedAt->second < PromotionTimeout;
+  facts.IsLost = Node.Detector.isLost(now, service);
+  facts.MissesPings = [this](const InstanceRecord &it) {
+    return Node.PingMissedSince.contains(it.Id);
+  };
+  return facts;
+}
+
+bool FailoverCoordinator::isBelievedPrimary(
+    TimePoint now, const InstanceRecord &instance) const {
+  return assessLead(factsOf(now, instance.Service)).Primary == &instance;
+}
+
+bool FailoverCoordinator::hasOthers(const std::string &service,
+                                    const InstanceRecord &primary) const {
+  const auto all = Node.Directory.ofService(service);
+  return std::any_of(all.begin(), all.end(), [&](const auto *it) {
+    return it != &primary && it->State != InstanceState::Gone;
   });
 }
 
-const InstanceRecord *
-FailoverCoordinator::currentPrimary(TimePoint now,
-                                    const std::string &service) const {
-  const auto orderedAt = PromotionOrderedAt.find(service);
-  const bool isRecent = orderedAt != PromotionOrderedAt.end() &&
-                        now - orderedAt->second < PromotionTimeout;
-  const InstanceRecord *primary = nullptr;
-  for (const auto *it : Node.Directory.ofService(service)) {
-    if (it->State == InstanceState::Gone)
-      continue;
-    // NOTE: an order without an answer may never be carried out; then the
-    // instance still reports to be a replica, and doesn't count.
-    if (isPromoted(*it) && (isRecent || it->Role == InstanceRole::Primary))
-      return it;
-    const bool isPrimary = it->Role == InstanceRole::Primary;
-    // A primary that was replaced or has lost its data may still report to be
-    // the primary.
-    const auto rankOf = [](const InstanceRecord &record) {
-      return std::pair(record.HasRestarted, record.State);
-    };
-    if (isPrimary && (!primary || rankOf(*it) < rankOf(*primary)))
-      primary = it;
-  }
-  return primary;
+bool FailoverCoordinator::isDue(TimePoint now, const std::string &service,
+                                LeadState state) const {
+  if (!mustAsk(state) || Resumer.isPending(service))
+    return false;
+  const auto finishedAt = FinishedAt.find(service);
+  if (finishedAt == FinishedAt.end())
+    return true;
+  return now - finishedAt->second >=
+         (mayPromote(state) ? AttemptPause : ConfirmPause);
 }
 
 void FailoverCoordinator::tick(TimePoint now) {
   for (const auto &service : services()) {
     const auto it = Attempts.find(service);
     if (it == Attempts.end()) {
-      bool isPlanned = false;
-      const auto finishedAt = FinishedAt.find(service);
-      const bool isPaused = Resumer.isPending(service) ||
-                            (finishedAt != FinishedAt.end() &&
-                             now - finishedAt->second < AttemptPause);
-      if (!isPaused && needsFailover(now, service, isPlanned))
-        start(now, service, isPlanned);
+      const auto lead = assessLead(factsOf(now, service));
+      const bool isDone = !lead.Primary || !hasOthers(service, *lead.Primary);
+      if (!isDone && isDue(now, service, lead.State))
+        start(now, service, lead.State);
       continue;
     }
     const AttemptPtr attempt = it->second;
@@ -146,6 +141,8 @@
       attempt->AwaitedStatuses.empty() || waited > StatusTimeout;
   if (attempt->Stage != FailoverStage::QueryingStatus || !isDone)
     return;
+  if (const auto *leader = confirmedLeader(now, service, *attempt))
+    return confirm(now, service, attempt, *leader);
   if (Node.syncReplicasOf(service) > 0)
     pauseReplicas(now, service, attempt);
   else
@@ -153,14 +150,14 @@
 }
 
 void FailoverCoordinator::start(TimePoint now, const std::string &service,
-                                bool isPlanned) {
+                                LeadState reason) {
   const auto attempt = std::make_shared<Attempt>();
-  attempt->IsPlanned = isPlanned;
+  attempt->Reason = reason;
   attempt->StartedAt = now;
   attempt->StageStartedAt = now;
   Attempts[service] = attempt;
-  Log.log(absl::StrCat("event=replacement_begins service=", service,
-                       " planned=", isPlanned));
+  Log.log(absl::StrCat("event=replacement_begins service=", service, " reason=",
+                       std::string(nameIn(LeadStateNames, reason))));
   wire::Command command;
   command.mutable_take_fence()->set_service(service);
   command.mutable_take_fence()->set_holder(Node.Options.NodeName);
@@ -183,14 +180,54 @@
 }
 
 InstanceList FailoverCoordinator::holders(const std::string &service) const {
-  return possibleHolders(Node.Directory.ofService(service),
-                         currentPrimary(Node.Now, service));
+  const auto facts = factsOf(Node.Now, service);
+  return possibleHolders(facts.Instances, assessLead(facts).Primary);
+}
+
+const InstanceRecord *
+FailoverCoordinator::confirmedLeader(TimePoint now, const std::string &service,
+                                     const Attempt &attempt) const {
+  const auto leader = attempt.leader();
+  const auto *record = leader ? Node.Directory.find(*leader) : nullptr;
+  const bool canLead = record && record->State == InstanceState::Ready &&
+                       !hasLostData(*record, factsOf(now, service));
+  return canLead ? record : nullptr;
+}
+
+void FailoverCoordinator::confirm(TimePoint now, const std::string &service,
+                                  const AttemptPtr &attempt,
+                                  const InstanceRecord &leader) {
+  // NOTE: entry VMs that don't use it may lack its record.
+  Node.UnsentInstances.insert(leader.Id);
+  Log.log(absl::StrCat("event=lead_confirmed service=", service, " instance=",
+                       leader.Id.str(), " known=", isPromoted(leader)));
+  if (isPromoted(leader))
+    return finishAttempt(now, service);
+  attempt->Target = leader.Id;
+  attempt->TargetStartTimeMs = leader.StartTimeMs;
+  recordPromotion(now, service, attempt);
+}
+
+bool FailoverCoordinator::allowPromotion(const std::string &service,
+                                         const Attempt &attempt) const {
+  if (attempt.isPlanned())
+    return true;
+  if (attempt.hasPrimary())
+    return false;
+  if (mayPromote(attempt.Reason))
+    return true;
+  // A promoted instance that says itself that it doesn't lead.
+  const auto all = Node.Directory.ofService(service);
+  return attempt.Reason == LeadState::Unconfirmed &&
+         std::any_of(all.begin(), all.end(), [&](const auto *it) {
+           return isPromoted(*it) && attempt.Statuses.contains(it->Id);
+         });
 }
 
 void FailoverCoordinator::pauseReplicas(TimePoint now,
                                         const std::string &service,
                                         const AttemptPtr &attempt) {
-  if (attempt->hasPrimary() && !attempt->IsPlanned)
+  if (!allowPromotion(service, *attempt))
     return orderPromotion(now, service, attempt);
   const bool mayCover =
       coversCommits(holders(service), Node.syncReplicasOf(service),
@@ -224,8 +261,9 @@
                                          const std::string &service,
                                          const AttemptPtr &attempt) {
   // NOTE: a primary that answers and isn't leaving needs no successor.
-  if (attempt->hasPrimary() && !attempt->IsPlanned) {
-    Log.log(absl::StrCat("event=replacement_unneeded service=", service));
+  if (!allowPromotion(service, *attempt)) {
+    Log.log(absl::StrCat("event=replacement_unneeded service=", service,
+                         " primary_answers=", attempt->hasPrimary()));
     return finishAttempt(now, service);
   }
   const int sync = Node.syncReplicasOf(service);
--- a/src/control/internal/FailoverCoordinator.h
+++ b/src/control/internal/FailoverCoordinator.h
@@ -2,8 +2,8 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file Failover of primaries by the control group's leader: commit a fencing
-/// token, query the positions of the replicas, promote the most advanced one,
-/// and record the promotion.
+/// token, ask the instances who leads and how far their logs go, record the
+/// primary that answers, or promote the most advanced replica and record that.
 
 #ifndef STEPLEDGE_CONTROL_INTERNAL_FAILOVERCOORDINATOR_H
 #define STEPLEDGE_CONTROL_INTERNAL_FAILOVERCOORDINATOR_H
@@ -14,6 +14,7 @@
 #include "control/internal/ReplicaChoice.h"
 #include "control/internal/ReplicaQuestions.h"
 #include "control/internal/ReplicaResumer.h"
+#include "control/internal/ServiceLead.h"
 
 #include "base/types/Time.h"
 
@@ -43,22 +44,24 @@
                          const membership::InstanceRecord &instance);
   /// This member has gained or lost leadership.
   void reset(TimePoint now);
+  /// The instance counts as the primary of its service.
+  bool isBelievedPrimary(TimePoint now,
+                         const membership::InstanceRecord &instance) const;
 
 private:
   using Attempt = FailoverAttempt;
   using AttemptPtr = std::shared_ptr<FailoverAttempt>;
 
   std::vector<std::string> services() const;
-  bool needsFailover(TimePoint now, const std::string &service,
-                     bool &isPlanned) const;
-  const membership::InstanceRecord *
-  currentPrimary(TimePoint now, const std::string &service) const;
+  LeadFacts factsOf(TimePoint now, const std::string &service) const;
+  /// Whether an attempt is due for a service whose lead is in \p state.
+  bool isDue(TimePoint now, const std::string &service, LeadState state) const;
+  /// Any ready instance besides \p primary could be promoted or lead.
+  bool hasOthers(const std::string &service,
+                 const membership::InstanceRecord &primary) const;
   /// Whether the recorded promotion names this incarnation of the instance.
   bool isPromoted(const membership::InstanceRecord &record) const;
-  /// Whether \p primary reports to be the primary but has lost its data, while
-  /// another instance of the service has not.
-  bool hasLostData(const membership::InstanceRecord &primary) const;
-  void start(TimePoint now, const std::string &service, bool isPlanned);
+  void start(TimePoint now, const std::string &service, LeadState reason);
   /// Continues an attempt whose answers have come or are too late.
   void proceed(TimePoint now, const std::string &service,
                const AttemptPtr &attempt);
@@ -68,6 +71,16 @@
   void pauseReplicas(TimePoint now, const std::string &service,
                      const AttemptPtr &attempt);
   InstanceList holders(const std::string &service) const;
+  /// The instance that leads by the answers, if nothing is against it.
+  const membership::InstanceRecord *
+  confirmedLeader(TimePoint now, const std::string &service,
+                  const Attempt &attempt) const;
+  /// Ends the attempt, since \p leader leads; records it unless it is.
+  void confirm(TimePoint now, const std::string &service,
+               const AttemptPtr &attempt,
+               const membership::InstanceRecord &leader);
+  /// Whether the answers allow to promote a replica.
+  bool allowPromotion(const std::string &service, const Attempt &attempt) const;
   void finishUnsure(TimePoint now, const std::string &service,
                     const Attempt &attempt);
   void orderPromotion(TimePoint now, const std::string &service,
--- a/src/control/internal/Instances.cpp
+++ b/src/control/internal/Instances.cpp
@@ -127,6 +127,14 @@
   startCall(now, std::move(command), false, [](bool) {});
 }
 
+void ControlNode::dropSilentInstances(TimePoint now) {
+  const auto isKept = [&](const membership::InstanceRecord &it) {
+    return Failover->isBelievedPrimary(now, it);
+  };
+  for (const auto &it : Directory.expire(now, Options.InstanceTimeout, isKept))
+    dropInstance(now, it);
+}
+
 void ControlNode::dropInstance(TimePoint now,
                                const membership::InstanceRecord &record) {
   AliveReportedAt.erase(record.Id);
@@ -182,7 +190,8 @@
 
 void ControlNode::reportPings(TimePoint now) {
   Directory.forEach([&](const membership::InstanceRecord &it) {
-    if (it.Role != InstanceRole::Primary || it.State == InstanceState::Gone)
+    if (it.Role != InstanceRole::Primary || it.State == InstanceState::Gone ||
+        !Failover->isBelievedPrimary(now, it))
       return;
     const auto missed = PingMissedSince.find(it.Id);
     Detector.report(now, Options.Ip, it.Service, it.Id,
--- a/src/control/internal/ReplicaChoice.h
+++ b/src/control/internal/ReplicaChoice.h
@@ -17,7 +17,7 @@
 
 namespace stepledge::control {
 
-using InstanceList = std::vector<const membership::InstanceRecord *>;
+using membership::InstanceList;
 
 /// Returns those of \p instances, all of one service, that may hold a commit
 /// which no other replica has: also one that leaves, is silent, or has ended
--- /dev/null
+++ b/src/control/tests/LeadRecoveryTest.cpp
@@ -0,0 +1,289 @@
+// Part of stepledge, under the Apache License v2.0. See LICENSE.
+// SPDX-License-Identifier: Apache-2.0
+
+/// \file A service gets a primary that the group records, whatever became of
+/// the one that was believed to lead.
+
+#include "control/tests/FakeControls.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <set>
+
+using namespace stepledge;
+using namespace stepledge::control;
+using control::tests::FakeControls;
+using membership::InstanceRole;
+using membership::InstanceState;
+
+namespace {
+
+constexpr const char *EntryIps[] = {"10.9.0.1", "10.9.0.2", "10.9.0.3"};
+constexpr Duration HeartbeatInterval = milliseconds(1200);
+constexpr Duration ReportInterval = milliseconds(250);
+
+/// A control group, the instances of one service, and entry VMs that report on
+/// the instance that they take for the primary.
+class Play {
+public:
+  Play() { Group.run(milliseconds(1500)); }
+
+  void add(const std::string &id, InstanceRole role,
+           const std::string &address = "") {
+    auto &it = Records[id];
+    it.Id = InstanceId(id);
+    it.Service = "db";
+    it.Address = address.empty() ? "10.1.0.1:" + id : address;
+    it.Role = role;
+    Group.Platform.Statuses[it.Id] = {role, {{3}, {90}}, {3}, {3}};
+    Group.Platform.Silent.erase(it.Id);
+  }
+
+  void addService() {
+    add("p", InstanceRole::Primary);
+    add("r1", InstanceRole::Replica);
+    add("r2", InstanceRole::Replica);
+    run(milliseconds(1000));
+  }
+
+  /// It answers nothing, and sends no heartbeats.
+  void crash(const std::string &id) {
+    Records.erase(id);
+    Group.Platform.Statuses.erase(InstanceId(id));
+    Group.Platform.Silent.insert(InstanceId(id));
+  }
+
+  /// It leads the next term.
+  void lead(const std::string &id) {
+    for (auto &[other, it] : Records) {
+      it.Role = other == id ? InstanceRole::Primary : InstanceRole::Replica;
+      auto &status = Group.Platform.Statuses[it.Id];
+      status.Role = it.Role;
+      status.Current = Term{4};
+    }
+  }
+
+  void run(Duration time) {
+    for (Duration at{}; at < time; at += milliseconds(50)) {
+      if (Group.now() >= HeartbeatsAt)
+        sendHeartbeats();
+      if (Group.now() >= ReportsAt)
+        reportSight();
+      Group.run(milliseconds(50));
+      carryOutOrders();
+    }
+  }
+
+  void sendHeartbeats() {
+    HeartbeatsAt = Group.now() + HeartbeatInterval;
+    if (Group.leader() >= 3)
+      return;
+    for (auto &[id, it] : Records) {
+      ++it.Sequence;
+      if (!Unheard.contains(id))
+        Group.node(Group.leader()).receiveHeartbeat(Group.now(), it, [](bool) {
+        });
+    }
+  }
+
+  /// The instance that the newest notices to entry VMs name as promoted.
+  std::string recorded() {
+    std::string instance;
+    peer::wire::Hello hello;
+    hello.set_kind(peer::wire::ENTRY);
+    hello.set_ip("10.9.0.9");
+    Group.connectPeer("10.9.0.9", Group.leader(), hello);
+    for (const auto &it : Group.sentTo("10.9.0.9"))
+      for (const auto &promotion : it.notice().promotions())
+        instance = promotion.instance();
+    return instance;
+  }
+
+  FakeControls Group;
+  std::map<std::string, membership::InstanceRecord> Records;
+  /// Instances whose heartbeats don't arrive.
+  std::set<std::string> Unheard;
+  /// What entry VMs take for the primary; nothing if they know of none.
+  std::string Sighted = "p";
+  bool CarriesOutOrders = true;
+
+private:
+  void reportSight() {
+    ReportsAt = Group.now() + ReportInterval;
+    if (Group.leader() >= 3)
+      return;
+    if (Records.contains(Sighted))
+      SilentSince.reset();
+    else if (!SilentSince)
+      SilentSince = Group.now();
+    for (const char *ip : EntryIps) {
+      peer::wire::Message message;
+      auto &sight = *message.mutable_sights()->add_sights();
+      sight.set_service("db");
+      sight.set_instance(Sighted);
+      const Duration silent =
+          SilentSince ? Group.now() - *SilentSince : Duration{};
+      sight.set_silent_ms(static_cast<std::uint64_t>(toMilliseconds(silent)));
+      Group.sendFromPeer(ip, Group.leader(), message);
+    }
+  }
+
+  void carryOutOrders() {
+    auto &orders = Group.Platform.Orders;
+    if (!CarriesOutOrders || orders.size() == Seen)
+      return;
+    Seen = orders.size();
+    if (Records.contains(orders.back().Instance.str()))
+      lead(orders.back().Instance.str());
+    sendHeartbeats();
+  }
+
+  TimePoint HeartbeatsAt{};
+  TimePoint ReportsAt{};
+  std::optional<TimePoint> SilentSince;
+  std::size_t Seen = 0;
+};
+
+} // namespace
+
+TEST_CASE("LeadRecovery_PrimaryThatIsBackUnderANewIdIsRecorded") {
+  // Control found each time that some primary answers, and told nobody which.
+  for (const char *id : {"a-new-id", "z-new-id"}) {
+    CAPTURE(id);
+    Play play;
+    play.addService();
+    play.crash("p");
+    play.run(milliseconds(200));
+    play.add(id, InstanceRole::Primary, "10.1.0.1:p");
+    play.sendHeartbeats();
+    play.run(milliseconds(2500));
+    CHECK(play.Group.Platform.Orders.empty());
+    CHECK(play.recorded() == id);
+  }
+}
+
+TEST_CASE("LeadRecovery_PrimaryThatIsBackThreeTimesInARowIsRecorded") {
+  Play play;
+  play.addService();
+  std::string last = "p";
+  for (const char *id : {"m", "a", "z"}) {
+    play.crash(last);
+    play.run(milliseconds(200));
+    play.add(id, InstanceRole::Primary, "10.1.0.1:p");
+    play.sendHeartbeats();
+    last = id;
+  }
+  play.run(milliseconds(4000));
+  CHECK(play.Group.Platform.Orders.empty());
+  CHECK(play.recorded() == "z");
+}
+
+TEST_CASE("LeadRecovery_AllInstancesThatAreBackUnderNewIdsAreServed") {
+  // Whichever comes back first, and after 0.3 to 6 s.
+  for (const int downMs : {300, 900, 2500, 6000})
+    for (const char *first : {"p2", "r12"}) {
+      CAPTURE(downMs);
+      CAPTURE(first);
+      Play play;
+      play.addService();
+      for (const char *id : {"p", "r1", "r2"})
+        play.crash(id);
+      play.run(milliseconds(downMs));
+      const auto back = [&](const std::string &id) {
+        const bool leads = id == "p2" && play.Group.Platform.Orders.empty();
+        play.add(id, leads ? InstanceRole::Primary : InstanceRole::Replica,
+                 "10.1.0.1:" + id.substr(0, id.size() - 1));
+        play.sendHeartbeats();
+        play.run(milliseconds(700));
+      };
+      back(first);
+      for (const char *id : {"p2", "r12", "r22"})
+        if (id != std::string(first))
+          back(id);
+      play.run(milliseconds(4000));
+      const auto recorded = play.recorded();
+      REQUIRE(play.Records.contains(recorded));
+      CHECK(play.Records.at(recorded).Role == InstanceRole::Primary);
+    }
+}
+
+TEST_CASE(
+    "LeadRecovery_PromotionThatItsLeaderDidNotRecordIsRecordedByTheNext") {
+  Play play;
+  play.addService();
+  play.Group.Platform.HoldsOrders = true;
+  play.crash("p");
+  play.run(milliseconds(2500));
+  REQUIRE(!play.Group.Platform.Orders.empty());
+  const auto promoted = play.Group.Platform.Orders.back().Instance.str();
+  // The order is carried out; its answer doesn't come before the leader ends.
+  play.Group.kill(play.Group.leader());
+  play.Group.Platform.HoldsOrders = false;
+  const auto orders = play.Group.Platform.Orders.size();
+  play.run(milliseconds(6000));
+  CHECK(play.Group.Platform.Orders.size() == orders);
+  CHECK(play.recorded() == promoted);
+}
+
+TEST_CASE("LeadRecovery_TargetOfAnUnansweredOrderThatEndsIsNotWaitedFor") {
+  // Entry VMs believed in the target, control in the old primary: neither
+  // reported on what the other one watched.
+  Play play;
+  play.addService();
+  play.Group.Platform.AnswersOrders = false;
+  play.CarriesOutOrders = false;
+  play.crash("p");
+  play.run(milliseconds(2500));
+  REQUIRE(!play.Group.Platform.Orders.empty());
+  const auto target = play.Group.Platform.Orders.back().Instance.str();
+  const std::string other = target == "r1" ? "r2" : "r1";
+  play.crash(target);
+  play.Sighted = target;
+  play.Group.Platform.AnswersOrders = true;
+  play.CarriesOutOrders = true;
+  play.run(milliseconds(12000));
+  CHECK(play.Group.Platform.Orders.back().Instance.str() == other);
+  CHECK(play.recorded() == other);
+}
+
+TEST_CASE("LeadRecovery_SilentPrimaryIsReplacedHoweverLongItWas") {
+  // Its record expired after 20 s, and nobody knew that a primary was missing.
+  for (const bool endsControl : {false, true}) {
+    CAPTURE(endsControl);
+    Play play;
+    play.addService();
+    // Entry VMs reach it, so it isn't replaced, while its heartbeats are lost.
+    play.Unheard = {"p"};
+    play.run(milliseconds(26000));
+    CHECK(play.Group.Platform.Orders.empty());
+    play.crash("p");
+    if (endsControl)
+      play.Group.restartAll();
+    play.run(milliseconds(8000));
+    CHECK(play.Group.Platform.Orders.size() >= 1);
+    CHECK(play.Records.contains(play.recorded()));
+  }
+}
+
+TEST_CASE("LeadRecovery_EntriesThatKnowNoPrimaryReportTheService") {
+  Play play;
+  play.addService();
+  play.Sighted = "";
+  play.crash("p");
+  play.run(milliseconds(4000));
+  CHECK(play.Group.Platform.Orders.size() >= 1);
+}
+
+TEST_CASE("LeadRecovery_ServiceThatNeverHadAPrimaryWaitsForIt") {
+  Play play;
+  play.add("r1", InstanceRole::Replica);
+  play.add("r2", InstanceRole::Replica);
+  play.Sighted = "";
+  play.run(milliseconds(25000));
+  CHECK(play.Group.Platform.Orders.empty());
+  play.add("p", InstanceRole::Primary);
+  play.Sighted = "p";
+  play.run(milliseconds(5000));
+  CHECK(play.Group.Platform.Orders.empty());
+}
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -34,8 +34,11 @@
     StartedAt = now;
   Proxy.tick(now);
   reviewSources();
-  const auto sights = Proxy.primaryObservations(now);
+  auto sights = Proxy.primaryObservations(now);
   checkIsolation(sights);
+  // NOTE: control would otherwise take this VM for one that watches no primary.
+  for (auto &it : Proxy.unledServices(now))
+    sights.push_back(std::move(it));
   const bool isAlarmed =
       std::any_of(sights.begin(), sights.end(),
                   [](const auto &it) { return it.SilentFor > Duration{}; });
--- a/src/membership/InstanceDirectory.cpp
+++ b/src/membership/InstanceDirectory.cpp
@@ -77,9 +77,8 @@
   return records;
 }
 
-std::vector<const InstanceRecord *>
-InstanceDirectory::ofService(const std::string &service) const {
-  std::vector<const InstanceRecord *> records;
+InstanceList InstanceDirectory::ofService(const std::string &service) const {
+  InstanceList records;
   const auto found = ByService.find(service);
   if (found == ByService.end())
     return records;
@@ -106,11 +105,12 @@
     ByService.erase(it);
 }
 
-std::vector<InstanceRecord> InstanceDirectory::expire(TimePoint now,
-                                                      Duration silence) {
+std::vector<InstanceRecord> InstanceDirectory::expire(
+    TimePoint now, Duration silence,
+    const std::function<bool(const InstanceRecord &)> &isKept) {
   std::vector<InstanceRecord> dropped;
   for (const auto &[id, it] : Instances)
-    if (now - it.LastHeartbeatAt > silence)
+    if (now - it.LastHeartbeatAt > silence && !isKept(it.Record))
       dropped.push_back(it.Record);
   for (const auto &it : dropped) {
     removeFromService(it);
--- a/src/membership/InstanceDirectory.h
+++ b/src/membership/InstanceDirectory.h
@@ -9,12 +9,16 @@
 #include "base/types/Time.h"
 #include "membership/types/InstanceRecord.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <vector>
 
 namespace stepledge::membership {
 
+/// Valid until the next change of the directory.
+using InstanceList = std::vector<const InstanceRecord *>;
+
 /// The effect of a heartbeat on the directory.
 enum class HeartbeatEffect {
   /// The heartbeat was late or a duplicate.
@@ -47,16 +51,19 @@
   const InstanceRecord *find(const InstanceId &id) const;
   std::vector<InstanceRecord> all() const;
   /// Valid until the next change, like the references that forEach passes.
-  std::vector<const InstanceRecord *>
-  ofService(const std::string &service) const;
+  InstanceList ofService(const std::string &service) const;
   std::vector<std::string> services() const;
   template <typename Visit> void forEach(Visit visit) const {
     for (const auto &[id, it] : Instances)
       visit(it.Record);
   }
   std::size_t size() const { return Instances.size(); }
-  /// Removes and returns the instances without a heartbeat within \p silence.
-  std::vector<InstanceRecord> expire(TimePoint now, Duration silence);
+  /// Removes and returns the instances without a heartbeat within \p silence,
+  /// but none that \p isKept names.
+  std::vector<InstanceRecord> expire(
+      TimePoint now, Duration silence,
+      const std::function<bool(const InstanceRecord &)> &isKept =
+          [](const auto &) { return false; });
 
 private:
   struct Known {
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -463,4 +463,12 @@
   return observations;
 }
 
+std::vector<PrimaryObservation> Proxy::unledServices(TimePoint now) {
+  std::vector<PrimaryObservation> unled;
+  for (const auto &service : Watch.watched(now))
+    if (const auto unledFor = tracker(service).unledFor(now))
+      unled.push_back({service, InstanceId(), 0, *unledFor});
+  return unled;
+}
+
 } // namespace stepledge::proxy
--- a/src/proxy/Proxy.h
+++ b/src/proxy/Proxy.h
@@ -23,6 +23,7 @@
 #include "proxy/internal/RouteStatementTimes.h"
 #include "proxy/internal/ServiceWatch.h"
 #include "proxy/types/ConfigurationSource.h"
+#include "proxy/types/EarlyClient.h"
 #include "proxy/types/PrimaryObservation.h"
 #include "proxy/types/ProxyOptions.h"
 #include "proxy/types/SessionEnd.h"
@@ -30,6 +31,7 @@
 #include "quota/IOperationQuota.h"
 #include "scheduling/QueueScheduler.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -119,6 +121,8 @@
   int outlierInstances() const;
   /// Observations of the primaries of the services that this VM watches.
   std::vector<PrimaryObservation> primaryObservations(TimePoint now);
+  /// The watched services of which instances are known, but no primary.
+  std::vector<PrimaryObservation> unledServices(TimePoint now);
 
 private:
   /// Closes all connections to an instance that has restarted: a connection
@@ -432,9 +436,9 @@
                     const TrackedInstance &instance);
   /// Tries to open own connections again where only borrowed ones are left.
   void restoreOwnConnections(TimePoint now);
-  /// Asks every instance of the service whether it is the primary.
-  void searchPrimary(TimePoint now, const std::string &service,
-                     InstanceTracker &instances);
+  /// Asks the service's instances that \p isAsked names whether they lead.
+  void askWhoLeads(TimePoint now, InstanceTracker &instances,
+                   const std::function<bool(const InstanceId &)> &isAsked);
   /// The connection is free, and this VM has enough others or may not keep it.
   bool isSurplus(TimePoint now, const InstanceConnection &connection);
   /// The connection was not accepted in time, or has not answered an abandoned
@@ -462,15 +466,6 @@
   /// Clients that this VM refused, or whose session it has ended, and that have
   /// not closed their side yet: their statements get no answer.
   std::map<ClientId, SessionEnd> EndedSessions;
-  /// A client that connected before the first configuration and waits for it.
-  struct EarlyClient {
-    ClientId Client;
-    DatabaseId Database;
-    KeyDigest Key;
-    TimePoint ConnectedAt{};
-    /// The statements that it has sent meanwhile.
-    std::vector<ClientStatement> Statements;
-  };
   std::vector<EarlyClient> EarlyClients;
   scheduling::QueueScheduler Scheduler;
   overload::WaitPolicy WaitLimits;
--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -46,6 +46,7 @@
     // NOTE: a borrowed connection is ready once its lender is connected; the
     // instance has not answered anything yet.
     if (!it->isBorrowed()) {
+      tracker(service).noteReached(instance);
       tracker(service).noteAnswer(now, instance, now - it->OpenedAt);
       noteSlotTime(now, *it, now - it->OpenedAt);
     }
@@ -72,8 +73,10 @@
   // NOTE: a primary that has stopped is replaced only once VMs report it as
   // silent. When it was removed here, no VM reported it, and its service had no
   // primary for 20 s, until its record expired.
+  instances.noteDisplaced(instance);
   instances.noteSilence(now, instance);
   noteDirectPathLost(now, *known);
+  dispatchQueue(now, service);
 }
 
 void Proxy::connectionAnswered(TimePoint now, ConnectionId connection,
--- a/src/proxy/internal/InstanceTracker.cpp
+++ b/src/proxy/internal/InstanceTracker.cpp
@@ -126,29 +126,64 @@
       });
 }
 
-std::optional<InstanceId> InstanceTracker::primary(TimePoint now) const {
-  if (ProvenPrimary) {
-    const auto it = Instances.find(*ProvenPrimary);
-    if (it != Instances.end() && it->second.NotPrimaryUntil <= now)
-      return ProvenPrimary;
-  }
+bool InstanceTracker::isSaidToLead(const TrackedInstance &instance) const {
+  const auto &record = instance.Record;
+  return isPromoted(record) ||
+         (record.Role == InstanceRole::Primary && canBePrimary(record));
+}
+
+template <typename Predicate>
+const TrackedInstance *InstanceTracker::saidToLead(Predicate isAllowed) const {
   const TrackedInstance *best = nullptr;
   for (const auto &[id, it] : Instances) {
-    if (it.NotPrimaryUntil > now)
+    if (!isSaidToLead(it) || !isAllowed(it))
       continue;
     if (isPromoted(it.Record))
-      return id;
-    if (it.Record.Role != InstanceRole::Primary || !canBePrimary(it.Record))
-      continue;
+      return &it;
     if (!best || it.Position > best->Position)
       best = &it;
   }
-  if (best)
-    return best->Record.Id;
-  const auto promoted = Instances.find(Promoted.Instance);
-  if (promoted != Instances.end() && isPromoted(promoted->second.Record))
-    return promoted->first;
-  return std::nullopt;
+  return best;
+}
+
+std::optional<InstanceId> InstanceTracker::primary(TimePoint now) const {
+  const auto proven =
+      ProvenPrimary ? Instances.find(*ProvenPrimary) : Instances.end();
+  if (proven != Instances.end() && isUsable(now, proven->second))
+    return ProvenPrimary;
+  const auto *usable =
+      saidToLead([&](const auto &it) { return isUsable(now, it); });
+  if (usable)
+    return usable->Record.Id;
+  // NOTE: control learns that one is lost only if VMs report on it.
+  const auto *unusable = saidToLead([&](const auto &it) {
+    return isPromoted(it.Record) || it.NotPrimaryUntil <= now;
+  });
+  return unusable ? std::optional(unusable->Record.Id) : std::nullopt;
+}
+
+std::optional<Duration> InstanceTracker::unledFor(TimePoint now) {
+  if (Instances.empty() || primary(now)) {
+    UnledSince.reset();
+    return std::nullopt;
+  }
+  if (!UnledSince)
+    UnledSince = now;
+  return now - *UnledSince;
+}
+
+bool InstanceTracker::takeSearch(TimePoint now, Duration interval) {
+  if (now - SearchedAt < interval)
+    return false;
+  SearchedAt = now;
+  return true;
+}
+
+bool InstanceTracker::mayHaveTakenOver(TimePoint now,
+                                       const InstanceId &id) const {
+  const auto it = Instances.find(id);
+  return it != Instances.end() && primary(now) != id &&
+         isSaidToLead(it->second);
 }
 
 bool InstanceTracker::isPrimaryDenied(TimePoint now) const {
@@ -367,6 +402,16 @@
     it->NotPrimaryUntil = now + NotPrimaryPause;
 }
 
+void InstanceTracker::noteDisplaced(const InstanceId &id) {
+  if (auto *it = find(id))
+    it->IsDisplaced = true;
+}
+
+void InstanceTracker::noteReached(const InstanceId &id) {
+  if (auto *it = find(id))
+    it->IsDisplaced = false;
+}
+
 void InstanceTracker::noteLagging(TimePoint now, const InstanceId &id,
                                   const Mark &minimum) {
   auto *it = find(id);
--- a/src/proxy/internal/InstanceTracker.h
+++ b/src/proxy/internal/InstanceTracker.h
@@ -92,6 +92,8 @@
   /// It recently reported that it isn't the primary; asked again after this
   /// time.
   TimePoint NotPrimaryUntil{};
+  /// Another instance has answered at its address, and it has not since.
+  bool IsDisplaced = false;
 };
 
 /// Control made this incarnation of an instance the primary; of several
@@ -137,6 +139,15 @@
   /// No instance has proved to be the primary, and at least one recently
   /// reported that it isn't.
   bool isPrimaryDenied(TimePoint now) const;
+  /// For how long instances have been known, but no primary; none if a primary
+  /// is known, or no instance.
+  std::optional<Duration> unledFor(TimePoint now);
+  /// Whether a search for the primary is due, and it counts as made.
+  bool takeSearch(TimePoint now, Duration interval);
+  /// Whether \p id is another instance than the primary, and said to lead by
+  /// its own report or by control: where the primary is silent, it may have
+  /// taken over.
+  bool mayHaveTakenOver(TimePoint now, const InstanceId &id) const;
   /// The instances for a read that needs \p minimum, best first. Where a
   /// sibling should have the position, an outlier to which \p draw doesn't
   /// assign the read is left out, or comes last if the read has waited long.
@@ -160,6 +171,11 @@
   void noteRefusal(TimePoint now, const InstanceId &id);
   void noteSilence(TimePoint now, const InstanceId &id);
   void noteNotPrimary(TimePoint now, const InstanceId &id);
+  /// Another instance answers at the address of \p id, which counts as the
+  /// primary only as long as no other one is said to lead.
+  void noteDisplaced(const InstanceId &id);
+  /// The instance has answered at its address.
+  void noteReached(const InstanceId &id);
   /// Records that \p id refused a read that needs \p minimum, which its log
   /// hasn't reached.
   void noteLagging(TimePoint now, const InstanceId &id, const Mark &minimum);
@@ -170,6 +186,16 @@
     return Promoted.Instance == record.Id &&
            Promoted.StartTimeMs == record.StartTimeMs;
   }
+  /// Whether the instance may count as the primary by what it answered last.
+  static bool isUsable(TimePoint now, const TrackedInstance &instance) {
+    return instance.NotPrimaryUntil <= now && !instance.IsDisplaced;
+  }
+  /// The instance is said to lead, by its own report or by control.
+  bool isSaidToLead(const TrackedInstance &instance) const;
+  /// Of the instances that are said to lead and that \p isAllowed accepts, the
+  /// one that control promoted, else the one with the longest log.
+  template <typename Predicate>
+  const TrackedInstance *saidToLead(Predicate isAllowed) const;
   /// An instance that lost its data in a restart isn't accepted as the primary
   /// by its own report while another one has the acknowledged commits.
   bool canBePrimary(const membership::InstanceRecord &record) const;
@@ -197,6 +223,8 @@
   /// another since.
   std::optional<InstanceId> ProvenPrimary;
   Promotion Promoted;
+  std::optional<TimePoint> UnledSince;
+  TimePoint SearchedAt{};
   std::deque<PositionProof> Proofs;
 };
 
--- a/src/proxy/internal/Maintenance.cpp
+++ b/src/proxy/internal/Maintenance.cpp
@@ -275,10 +275,18 @@
   for (const auto &service : Watch.watched(now)) {
     auto &it = tracker(service);
     const auto primary = it.primary(now);
-    if (!primary || it.isPrimaryDenied(now))
-      searchPrimary(now, service, it);
-    else if (const auto *instance = it.find(*primary))
-      probePrimary(now, service, it.newestProofAt(), *instance);
+    if (!primary || it.isPrimaryDenied(now)) {
+      askWhoLeads(now, it, [](const auto &) { return true; });
+      continue;
+    }
+    const auto *instance = it.find(*primary);
+    if (!instance)
+      continue;
+    if (instance->SilentSince)
+      askWhoLeads(now, it, [&](const InstanceId &id) {
+        return it.mayHaveTakenOver(now, id);
+      });
+    probePrimary(now, service, it.newestProofAt(), *instance);
   }
 }
 
@@ -311,13 +319,14 @@
     }
 }
 
-void Proxy::searchPrimary(TimePoint now, const std::string &service,
-                          InstanceTracker &instances) {
-  auto &probedAt = ProbedAt[service];
-  if (now - probedAt < Options.SearchInterval)
+void Proxy::askWhoLeads(
+    TimePoint now, InstanceTracker &instances,
+    const std::function<bool(const InstanceId &)> &isAsked) {
+  if (!instances.takeSearch(now, Options.SearchInterval))
     return;
-  probedAt = now;
   for (auto &[id, it] : instances.all()) {
+    if (!isAsked(id))
+      continue;
     auto *connection =
         Pool.findForProbe(id, !it.IsDirectPathLost, probeOrganisation());
     if (connection)
--- a/src/proxy/tests/ProxyPrimaryTest.cpp
+++ b/src/proxy/tests/ProxyPrimaryTest.cpp
@@ -117,3 +117,107 @@
   it.Core.lender().request(it.Now, {"10.9.9.9", 1}, request);
   CHECK(it.Io.BorrowerEnds[{"10.9.9.9", 1}] == LendingEnd::Unreachable);
 }
+
+namespace {
+
+/// Breaks the connections to p, whose address answers for another instance.
+void displacePrimary(Fixture &it) {
+  for (const auto &[id, target] : std::map(it.Io.Opened)) {
+    if (target.Instance != InstanceId("p"))
+      continue;
+    it.Io.closeConnection(id);
+    it.Core.connectionLost(it.Now, id);
+  }
+}
+
+void refuseConnectionsTo(Fixture &it, const char *id) {
+  for (const auto &[number, target] : std::map(it.Io.Opened))
+    if (target.Instance == InstanceId(id) && it.Ready.insert(number).second)
+      it.Core.connectionReady(it.Now, number,
+                              Fixture::refusal(ReplyCode::WrongInstance));
+}
+
+/// A client writes; no connection is accepted meanwhile.
+void write(Fixture &it, const char *text) {
+  const auto client = it.connect("current");
+  ClientStatement statement;
+  statement.Id = "own";
+  statement.Kind = StatementKind::Write;
+  statement.Text = text;
+  it.Core.statementReceived(it.Now, client, statement);
+}
+
+/// Runs until a connection to \p id carries \p text, or for two seconds.
+bool isCarriedBy(Fixture &it, const char *text, const char *id) {
+  for (int i = 0; i < 200; ++i) {
+    it.Now += milliseconds(10);
+    it.Core.tick(it.Now);
+    refuseConnectionsTo(it, "p");
+    it.connectAll();
+    it.answerProxyCommands(markOf(4, 100));
+    const auto carrier = it.carrierOf(text);
+    if (carrier && it.instanceOf(*carrier) == id)
+      return true;
+  }
+  return false;
+}
+
+} // namespace
+
+TEST_CASE("Proxy_PrimaryThatIsBackUnderANewIdIsUsed") {
+  // The dead id stayed proven through every refusal of its connections, and the
+  // service was unserved for good.
+  Fixture it;
+  it.warmUp();
+  displacePrimary(it);
+  it.addInstance("p2", membership::InstanceRole::Primary, "10.0.0.1:1");
+  write(it, "WRITE x 1");
+  CHECK(isCarriedBy(it, "WRITE x 1", "p2"));
+}
+
+TEST_CASE("Proxy_SilentPrimaryGivesWayToOneThatProvesItsLead") {
+  // It says nothing; another instance reports that it leads, and no notice of
+  // control names it.
+  Fixture it;
+  it.warmUp();
+  displacePrimary(it);
+  it.addInstance("n", membership::InstanceRole::Primary, "10.0.0.9:1");
+  write(it, "WRITE y 1");
+  bool isFound = false;
+  for (int i = 0; i < 200 && !isFound; ++i) {
+    it.Now += milliseconds(10);
+    it.Core.tick(it.Now);
+    for (const auto &[number, target] : std::map(it.Io.Opened)) {
+      const bool isDead = target.Instance == InstanceId("p");
+      if (isDead || !it.Ready.insert(number).second)
+        continue;
+      it.Core.connectionReady(it.Now, number, Fixture::replyAt(markOf(4, 101)));
+    }
+    for (auto &[number, commands] : std::map(it.Io.Sent))
+      if (it.Io.Opened.contains(number) && it.instanceOf(number) == "n")
+        while (!it.Io.Sent[number].empty() &&
+               it.Io.Sent[number].front().Id.empty())
+          it.answer(number, Fixture::replyAt(markOf(4, 101)));
+    const auto carrier = it.carrierOf("WRITE y 1");
+    isFound = carrier && it.instanceOf(*carrier) == "n";
+  }
+  CHECK(isFound);
+}
+
+TEST_CASE("Proxy_ServiceWithoutAKnownPrimaryIsReported") {
+  Fixture it;
+  CHECK(it.Core.unledServices(it.Now).empty());
+  membership::InstanceRecord gone;
+  gone.Id = InstanceId("p");
+  gone.Service = "db";
+  gone.State = membership::InstanceState::Gone;
+  it.Core.applyInstance(it.Now, gone);
+  CHECK(it.Core.unledServices(it.Now).size() == 1);
+  it.Now += milliseconds(700);
+  const auto unled = it.Core.unledServices(it.Now);
+  REQUIRE(unled.size() == 1);
+  CHECK(unled[0].Primary.empty());
+  CHECK(unled[0].SilentFor == milliseconds(700));
+  it.addInstance("n", membership::InstanceRole::Primary, "10.0.0.9:1");
+  CHECK(it.Core.unledServices(it.Now).empty());
+}
--- a/src/proxy/types/PrimaryObservation.h
+++ b/src/proxy/types/PrimaryObservation.h
@@ -17,10 +17,12 @@
 /// The primary of a service as this VM observes it.
 struct PrimaryObservation {
   std::string Service;
+  /// Empty if this VM knows of none.
   InstanceId Primary;
   /// The observed incarnation; as in membership::InstanceRecord.
   std::uint64_t StartTimeMs = 0;
-  /// How long requests to it have gone unanswered; 0 if none has.
+  /// How long requests to it have gone unanswered, or none is known; 0 if
+  /// neither is the case.
   Duration SilentFor{};
 };
 
