A service whose primary is gone gets one, whatever was the way there

What callers saw: primaries that left while the platform was down for 12 s never got a successor, also not after a restart of all processes.

Cause: without a known primary nothing was due, since a service that is new looks the same. Ruled out: that the order is given and refused; none was given once the primary had deregistered.

Change: the log keeps which services have had a primary (led_services). One whose primary has deregistered is replaced at once; one of which none is known otherwise, after 3 s, in which a primary that leads is heard. A primary that has left doesn't count as the possible holder of a commit.

Without the change of the holders SyncedFailover_PrimaryThatHasLeftIsNotWaitedFor fails (trial).

--- a/src/control/ClusterState.cpp
+++ b/src/control/ClusterState.cpp
@@ -3,6 +3,8 @@
 
 #include "control/ClusterState.h"
 
+#include "peer/generated/Peer.pb.h"
+
 #include <algorithm>
 
 namespace stepledge::control {
@@ -27,12 +29,14 @@
     break;
   case wire::Command::kRecordPromotion: {
     const auto &promotion = command.record_promotion();
+    LedServices.insert(promotion.service());
     auto &it = Promotions[promotion.service()];
     if (promotion.fence() > it.fence())
       it = promotion;
     break;
   }
   case wire::Command::kKeepInstance:
+    noteLed(command.keep_instance());
     applyKeep(command.keep_instance());
     break;
   case wire::Command::kTakeFence:
@@ -43,6 +47,13 @@
   }
 }
 
+void ClusterState::noteLed(const wire::KeepInstance &instance) {
+  peer::wire::Instance record;
+  // NOTE: an unreadable record is logged where it is added to the directory.
+  if (record.ParseFromString(instance.record()) && record.is_primary())
+    LedServices.insert(record.service());
+}
+
 void ClusterState::applyKeep(const wire::KeepInstance &instance) {
   const auto held = Instances.find(instance.instance());
   // NOTE: the proposer had not yet received a heartbeat of the later
@@ -96,6 +107,8 @@
     *state.add_promotions() = it;
   for (const auto &[instance, it] : Instances)
     *state.add_instances() = it;
+  for (const auto &it : LedServices)
+    state.add_led_services(it);
   return state.SerializeAsString();
 }
 
@@ -108,10 +121,15 @@
   NewestConfiguration = state.configuration();
   for (const auto &it : state.marks())
     applyMark(it);
-  for (const auto &it : state.promotions())
+  LedServices.insert(state.led_services().begin(), state.led_services().end());
+  for (const auto &it : state.promotions()) {
     Promotions[it.service()] = it;
-  for (const auto &it : state.instances())
+    LedServices.insert(it.service());
+  }
+  for (const auto &it : state.instances()) {
     Instances[it.instance()] = it;
+    noteLed(it);
+  }
   return true;
 }
 
--- a/src/control/ClusterState.h
+++ b/src/control/ClusterState.h
@@ -2,7 +2,8 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file The state that the control group's log builds: the configuration, the
-/// lifecycle of leaving instances, and the promotions.
+/// lifecycle of leaving instances, the promotions, and which services have
+/// had a primary.
 
 #ifndef STEPLEDGE_CONTROL_CLUSTERSTATE_H
 #define STEPLEDGE_CONTROL_CLUSTERSTATE_H
@@ -12,6 +13,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 
 namespace stepledge::control {
@@ -43,7 +45,13 @@
     return Instances;
   }
 
+  /// Whether the service has ever had a primary, also one that has left since.
+  bool hasLed(const std::string &service) const {
+    return LedServices.contains(service);
+  }
+
 private:
+  void noteLed(const wire::KeepInstance &instance);
   void applyMark(const wire::MarkInstance &mark);
   void applyKeep(const wire::KeepInstance &instance);
 
@@ -54,6 +62,7 @@
   std::deque<std::string> MarkOrder;
   std::map<std::string, wire::RecordPromotion> Promotions;
   std::map<std::string, wire::KeepInstance> Instances;
+  std::set<std::string> LedServices;
 };
 
 } // namespace stepledge::control
--- a/src/control/internal/FailoverCoordinator.cpp
+++ b/src/control/internal/FailoverCoordinator.cpp
@@ -27,6 +27,10 @@
 /// The same where nothing but a confirmation is sought, which costs a log entry
 /// each time.
 constexpr Duration ConfirmPause = milliseconds(1500);
+/// A service of which no primary is known gets one only after this time: after
+/// a start, a primary that leads may not have been heard yet. Two heartbeat
+/// intervals, and some slack.
+constexpr Duration VacancyPatience = milliseconds(3000);
 /// An attempt that isn't finished by then is aborted and started again.
 constexpr Duration AttemptTimeout = milliseconds(3000);
 /// For two questions to a slow replica.
@@ -43,6 +47,7 @@
 void FailoverCoordinator::reset(TimePoint now) {
   Attempts.clear();
   PromotionOrderedAt.clear();
+  VacantSince.clear();
   Resumer.clearOrders();
   // NOTE: an earlier leader may have left replicas paused.
   for (const auto &it : services())
@@ -72,6 +77,7 @@
   facts.IsOrderRecent = orderedAt != PromotionOrderedAt.end() &&
                         now - orderedAt->second < PromotionTimeout;
   facts.IsLost = Node.Detector.isLost(now, service);
+  facts.HasLed = Node.State.hasLed(service);
   facts.MissesPings = [this](const InstanceRecord &it) {
     return Node.PingMissedSince.contains(it.Id);
   };
@@ -84,16 +90,30 @@
 }
 
 bool FailoverCoordinator::hasOthers(const std::string &service,
-                                    const InstanceRecord &primary) const {
+                                    const InstanceRecord *primary) const {
   const auto all = Node.Directory.ofService(service);
   return std::any_of(all.begin(), all.end(), [&](const auto *it) {
-    return it != &primary && it->State != InstanceState::Gone;
+    return it != primary && it->State != InstanceState::Gone;
   });
 }
 
+void FailoverCoordinator::noteVacancy(TimePoint now, const std::string &service,
+                                      LeadState state) {
+  if (state == LeadState::Vacant)
+    VacantSince.try_emplace(service, now);
+  else
+    VacantSince.erase(service);
+}
+
 bool FailoverCoordinator::isDue(TimePoint now, const std::string &service,
-                                LeadState state) const {
-  if (!mustAsk(state) || Resumer.isPending(service))
+                                const ServiceLead &lead) const {
+  const LeadState state = lead.State;
+  const bool isAsked = mustAsk(state) && !Resumer.isPending(service);
+  if (!isAsked || !hasOthers(service, lead.Primary))
+    return false;
+  const auto vacantSince = VacantSince.find(service);
+  if (vacantSince != VacantSince.end() &&
+      now - vacantSince->second < VacancyPatience)
     return false;
   const auto finishedAt = FinishedAt.find(service);
   if (finishedAt == FinishedAt.end())
@@ -107,8 +127,8 @@
     const auto it = Attempts.find(service);
     if (it == Attempts.end()) {
       const auto lead = assessLead(factsOf(now, service));
-      const bool isDone = !lead.Primary || !hasOthers(service, *lead.Primary);
-      if (!isDone && isDue(now, service, lead.State))
+      noteVacancy(now, service, lead.State);
+      if (isDue(now, service, lead))
         start(now, service, lead.State);
       continue;
     }
--- a/src/control/internal/FailoverCoordinator.h
+++ b/src/control/internal/FailoverCoordinator.h
@@ -54,11 +54,14 @@
 
   std::vector<std::string> services() const;
   LeadFacts factsOf(TimePoint now, const std::string &service) const;
-  /// Whether an attempt is due for a service whose lead is in \p state.
-  bool isDue(TimePoint now, const std::string &service, LeadState state) const;
-  /// Any ready instance besides \p primary could be promoted or lead.
+  /// Whether an attempt is due for a service whose lead is so assessed.
+  bool isDue(TimePoint now, const std::string &service,
+             const ServiceLead &lead) const;
+  /// Any instance besides \p primary could be promoted or lead.
   bool hasOthers(const std::string &service,
-                 const membership::InstanceRecord &primary) const;
+                 const membership::InstanceRecord *primary) const;
+  /// Notes since when the service is vacant.
+  void noteVacancy(TimePoint now, const std::string &service, LeadState state);
   /// Whether the recorded promotion names this incarnation of the instance.
   bool isPromoted(const membership::InstanceRecord &record) const;
   void start(TimePoint now, const std::string &service, LeadState reason);
@@ -102,6 +105,7 @@
   /// When this leader last ordered a promotion of each service.
   std::map<std::string, TimePoint> PromotionOrderedAt;
   std::map<std::string, TimePoint> FinishedAt;
+  std::map<std::string, TimePoint> VacantSince;
 };
 
 } // namespace stepledge::control
--- a/src/control/internal/ReplicaChoice.cpp
+++ b/src/control/internal/ReplicaChoice.cpp
@@ -41,7 +41,7 @@
   };
   InstanceList holders;
   for (const auto *it : instances)
-    if (it != primary &&
+    if (it != primary && !hasLeftAsPrimary(*it) &&
         (it->State != InstanceState::Gone || !hasSuccessor(*it)))
       holders.push_back(it);
   return holders;
--- a/src/control/internal/ReplicaChoice.h
+++ b/src/control/internal/ReplicaChoice.h
@@ -21,7 +21,8 @@
 
 /// Returns those of \p instances, all of one service, that may hold a commit
 /// which no other replica has: also one that leaves, is silent, or has ended
-/// without a successor at its address.
+/// without a successor at its address. A primary's commits are also on a
+/// replica.
 InstanceList possibleHolders(const InstanceList &instances,
                              const membership::InstanceRecord *primary);
 
--- a/src/control/internal/ServiceLead.cpp
+++ b/src/control/internal/ServiceLead.cpp
@@ -54,8 +54,23 @@
          hasRival(primary, facts);
 }
 
+LeadState stateWithoutPrimary(const LeadFacts &facts) {
+  const auto &all = facts.Instances;
+  const bool hasLeft = std::any_of(all.begin(), all.end(), [](const auto *it) {
+    return hasLeftAsPrimary(*it);
+  });
+  if (hasLeft)
+    return LeadState::Left;
+  return facts.HasLed ? LeadState::Vacant : LeadState::Unknown;
+}
+
 } // namespace
 
+bool hasLeftAsPrimary(const InstanceRecord &record) {
+  return record.Role == InstanceRole::Primary &&
+         record.State == InstanceState::Gone;
+}
+
 bool hasLostData(const InstanceRecord &record, const LeadFacts &facts) {
   if (!record.HasRestarted || &record == facts.Promoted)
     return false;
@@ -68,7 +83,7 @@
 ServiceLead assessLead(const LeadFacts &facts) {
   const auto *primary = believedPrimary(facts);
   if (!primary)
-    return {LeadState::Unknown, nullptr};
+    return {stateWithoutPrimary(facts), nullptr};
   if (primary->State == InstanceState::Leaving)
     return {LeadState::Leaving, primary};
   if (hasLostData(*primary, facts))
@@ -86,7 +101,8 @@
 }
 
 bool mayPromote(LeadState state) {
-  return isPlanned(state) || state == LeadState::Lost;
+  return isPlanned(state) || state == LeadState::Lost ||
+         state == LeadState::Left || state == LeadState::Vacant;
 }
 
 bool isPlanned(LeadState state) {
--- a/src/control/internal/ServiceLead.h
+++ b/src/control/internal/ServiceLead.h
@@ -19,7 +19,7 @@
 using membership::InstanceList;
 
 enum class LeadState {
-  /// No instance reports to be the primary, and none is recorded as promoted.
+  /// No instance reports to be the primary, and none ever has.
   Unknown,
   /// One instance counts as the primary, and nothing contradicts it.
   Leading,
@@ -34,17 +34,23 @@
   Leaving,
   /// It has restarted without its data, while another instance has not.
   LostData,
+  /// An instance has led, and has left without a successor.
+  Left,
+  /// An instance has led, and none is known to lead now.
+  Vacant,
 };
 
 /// For logs.
-inline constexpr std::array<NameEntry<LeadState>, 7> LeadStateNames{
+inline constexpr std::array<NameEntry<LeadState>, 9> LeadStateNames{
     {{LeadState::Unknown, "unknown"},
      {LeadState::Leading, "leading"},
      {LeadState::Unconfirmed, "unconfirmed"},
      {LeadState::Contested, "contested"},
      {LeadState::Lost, "lost"},
      {LeadState::Leaving, "leaving"},
-     {LeadState::LostData, "lost-data"}}};
+     {LeadState::LostData, "lost-data"},
+     {LeadState::Left, "left"},
+     {LeadState::Vacant, "vacant"}}};
 
 /// What one service's lead is judged by.
 struct LeadFacts {
@@ -57,6 +63,8 @@
   bool IsOrderRecent = false;
   /// Enough VMs get no answers from the primary that they know.
   bool IsLost = false;
+  /// The service has had a primary.
+  bool HasLed = false;
   std::function<bool(const membership::InstanceRecord &)> MissesPings;
 };
 
@@ -71,6 +79,9 @@
 bool hasLostData(const membership::InstanceRecord &record,
                  const LeadFacts &facts);
 
+/// Whether the instance has left, and led until then.
+bool hasLeftAsPrimary(const membership::InstanceRecord &record);
+
 ServiceLead assessLead(const LeadFacts &facts);
 
 /// Whether the instances must be asked who leads.
--- a/src/control/tests/LeadRecoveryTest.cpp
+++ b/src/control/tests/LeadRecoveryTest.cpp
@@ -10,6 +10,7 @@
 
 #include <optional>
 #include <set>
+#include <utility>
 
 using namespace stepledge;
 using namespace stepledge::control;
@@ -54,6 +55,32 @@
     Group.Platform.Silent.insert(InstanceId(id));
   }
 
+  void drain(const std::string &id) {
+    Records.at(id).State = InstanceState::Leaving;
+    sendHeartbeats();
+  }
+
+  /// It says that it ends, and ends.
+  void deregister(const std::string &id) {
+    Group.node(Group.leader())
+        .deregisterInstance(Group.now(), InstanceId(id), std::nullopt,
+                            [](bool) {});
+    run(milliseconds(100));
+    crash(id);
+  }
+
+  /// The platform gives no answers, and carries nothing out.
+  void setPlatform(bool isUp) {
+    Group.Platform.AnswersOrders = isUp;
+    CarriesOutOrders = isUp;
+  }
+
+  /// Whether the recorded primary is one that runs and leads.
+  bool isLed() {
+    const auto it = Records.find(recorded());
+    return it != Records.end() && it->second.Role == InstanceRole::Primary;
+  }
+
   /// It leads the next term.
   void lead(const std::string &id) {
     for (auto &[other, it] : Records) {
@@ -131,9 +158,11 @@
 
   void carryOutOrders() {
     auto &orders = Group.Platform.Orders;
-    if (!CarriesOutOrders || orders.size() == Seen)
+    if (std::exchange(Seen, orders.size()) == orders.size())
+      return;
+    // An order that isn't carried out now never is.
+    if (!CarriesOutOrders)
       return;
-    Seen = orders.size();
     if (Records.contains(orders.back().Instance.str()))
       lead(orders.back().Instance.str());
     sendHeartbeats();
@@ -287,3 +316,100 @@
   play.run(milliseconds(5000));
   CHECK(play.Group.Platform.Orders.empty());
 }
+
+TEST_CASE("LeadRecovery_PrimaryThatLeftWhileThePlatformWasDownIsReplaced") {
+  // Once it was deregistered no order was given again.
+  for (const int downMs : {9000, 12000, 30000}) {
+    CAPTURE(downMs);
+    Play play;
+    play.addService();
+    play.setPlatform(false);
+    play.drain("p");
+    play.run(milliseconds(8000));
+    play.deregister("p");
+    play.Sighted = "";
+    play.run(milliseconds(downMs - 8000));
+    play.setPlatform(true);
+    play.run(milliseconds(4000));
+    CHECK(play.isLed());
+  }
+}
+
+TEST_CASE("LeadRecovery_ServiceLeftWithoutAPrimaryIsServedAfterAWholeRestart") {
+  // The next leader has never heard of the primary that left.
+  Play play;
+  play.addService();
+  play.setPlatform(false);
+  play.drain("p");
+  play.run(milliseconds(8000));
+  play.deregister("p");
+  play.Sighted = "";
+  play.Group.restartAll();
+  play.run(milliseconds(2000));
+  play.setPlatform(true);
+  play.run(milliseconds(8000));
+  CHECK(play.isLed());
+}
+
+TEST_CASE("LeadRecovery_PrimaryThatIsHeardOnlyAfterARestartIsNotReplaced") {
+  // The log has replicas, and that the service has had a primary.
+  Play play;
+  play.addService();
+  play.deregister("p");
+  play.CarriesOutOrders = false;
+  play.Group.restartAll();
+  play.add("q", InstanceRole::Primary);
+  play.Unheard = {"q"};
+  const auto orders = play.Group.Platform.Orders.size();
+  play.run(milliseconds(2000));
+  play.Unheard.clear();
+  play.Sighted = "q";
+  play.run(milliseconds(6000));
+  CHECK(play.Group.Platform.Orders.size() == orders);
+}
+
+TEST_CASE("LeadRecovery_ServiceWhoseInstancesAllFollowGetsAPrimary") {
+  // The old primary lost its lead to a replica that ended for good, and the
+  // promotion was recorded by nobody.
+  Play play;
+  play.addService();
+  play.lead("r1");
+  play.crash("r1");
+  play.Unheard = {"r1"};
+  play.sendHeartbeats();
+  play.Sighted = "";
+  play.run(milliseconds(9000));
+  CHECK(play.isLed());
+}
+
+TEST_CASE("LeadRecovery_PlatformThatIsDownForAnyTimeDelaysNoLongerThanThat") {
+  // Longer than each of the limits of an attempt, an order and a record.
+  for (const int downMs : {300, 1500, 2600, 3100, 5100, 21000}) {
+    CAPTURE(downMs);
+    Play play;
+    play.addService();
+    play.setPlatform(false);
+    play.crash("p");
+    play.run(milliseconds(downMs));
+    play.setPlatform(true);
+    play.run(milliseconds(6000));
+    CHECK(play.isLed());
+  }
+}
+
+TEST_CASE("LeadRecovery_PrimaryThatLeavesAtOnceIsReplaced") {
+  // No order was given for it before; nor has the next leader heard of it.
+  for (const bool endsControl : {false, true}) {
+    CAPTURE(endsControl);
+    Play play;
+    play.addService();
+    play.setPlatform(!endsControl);
+    play.deregister("p");
+    play.Sighted = "";
+    if (endsControl)
+      play.Group.restartAll();
+    play.setPlatform(true);
+    play.run(milliseconds(8000));
+    CHECK(play.isLed());
+  }
+}
--- a/src/control/tests/ServiceLeadTest.cpp
+++ b/src/control/tests/ServiceLeadTest.cpp
@@ -63,6 +63,7 @@
         facts.Promoted = &it;
     facts.IsOrderRecent = IsOrderRecent;
     facts.IsLost = IsLost;
+    facts.HasLed = HasLed;
     facts.MissesPings = [this](const InstanceRecord &it) {
       return Missing.contains(it.Id.str());
     };
@@ -80,6 +81,7 @@
   std::set<std::string> Missing;
   bool IsOrderRecent = false;
   bool IsLost = false;
+  bool HasLed = false;
 };
 
 struct Belief {
@@ -106,6 +108,13 @@
     {LeadState::Leaving,
      [](Scene &it) { it.at("p").State = InstanceState::Leaving; }},
     {LeadState::LostData, [](Scene &it) { it.at("p").HasRestarted = true; }},
+    {LeadState::Left,
+     [](Scene &it) { it.at("p").State = InstanceState::Gone; }},
+    {LeadState::Vacant,
+     [](Scene &it) {
+       it.at("p").Role = InstanceRole::Replica;
+       it.HasLed = true;
+     }},
 };
 
 /// Another instance says that it leads: the promoted replica, or a new id.
@@ -153,9 +162,9 @@
     it.Reach(scene);
     scene.IsLost = true;
     scene.Missing.insert(scene.primary());
-    const bool isKnown = scene.primary() != "-";
-    CHECK(mustAsk(scene.state()) == isKnown);
-    CHECK(mayPromote(scene.state()) == isKnown);
+    const bool hasLed = it.State != LeadState::Unknown;
+    CHECK(mustAsk(scene.state()) == hasLed);
+    CHECK(mayPromote(scene.state()) == hasLed);
   }
 }
 
@@ -209,3 +218,26 @@
   unexecuted.IsOrderRecent = true;
   CHECK(unexecuted.primary() == "r");
 }
+
+TEST_CASE("ServiceLead_PrimaryThatIsDroppedOrFollowsLeavesAVacancy") {
+  // Each way to a service without a primary ends in one that is filled.
+  for (const auto &it : Beliefs) {
+    CAPTURE(nameIn(LeadStateNames, it.State));
+    if (it.State == LeadState::Unknown)
+      continue;
+    for (const bool isDropped : {true, false}) {
+      CAPTURE(isDropped);
+      Scene scene;
+      it.Reach(scene);
+      scene.HasLed = true;
+      scene.Promoted.clear();
+      for (const char *id : {"p", "q"})
+        if (scene.has(id) && isDropped)
+          scene.drop(id);
+      for (auto &record : scene.Records)
+        record.Role = InstanceRole::Replica;
+      CHECK(scene.state() == LeadState::Vacant);
+      CHECK(mayPromote(scene.state()));
+    }
+  }
+}
--- a/src/control/tests/SyncedFailoverTest.cpp
+++ b/src/control/tests/SyncedFailoverTest.cpp
@@ -227,6 +227,18 @@
   }
 }
 
+TEST_CASE("SyncedFailover_PrimaryThatHasLeftIsNotWaitedFor") {
+  // It counted as an ended replica that may alone hold a commit.
+  Play play(2);
+  play.Group.node(play.Group.leader())
+      .deregisterInstance(play.Group.now(), InstanceId("p"), 1, [](bool) {});
+  play.run(milliseconds(50));
+  play.Service.end("p");
+  play.run(milliseconds(4000));
+  CHECK(play.Service.promotions() == 1);
+  CHECK(play.Service.lost() == 0);
+}
+
 TEST_CASE("SyncedFailover_DrainingReplicaIsAskedAndOutranksAShorterLog") {
   for (const int lag : {50, 300, 1500}) {
     CAPTURE(lag);
