Where commits wait for replicas, the old primary is demoted first

What callers saw: with sync_replicas 1, writes that were acknowledged during a planned replacement were gone, after a replica had restarted right behind its PAUSE.

Cause: the positions were held still by pauses alone, a restart ends a pause, and an accepted order can't be taken back. Ruled out as the mend: a pause that holds as long as its connection, since the crash comes after the order was accepted.

Change: a primary that answers is demoted before the replicas are paused and measured; it is left in its lead where control can't reach it, where too few answer, and for 5 s where the platform gave no answer. A new order waits 1.5 s for one that was accepted. Of equal logs the last by id is chosen, since logs are equal after a demotion.

--- a/src/control/IPromoter.h
+++ b/src/control/IPromoter.h
@@ -75,6 +75,11 @@
   virtual void
   pause(const membership::InstanceRecord &instance, Term term,
         std::function<void(std::optional<PausedStatus>)> onDone) = 0;
+  /// Makes a primary of a term below \p term a replica: it acknowledges no
+  /// commit from then on. Reports its state after that.
+  virtual void
+  demote(const membership::InstanceRecord &instance, Term term,
+         std::function<void(std::optional<InstanceStatus>)> onDone) = 0;
   /// Ends a pause. \p onDone is told whether the request was answered; one that
   /// wasn't may still be carried out, and names no pause: it would end a later
   /// one as well.
--- a/src/control/internal/FailoverAttempt.h
+++ b/src/control/internal/FailoverAttempt.h
@@ -23,6 +23,7 @@
   TakingFence,
   QueryingStatus,
   Pausing,
+  Demoting,
   Promoting,
   Recording
 };
@@ -42,8 +43,11 @@
   std::map<InstanceId, std::uint64_t> AwaitedPauses;
   std::map<InstanceId, InstanceStatus> Statuses;
   std::map<InstanceId, PausedStatus> Pauses;
-  /// Those to which PAUSE was sent.
+  /// Those to which PAUSE was sent, and since the demotion, if there was one.
   std::set<InstanceId> PauseAsked;
+  bool HasPaused = false;
+  /// The highest term that a pause or demotion has named.
+  Term NewestNamed{};
   /// The order to promote was given and not rejected.
   bool HasOpenOrder = false;
   /// The instance that was ordered to become primary.
@@ -76,6 +80,14 @@
     return leads ? std::optional(it->first) : std::nullopt;
   }
 
+  /// \p primary follows now: what was measured before may have grown since.
+  void noteDemoted(const InstanceId &primary) {
+    Statuses.erase(primary);
+    Pauses.clear();
+    PauseAsked.clear();
+    AwaitedPauses.clear();
+  }
+
   /// The instance has started again: what it has answered, or answers late,
   /// belongs to its earlier incarnation.
   void forget(const InstanceId &instance) {
--- a/src/control/internal/FailoverCoordinator.cpp
+++ b/src/control/internal/FailoverCoordinator.cpp
@@ -13,6 +13,7 @@
 namespace stepledge::control {
 
 using membership::InstanceRecord;
+using membership::InstanceRole;
 using membership::InstanceState;
 
 namespace {
@@ -31,6 +32,13 @@
 /// a start, a primary that leads may not have been heard yet. Two heartbeat
 /// intervals, and some slack.
 constexpr Duration VacancyPatience = milliseconds(3000);
+/// An order that was answered is carried out within this time: some hundred ms.
+constexpr Duration OrderExecutionTime = milliseconds(1500);
+/// While orders get no answer, a leaving primary whose commits wait for
+/// replicas is not replaced for this long: entry VMs use it not much longer.
+constexpr Duration LeavingServiceTime = milliseconds(5000);
+/// An order without an answer tells this long that the next gets none either.
+constexpr Duration PlatformSilence = milliseconds(10000);
 /// An attempt that isn't finished by then is aborted and started again.
 constexpr Duration AttemptTimeout = milliseconds(3000);
 /// For two questions to a slow replica.
@@ -48,6 +56,9 @@
   Attempts.clear();
   PromotionOrderedAt.clear();
   VacantSince.clear();
+  LeavingSince.clear();
+  Demoted.clear();
+  PlatformSilentAt.reset();
   Resumer.clearOrders();
   // NOTE: an earlier leader may have left replicas paused.
   for (const auto &it : services())
@@ -97,12 +108,52 @@
   });
 }
 
-void FailoverCoordinator::noteVacancy(TimePoint now, const std::string &service,
-                                      LeadState state) {
-  if (state == LeadState::Vacant)
-    VacantSince.try_emplace(service, now);
-  else
-    VacantSince.erase(service);
+void FailoverCoordinator::noteState(TimePoint now, const std::string &service,
+                                    const ServiceLead &lead) {
+  const auto note = [&](auto &since, bool holds) {
+    if (holds)
+      since.try_emplace(service, now);
+    else
+      since.erase(service);
+  };
+  note(VacantSince,
+       lead.State == LeadState::Vacant && !Demoted.contains(service));
+  note(LeavingSince, lead.State == LeadState::Leaving);
+  const bool isLed = lead.State == LeadState::Leading &&
+                     lead.Primary->Role == InstanceRole::Primary;
+  if (isLed)
+    Demoted.erase(service);
+}
+
+bool FailoverCoordinator::mustWait(TimePoint now, const std::string &service,
+                                   const ServiceLead &lead) const {
+  // NOTE: an instance that leads only after the others were asked would
+  // acknowledge commits that the next one lacks.
+  const auto orderedAt = PromotionOrderedAt.find(service);
+  if (orderedAt != PromotionOrderedAt.end() &&
+      now - orderedAt->second < OrderExecutionTime)
+    return true;
+  if (lead.State != LeadState::Leaving)
+    return false;
+  // NOTE: entry VMs may still reach one that doesn't answer this VM. It ends
+  // soon, and says so, or all miss it.
+  const bool isUnreached = Node.PingMissedSince.contains(lead.Primary->Id) &&
+                           !Node.Detector.isLost(now, service);
+  // NOTE: a primary that is demoted leads no more, also where no order comes
+  // through. It serves on while it may.
+  return isUnreached ||
+         (isPlatformSilent(now) && isLeavingForLess(now, service));
+}
+
+bool FailoverCoordinator::isPlatformSilent(TimePoint now) const {
+  return PlatformSilentAt && now - *PlatformSilentAt < PlatformSilence;
+}
+
+bool FailoverCoordinator::isLeavingForLess(TimePoint now,
+                                           const std::string &service) const {
+  const auto since = LeavingSince.find(service);
+  return since != LeavingSince.end() &&
+         now - since->second < LeavingServiceTime;
 }
 
 bool FailoverCoordinator::isDue(TimePoint now, const std::string &service,
@@ -115,6 +166,8 @@
   if (vacantSince != VacantSince.end() &&
       now - vacantSince->second < VacancyPatience)
     return false;
+  if (Node.syncReplicasOf(service) > 0 && mustWait(now, service, lead))
+    return false;
   const auto finishedAt = FinishedAt.find(service);
   if (finishedAt == FinishedAt.end())
     return true;
@@ -127,7 +180,7 @@
     const auto it = Attempts.find(service);
     if (it == Attempts.end()) {
       const auto lead = assessLead(factsOf(now, service));
-      noteVacancy(now, service, lead.State);
+      noteState(now, service, lead);
       if (isDue(now, service, lead))
         start(now, service, lead.State);
       continue;
@@ -149,26 +202,78 @@
 void FailoverCoordinator::proceed(TimePoint now, const std::string &service,
                                   const AttemptPtr &attempt) {
   const Duration waited = now - attempt->StageStartedAt;
-  if (attempt->Stage == FailoverStage::Pausing) {
-    Questions.pauseNext(attempt);
-    const bool isDone =
-        attempt->AwaitedStatuses.empty() && attempt->AwaitedPauses.empty();
-    if (isDone || waited > PauseTimeout)
-      orderPromotion(now, service, attempt);
-    return;
-  }
+  if (attempt->Stage == FailoverStage::Pausing)
+    return proceedPausing(now, service, attempt);
   const bool isDone =
       attempt->AwaitedStatuses.empty() || waited > StatusTimeout;
   if (attempt->Stage != FailoverStage::QueryingStatus || !isDone)
     return;
   if (const auto *leader = confirmedLeader(now, service, *attempt))
     return confirm(now, service, attempt, *leader);
+  leaveOutDemoted(service, *attempt);
   if (Node.syncReplicasOf(service) > 0)
     pauseReplicas(now, service, attempt);
   else
     orderPromotion(now, service, attempt);
 }
 
+void FailoverCoordinator::proceedPausing(TimePoint now,
+                                         const std::string &service,
+                                         const AttemptPtr &attempt) {
+  Questions.pauseNext(attempt);
+  const bool isDone =
+      attempt->AwaitedStatuses.empty() && attempt->AwaitedPauses.empty();
+  if (isDone && attempt->hasPrimary() && Questions.canDemote(*attempt))
+    return demotePrimary(now, service, attempt);
+  if (isDone && !attempt->hasPrimary())
+    return orderPromotion(now, service, attempt);
+  if (now - attempt->StageStartedAt > PauseTimeout)
+    orderPromotion(now, service, attempt);
+}
+
+void FailoverCoordinator::demotePrimary(TimePoint now,
+                                        const std::string &service,
+                                        const AttemptPtr &attempt) {
+  const InstanceRecord *primary = nullptr;
+  for (const auto &[id, it] : attempt->Statuses)
+    if (it.Role == InstanceRole::Primary)
+      primary = Node.Directory.find(id);
+  // NOTE: without enough answers writes would wait for a promotion that can't
+  // come.
+  const bool isCovered = coversCommits(
+      holders(service), Node.syncReplicasOf(service),
+      [&](const InstanceId &id) { return attempt->Statuses.contains(id); });
+  if (!primary || !isCovered)
+    return finishUnsure(now, service, *attempt);
+  attempt->Stage = FailoverStage::Demoting;
+  attempt->StageStartedAt = now;
+  Log.log(absl::StrCat("event=primary_demoted service=", service, " instance=",
+                       primary->Id.str(), " fence=", attempt->Fence));
+  Demoted[service] = primary->Id;
+  Questions.demote(attempt, *primary,
+                   [this, service, weak = std::weak_ptr(attempt),
+                    id = primary->Id](bool isFollowing) {
+                     const auto asker = weak.lock();
+                     if (!asker)
+                       return;
+                     if (!isFollowing)
+                       return finishUnsure(Node.Now, service, *asker);
+                     asker->noteDemoted(id);
+                     asker->Stage = FailoverStage::Pausing;
+                     asker->StageStartedAt = Node.Now;
+                   });
+}
+
+void FailoverCoordinator::leaveOutDemoted(const std::string &service,
+                                          Attempt &attempt) const {
+  const auto demoted = Demoted.find(service);
+  if (demoted == Demoted.end() || attempt.Statuses.size() < 2)
+    return;
+  const auto it = attempt.Statuses.find(demoted->second);
+  if (it != attempt.Statuses.end() && it->second.Role == InstanceRole::Replica)
+    attempt.Statuses.erase(it);
+}
+
 void FailoverCoordinator::start(TimePoint now, const std::string &service,
                                 LeadState reason) {
   const auto attempt = std::make_shared<Attempt>();
@@ -201,7 +306,16 @@
 
 InstanceList FailoverCoordinator::holders(const std::string &service) const {
   const auto facts = factsOf(Node.Now, service);
-  return possibleHolders(facts.Instances, assessLead(facts).Primary);
+  const auto *primary = assessLead(facts).Primary;
+  // NOTE: one that was ordered to lead and doesn't say that it does may still
+  // be a replica.
+  const bool leads = primary && primary->Role == InstanceRole::Primary;
+  auto instances = possibleHolders(facts.Instances, leads ? primary : nullptr);
+  const auto demoted = Demoted.find(service);
+  if (demoted != Demoted.end())
+    std::erase_if(instances,
+                  [&](const auto *it) { return it->Id == demoted->second; });
+  return instances;
 }
 
 const InstanceRecord *
@@ -255,8 +369,13 @@
                       return attempt->Statuses.contains(id) ||
                              attempt->AwaitedStatuses.contains(id);
                     });
+  // NOTE: a primary that can't be demoted would acknowledge what a replica
+  // receives that restarts, and so is paused no more.
+  const bool mustBeDemoted =
+      attempt->Reason == LeadState::Leaving && !attempt->hasPrimary() &&
+      !Demoted.contains(service) && !Node.Detector.isLost(now, service);
   // NOTE: otherwise writes would wait behind pauses that are of no use.
-  if (!mayCover)
+  if (!mayCover || mustBeDemoted)
     return finishUnsure(now, service, *attempt);
   attempt->Stage = FailoverStage::Pausing;
   attempt->StageStartedAt = now;
@@ -325,9 +444,14 @@
   Log.log(absl::StrCat("event=promotion_answered service=", service,
                        " instance=", attempt->Target->str(), " fence=",
                        attempt->Fence, " result=", static_cast<int>(result)));
+  if (result == PromotionResult::NoAnswer)
+    PlatformSilentAt = Node.Now;
+  else
+    PlatformSilentAt.reset();
   if (result != PromotionResult::Rejected)
     return recordPromotion(Node.Now, service, attempt);
   attempt->HasOpenOrder = false;
+  PromotionOrderedAt.erase(service);
   finishAttempt(Node.Now, service);
 }
 
@@ -379,7 +503,7 @@
   const auto ended = Attempts.extract(service);
   FinishedAt[service] = now;
   // NOTE: resuming a replica that was promoted or never paused has no effect.
-  if (ended.empty() || ended.mapped()->PauseAsked.empty())
+  if (ended.empty() || !ended.mapped()->HasPaused)
     return;
   if (ended.mapped()->HasOpenOrder)
     Resumer.holdForOrder(now, service, ended.mapped()->Target);
--- a/src/control/internal/FailoverCoordinator.h
+++ b/src/control/internal/FailoverCoordinator.h
@@ -20,6 +20,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -60,14 +61,30 @@
   /// Any instance besides \p primary could be promoted or lead.
   bool hasOthers(const std::string &service,
                  const membership::InstanceRecord *primary) const;
-  /// Notes since when the service is vacant.
-  void noteVacancy(TimePoint now, const std::string &service, LeadState state);
+  /// Notes since when the service is vacant, or its primary leaves.
+  void noteState(TimePoint now, const std::string &service,
+                 const ServiceLead &lead);
+  /// Whether the primary of a service whose commits wait for replicas can't be
+  /// replaced without a loss now, or should serve on.
+  bool mustWait(TimePoint now, const std::string &service,
+                const ServiceLead &lead) const;
+  bool isPlatformSilent(TimePoint now) const;
+  bool isLeavingForLess(TimePoint now, const std::string &service) const;
   /// Whether the recorded promotion names this incarnation of the instance.
   bool isPromoted(const membership::InstanceRecord &record) const;
   void start(TimePoint now, const std::string &service, LeadState reason);
   /// Continues an attempt whose answers have come or are too late.
   void proceed(TimePoint now, const std::string &service,
                const AttemptPtr &attempt);
+  void proceedPausing(TimePoint now, const std::string &service,
+                      const AttemptPtr &attempt);
+  /// Until the order is carried out the old primary would acknowledge what a
+  /// replica receives, also one that restarts and so is paused no more.
+  void demotePrimary(TimePoint now, const std::string &service,
+                     const AttemptPtr &attempt);
+  /// The demoted primary, whose log is the longest, is promoted again only if
+  /// no other instance answers.
+  void leaveOutDemoted(const std::string &service, Attempt &attempt) const;
   /// If commits wait for replicas, none of these may receive more while one is
   /// chosen, or the chosen one could miss a commit that another one has let be
   /// acknowledged.
@@ -106,6 +123,11 @@
   std::map<std::string, TimePoint> PromotionOrderedAt;
   std::map<std::string, TimePoint> FinishedAt;
   std::map<std::string, TimePoint> VacantSince;
+  std::map<std::string, TimePoint> LeavingSince;
+  /// Since the last order that was answered, one was not.
+  std::optional<TimePoint> PlatformSilentAt;
+  /// The primary that this leader has demoted; until another one leads.
+  std::map<std::string, InstanceId> Demoted;
 };
 
 } // namespace stepledge::control
--- a/src/control/internal/Instances.cpp
+++ b/src/control/internal/Instances.cpp
@@ -129,7 +129,8 @@
 
 void ControlNode::dropSilentInstances(TimePoint now) {
   const auto isKept = [&](const membership::InstanceRecord &it) {
-    return Failover->isBelievedPrimary(now, it);
+    return it.Role == InstanceRole::Primary &&
+           Failover->isBelievedPrimary(now, it);
   };
   for (const auto &it : Directory.expire(now, Options.InstanceTimeout, isKept))
     dropInstance(now, it);
--- a/src/control/internal/ReplicaChoice.cpp
+++ b/src/control/internal/ReplicaChoice.cpp
@@ -67,7 +67,7 @@
     if (it.second.Role == InstanceRole::Primary || !record)
       continue;
     auto &longest = record->State == InstanceState::Ready ? ready : leaving;
-    if (hasLongerLog(it, longest))
+    if (!longest || it.second.Received >= longest->second.Received)
       longest = &it;
   }
   const bool isBehind = leaving && hasLongerLog(*leaving, ready);
--- a/src/control/internal/ReplicaQuestions.cpp
+++ b/src/control/internal/ReplicaQuestions.cpp
@@ -33,30 +33,55 @@
         !attempt->AwaitedStatuses.contains(id))
       unpaused.push_back(record);
   for (const auto *it : unpaused) {
-    if (canPause(*attempt, it->Id))
+    const bool isTurn = isLeaving(it->Id) || !attempt->hasPrimary();
+    if (isTurn)
       pause(attempt, *it);
-    else
+    else if (mustCatchUp(*attempt, it->Id))
       askStatus(attempt, *it);
   }
 }
 
+bool ReplicaQuestions::canDemote(const FailoverAttempt &attempt) const {
+  return std::none_of(
+      attempt.Statuses.begin(), attempt.Statuses.end(), [&](const auto &it) {
+        return it.second.Role == InstanceRole::Replica &&
+               !isLeaving(it.first) && mustCatchUp(attempt, it.first);
+      });
+}
+
+void ReplicaQuestions::demote(const AttemptPtr &attempt,
+                              const InstanceRecord &primary,
+                              std::function<void(bool)> onDone) {
+  Probe.demote(primary, nextTerm(*attempt),
+               [weak = std::weak_ptr(attempt), onDone = std::move(onDone)](
+                   std::optional<InstanceStatus> status) {
+                 if (!weak.expired())
+                   onDone(status && status->Role == InstanceRole::Replica);
+               });
+}
+
+Term ReplicaQuestions::nextTerm(FailoverAttempt &attempt) {
+  Term newest = attempt.NewestNamed;
+  for (const auto &[id, it] : attempt.Statuses)
+    newest = std::max({newest, it.Known, it.Received.WrittenIn});
+  return attempt.NewestNamed = Term{newest.Number + 1};
+}
+
 bool ReplicaQuestions::isLeaving(const InstanceId &id) const {
   const auto *record = Directory.find(id);
   return record && record->State == InstanceState::Leaving;
 }
 
-bool ReplicaQuestions::canPause(const FailoverAttempt &attempt,
-                                const InstanceId &id) const {
-  if (isLeaving(id) || !attempt.hasPrimary())
-    return true;
+bool ReplicaQuestions::mustCatchUp(const FailoverAttempt &attempt,
+                                   const InstanceId &id) const {
   const auto isAhead = [&](const auto &paused) {
     return isLeaving(paused.first) &&
            paused.second.Status.Received > attempt.Statuses.at(id).Received;
   };
   const auto isLeavingToo = [&](const auto &it) { return isLeaving(it.first); };
-  return std::none_of(attempt.Pauses.begin(), attempt.Pauses.end(), isAhead) &&
-         std::none_of(attempt.AwaitedPauses.begin(),
-                      attempt.AwaitedPauses.end(), isLeavingToo);
+  return std::any_of(attempt.Pauses.begin(), attempt.Pauses.end(), isAhead) ||
+         std::any_of(attempt.AwaitedPauses.begin(), attempt.AwaitedPauses.end(),
+                     isLeavingToo);
 }
 
 void ReplicaQuestions::askStatus(const AttemptPtr &attempt,
@@ -73,12 +98,10 @@
 
 void ReplicaQuestions::pause(const AttemptPtr &attempt,
                              const InstanceRecord &instance) {
-  Term newest;
-  for (const auto &[id, it] : attempt->Statuses)
-    newest = std::max({newest, it.Known, it.Received.WrittenIn});
+  attempt->HasPaused = true;
   attempt->AwaitedPauses[instance.Id] = instance.StartTimeMs;
   attempt->PauseAsked.insert(instance.Id);
-  Probe.pause(instance, Term{newest.Number + 1},
+  Probe.pause(instance, nextTerm(*attempt),
               [this, weak = std::weak_ptr(attempt),
                id = instance.Id](std::optional<PausedStatus> status) {
                 const auto asker = weak.lock();
--- a/src/control/internal/ReplicaQuestions.h
+++ b/src/control/internal/ReplicaQuestions.h
@@ -10,6 +10,7 @@
 #include "control/internal/FailoverAttempt.h"
 #include "membership/InstanceDirectory.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -27,13 +28,24 @@
   void askStatuses(const std::string &service, const AttemptPtr &attempt,
                    bool asksLeaving);
   /// Pauses the replicas whose turn it is, and asks the others for their status
-  /// again. Leaving ones go first: a ready one then receives what they have
-  /// before it is paused, and can be promoted.
+  /// again. While a primary answers, only leaving ones are paused: a ready one
+  /// then receives what they have before the primary is demoted, and can be
+  /// promoted.
   void pauseNext(const AttemptPtr &attempt);
+  /// Whether nothing but the primary keeps the ready replicas from being
+  /// paused.
+  bool canDemote(const FailoverAttempt &attempt) const;
+  /// Demotes \p primary; \p onDone is told whether it follows now.
+  void demote(const AttemptPtr &attempt,
+              const membership::InstanceRecord &primary,
+              std::function<void(bool)> onDone);
 
 private:
   bool isLeaving(const InstanceId &id) const;
-  bool canPause(const FailoverAttempt &attempt, const InstanceId &id) const;
+  /// Whether a leaving replica has what this ready one has not received yet.
+  bool mustCatchUp(const FailoverAttempt &attempt, const InstanceId &id) const;
+  /// A term above all that the attempt knows of.
+  static Term nextTerm(FailoverAttempt &attempt);
   void askStatus(const AttemptPtr &attempt,
                  const membership::InstanceRecord &instance);
   void pause(const AttemptPtr &attempt,
--- a/src/control/tests/FakeControls.h
+++ b/src/control/tests/FakeControls.h
@@ -49,6 +49,14 @@
       onDone(status ? std::optional(PausedStatus{*status}) : std::nullopt);
     });
   }
+  void
+  demote(const membership::InstanceRecord &instance, Term term,
+         std::function<void(std::optional<InstanceStatus>)> onDone) override {
+    Demoted[instance.Id] = term;
+    if (const auto it = Statuses.find(instance.Id); it != Statuses.end())
+      it->second.Role = membership::InstanceRole::Replica;
+    askStatus(instance, std::move(onDone));
+  }
   void resume(const membership::InstanceRecord &instance,
               std::function<void(bool)> onDone) override {
     Paused.erase(instance.Id);
@@ -72,6 +80,7 @@
   std::vector<PromotionOrder> Orders;
   std::map<InstanceId, InstanceStatus> Statuses;
   std::map<InstanceId, Term> Paused;
+  std::map<InstanceId, Term> Demoted;
   std::set<InstanceId> Silent;
   std::map<InstanceId, int> Pings;
   std::set<InstanceId> Forgotten;
--- a/src/control/tests/SyncedFailoverTest.cpp
+++ b/src/control/tests/SyncedFailoverTest.cpp
@@ -73,6 +73,13 @@
     reportSilence();
   }
 
+  /// The primary answers again, and entry VMs reach it.
+  void returnPrimary() {
+    Service.at("p").IsRunning = true;
+    HasPrimaryEnded = false;
+    sendHeartbeats();
+  }
+
   void reportSilence() {
     for (const char *ip : {"10.9.0.1", "10.9.0.2", "10.9.0.3"}) {
       peer::wire::Message message;
@@ -305,6 +312,136 @@
   }
 }
 
+TEST_CASE("SyncedFailover_ReplicasThatRestartUnseenInTurnLoseNoCommit") {
+  // Right after the pause, before the order and after it; also twice.
+  for (int at = 0; at <= 1500; at += 10) {
+    CAPTURE(at);
+    Play play(2);
+    play.Service.at("r2").WorkTime = milliseconds(300);
+    play.Untold = {"r1", "r2"};
+    play.drainPrimary();
+    play.run(milliseconds(at));
+    play.Service.restart("r1");
+    play.run(milliseconds(30));
+    play.Service.restart("r2");
+    play.run(milliseconds(100));
+    play.Service.restart("r1");
+    play.run(milliseconds(6000));
+    CHECK(play.Service.lost() == 0);
+    CHECK(play.Service.promotions() >= 1);
+  }
+}
+
+TEST_CASE("SyncedFailover_TargetThatRestartsBeforeItLeadsLosesNoCommit") {
+  for (int after = 0; after <= 400; after += 10) {
+    CAPTURE(after);
+    Play play(2);
+    play.drainPrimary();
+    while (!play.Service.ordered())
+      play.run(StepTime);
+    play.run(milliseconds(after));
+    play.Service.restart(play.Service.ordered()->str());
+    play.sendHeartbeats();
+    play.run(milliseconds(5000));
+    CHECK(play.Service.lost() == 0);
+    const auto before = play.Service.acknowledged();
+    play.run(milliseconds(1000));
+    CHECK(play.Service.acknowledged() > before);
+  }
+}
+
+TEST_CASE("SyncedFailover_DemotedPrimaryThatRestartsLosesNoCommit") {
+  // None was promoted yet, so it comes back as primary.
+  for (int at = 0; at <= 1000; at += 10) {
+    CAPTURE(at);
+    Play play(2);
+    play.Service.at("r2").WorkTime = milliseconds(300);
+    play.drainPrimary();
+    play.run(milliseconds(at));
+    play.Service.restartOldPrimary("p");
+    play.run(milliseconds(6000));
+    CHECK(play.Service.lost() == 0);
+    const auto before = play.Service.acknowledged();
+    play.run(milliseconds(6000));
+    CHECK(play.Service.acknowledged() > before);
+  }
+}
+
+TEST_CASE("SyncedFailover_PrimaryThatIsSlowToFollowLosesNoCommit") {
+  for (int work = 50; work <= 900; work += 50) {
+    CAPTURE(work);
+    Play play(2);
+    play.Untold = {"r1"};
+    play.Service.at("p").WorkTime = milliseconds(work);
+    play.drainPrimary();
+    play.run(milliseconds(1200));
+    play.Service.restart("r1");
+    play.run(milliseconds(3000));
+    play.Service.at("p").WorkTime = milliseconds(50);
+    play.run(milliseconds(6000));
+    CHECK(play.Service.lost() == 0);
+    CHECK(play.Service.promotions() >= 1);
+  }
+}
+
+TEST_CASE("SyncedFailover_LeavingPrimaryThatControlCannotReachServesOn") {
+  // Entry VMs reach it, so it acknowledges what a restarted replica receives.
+  for (int at = 0; at <= 1000; at += 10) {
+    CAPTURE(at);
+    Play play(2);
+    play.Untold = {"r1"};
+    play.Service.at("p").IsCutFromControl = true;
+    play.run(milliseconds(600));
+    play.drainPrimary();
+    play.run(milliseconds(at));
+    play.Service.restart("r1");
+    play.run(milliseconds(3000));
+    CHECK(play.Service.lost() == 0);
+    CHECK(play.Service.promotions() == 0);
+    play.endPrimary();
+    play.run(milliseconds(6000));
+    CHECK(play.Service.lost() == 0);
+    CHECK(play.Service.promotions() >= 1);
+  }
+}
+
+TEST_CASE("SyncedFailover_PrimaryServesOnWhileThePlatformIsSilent") {
+  // An order got no answer before: demoted, the primary would lead no more.
+  Play play(2);
+  play.Service.AnswersOrders = false;
+  play.Service.CarriesOutOrders = false;
+  play.endPrimary();
+  play.run(milliseconds(3000));
+  REQUIRE(play.Service.ordered());
+  play.returnPrimary();
+  play.run(milliseconds(5600));
+  play.drainPrimary();
+  const auto before = play.Service.acknowledged();
+  play.run(milliseconds(2500));
+  CHECK(play.Service.acknowledged() > before + 100);
+  play.Service.AnswersOrders = true;
+  play.Service.CarriesOutOrders = true;
+  play.run(milliseconds(8000));
+  CHECK(play.Service.promotions() >= 1);
+  CHECK(play.Service.lost() == 0);
+}
+
+TEST_CASE("SyncedFailover_CutOffPrimaryAndAnUnseenRestartLoseNoCommit") {
+  // Most VMs miss the primary, and one reaches it and gets acknowledgements.
+  for (int at = 0; at <= 1000; at += 10) {
+    CAPTURE(at);
+    Play play(2);
+    play.Untold = {"r1"};
+    play.Service.at("r2").WorkTime = milliseconds(300);
+    play.Service.at("p").IsCutFromControl = true;
+    play.reportSilence();
+    play.run(milliseconds(at));
+    play.Service.restart("r1");
+    play.run(milliseconds(4000));
+    CHECK(play.Service.lost() == 0);
+  }
+}
+
 TEST_CASE("SyncedFailover_LateRecordOfAnAttemptDoesNotEndTheNextOne") {
   // The end of the record of a promotion ended whatever attempt was running.
   FakeControls group;
--- a/src/control/tests/SyncedService.cpp
+++ b/src/control/tests/SyncedService.cpp
@@ -29,6 +29,11 @@
   return it == Instances.end() || !it->second.IsRunning ? nullptr : &it->second;
 }
 
+SyncedInstance *SyncedService::reached(const InstanceId &id) {
+  auto *it = running(id);
+  return it && !it->IsCutFromControl ? it : nullptr;
+}
+
 SyncedInstance *SyncedService::primary() {
   for (auto &[id, it] : Instances)
     if (it.IsPrimary && it.IsRunning)
@@ -90,6 +95,14 @@
   ++it.StartTimeMs;
 }
 
+void SyncedService::restartOldPrimary(const std::string &id) {
+  auto &it = Instances.at(id);
+  it.IsRunning = true;
+  restart(id);
+  if (!primary())
+    it.IsPrimary = true;
+}
+
 void SyncedService::end(const std::string &id) {
   Instances.at(id).IsRunning = false;
 }
@@ -131,7 +144,7 @@
   // The answer tells the state before its last millisecond.
   auto status = std::make_shared<std::optional<InstanceStatus>>();
   schedule(work - milliseconds(1), [this, id, status] {
-    if (const auto *it = running(id))
+    if (const auto *it = reached(id))
       *status = statusOf(*it);
   });
   answer(work, [onDone, status] { onDone(*status); });
@@ -139,17 +152,17 @@
 
 void SyncedService::askStatus(const membership::InstanceRecord &instance,
                               OnStatus onDone) {
-  const auto *it = running(instance.Id);
+  const auto *it = reached(instance.Id);
   answerAfterWork(instance.Id, it ? it->WorkTime : AnswerLimit, onDone);
 }
 
 void SyncedService::pause(
     const membership::InstanceRecord &instance, Term term,
     std::function<void(std::optional<PausedStatus>)> onDone) {
-  const auto *it = running(instance.Id);
+  const auto *it = reached(instance.Id);
   const Duration work = it ? it->PauseTime.value_or(it->WorkTime) : AnswerLimit;
   schedule(work - milliseconds(2), [this, id = instance.Id, term] {
-    auto *paused = running(id);
+    auto *paused = reached(id);
     if (!paused || paused->IsPrimary || term.Number <= paused->Term)
       return;
     paused->PausedIn = term.Number;
@@ -161,14 +174,29 @@
       });
 }
 
+void SyncedService::demote(
+    const membership::InstanceRecord &instance, Term term,
+    std::function<void(std::optional<InstanceStatus>)> onDone) {
+  const auto *it = reached(instance.Id);
+  const Duration work = it ? it->WorkTime : AnswerLimit;
+  schedule(work - milliseconds(2), [this, id = instance.Id, term] {
+    auto *demoted = reached(id);
+    if (!demoted || term.Number <= demoted->Term)
+      return;
+    demoted->IsPrimary = false;
+    demoted->Term = term.Number;
+  });
+  answerAfterWork(instance.Id, work, onDone);
+}
+
 void SyncedService::resume(const membership::InstanceRecord &instance,
                            std::function<void(bool)> onDone) {
-  const auto *it = running(instance.Id);
+  const auto *it = reached(instance.Id);
   if (!it)
     return answer(AnswerLimit, [onDone] { onDone(false); });
   const Duration time = it->ResumeTime;
   schedule(time, [this, id = instance.Id] {
-    if (auto *paused = running(id))
+    if (auto *paused = reached(id))
       paused->PausedIn.reset();
   });
   // One that is given up may wait in the instance's queue, and is carried out.
@@ -178,7 +206,7 @@
 
 void SyncedService::ping(const membership::InstanceRecord &instance,
                          std::function<void(bool)> onDone) {
-  onDone(running(instance.Id) != nullptr);
+  onDone(reached(instance.Id) != nullptr);
 }
 
 void SyncedService::promote(const PromotionOrder &order,
@@ -188,7 +216,10 @@
   if (isLate || !running(order.Instance))
     return onDone(PromotionResult::Rejected);
   Ordered = order.Instance;
-  schedule(PromotionTime, [this, id = order.Instance] {
+  const bool isCarriedOut = CarriesOutOrders;
+  schedule(PromotionTime, [this, id = order.Instance, isCarriedOut] {
+    if (!isCarriedOut)
+      return;
     auto *target = running(id);
     if (!target)
       return;
--- a/src/control/tests/SyncedService.h
+++ b/src/control/tests/SyncedService.h
@@ -41,6 +41,8 @@
   /// It receives what the primary had this long ago.
   Duration Lag = milliseconds(5);
   std::uint64_t Sequence = 0;
+  /// It gets nothing of what control VMs ask.
+  bool IsCutFromControl = false;
 };
 
 class SyncedService : public IPromoter, public IInstanceProbe {
@@ -55,6 +57,8 @@
   std::vector<membership::InstanceRecord> heartbeats();
   /// A replica starts again with its log; only its next heartbeat tells.
   void restart(const std::string &id);
+  /// The instance starts again: as primary if none leads now.
+  void restartOldPrimary(const std::string &id);
   /// A replica ends; \p successor takes its log and its address.
   void end(const std::string &id);
   void succeed(const std::string &id, const std::string &successor);
@@ -73,6 +77,7 @@
   /// Time from an order to its execution; the answer comes before.
   Duration PromotionTime = milliseconds(300);
   bool AnswersOrders = true;
+  bool CarriesOutOrders = true;
 
   void promote(const PromotionOrder &order,
                std::function<void(PromotionResult)> onDone) override;
@@ -81,6 +86,9 @@
             std::function<void(std::optional<InstanceStatus>)> onDone) override;
   void pause(const membership::InstanceRecord &instance, Term term,
              std::function<void(std::optional<PausedStatus>)> onDone) override;
+  void
+  demote(const membership::InstanceRecord &instance, Term term,
+         std::function<void(std::optional<InstanceStatus>)> onDone) override;
   void resume(const membership::InstanceRecord &instance,
               std::function<void(bool)> onDone) override;
   void ping(const membership::InstanceRecord &instance,
@@ -101,6 +109,8 @@
   /// The same, unless the asker has ended by then.
   void answer(Duration delay, std::function<void()> onDone);
   SyncedInstance *running(const InstanceId &id);
+  /// The same, if control VMs reach it.
+  SyncedInstance *reached(const InstanceId &id);
   SyncedInstance *primary();
 
   std::map<std::string, SyncedInstance> Instances;
--- a/src/gateway/ILineCodec.h
+++ b/src/gateway/ILineCodec.h
@@ -72,6 +72,7 @@
   /// A replica is to receive nothing more, and to receive again.
   virtual std::string formatPause(Term term) const = 0;
   virtual std::string formatResume() const = 0;
+  virtual std::string formatDemote(Term term) const = 0;
 };
 
 } // namespace stepledge::gateway
--- a/src/gateway/InstanceProbe.cpp
+++ b/src/gateway/InstanceProbe.cpp
@@ -17,12 +17,13 @@
 /// its full queue takes, and below the silence after which a primary is lost.
 constexpr Duration AnswerLimit = milliseconds(500);
 
-/// A pause and a status have the same answer: on a connection that was asked
-/// before, a second answer to a status would pass for that to a pause, of a
-/// replica that receives on. A request to resume that is wrongly taken for
-/// answered ends a later pause.
+/// A pause, a demotion and a status have the same answer: on a connection that
+/// was asked before, a second answer to a status would pass for that to a
+/// pause, of a replica that receives on. A request to resume that is wrongly
+/// taken for answered ends a later pause.
 bool hasOwnConnection(QuestionKind kind) {
-  return kind == QuestionKind::Pause || kind == QuestionKind::Resume;
+  return kind == QuestionKind::Pause || kind == QuestionKind::Resume ||
+         kind == QuestionKind::Demote;
 }
 
 } // namespace
@@ -47,6 +48,15 @@
       });
 }
 
+void InstanceProbe::demote(
+    const membership::InstanceRecord &instance, Term term,
+    std::function<void(std::optional<control::InstanceStatus>)> onDone) {
+  ask(instance, QuestionKind::Demote, Codec.formatDemote(term), 1,
+      [this, onDone = std::move(onDone)](const auto &reply) {
+        onDone(reply ? Codec.parseStatus(*reply) : std::nullopt);
+      });
+}
+
 void InstanceProbe::resume(const membership::InstanceRecord &instance,
                            std::function<void(bool)> onDone) {
   ask(instance, QuestionKind::Resume, Codec.formatResume(), 1,
--- a/src/gateway/InstanceProbe.h
+++ b/src/gateway/InstanceProbe.h
@@ -33,6 +33,9 @@
   void pause(const membership::InstanceRecord &instance, Term term,
              std::function<void(std::optional<control::PausedStatus>)> onDone)
       override;
+  void demote(const membership::InstanceRecord &instance, Term term,
+              std::function<void(std::optional<control::InstanceStatus>)>
+                  onDone) override;
   void resume(const membership::InstanceRecord &instance,
               std::function<void(bool)> onDone) override;
   void ping(const membership::InstanceRecord &instance,
--- a/src/gateway/internal/ProbeAnswerCheck.h
+++ b/src/gateway/internal/ProbeAnswerCheck.h
@@ -19,6 +19,7 @@
   Status,
   Pause,
   Resume,
+  Demote,
   Ping,
 };
 
--- a/src/gateway/tests/PlainCodec.cpp
+++ b/src/gateway/tests/PlainCodec.cpp
@@ -118,6 +118,10 @@
   return status;
 }
 
+std::string PlainCodec::formatDemote(Term term) const {
+  return "demote " + std::to_string(term.Number) + "\r\n";
+}
+
 std::string PlainCodec::formatPause(Term term) const {
   return "pause " + std::to_string(term.Number) + "\r\n";
 }
--- a/src/gateway/tests/PlainCodec.h
+++ b/src/gateway/tests/PlainCodec.h
@@ -32,6 +32,7 @@
   parseStatus(const proxy::StatementReply &reply) const override;
   std::string formatPause(Term term) const override;
   std::string formatResume() const override { return "resume\r\n"; }
+  std::string formatDemote(Term term) const override;
 };
 
 } // namespace stepledge::gateway::tests
