A session keeps the positions of its commits by service

What callers saw: after its route had moved to another service and back, a session's read lacked its own acknowledged write.

Cause: one position for all services; the commit at the second one replaced that at the first. Ruled out: the proofs and refused positions, which are kept by service.

--- a/src/proxy/internal/Answers.cpp
+++ b/src/proxy/internal/Answers.cpp
@@ -321,7 +321,7 @@
   const bool wrote = isSingleWrite || (isCommit && session.HasWritten);
   if (!wrote || !reply.Position)
     return;
-  session.LastCommit = reply.Position;
+  session.Commits.add(DatabaseId(session.Route.Service), *reply.Position);
   tracker(session.Route.Service).noteProof(sentAt, instance, *reply.Position);
 }
 
--- a/src/proxy/internal/ClientSession.h
+++ b/src/proxy/internal/ClientSession.h
@@ -8,6 +8,7 @@
 
 #include "control/types/Configuration.h"
 #include "proxy/internal/InstanceConnection.h"
+#include "session/types/SessionMarks.h"
 
 #include <deque>
 #include <optional>
@@ -88,8 +89,9 @@
   /// A statement was refused while the VM was isolated; the session ends once
   /// it is idle.
   bool MustReconnect = false;
-  /// The position of this session's newest commit.
-  std::optional<Mark> LastCommit;
+  /// The positions of this session's commits. A position belongs to the log of
+  /// one service, and the route may lead to several in turn.
+  session::SessionMarks Commits;
   std::optional<PendingStatement> Current;
   std::deque<ClientStatement> Queue;
   std::size_t QueuedBytes = 0;
@@ -99,6 +101,12 @@
   bool IsHandlingQueue = false;
   TimePoint LastActive{};
 
+  /// The newest commit of this session at \p service.
+  std::optional<Mark> lastCommitAt(const std::string &service) const {
+    const auto &marks = Commits.of(DatabaseId(service));
+    return marks.empty() ? std::nullopt : std::optional(marks.back());
+  }
+
   /// No statement is pending and no transaction is open.
   bool isIdle() const {
     return State == SessionState::Idle && !Current && Queue.empty();
--- a/src/proxy/internal/Dispatch.cpp
+++ b/src/proxy/internal/Dispatch.cpp
@@ -196,8 +196,9 @@
   auto minimum = tracker(route.Service).coveringPosition(std::min(oldest, now));
   if (!minimum || oldest > now)
     return std::nullopt;
-  if (route.Policy == ReadPolicy::ReadYourWrites && session.LastCommit)
-    minimum = std::max(*minimum, *session.LastCommit);
+  const auto own = session.lastCommitAt(route.Service);
+  if (route.Policy == ReadPolicy::ReadYourWrites && own)
+    minimum = std::max(*minimum, *own);
   return minimum;
 }
 
