A log that a promotion gave up isn't promoted before any other

What callers saw: after a promotion, a crash of the new primary brought back the old one with commits that the promotion had dropped; reads between were STALE.

Cause: the longest log of those that answered was chosen, whatever history it belonged to. Ruled out: a wrong order of terms; the log of the later term was of no instance that answered.

Change: a promotion's record keeps where the target's log ended and that its lead has begun; TermHistory tells whose log goes beyond that. Such an instance is chosen last, and alone only after 8 s.

--- a/src/control/ClusterState.cpp
+++ b/src/control/ClusterState.cpp
@@ -50,8 +50,13 @@
 void ClusterState::noteLed(const wire::KeepInstance &instance) {
   peer::wire::Instance record;
   // NOTE: an unreadable record is logged where it is added to the directory.
-  if (record.ParseFromString(instance.record()) && record.is_primary())
-    LedServices.insert(record.service());
+  if (!record.ParseFromString(instance.record()) || !record.is_primary())
+    return;
+  LedServices.insert(record.service());
+  const auto it = Promotions.find(record.service());
+  if (it != Promotions.end() && it->second.instance() == instance.instance() &&
+      it->second.born_ms() == instance.born_ms())
+    it->second.set_has_led(true);
 }
 
 void ClusterState::applyKeep(const wire::KeepInstance &instance) {
--- a/src/control/internal/FailoverAttempt.h
+++ b/src/control/internal/FailoverAttempt.h
@@ -53,6 +53,9 @@
   /// The instance that was ordered to become primary.
   std::optional<InstanceId> Target;
   std::uint64_t TargetStartTimeMs = 0;
+  /// The end of its log when it was chosen, where it receives no more after
+  /// that.
+  Mark TargetReceived;
 
   /// Whether a primary has answered.
   bool hasPrimary() const {
--- a/src/control/internal/FailoverCoordinator.cpp
+++ b/src/control/internal/FailoverCoordinator.cpp
@@ -32,6 +32,10 @@
 /// a start, a primary that leads may not have been heard yet. Two heartbeat
 /// intervals, and some slack.
 constexpr Duration VacancyPatience = milliseconds(3000);
+/// Commits that a promotion rolled back come into force again if an instance
+/// that still has them is promoted, while those of the later lead are gone. So
+/// others are waited for, longer than an instance that crashed is away.
+constexpr Duration GivenUpPatience = milliseconds(8000);
 /// An order that was answered is carried out within this time: some hundred ms.
 constexpr Duration OrderExecutionTime = milliseconds(1500);
 /// While orders get no answer, a leaving primary whose commits wait for
@@ -57,6 +61,7 @@
   PromotionOrderedAt.clear();
   VacantSince.clear();
   LeavingSince.clear();
+  HeldBackSince.clear();
   Demoted.clear();
   PlatformSilentAt.reset();
   Resumer.clearOrders();
@@ -396,6 +401,26 @@
   finishAttempt(now, service);
 }
 
+std::optional<Mark>
+FailoverCoordinator::startOfLead(const std::string &service) const {
+  const auto it = Node.State.promotions().find(service);
+  if (it == Node.State.promotions().end() || !it->second.has_led() ||
+      it->second.start_position() == 0)
+    return std::nullopt;
+  return Mark{{it->second.start_term()}, {it->second.start_position()}};
+}
+
+bool FailoverCoordinator::holdsBack(TimePoint now, const std::string &service,
+                                    const InstanceStatus &status) {
+  const auto start = startOfLead(service);
+  if (!start || !isGivenUp(status.Received, *start)) {
+    HeldBackSince.erase(service);
+    return false;
+  }
+  const auto since = HeldBackSince.try_emplace(service, now).first->second;
+  return now - since < GivenUpPatience;
+}
+
 void FailoverCoordinator::orderPromotion(TimePoint now,
                                          const std::string &service,
                                          const AttemptPtr &attempt) {
@@ -411,17 +436,27 @@
   };
   if (sync > 0 && !coversCommits(holders(service), sync, isPaused))
     return finishUnsure(now, service, *attempt);
-  const auto best = chooseReplica(*attempt, Node.Directory);
+  const auto best =
+      chooseReplica(*attempt, Node.Directory, startOfLead(service));
   if (!best) {
     Log.log(
         absl::StrCat("event=replacement_without_candidate service=", service));
     return finishAttempt(now, service);
   }
   const auto &[target, status] = *best;
+  if (holdsBack(now, service, status)) {
+    Log.log(absl::StrCat("event=replacement_held_back service=", service,
+                         " instance=", target.str(),
+                         " reason=\"its log was given up\""));
+    return finishAttempt(now, service);
+  }
   attempt->Stage = FailoverStage::Promoting;
   attempt->StageStartedAt = now;
   attempt->Target = target;
   attempt->TargetStartTimeMs = Node.startTimeOf(target);
+  // NOTE: while a primary goes on, the target receives more before it leads.
+  if (sync > 0 || !attempt->isPlanned())
+    attempt->TargetReceived = status.Received;
   attempt->HasOpenOrder = true;
   PromotionOrderedAt[service] = now;
   Log.log(absl::StrCat("event=promotion_ordered service=", service,
@@ -466,6 +501,8 @@
   promotion.set_instance(attempt->Target->str());
   promotion.set_fence(attempt->Fence);
   promotion.set_born_ms(attempt->TargetStartTimeMs);
+  promotion.set_start_term(attempt->TargetReceived.WrittenIn.Number);
+  promotion.set_start_position(attempt->TargetReceived.Position.Offset);
   attempt->Stage = FailoverStage::Recording;
   Node.startCall(now, std::move(command), false,
                  [this, service, weak = std::weak_ptr(attempt)](bool) {
--- a/src/control/internal/FailoverCoordinator.h
+++ b/src/control/internal/FailoverCoordinator.h
@@ -91,6 +91,11 @@
   void pauseReplicas(TimePoint now, const std::string &service,
                      const AttemptPtr &attempt);
   InstanceList holders(const std::string &service) const;
+  /// Where the newest lead that is known to have begun did; none if not known.
+  std::optional<Mark> startOfLead(const std::string &service) const;
+  /// Whether a replica on a log that was given up must wait for another one.
+  bool holdsBack(TimePoint now, const std::string &service,
+                 const InstanceStatus &status);
   /// The instance that leads by the answers, if nothing is against it.
   const membership::InstanceRecord *
   confirmedLeader(TimePoint now, const std::string &service,
@@ -126,6 +131,8 @@
   std::map<std::string, TimePoint> LeavingSince;
   /// Since the last order that was answered, one was not.
   std::optional<TimePoint> PlatformSilentAt;
+  /// Since when only instances on logs that were given up have answered.
+  std::map<std::string, TimePoint> HeldBackSince;
   /// The primary that this leader has demoted; until another one leads.
   std::map<std::string, InstanceId> Demoted;
 };
--- a/src/control/internal/ReplicaChoice.cpp
+++ b/src/control/internal/ReplicaChoice.cpp
@@ -3,6 +3,8 @@
 
 #include "control/internal/ReplicaChoice.h"
 
+#include "session/TermHistory.h"
+
 #include <algorithm>
 
 namespace stepledge::control {
@@ -56,10 +58,25 @@
   return counted >= static_cast<std::ptrdiff_t>(holders.size()) - sync + 1;
 }
 
+bool isGivenUp(const Mark &received, const Mark &start) {
+  session::TermHistory history;
+  const Term next{start.WrittenIn.Number + 1};
+  history.addTerm(start.WrittenIn, {});
+  history.addTerm(next, start.Position);
+  return history.includes({next, start.Position}, received) ==
+         session::Inclusion::Lost;
+}
+
 std::optional<std::pair<InstanceId, InstanceStatus>>
 chooseReplica(const FailoverAttempt &attempt,
-              const membership::InstanceDirectory &directory) {
-  const auto answers = reliableAnswers(attempt);
+              const membership::InstanceDirectory &directory,
+              const std::optional<Mark> &start) {
+  auto answers = reliableAnswers(attempt);
+  const auto isOnGivenUpLog = [&](const auto &it) {
+    return start && isGivenUp(it.second.Received, *start);
+  };
+  if (!std::all_of(answers.begin(), answers.end(), isOnGivenUpLog))
+    std::erase_if(answers, isOnGivenUpLog);
   const Answer *ready = nullptr;
   const Answer *leaving = nullptr;
   for (const auto &it : answers) {
--- a/src/control/internal/ReplicaChoice.h
+++ b/src/control/internal/ReplicaChoice.h
@@ -31,13 +31,19 @@
 bool coversCommits(const InstanceList &holders, int sync,
                    const std::function<bool(const InstanceId &)> &counts);
 
+/// Whether the log that ends at \p received goes beyond where a later lead
+/// began, after \p start: its end was given up then.
+bool isGivenUp(const Mark &received, const Mark &start);
+
 /// Returns the replica to promote: the one that is ready and has the longest
 /// log. If a leaving one has a longer log, it is chosen where there is no
 /// primary to receive from, else none. Once replicas are paused, only answers
-/// to pauses count.
+/// to pauses count. One whose log was given up where the newest lead began,
+/// after \p start, is chosen only if there is no other.
 std::optional<std::pair<InstanceId, InstanceStatus>>
 chooseReplica(const FailoverAttempt &attempt,
-              const membership::InstanceDirectory &directory);
+              const membership::InstanceDirectory &directory,
+              const std::optional<Mark> &start);
 
 } // namespace stepledge::control
 
--- a/src/control/tests/LeadRecoveryTest.cpp
+++ b/src/control/tests/LeadRecoveryTest.cpp
@@ -413,3 +413,58 @@
     CHECK(play.isLed());
   }
 }
+
+TEST_CASE("LeadRecovery_LogThatAPromotionGaveUpIsNotPromotedAgain") {
+  // The old primary's log was the longest of those that answered; with it, what
+  // the first promotion had rolled back came into force again.
+  for (const bool hasOther : {true, false}) {
+    CAPTURE(hasOther);
+    Play play;
+    play.addService();
+    auto &statuses = play.Group.Platform.Statuses;
+    const auto old = statuses[InstanceId("p")];
+    statuses[InstanceId("r1")].Received = {{3}, {80}};
+    statuses[InstanceId("r2")].Received = {{3}, {70}};
+    play.crash("p");
+    play.run(milliseconds(3000));
+    REQUIRE(play.recorded() == "r1");
+    // The old primary is back with the commits that r1 lacked.
+    play.Sighted = "r1";
+    play.add("p", InstanceRole::Replica);
+    statuses[InstanceId("p")].Received = old.Received;
+    if (!hasOther)
+      play.crash("r2");
+    play.run(milliseconds(2000));
+    play.crash("r1");
+    const auto orders = play.Group.Platform.Orders.size();
+    play.run(milliseconds(5000));
+    for (auto i = orders; i < play.Group.Platform.Orders.size(); ++i)
+      CHECK(play.Group.Platform.Orders[i].Instance == InstanceId("r2"));
+    CHECK(play.isLed() == hasOther);
+    // Where no other comes back, it is better than none.
+    play.run(milliseconds(8000));
+    CHECK(play.isLed());
+  }
+}
+
+TEST_CASE("LeadRecovery_OrderThatWasNeverCarriedOutGivesNoLogUp") {
+  Play play;
+  play.addService();
+  auto &statuses = play.Group.Platform.Statuses;
+  statuses[InstanceId("r1")].Received = {{3}, {80}};
+  statuses[InstanceId("r2")].Received = {{3}, {70}};
+  play.setPlatform(false);
+  play.crash("p");
+  play.run(milliseconds(2500));
+  REQUIRE(!play.Group.Platform.Orders.empty());
+  // The old primary was only cut off, and its replicas receive more.
+  play.Group.Platform.Silent.clear();
+  play.add("p", InstanceRole::Primary);
+  statuses[InstanceId("r1")].Received = {{3}, {120}};
+  statuses[InstanceId("r2")].Received = {{3}, {75}};
+  play.run(milliseconds(4000));
+  play.setPlatform(true);
+  play.crash("p");
+  play.run(milliseconds(6000));
+  CHECK(play.recorded() == "r1");
+}
