A demotion that was not answered isn't relied on

Found by reading: the demoted primary was noted with the question, so the next attempt took it for one that follows, and relied on pauses alone.

Change: without an answer it isn't noted.

Conclusion: concerns services with sync_replicas only.

--- a/src/control/internal/FailoverCoordinator.cpp
+++ b/src/control/internal/FailoverCoordinator.cpp
@@ -137,8 +137,10 @@
                      const auto asker = weak.lock();
                      if (!asker)
                        return;
-                     if (!isFollowing)
+                     if (!isFollowing) {
+                       Demoted.erase(service);
                        return finishUnsure(Node.Now, service, *asker);
+                     }
                      asker->noteDemoted(id);
                      asker->Stage = FailoverStage::Pausing;
                      asker->StageStartedAt = Node.Now;
--- a/src/control/tests/SyncedFailoverTest.cpp
+++ b/src/control/tests/SyncedFailoverTest.cpp
@@ -384,6 +384,24 @@
   }
 }
 
+TEST_CASE("SyncedFailover_DemotionWithoutAnAnswerIsNotReliedOn") {
+  // The primary serves on; afterwards it doesn't answer control at all.
+  for (int at = 0; at <= 1500; at += 10) {
+    CAPTURE(at);
+    Play play(2);
+    play.Untold = {"r1"};
+    play.Service.at("r2").WorkTime = milliseconds(300);
+    play.Service.at("p").DemoteTime = milliseconds(20000);
+    play.drainPrimary();
+    play.run(milliseconds(450));
+    play.Service.at("p").WorkTime = milliseconds(600);
+    play.run(milliseconds(at));
+    play.Service.restart("r1");
+    play.run(milliseconds(4000));
+    CHECK(play.Service.lost() == 0);
+  }
+}
+
 TEST_CASE("SyncedFailover_LeavingPrimaryThatControlCannotReachServesOn") {
   // Entry VMs reach it, so it acknowledges what a restarted replica receives.
   for (int at = 0; at <= 1000; at += 10) {
--- a/src/control/tests/SyncedService.cpp
+++ b/src/control/tests/SyncedService.cpp
@@ -178,7 +178,8 @@
     const membership::InstanceRecord &instance, Term term,
     std::function<void(std::optional<InstanceStatus>)> onDone) {
   const auto *it = reached(instance.Id);
-  const Duration work = it ? it->WorkTime : AnswerLimit;
+  const Duration work =
+      it ? it->DemoteTime.value_or(it->WorkTime) : AnswerLimit;
   schedule(work - milliseconds(2), [this, id = instance.Id, term] {
     auto *demoted = reached(id);
     if (!demoted || term.Number <= demoted->Term)
--- a/src/control/tests/SyncedService.h
+++ b/src/control/tests/SyncedService.h
@@ -36,6 +36,8 @@
   Duration WorkTime = milliseconds(50);
   /// The same for a PAUSE, if it differs.
   std::optional<Duration> PauseTime;
+  /// The same for a DEMOTE.
+  std::optional<Duration> DemoteTime;
   /// Time that a RESUME waits before it takes effect.
   Duration ResumeTime = milliseconds(1);
   /// It receives what the primary had this long ago.
