--- a/src/control/internal/FailoverAttempt.h
+++ b/src/control/internal/FailoverAttempt.h
@@ -53,8 +53,7 @@
   /// The instance that was ordered to become primary.
   std::optional<InstanceId> Target;
   std::uint64_t TargetStartTimeMs = 0;
-  /// The end of its log when it was chosen, where it receives no more after
-  /// that.
+  /// The end of its log at the order, if it receives no more until it leads.
   Mark TargetReceived;
 
   /// Whether a primary has answered.
@@ -83,7 +82,7 @@
     return leads ? std::optional(it->first) : std::nullopt;
   }
 
-  /// \p primary follows now: what was measured before may have grown since.
+  /// \p primary follows now: positions from before may have grown since.
   void noteDemoted(const InstanceId &primary) {
     Statuses.erase(primary);
     Pauses.clear();
