Logs tell what a VM that may be outdated waits for

Cause: of a VM that goes on by an older configuration the log told once that it may be outdated, not why.

Change: the line comes again each 5 s as long as the state lasts, and names the addresses that are kept and connected, the control VMs that are sure, and what the fetch waits for and since when; a statement by an old route names the configuration's source and age; an acknowledgement names how many entry VMs the control VM hears.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -49,6 +49,9 @@
     if (it.Behind > 0)
       Log.log(absl::StrCat("event=acknowledged_early version=", it.Version,
                            " behind=", it.Behind));
+    Log.log(absl::StrCat("event=acknowledged version=", it.Version,
+                         " entries=", Entries.halls().size(),
+                         " fresh=", IsFresh, " term=", Node.term()));
     it.Done();
   }
 }
--- a/src/distribution/ConfigurationFetch.cpp
+++ b/src/distribution/ConfigurationFetch.cpp
@@ -5,6 +5,8 @@
 
 #include "distribution/DeltaCodec.h"
 
+#include "absl/strings/str_cat.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -32,6 +34,15 @@
   return true;
 }
 
+std::string ConfigurationFetch::describe(TimePoint now) const {
+  if (Ip.empty())
+    return absl::StrCat("fetch_from= pause_ms=",
+                        toMilliseconds(std::max(NotBefore - now, Duration{})));
+  return absl::StrCat("fetch_from=", Ip,
+                      " fetch_ms=", toMilliseconds(now - StartedAt),
+                      " bytes=", Received.size());
+}
+
 Duration ConfigurationFetch::limitFor(const std::string &ip) const {
   if (ip == Ip)
     return 2 * Timeout;
--- a/src/distribution/ConfigurationFetch.h
+++ b/src/distribution/ConfigurationFetch.h
@@ -65,6 +65,8 @@
   /// fetches went over the link in 10 s when six control VMs announced their
   /// versions each 250 ms, in a simulation.
   void reject(TimePoint now);
+  /// What is in progress, for a log line.
+  std::string describe(TimePoint now) const;
   /// The connection to \p ip was lost, which ends a fetch from there.
   void connectionLost(const std::string &ip);
 
--- a/src/entry/ControlVersions.h
+++ b/src/entry/ControlVersions.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace stepledge::entry {
 
@@ -39,6 +40,14 @@
     const auto it = Versions.find(ip);
     return it != Versions.end() && it->second.IsFresh;
   }
+  /// The control VMs that are fresh.
+  std::vector<std::string> freshIps() const {
+    std::vector<std::string> ips;
+    for (const auto &[ip, it] : Versions)
+      if (it.IsFresh)
+        ips.push_back(ip);
+    return ips;
+  }
   /// The highest version that any control VM has announced since the start.
   std::uint64_t newest() const { return Newest; }
 
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -7,6 +7,7 @@
 #include "peer/InstanceCodec.h"
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 
 #include <algorithm>
 #include <utility>
@@ -17,7 +18,12 @@
                      peer::IPeerSender &peers, proxy::IProxyLog &log)
     : Options(std::move(options)), Proxy(proxy), Peers(peers), Log(log),
       Fetch(peers), Contact(Options.IsolationLimit) {
-  Peers.keepConnected(Options.SeedIps);
+  keepConnected(Options.SeedIps);
+}
+
+void EntryNode::keepConnected(std::set<std::string> ips) {
+  KeptIps = std::move(ips);
+  Peers.keepConnected(KeptIps);
 }
 
 void EntryNode::tick(TimePoint now) {
@@ -182,7 +188,7 @@
     // voters it names may be those of an older state.
     ips.insert(Options.SeedIps.begin(), Options.SeedIps.end());
     ips.insert(Connected.begin(), Connected.end());
-    Peers.keepConnected(ips);
+    keepConnected(std::move(ips));
   }
   // NOTE: while the control group has no leader, an older state is better than
   // none, but only once there was time for a newer one. While control VMs come
@@ -218,7 +224,12 @@
   const bool mayBeOutdated = held > 0 && Source.mayBeOutdated(held);
   if (const auto line = Outdated.line(Now, mayBeOutdated))
     Log.decision(
-        absl::StrCat(*line, " config=", held, " ", Source.describe(Now)));
+        absl::StrCat(*line, " config=", held, " ", Source.describe(Now),
+                     " for_ms=", toMilliseconds(Outdated.lastedFor(Now)),
+                     " connected=", absl::StrJoin(Connected, ","),
+                     " kept=", absl::StrJoin(KeptIps, ","),
+                     " sure=", absl::StrJoin(Announced.freshIps(), ","), " ",
+                     Fetch.describe(Now)));
 }
 
 void EntryNode::shareEntries() {
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -84,6 +84,8 @@
   void updateSource();
   /// Notes what the control VM at \p ip announces.
   void noteVersion(const std::string &ip, const peer::wire::Notice &notice);
+  /// Keeps connections to the control VMs at \p ips, and to no others.
+  void keepConnected(std::set<std::string> ips);
   /// Tells control VMs from which of them it wants to hear of the instances.
   void reviewSources();
 
@@ -115,6 +117,8 @@
   OutdatedReport Outdated;
   bool IsIsolated = false;
   std::set<std::string> Connected;
+  /// The control VMs to be connected to.
+  std::set<std::string> KeptIps;
   EntryLists Entries;
   InstanceSources Sources;
   LineBudget UnreadableLines;
--- a/src/entry/OutdatedReport.h
+++ b/src/entry/OutdatedReport.h
@@ -21,27 +21,37 @@
 public:
   /// A change of the configuration takes less to be fetched.
   static constexpr Duration FirstLineAfter = milliseconds(1000);
+  static constexpr Duration RepeatInterval = milliseconds(5000);
 
-  /// The beginning of the line that is due, if one is: once when the state has
-  /// lasted for FirstLineAfter, and once at its end.
+  /// The beginning of the line that is due, if one is: when the state has
+  /// lasted for FirstLineAfter, at each RepeatInterval from then on, and at its
+  /// end.
   std::optional<std::string> line(TimePoint now, bool mayBeOutdated) {
     if (!mayBeOutdated) {
       const auto since = std::exchange(Since, std::nullopt);
-      if (!std::exchange(IsTold, false))
+      if (!std::exchange(ToldAt, std::nullopt))
         return std::nullopt;
       return absl::StrCat("event=configuration_known after_ms=",
                           toMilliseconds(now - *since));
     }
     if (!Since)
       Since = now;
-    if (now - *Since < FirstLineAfter || std::exchange(IsTold, true))
+    const bool isDue = ToldAt ? now - *ToldAt >= RepeatInterval
+                              : now - *Since >= FirstLineAfter;
+    if (!isDue)
       return std::nullopt;
+    ToldAt = now;
     return "event=configuration_may_be_outdated";
   }
 
+  /// How long the state has lasted.
+  Duration lastedFor(TimePoint now) const {
+    return Since ? now - *Since : Duration{};
+  }
+
 private:
   std::optional<TimePoint> Since;
-  bool IsTold = false;
+  std::optional<TimePoint> ToldAt;
 };
 
 } // namespace stepledge::entry
--- a/src/entry/tests/OutdatedReportTest.cpp
+++ b/src/entry/tests/OutdatedReportTest.cpp
@@ -33,3 +33,12 @@
         "event=configuration_known after_ms=9000");
   CHECK_FALSE(report.line(Start + milliseconds(9010), true));
 }
+
+TEST_CASE("OutdatedReport_StateThatGoesOnIsToldAgain") {
+  OutdatedReport report;
+  CHECK_FALSE(report.line(Start, true));
+  CHECK(report.line(Start + milliseconds(1000), true));
+  CHECK_FALSE(report.line(Start + milliseconds(5999), true));
+  CHECK(report.line(Start + milliseconds(6000), true));
+  CHECK(report.lastedFor(Start + milliseconds(6000)) == milliseconds(6000));
+}
--- a/src/proxy/Proxy.cpp
+++ b/src/proxy/Proxy.cpp
@@ -339,7 +339,8 @@
     Log.decision(absl::StrCat("event=old_route client=", session.Id.Number,
                               " database=", logField(session.Database.str()),
                               " service=", logField(session.Route.Service),
-                              " config=", Configuration.Version));
+                              " config=", Configuration.Version, " ",
+                              Source.describe(now)));
   switch (statement.Kind) {
   case StatementKind::Begin:
   case StatementKind::BeginRead:
