A fetch of the configuration waits for no control VM that doesn't answer

Cause: one fetch at a time rested on one control VM. Each one that didn't answer doubled the wait for the next, up to 8 s (16 s for the same VM), also over connections that were lost since; a rejected change waited as long; a control VM with nothing to send said nothing. The class is a wait on one peer that grows with what went wrong before.

Change: after 0.5 s without a part (or 1 s behind the least rate) the next control VM is asked beside the first, whose late parts still count; the same one is asked again after 2 s, always. A control VM that has nothing to send says so, which ends the fetch. A delta that doesn't fit delays the whole one by 0.6 s; only wholes that don't fit, which no other VM would cure, go on to double their pause.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -221,8 +221,13 @@
 void ControlNode::sendConfiguration(
     const std::string &ip, const peer::wire::ConfigurationRequest &request) {
   auto part = Configurations.answer(ip, request);
-  if (!part)
+  if (!part) {
+    // NOTE: without an answer the entry VM would wait for it.
+    peer::wire::Message nothing;
+    nothing.mutable_configuration_part()->set_fetch(request.fetch());
+    Peers.send(ip, nothing);
     return;
+  }
   if (part->offset() == 0)
     Log.log(absl::StrCat("event=configuration_sent ip=", ip,
                          " held=", request.held_version(),
--- a/src/control/tests/SpreadTest.cpp
+++ b/src/control/tests/SpreadTest.cpp
@@ -106,3 +106,17 @@
   Group.node(0).endCalls();
   CHECK(Answer == true);
 }
+
+TEST_CASE_FIXTURE(Spreading, "Spread_RequestForWhatIsHeldIsAnswered") {
+  change(2);
+  Group.run(milliseconds(1000));
+  Group.sentTo(FirstIp).clear();
+  peer::wire::Message message;
+  message.mutable_configuration_request()->set_fetch(7);
+  message.mutable_configuration_request()->set_held_version(2);
+  Group.sendFromPeer(FirstIp, 0, message);
+  const auto &sent = Group.sentTo(FirstIp);
+  REQUIRE(!sent.empty());
+  CHECK(sent.back().configuration_part().fetch() == 7);
+  CHECK(sent.back().configuration_part().total() == 0);
+}
--- a/src/distribution/ConfigurationFetch.cpp
+++ b/src/distribution/ConfigurationFetch.cpp
@@ -12,92 +12,101 @@
 
 namespace stepledge::distribution {
 
+bool ConfigurationFetch::Attempt::isStalled(TimePoint now) const {
+  constexpr std::int64_t MicrosecondsInSecond = 1'000'000;
+  const auto bytes = static_cast<std::int64_t>(Received.size());
+  const Duration lag =
+      now - StartedAt -
+      Duration(bytes * MicrosecondsInSecond / MinBytesPerSecond);
+  return now - ProgressAt > Patience || lag > LagLimit;
+}
+
 bool ConfigurationFetch::start(TimePoint now, const std::string &ip,
                                std::uint64_t held) {
   if (now < NotBefore)
     return false;
-  // NOTE: a part in flight is never requested again: on a narrow link, the
+  const auto known = Attempts.find(ip);
+  // NOTE: a part in flight isn't requested again soon: on a narrow link, the
   // copies take all bandwidth, and none arrives in time.
-  const bool isInProgress = !Ip.empty();
-  if (isInProgress && lagBehindMinRate(now) <= limitFor(ip))
+  if (known != Attempts.end() && now - known->second.ProgressAt <= RepeatAfter)
     return false;
-  if (isInProgress) {
-    Abandoned.insert(Ip);
-    doubleTimeout();
-  }
-  Ip = ip;
-  HeldVersion = held;
-  ++Fetch;
-  Received.clear();
-  StartedAt = now;
-  ask();
+  const bool isProgressing =
+      std::any_of(Attempts.begin(), Attempts.end(),
+                  [&](const auto &it) { return !it.second.isStalled(now); });
+  if (isProgressing)
+    return false;
+  auto &attempt = Attempts[ip];
+  attempt = {++LastNumber, held, {}, now, now};
+  ask(ip, attempt);
   return true;
 }
 
 std::string ConfigurationFetch::describe(TimePoint now) const {
-  if (Ip.empty())
+  if (Attempts.empty())
     return absl::StrCat("fetch_from= pause_ms=",
                         toMilliseconds(std::max(NotBefore - now, Duration{})));
-  return absl::StrCat("fetch_from=", Ip,
-                      " fetch_ms=", toMilliseconds(now - StartedAt),
-                      " bytes=", Received.size());
-}
-
-Duration ConfigurationFetch::limitFor(const std::string &ip) const {
-  if (ip == Ip)
-    return 2 * Timeout;
-  return Abandoned.contains(ip) ? Timeout : InitialTimeout;
-}
-
-Duration ConfigurationFetch::lagBehindMinRate(TimePoint now) const {
-  constexpr std::int64_t MicrosecondsInSecond = 1'000'000;
-  const auto bytes = static_cast<std::int64_t>(Received.size());
-  return now - StartedAt -
-         Duration(bytes * MicrosecondsInSecond / MinBytesPerSecond);
-}
-
-void ConfigurationFetch::doubleTimeout() {
-  Timeout = std::min(2 * Timeout, MaxTimeout);
+  std::string ips;
+  std::string times;
+  for (const auto &[ip, it] : Attempts) {
+    absl::StrAppend(&ips, ips.empty() ? "" : ",", ip);
+    absl::StrAppend(&times, times.empty() ? "" : ",",
+                    toMilliseconds(now - it.ProgressAt));
+  }
+  return absl::StrCat("fetch_from=", ips, " fetch_waits_ms=", times);
 }
 
-void ConfigurationFetch::ask() {
+void ConfigurationFetch::ask(const std::string &ip, const Attempt &attempt) {
   peer::wire::Message message;
   auto &request = *message.mutable_configuration_request();
-  request.set_fetch(Fetch);
-  request.set_held_version(HeldVersion);
-  request.set_offset(Received.size());
-  Peers.send(Ip, message);
+  request.set_fetch(attempt.Number);
+  request.set_held_version(attempt.HeldVersion);
+  request.set_offset(attempt.Received.size());
+  Peers.send(ip, message);
 }
 
-PartResult ConfigurationFetch::take(const std::string &ip,
+PartResult ConfigurationFetch::take(TimePoint now, const std::string &ip,
                                     const peer::wire::ConfigurationPart &part) {
-  const bool isExpected = ip == Ip && part.fetch() == Fetch &&
-                          part.offset() == Received.size() &&
-                          !part.body().empty();
-  if (!isExpected)
+  const auto it = Attempts.find(ip);
+  if (it == Attempts.end() || part.fetch() != it->second.Number)
     return PartResult::Unexpected;
-  Received += part.body();
-  if (Received.size() < part.total()) {
-    ask();
-    return PartResult::Taken;
+  auto &attempt = it->second;
+  if (part.total() == 0) {
+    Attempts.erase(it);
+    return PartResult::Nothing;
   }
-  finish();
-  auto delta = decodeDelta(std::exchange(Received, {}));
+  if (part.offset() != attempt.Received.size() || part.body().empty())
+    return PartResult::Unexpected;
+  attempt.Received += part.body();
+  attempt.ProgressAt = now;
+  if (attempt.Received.size() >= part.total())
+    return complete(ip);
+  ask(ip, attempt);
+  return PartResult::Taken;
+}
+
+PartResult ConfigurationFetch::complete(const std::string &ip) {
+  const auto ended = Attempts.extract(ip);
+  CompletedFrom = ended.mapped().HeldVersion;
+  auto delta = decodeDelta(ended.mapped().Received);
   if (!delta)
     return PartResult::Unreadable;
   Delta = *std::move(delta);
   return PartResult::Complete;
 }
 
-void ConfigurationFetch::reject(TimePoint now) {
-  NotBefore = now + Timeout;
-  doubleTimeout();
+void ConfigurationFetch::accept() {
+  Attempts.clear();
+  NextWholePause = WholeRejectedPause;
 }
 
-void ConfigurationFetch::connectionLost(const std::string &ip) {
-  Abandoned.erase(ip);
-  if (ip == Ip)
-    finish();
+void ConfigurationFetch::reject(TimePoint now) {
+  Attempts.clear();
+  if (CompletedFrom > 0) {
+    NotBefore = now + DeltaRejectedPause;
+    return;
+  }
+  NotBefore = now + NextWholePause;
+  NextWholePause = std::min(2 * NextWholePause, MaxRejectedPause);
 }
 
 } // namespace stepledge::distribution
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -250,10 +250,14 @@
 
 void EntryNode::onPart(const std::string &ip,
                        const peer::wire::ConfigurationPart &part) {
-  switch (Fetch.take(ip, part)) {
+  switch (Fetch.take(Now, ip, part)) {
   case distribution::PartResult::Unexpected:
   case distribution::PartResult::Taken:
     return;
+  case distribution::PartResult::Nothing:
+    Log.decision(absl::StrCat("event=configuration_not_sent ip=", ip,
+                              " held=", Proxy.configurationVersion()));
+    return;
   case distribution::PartResult::Unreadable:
     Log.decision(absl::StrCat("event=configuration_unreadable ip=", ip,
                               " bytes=", part.total()));
