An entry VM always has a way to addresses of living control VMs

Cause: the control VMs to be connected to were those of the last full notice, whoever sent it, beside the settings' and the connected ones. A control VM with an old state took out members that weren't connected at that moment; once all that were known were gone, nothing named a living one any more. New seeds in the settings waited for a full notice, which such a VM never gets, and the file was read only on a signal. The class is a belief about others without a way out that needs none of them.

Change: only a control VM with a majority replaces the members; former ones and those that others name are tried, too, while no majority is heard. Seeds are connected to at once. While no majority is heard (750 ms, and 250 ms more) the VM reads the settings again each second and asks two other entry VMs each half second, by the connections by which they lend; one that hears a majority names its members.

--- a/src/entry/BorrowedConnections.cpp
+++ b/src/entry/BorrowedConnections.cpp
@@ -30,7 +30,9 @@
   it.Instance = target.Instance;
   it.Organisation = target.Organisation;
   it.IsReady = isLenderConnected(target.LenderIp);
-  if (States.try_emplace(target.LenderIp).second)
+  const auto [state, isNew] = States.try_emplace(target.LenderIp);
+  state->second.IsLender = true;
+  if (isNew)
     keepLenders();
 }
 
@@ -165,19 +167,36 @@
 }
 
 void BorrowedConnections::keepLenders() {
-  std::set<std::string> ips = AlsoKept;
+  std::set<std::string> ips;
+  for (const auto &[purpose, kept] : AlsoKept)
+    ips.insert(kept.begin(), kept.end());
   for (const auto &[ip, state] : States)
     ips.insert(ip);
   Lenders.keepConnected(ips);
 }
 
-void BorrowedConnections::keepAlso(std::set<std::string> ips) {
-  if (ips == AlsoKept)
+void BorrowedConnections::keepAlso(KeptFor purpose, std::set<std::string> ips) {
+  auto &kept = AlsoKept[purpose];
+  if (ips == kept)
     return;
-  AlsoKept = std::move(ips);
+  const auto before = std::exchange(kept, std::move(ips));
+  // NOTE: a search goes on to other VMs, and would end connected to all.
+  if (purpose == KeptFor::ControlSearch)
+    forgetOthers(before);
   keepLenders();
 }
 
+void BorrowedConnections::forgetOthers(const std::set<std::string> &ips) {
+  for (const auto &ip : ips) {
+    const bool isKept =
+        std::any_of(AlsoKept.begin(), AlsoKept.end(),
+                    [&](const auto &it) { return it.second.contains(ip); });
+    const auto it = States.find(ip);
+    if (!isKept && it != States.end() && !it->second.IsLender)
+      States.erase(it);
+  }
+}
+
 void BorrowedConnections::dropUnusedLenders() {
   std::set<std::string> needed;
   for (const auto &[id, it] : Connections)
--- a/src/entry/BorrowedConnections.h
+++ b/src/entry/BorrowedConnections.h
@@ -31,6 +31,12 @@
   Duration BorrowerLimit = milliseconds(1500);
 };
 
+/// What a connection to another entry VM is kept for, beside borrowing.
+enum class KeptFor {
+  Quota,
+  ControlSearch,
+};
+
 class BorrowedConnections : public proxy::IProxyIo, public peer::IPeerListener {
 public:
   BorrowedConnections(proxy::ISocketIo &sockets, peer::IPeerSender &lenders,
@@ -39,7 +45,7 @@
 
   void setProxy(proxy::Proxy &proxy) { Proxy = &proxy; }
   /// VMs to stay connected to beside the lenders, by the same connections.
-  void keepAlso(std::set<std::string> ips);
+  void keepAlso(KeptFor purpose, std::set<std::string> ips);
   void tick(TimePoint now);
   /// Of lenders.
   void peerConnected(const std::string &ip,
@@ -100,6 +106,8 @@
   };
   struct LenderState : LendingPartner {
     bool IsConnected = false;
+    /// It was asked for connections to instances.
+    bool IsLender = false;
   };
 
   void takeReplies(const peer::wire::BorrowReplies &replies);
@@ -112,6 +120,9 @@
   /// Those that owe an answer and have said nothing for too long.
   std::set<std::string> silentLenders();
   void giveUpLender(const std::string &ip);
+  /// Forgets VMs at \p ips to which a connection was kept for something else
+  /// than borrowing.
+  void forgetOthers(const std::set<std::string> &ips);
   void keepLenders();
   /// Forgets lenders that can't be reached and that nothing needs any more.
   void dropUnusedLenders();
@@ -123,7 +134,7 @@
   proxy::Proxy *Proxy = nullptr;
   std::map<ConnectionId, Borrowed> Connections;
   std::map<std::string, LenderState> States;
-  std::set<std::string> AlsoKept;
+  std::map<KeptFor, std::set<std::string>> AlsoKept;
   TimePoint Now{};
 };
 
--- a/src/entry/EntryModule.cpp
+++ b/src/entry/EntryModule.cpp
@@ -49,9 +49,11 @@
       Clock(std::move(clock)), LenderEvents(Borrowed, Clock),
       BorrowerEvents(Lending, Clock), ControlEvents(Node, Clock),
       QuotaAskers(Quota), QuotaHomeEvents(Quota, Clock),
-      QuotaAskEvents(QuotaAskers, Clock),
-      ToPartners(LenderEvents, QuotaHomeEvents),
-      FromPartners(BorrowerEvents, QuotaAskEvents),
+      QuotaAskEvents(QuotaAskers, Clock), SearchAskers(Search),
+      SearchEvents(Search, Clock), SearchAskEvents(SearchAskers, Clock),
+      ToHomes(QuotaHomeEvents, SearchEvents), ToPartners(LenderEvents, ToHomes),
+      FromAskers(QuotaAskEvents, SearchAskEvents),
+      FromPartners(BorrowerEvents, FromAskers),
       LenderHub(context, helloOf(Options.Node, peer::wire::BORROWER),
                 Options.LendingPort, ToPartners),
       BorrowerHub(context, helloOf(Options.Node, peer::wire::BORROWER),
@@ -61,7 +63,8 @@
       Core(proxyOptions(Options.Node), Borrowed, log, Lending, Quota.ledger()),
       Hub(context, helloOf(Options.Node, peer::wire::ENTRY), Options.PeerPort,
           ControlEvents),
-      Node(Options.Node, Core, Hub, log) {
+      Node(Options.Node, Core, Hub, log),
+      Search(Node, LenderHub, BorrowerHub, Borrowed, log) {
   Borrowed.setProxy(Core);
   Lending.setProxy(Core);
   Quota.wire(Core, Borrowed);
@@ -90,6 +93,7 @@
   Lending.tick(now);
   Quota.tick(now);
   Node.tick(now);
+  Search.tick(now);
   return Stop && continueStop(now);
 }
 
--- a/src/entry/EntryModule.h
+++ b/src/entry/EntryModule.h
@@ -8,6 +8,7 @@
 #define STEPLEDGE_ENTRY_ENTRYMODULE_H
 
 #include "entry/BorrowedConnections.h"
+#include "entry/ControlSearch.h"
 #include "entry/EntryNode.h"
 #include "entry/LendingService.h"
 #include "entry/QuotaService.h"
@@ -51,6 +52,8 @@
   /// What this VM has sent to others.
   peer::TrafficCount traffic() const;
   void setSeeds(std::set<std::string> ips) { Node.setSeeds(std::move(ips)); }
+  /// Whether the settings should be read again for other seeds.
+  bool needsSeeds() const { return Node.needsControlAddresses(Clock()); }
 
 private:
   /// True once the stop is through.
@@ -73,7 +76,12 @@
   QuotaAskerEvents QuotaAskers;
   peer::TimedListener<QuotaService> QuotaHomeEvents;
   peer::TimedListener<QuotaAskerEvents> QuotaAskEvents;
+  ControlSearchAskers SearchAskers;
+  peer::TimedListener<ControlSearch> SearchEvents;
+  peer::TimedListener<ControlSearchAskers> SearchAskEvents;
+  peer::ListenerPair ToHomes;
   peer::ListenerPair ToPartners;
+  peer::ListenerPair FromAskers;
   peer::ListenerPair FromPartners;
   // NOTE: two hubs, so that the replies to one VM's calls all come by the
   // connection that it opened, in their order.
@@ -85,6 +93,7 @@
   proxy::Proxy Core;
   peer::PeerHub Hub;
   EntryNode Node;
+  ControlSearch Search;
   std::optional<StopPlan> Stop;
   TimePoint LastBusy{};
 };
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -17,11 +17,41 @@
 EntryNode::EntryNode(EntryOptions options, proxy::Proxy &proxy,
                      peer::IPeerSender &peers, proxy::IProxyLog &log)
     : Options(std::move(options)), Proxy(proxy), Peers(peers), Log(log),
-      Fetch(peers), Contact(Options.IsolationLimit) {
-  keepConnected(Options.SeedIps);
+      Fetch(peers), Contact(Options.IsolationLimit),
+      Addresses(Options.SeedIps) {
+  reviewAddresses();
 }
 
-void EntryNode::keepConnected(std::set<std::string> ips) {
+void EntryNode::setSeeds(std::set<std::string> ips) {
+  Addresses.setSeeds(std::move(ips));
+  reviewAddresses();
+}
+
+bool EntryNode::needsControlAddresses(TimePoint now) const {
+  return ControlLostAt && now - *ControlLostAt >= Options.AddressSearchDelay;
+}
+
+void EntryNode::addControlAddresses(const std::set<std::string> &ips) {
+  Addresses.add(ips);
+  reviewAddresses();
+}
+
+std::set<std::string> EntryNode::controlMembers() const {
+  return ControlLostAt ? std::set<std::string>() : Addresses.members();
+}
+
+std::set<std::string> EntryNode::otherEntryIps() const {
+  std::set<std::string> ips;
+  for (const auto &it : Entries.all())
+    ips.insert(it.Ip);
+  ips.erase(Options.Ip);
+  return ips;
+}
+
+void EntryNode::reviewAddresses() {
+  auto ips = Addresses.wanted(ControlLostAt.has_value(), Connected);
+  if (ips == KeptIps)
+    return;
   KeptIps = std::move(ips);
   Peers.keepConnected(KeptIps);
 }
@@ -62,9 +92,8 @@
   for (const auto &it : sights)
     silent += it.SilentFor > Duration{};
   const bool isMostSilent = 2 * silent > static_cast<int>(sights.size());
-  const bool isControlLost = Contact.isLost(Now);
-  const bool isIsolated = isControlLost && isMostSilent;
   updateSource();
+  const bool isIsolated = Source.IsControlLost && isMostSilent;
   if (std::exchange(IsIsolated, isIsolated) == isIsolated)
     return;
   Proxy.setIsolated(isIsolated);
@@ -179,17 +208,7 @@
   for (const auto &it : notice.promotions())
     Proxy.applyPromotion(Now, it.service(),
                          {InstanceId(it.instance()), it.born_ms(), it.fence()});
-  if (notice.control_ips_size() > 0) {
-    std::set<std::string> ips(notice.control_ips().begin(),
-                              notice.control_ips().end());
-    if (notice.is_fresh())
-      Contact.setMembers(ips);
-    // NOTE: the one that says so stays connected until it goes by itself: the
-    // voters it names may be those of an older state.
-    ips.insert(Options.SeedIps.begin(), Options.SeedIps.end());
-    ips.insert(Connected.begin(), Connected.end());
-    keepConnected(std::move(ips));
-  }
+  noteMembers(notice);
   // NOTE: while the control group has no leader, an older state is better than
   // none, but only once there was time for a newer one. While control VMs come
   // back one after the other, the next one may make a majority.
@@ -205,6 +224,20 @@
   }
 }
 
+void EntryNode::noteMembers(const peer::wire::Notice &notice) {
+  if (notice.control_ips_size() == 0)
+    return;
+  const std::set<std::string> ips(notice.control_ips().begin(),
+                                  notice.control_ips().end());
+  if (notice.is_fresh()) {
+    Contact.setMembers(ips);
+    Addresses.setMembers(ips);
+  } else {
+    Addresses.add(ips);
+  }
+  reviewAddresses();
+}
+
 void EntryNode::noteVersion(const std::string &ip,
                             const peer::wire::Notice &notice) {
   const ControlVersion announced{notice.configuration_version(),
@@ -220,6 +253,7 @@
   Source.NewestAnnounced = Announced.newest();
   Source.IsControlLost = Contact.isLost(Now);
   Proxy.setSource(Source);
+  noteContact();
   const auto held = Proxy.configurationVersion();
   const bool mayBeOutdated = held > 0 && Source.mayBeOutdated(held);
   if (const auto line = Outdated.line(Now, mayBeOutdated))
@@ -232,6 +266,13 @@
                      Fetch.describe(Now)));
 }
 
+void EntryNode::noteContact() {
+  if (Source.IsControlLost == ControlLostAt.has_value())
+    return;
+  ControlLostAt = Source.IsControlLost ? std::optional(Now) : std::nullopt;
+  reviewAddresses();
+}
+
 void EntryNode::shareEntries() {
   auto all = Entries.all();
   all.insert({Options.Ip, HallId(Options.Hall)});
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -9,6 +9,7 @@
 
 #include "base/LineBudget.h"
 #include "distribution/ConfigurationFetch.h"
+#include "entry/ControlAddresses.h"
 #include "entry/ControlContact.h"
 #include "entry/ControlVersions.h"
 #include "entry/EntryLists.h"
@@ -29,6 +30,9 @@
 struct EntryOptions {
   std::string Hall;
   std::set<std::string> SeedIps;
+  /// Without word of a majority for this long beyond the isolation limit, or
+  /// since the start, addresses of control VMs are looked for.
+  Duration AddressSearchDelay = milliseconds(250);
   /// How often the control VMs hear of primaries that answer.
   Duration SightInterval = milliseconds(1000);
   /// And of one that doesn't.
@@ -57,7 +61,15 @@
 
   void tick(TimePoint now);
   void setTime(TimePoint now) { Now = now; }
-  void setSeeds(std::set<std::string> ips) { Options.SeedIps = std::move(ips); }
+  void setSeeds(std::set<std::string> ips);
+  /// Whether the control VMs whose addresses are known may not be enough.
+  bool needsControlAddresses(TimePoint now) const;
+  /// Adds what may be addresses of control VMs.
+  void addControlAddresses(const std::set<std::string> &ips);
+  /// The members of the control group; none while no majority of them is heard.
+  std::set<std::string> controlMembers() const;
+  /// The other entry VMs that control VMs have told of.
+  std::set<std::string> otherEntryIps() const;
   bool isReady() const { return Proxy.canServe() && !IsIsolated; }
 
   void peerConnected(const std::string &ip,
@@ -82,10 +94,13 @@
   /// Tells the proxy, and if it lasts the log, how far the configuration that
   /// is held can be relied on.
   void updateSource();
+  /// Notes whether a majority of the control VMs is heard.
+  void noteContact();
   /// Notes what the control VM at \p ip announces.
   void noteVersion(const std::string &ip, const peer::wire::Notice &notice);
-  /// Keeps connections to the control VMs at \p ips, and to no others.
-  void keepConnected(std::set<std::string> ips);
+  void noteMembers(const peer::wire::Notice &notice);
+  /// Tells the connections which control VMs are wanted, if that has changed.
+  void reviewAddresses();
   /// Tells control VMs from which of them it wants to hear of the instances.
   void reviewSources();
 
@@ -111,6 +126,9 @@
   /// The last change didn't fit: the next fetch is for the whole.
   bool NeedsWhole = false;
   ControlContact Contact;
+  ControlAddresses Addresses;
+  /// Since when no majority of the control VMs is heard.
+  std::optional<TimePoint> ControlLostAt;
   ControlVersions Announced;
   /// Of the configuration held.
   proxy::ConfigurationSource Source;
--- a/src/entry/QuotaService.cpp
+++ b/src/entry/QuotaService.cpp
@@ -72,7 +72,7 @@
   if (ips.empty())
     FarHomes.clear();
   ips.insert(FarHomes.begin(), FarHomes.end());
-  Connections->keepAlso(std::move(ips));
+  Connections->keepAlso(KeptFor::Quota, std::move(ips));
 }
 
 void QuotaService::peerConnected(const std::string &ip,
--- a/src/entry/tests/ControlWorld.cpp
+++ b/src/entry/tests/ControlWorld.cpp
@@ -16,6 +16,8 @@
 constexpr Duration FullNoticeInterval = milliseconds(2000);
 /// As peer::LinkWatch does.
 constexpr Duration SilenceLimit = milliseconds(2000);
+/// How often addresses are asked for.
+constexpr Duration AskInterval = milliseconds(500);
 /// From the start to the first configuration.
 constexpr Duration StartTime = milliseconds(1000);
 /// Longer than a fetch waits for a VM, and than a silent connection lasts.
@@ -23,12 +25,14 @@
 
 } // namespace
 
-ControlWorld::ControlWorld() : Core({}, Io, Io, Io, Quota) {
+ControlWorld::ControlWorld(AddressSource source)
+    : Source(source), Core({}, Io, Io, Io, Quota) {
   for (int i = 0; i < 3; ++i)
     addMember();
   Version = 1;
   updateAll();
   OlderMembers = Members;
+  Seeds = Members;
   EntryOptions options;
   options.Ip = "10.5.0.1";
   options.Hall = "a";
@@ -124,7 +128,8 @@
     updateAll();
     break;
   case ControlEvent::NewSeeds:
-    setSeeds();
+    Seeds = Members;
+    Node->setSeeds(Seeds);
     break;
   case ControlEvent::Wait:
     run(WaitTime);
@@ -144,10 +149,23 @@
   vm.IsSure = isSure;
 }
 
-void ControlWorld::setSeeds() { Node->setSeeds(Members); }
+void ControlWorld::tellAddresses() {
+  if (Now - ToldAt < AskInterval || !Node->needsControlAddresses(Now))
+    return;
+  ToldAt = Now;
+  if (Source == AddressSource::Settings)
+    return Node->setSeeds(Seeds);
+  const bool isMajorityHeard =
+      std::any_of(Members.begin(), Members.end(), [&](const auto &ip) {
+        return Vms[ip].IsUp && Vms[ip].IsSure;
+      });
+  if (isMajorityHeard)
+    Node->addControlAddresses(Members);
+}
 
 void ControlWorld::calm() {
   IsCut = false;
+  Seeds = Members;
   for (const auto &ip : Members)
     bringUp(ip, true);
   updateAll();
@@ -181,6 +199,7 @@
   sendNotices();
   answer();
   Node->tick(Now);
+  tellAddresses();
 }
 
 void ControlWorld::closeSilentLinks() {
--- a/src/entry/tests/ControlWorld.h
+++ b/src/entry/tests/ControlWorld.h
@@ -50,9 +50,15 @@
   Wait,
 };
 
+/// What tells an entry VM of control VMs that it has never heard of.
+enum class AddressSource {
+  OtherEntryVms,
+  Settings,
+};
+
 class ControlWorld : public peer::IPeerSender {
 public:
-  ControlWorld();
+  explicit ControlWorld(AddressSource source = AddressSource::OtherEntryVms);
 
   void happen(ControlEvent event);
   void run(Duration time);
@@ -100,15 +106,20 @@
   void sendNotices();
   void notice(const std::string &ip, ControlVm &vm, bool isFull);
   void answer();
-  void setSeeds();
+  /// The entry VM learns of addresses if it looks for them.
+  void tellAddresses();
   control::Configuration configuration(std::uint64_t version) const;
 
+  AddressSource Source;
   TimePoint Now = TimePoint(std::chrono::seconds(5));
+  TimePoint ToldAt{};
   std::uint64_t Version = 0;
   int LastMember = 0;
   bool IsCut = false;
   std::map<std::string, ControlVm> Vms;
   std::set<std::string> Members;
+  /// Those that the settings name.
+  std::set<std::string> Seeds;
   /// Those before the last replacement.
   std::set<std::string> OlderMembers;
   /// In the order in which they became members.
--- a/src/entry/tests/ReachableControlTest.cpp
+++ b/src/entry/tests/ReachableControlTest.cpp
@@ -17,6 +17,7 @@
 
 using namespace stepledge;
 using namespace stepledge::entry;
+using entry::tests::AddressSource;
 using entry::tests::ControlEvent;
 using entry::tests::ControlWorld;
 
@@ -56,8 +57,9 @@
 
 /// Whether the entry VM comes to work by the newest version after \p before
 /// and \p events.
-bool comesUpToDate(const Events &before, const Events &events) {
-  ControlWorld world;
+bool comesUpToDate(AddressSource source, const Events &before,
+                   const Events &events) {
+  ControlWorld world(source);
   for (const auto it : before)
     world.happen(it);
   for (const auto it : events)
@@ -91,12 +93,12 @@
   }
 }
 
-void explore(const Events &before) {
+void explore(AddressSource source, const Events &before) {
   std::vector<Events> behind;
   std::size_t sequences = 0;
   forEachSequence(exploredLength(), [&](const Events &events) {
     ++sequences;
-    if (!comesUpToDate(before, events))
+    if (!comesUpToDate(source, before, events))
       behind.push_back(events);
   });
   constexpr std::size_t MaxNamed = 12;
@@ -108,8 +110,14 @@
 
 } // namespace
 
-TEST_CASE("ReachableControl_EachSequenceOfEventsEndsUpToDate") { explore({}); }
+TEST_CASE("ReachableControl_EachSequenceOfEventsEndsUpToDate") {
+  explore(AddressSource::OtherEntryVms, {});
+}
 
 TEST_CASE("ReachableControl_EachSequenceAfterAllWereReplacedEndsUpToDate") {
-  explore(AllReplaced);
+  explore(AddressSource::OtherEntryVms, AllReplaced);
+}
+
+TEST_CASE("ReachableControl_EachSequenceEndsUpToDateWhereTheSettingsTell") {
+  explore(AddressSource::Settings, {});
 }
--- a/src/node/EntryProgram.h
+++ b/src/node/EntryProgram.h
@@ -58,10 +58,16 @@
 private:
   std::optional<Duration> tick();
   void reload();
+  /// Reads the settings again while no control VM with a majority is heard: the
+  /// file may change without a signal.
+  void reviewSeeds();
   void fillMetrics(observe::MetricsPage &page);
 
   EntryProgramOptions Options;
   ReadSeeds Seeds;
+  TimePoint SeedsReadAt{};
+  /// Those that the settings named last.
+  std::set<std::string> LastSeeds;
   ProgramLoop Loop;
   gateway::EntrySockets Sockets;
   entry::EntryModule Entry;
--- a/src/peer/TrafficCount.h
+++ b/src/peer/TrafficCount.h
@@ -38,6 +38,8 @@
     {MessageKind::kQuotaGrant, "quota_grant"},
     {MessageKind::kInstancesWanted, "instances_wanted"},
     {MessageKind::kQuotaPresence, "quota_presence"},
+    {MessageKind::kControlMembersWanted, "control_members_wanted"},
+    {MessageKind::kControlMembers, "control_members"},
     {MessageKind::kPing, "ping"},
     {MessageKind::kPong, "pong"},
     {MessageKind::BODY_NOT_SET, "none"},
