Entry VMs hear of a new control VM at once, and it gives them time

Cause: a control VM waits with an acknowledgement for the entry VMs that it hears. A successor that has just joined hears few: entry VMs learnt of it by the next full notice, up to 2 s later.

Change: new members make a full notice due at once. In the first 0.5 s as a member, or with a fresh state after a start, a VM acknowledges a change 0.3 s after its commit at the soonest, while the others tell their entry VMs.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -38,11 +38,36 @@
              onDone = std::move(onDone)](bool isCommitted) {
               if (!isCommitted || IsEnding)
                 return onDone(isCommitted);
-              Spread.add(std::min(Now + SpreadWait::Limit, until), version,
+              const auto end = std::min(Now + SpreadWait::Limit, until);
+              Spread.add({earliestSpread(), end}, version,
                          [onDone] { onDone(true); });
             });
 }
 
+TimePoint ControlNode::earliestSpread() const {
+  const bool isKnown =
+      MemberSince && Now - *MemberSince >= Options.IntroductionTime;
+  return isKnown ? Now : Now + SpreadWait::Limit;
+}
+
+void ControlNode::setSeeds(TimePoint now, std::set<std::string> ips) {
+  Now = now;
+  Options.SeedIps = std::move(ips);
+  updatePeers();
+}
+
+void ControlNode::reviewMembers() {
+  std::set<std::string> members;
+  for (const auto &it : Node.voters())
+    members.insert(it.ip());
+  if (members == NoticedMembers)
+    return;
+  // NOTE: entry VMs that don't know a new member can't turn to it, and it
+  // doesn't wait for them before it acknowledges a change.
+  NoticedMembers = std::move(members);
+  IsNoticeDue = true;
+}
+
 void ControlNode::acknowledgeSpread(
     const std::vector<SpreadWait::Change> &changes) {
   for (const auto &it : changes) {
@@ -95,6 +120,7 @@
         Peers.send(it, message);
   }
   updateFreshness(now);
+  reviewMembers();
   if (IsNoticeDue || now >= NoticeAt) {
     if (std::exchange(IsNoticeDue, false))
       FullNoticeAt = now;
@@ -197,6 +223,10 @@
   const bool isFresh = Node.isFresh(now);
   IsNoticeDue |= isFresh && !IsFresh;
   IsFresh = isFresh;
+  if (!Node.isVoter())
+    MemberSince.reset();
+  else if (isFresh && !MemberSince)
+    MemberSince = now;
   if (!isFresh || std::exchange(HasBeenFresh, true))
     return;
   Log.log(absl::StrCat(
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -97,6 +97,9 @@
   std::uint64_t FirstCallNumber = 0;
   /// How often a process that is not a voter asks to become one.
   Duration JoinInterval = milliseconds(500);
+  /// For this long after this VM has become a member, entry VMs that are in
+  /// contact with others may not have connected to it yet.
+  Duration IntroductionTime = milliseconds(500);
 };
 
 class FailoverCoordinator;
@@ -143,6 +146,10 @@
   /// Answers the pending calls, whose outcomes aren't known, and from now on
   /// each new one at once: this VM ends before it could do more for them.
   void endCalls();
+  /// Takes other addresses of control VMs to contact.
+  void setSeeds(TimePoint now, std::set<std::string> ips);
+  /// This VM is no voter, or hears no leader: it may need other seeds.
+  bool needsSeeds() const { return Node.needsToJoin(Now); }
   /// Asks to be replaced as a voter, since the process is about to end.
   void leave(TimePoint now);
   bool isEnding() const { return IsEnding; }
@@ -181,6 +188,11 @@
     std::uint64_t Number = 0;
   };
 
+  /// The time before which entry VMs that this VM doesn't hear yet may work by
+  /// an older version than the one just committed.
+  TimePoint earliestSpread() const;
+  /// Makes a full notice due if it would name other members than the last one.
+  void reviewMembers();
   /// Answers the operators whose changes the entry VMs work by, or were waited
   /// for long enough.
   void acknowledgeSpread(const std::vector<SpreadWait::Change> &changes);
@@ -291,6 +303,10 @@
   TimePoint JoinAt{};
   TimePoint PingAt{};
   TimePoint Now{};
+  /// The members of the last full notice.
+  std::set<std::string> NoticedMembers;
+  /// Since when this VM is a voter with a fresh state.
+  std::optional<TimePoint> MemberSince;
   std::uint64_t NoticedVersion = 0;
   bool NoticedFresh = false;
   bool IsNoticeDue = false;
--- a/src/control/internal/SpreadWait.h
+++ b/src/control/internal/SpreadWait.h
@@ -29,25 +29,31 @@
   static constexpr Duration Limit = milliseconds(300);
 
   using OnSpread = std::function<void()>;
+  /// When the wait for a change may end, and when it ends at the latest.
+  struct Period {
+    TimePoint Earliest{};
+    TimePoint Latest{};
+  };
   struct Change {
     std::uint64_t Version = 0;
-    TimePoint Until{};
+    Period Wait;
     OnSpread Done;
     /// The entry VMs that are behind when it ends.
     std::size_t Behind = 0;
   };
 
-  /// \p onSpread is called once no entry VM of the roster is behind \p version,
-  /// or at \p until.
-  void add(TimePoint until, std::uint64_t version, OnSpread onSpread) {
-    Changes.push_back({version, until, std::move(onSpread)});
+  /// \p onSpread is called within \p wait, once no entry VM of the roster is
+  /// behind \p version.
+  void add(const Period &wait, std::uint64_t version, OnSpread onSpread) {
+    Changes.push_back({version, wait, std::move(onSpread)});
   }
   /// Takes out the changes whose wait is over.
   std::vector<Change> takeEnded(TimePoint now, const EntryRoster &entries) {
     std::vector<Change> ended;
     for (auto it = Changes.begin(); it != Changes.end();) {
       it->Behind = entries.countBehind(it->Version);
-      if (it->Behind > 0 && now < it->Until) {
+      const bool isSpread = it->Behind == 0 && now >= it->Wait.Earliest;
+      if (!isSpread && now < it->Wait.Latest) {
         ++it;
         continue;
       }
--- a/src/control/tests/JoinTest.cpp
+++ b/src/control/tests/JoinTest.cpp
@@ -8,6 +8,8 @@
 
 #include <doctest/doctest.h>
 
+#include <optional>
+
 using namespace stepledge;
 using namespace stepledge::control;
 using control::tests::JoiningControls;
@@ -27,6 +29,19 @@
     return Group.leader();
   }
 
+  /// Until a new VM, whose settings name \p seed, has taken the place of the
+  /// lost one; its index.
+  std::size_t replace(std::size_t lost, std::size_t seed) {
+    constexpr Duration Step = milliseconds(10);
+    Group.remove(lost);
+    const auto next = Group.add({seed});
+    for (Duration took{}; took < CatchUpTime && !Group.isVoter(next);
+         took += Step)
+      Group.run(Step);
+    REQUIRE(Group.isVoter(next));
+    return next;
+  }
+
   JoiningControls Group;
 };
 
@@ -95,3 +110,49 @@
   Group.run(CatchUpTime);
   CHECK(Group.isVoter(wiped));
 }
+
+TEST_CASE_FIXTURE(Joining, "Join_VmWhoseSeedsAreGoneTakesThoseOfNewSettings") {
+  const auto lost = follower();
+  Group.remove(lost);
+  const auto next = Group.add({lost});
+  Group.run(CatchUpTime);
+  CHECK(Group.node(next).needsSeeds());
+  CHECK_FALSE(Group.isVoter(next));
+  Group.node(next).setSeeds(Group.now(),
+                            {JoiningControls::ipOf(Group.leader())});
+  Group.run(CatchUpTime);
+  CHECK(Group.isVoter(next));
+  CHECK_FALSE(Group.node(next).needsSeeds());
+}
+
+TEST_CASE_FIXTURE(Joining, "Join_EntryVmsHearOfANewMemberAtOnce") {
+  const auto other = follower(1);
+  Group.connectEntry("10.5.0.1", other);
+  const auto next = replace(follower(0), other);
+  Group.run(milliseconds(100));
+  bool isTold = false;
+  for (const auto &it : Group.toldMembers(other))
+    isTold |= it.contains(JoiningControls::ipOf(next));
+  CHECK(isTold);
+}
+
+TEST_CASE_FIXTURE(Joining,
+                  "Join_NewMemberGivesEntryVmsTimeBeforeItAcknowledges") {
+  const auto next = replace(follower(0), follower(1));
+  std::optional<bool> answer;
+  const auto change = [&](std::uint64_t version) {
+    answer.reset();
+    Group.node(next).putConfiguration(Group.now(), version, "document",
+                                      [&](bool done) { answer = done; });
+  };
+  change(1);
+  Group.run(milliseconds(200));
+  CHECK_FALSE(answer);
+  Group.run(milliseconds(200));
+  CHECK(answer == true);
+  Group.run(milliseconds(1000));
+  // By now they would have connected to it.
+  change(2);
+  Group.run(milliseconds(200));
+  CHECK(answer == true);
+}
--- a/src/control/tests/JoiningControls.cpp
+++ b/src/control/tests/JoiningControls.cpp
@@ -157,6 +157,14 @@
   }
 }
 
+void JoiningControls::connectEntry(const std::string &ip, std::size_t vm) {
+  peer::wire::Hello hello;
+  hello.set_kind(peer::wire::ENTRY);
+  hello.set_ip(ip);
+  node(vm).setTime(Now);
+  node(vm).peerConnected(ip, hello);
+}
+
 bool JoiningControls::isVoter(std::size_t vm) const {
   return Vms[vm]->Consensus && Vms[vm]->Consensus->isVoter();
 }
@@ -191,6 +199,9 @@
 
 bool JoiningControls::Vm::send(const std::string &ip,
                                const peer::wire::Message &message) {
+  const auto &told = message.notice().control_ips();
+  if (!told.empty())
+    ToldMembers.emplace_back(told.begin(), told.end());
   const auto to = Group->indexOf(ip);
   if (to >= Group->Vms.size() || !Group->isLinked(Index, to))
     return false;
--- a/src/control/tests/JoiningControls.h
+++ b/src/control/tests/JoiningControls.h
@@ -41,6 +41,14 @@
   bool isVoter(std::size_t vm) const;
   /// The index of the VM that leads, or the number of VMs.
   std::size_t leader() const;
+  /// An entry VM connects to the VM.
+  void connectEntry(const std::string &ip, std::size_t vm);
+  /// The members that the VM has named to entry VMs since the last call, one
+  /// after the other.
+  std::vector<std::set<std::string>> toldMembers(std::size_t vm) {
+    return std::exchange(Vms[vm]->ToldMembers, {});
+  }
+  TimePoint now() const { return Now; }
   /// A change of the configuration, whose acknowledgement is awaited for a
   /// second.
   bool change(std::size_t vm, std::uint64_t version);
@@ -59,6 +67,7 @@
     consensus::MemberNumber Number = 0;
     std::set<std::size_t> Seeds;
     std::set<std::string> Kept;
+    std::vector<std::set<std::string>> ToldMembers;
     std::vector<consensus::wire::Record> Disk;
     std::vector<std::uint64_t> Written;
     std::unique_ptr<consensus::ConsensusNode> Consensus;
