A control VM that belongs to no group reads its settings again

Cause: the seeds of a control VM were read at its start only. The file may change with or without a signal.

Change: a signal, and each second without a leader a new look, brings other seeds into use.

--- a/src/node/ControlProgram.cpp
+++ b/src/node/ControlProgram.cpp
@@ -6,6 +6,7 @@
 #include "observe/SystemClock.h"
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 
 #include <utility>
 
@@ -23,6 +24,8 @@
 constexpr Duration AnswerTime = milliseconds(100);
 /// Time that a change of voters gets at the most before the process ends.
 constexpr Duration MaxLeaveTime = milliseconds(1500);
+/// How often the settings are read for other seeds while they are needed.
+constexpr Duration SeedsInterval = milliseconds(1000);
 
 } // namespace
 
@@ -32,7 +35,8 @@
       Promoter(Adapters.MakePromoter(Loop.context())),
       Probe(Loop.context(), Adapters.Codec, observe::readClock, *this),
       Control(Loop.context(), options.Module, *Promoter, Probe, *this,
-              observe::readClock) {}
+              observe::readClock),
+      LastSeeds(options.Module.Node.SeedIps) {}
 
 int ControlProgram::run() {
   log(absl::StrCat("event=start program=control hall=",
@@ -44,11 +48,7 @@
   ProgramEvents events;
   events.Tick = [this] { return tick(); };
   events.Stop = [this] { stop(); };
-  // NOTE: the seeds are only for a first start; the group's members are in its
-  // log.
-  events.Reload = [this] {
-    log(absl::StrCat("event=reload valid=", Adapters.AreSettingsValid()));
-  };
+  events.Reload = [this] { reload(); };
   events.FillMetrics = [this](auto &page) { fillMetrics(page); };
   return Loop.run(std::move(events), Options.Metrics);
 }
@@ -62,10 +62,30 @@
     Control.node().endCalls();
   }
   Control.tick();
+  reviewSeeds(now);
   Loop.noteTraffic(now, Control.traffic());
   return Tick;
 }
 
+void ControlProgram::reload() {
+  const auto seeds = Adapters.ReadSeeds();
+  log(absl::StrCat("event=reload valid=", seeds.ok()));
+  if (seeds.ok())
+    Control.node().setSeeds(observe::readClock(), LastSeeds = *seeds);
+}
+
+void ControlProgram::reviewSeeds(TimePoint now) {
+  if (!Control.node().needsSeeds() || now - SeedsReadAt < SeedsInterval)
+    return;
+  SeedsReadAt = now;
+  const auto seeds = Adapters.ReadSeeds();
+  if (!seeds.ok() || *seeds == LastSeeds)
+    return;
+  LastSeeds = *seeds;
+  log(absl::StrCat("event=seeds_read seeds=", absl::StrJoin(LastSeeds, ",")));
+  Control.node().setSeeds(now, LastSeeds);
+}
+
 void ControlProgram::stop() {
   if (StoppingSince)
     return;
--- a/src/node/ControlProgram.h
+++ b/src/node/ControlProgram.h
@@ -6,6 +6,7 @@
 #ifndef STEPLEDGE_NODE_CONTROLPROGRAM_H
 #define STEPLEDGE_NODE_CONTROLPROGRAM_H
 
+#include "absl/status/statusor.h"
 #include "control/ControlModule.h"
 #include "gateway/InstanceProbe.h"
 #include "http/IHttpServer.h"
@@ -15,6 +16,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace stepledge::node {
@@ -37,8 +39,8 @@
   std::function<std::unique_ptr<http::ICallHandler>(control::ControlNode &,
                                                     control::IControlLog &)>
       MakeCallHandler;
-  /// Whether the settings, read anew, are valid.
-  std::function<bool()> AreSettingsValid;
+  /// The addresses of some control VMs, read anew from the settings.
+  std::function<absl::StatusOr<std::set<std::string>>()> ReadSeeds;
 };
 
 class ControlProgram : public control::IControlLog {
@@ -54,6 +56,10 @@
 private:
   std::optional<Duration> tick();
   void stop();
+  void reload();
+  /// Reads the settings again while this VM is no voter or hears no leader: all
+  /// control VMs that they named may be gone.
+  void reviewSeeds(TimePoint now);
   /// True once calls had their time and this VM's place among the voters is
   /// taken, or won't be.
   bool canEnd(TimePoint now) const;
@@ -66,6 +72,9 @@
   gateway::InstanceProbe Probe;
   control::ControlModule Control;
   std::unique_ptr<http::ICallHandler> Calls;
+  /// Those that the settings named last.
+  std::set<std::string> LastSeeds;
+  TimePoint SeedsReadAt{};
   /// When the program was told to stop.
   std::optional<TimePoint> StoppingSince;
   /// When the process ends; it takes no calls any more.
