--- a/src/soak/FaultPlan.cpp
+++ b/src/soak/FaultPlan.cpp
@@ -37,15 +37,15 @@
 constexpr std::int64_t ReplacementGapSpreadMs = 6000;
 /// From a control VM's end to the start of its successor.
 constexpr std::int64_t MostSuccessorDelayMs = 2000;
-constexpr int Replacements = 2;
 
-/// Two control VMs that are replaced, and the loss of power at the end.
+/// Control VMs that are replaced, and the loss of power at the end.
 std::vector<PlannedFault> planReplacements(std::uint64_t seed,
-                                           std::chrono::milliseconds length) {
+                                           std::chrono::milliseconds length,
+                                           int replacements) {
   std::mt19937_64 random(seed);
   std::vector<PlannedFault> plan;
   std::int64_t at = FirstMs;
-  for (int i = 0; i < Replacements; ++i) {
+  for (int i = 0; i < replacements; ++i) {
     const auto delay =
         static_cast<std::int64_t>(random() % MostSuccessorDelayMs);
     plan.push_back({std::chrono::milliseconds(at),
@@ -79,7 +79,7 @@
                                      std::chrono::milliseconds length,
                                      FirstFaults first) {
   if (first.ReplacesControls)
-    return planReplacements(seed, length);
+    return planReplacements(seed, length, first.Replacements);
   if (first.OutlivesControl)
     return planOutlivedControl(seed);
   std::mt19937_64 random(seed);
--- a/src/soak/FaultPlan.h
+++ b/src/soak/FaultPlan.h
@@ -97,12 +97,17 @@
   /// Control VMs are replaced in series, and at last a disk is lost while all
   /// others lose power; nothing else is played.
   bool ReplacesControls = false;
+  /// How many, one after the other.
+  int Replacements = 2;
   /// The leading control VM goes once its successor has caught up, and then
   /// another one loses its disk; nothing else is played.
   bool OutlivesControl = false;
   /// At the end the power may go before the change is acknowledged, and
   /// machines start up to four seconds apart, at times all of one kind first.
   bool IsStaggered = false;
+  /// At the end each entry VM keeps its power or not, and some that keep it
+  /// stand still from before the last change until after the end.
+  bool HasUnevenEnd = false;
 
   bool isAny() const { return CutsOff || Stops || StopsAtItsLimit; }
 };
