--- a/src/entry/ControlSearch.h
+++ b/src/entry/ControlSearch.h
@@ -77,7 +77,7 @@
   /// Those that are to be asked now, and those of them that were.
   std::set<std::string> Targets;
   std::set<std::string> AskedIps;
-  /// The last one that was chosen; the next ones come behind it.
+  /// The last VM in the rotation that was asked.
   std::string LastIp;
   TimePoint ChosenAt{};
 };
