One reader of seeds for both programs; an unreadable file is logged

Cause: the entry's and the control VM's program each had the same polling of the settings for seeds, and passed over a file that couldn't be read without a log line.

--- a/src/node/ControlProgram.cpp
+++ b/src/node/ControlProgram.cpp
@@ -6,7 +6,6 @@
 #include "observe/SystemClock.h"
 
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_join.h"
 
 #include <utility>
 
@@ -24,8 +23,6 @@
 constexpr Duration AnswerTime = milliseconds(100);
 /// Time that a change of voters gets at the most before the process ends.
 constexpr Duration MaxLeaveTime = milliseconds(1500);
-/// How often the settings are read for other seeds while they are needed.
-constexpr Duration SeedsInterval = milliseconds(1000);
 
 } // namespace
 
@@ -36,7 +33,8 @@
       Probe(Loop.context(), Adapters.Codec, observe::readClock, *this),
       Control(Loop.context(), options.Module, *Promoter, Probe, *this,
               observe::readClock),
-      LastSeeds(options.Module.Node.SeedIps) {}
+      Seeds(Adapters.ReadSeeds, options.Module.Node.SeedIps,
+            [this](const std::string &line) { log(line); }) {}
 
 int ControlProgram::run() {
   log(absl::StrCat("event=start program=control hall=",
@@ -68,22 +66,15 @@
 }
 
 void ControlProgram::reload() {
-  const auto seeds = Adapters.ReadSeeds();
-  log(absl::StrCat("event=reload valid=", seeds.ok()));
-  if (seeds.ok())
-    Control.node().setSeeds(observe::readClock(), LastSeeds = *seeds);
+  if (auto seeds = Seeds.reload())
+    Control.node().setSeeds(observe::readClock(), *std::move(seeds));
 }
 
 void ControlProgram::reviewSeeds(TimePoint now) {
-  if (!Control.node().needsSeeds() || now - SeedsReadAt < SeedsInterval)
+  if (!Control.node().needsSeeds())
     return;
-  SeedsReadAt = now;
-  const auto seeds = Adapters.ReadSeeds();
-  if (!seeds.ok() || *seeds == LastSeeds)
-    return;
-  LastSeeds = *seeds;
-  log(absl::StrCat("event=seeds_read seeds=", absl::StrJoin(LastSeeds, ",")));
-  Control.node().setSeeds(now, LastSeeds);
+  if (auto seeds = Seeds.poll(now))
+    Control.node().setSeeds(now, *std::move(seeds));
 }
 
 void ControlProgram::stop() {
--- a/src/node/ControlProgram.h
+++ b/src/node/ControlProgram.h
@@ -6,17 +6,16 @@
 #ifndef STEPLEDGE_NODE_CONTROLPROGRAM_H
 #define STEPLEDGE_NODE_CONTROLPROGRAM_H
 
-#include "absl/status/statusor.h"
 #include "control/ControlModule.h"
 #include "gateway/InstanceProbe.h"
 #include "http/IHttpServer.h"
 #include "lines/HostPort.h"
 #include "node/ProgramLoop.h"
+#include "node/SeedReader.h"
 
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace stepledge::node {
@@ -39,8 +38,7 @@
   std::function<std::unique_ptr<http::ICallHandler>(control::ControlNode &,
                                                     control::IControlLog &)>
       MakeCallHandler;
-  /// The addresses of some control VMs, read anew from the settings.
-  std::function<absl::StatusOr<std::set<std::string>>()> ReadSeeds;
+  node::ReadSeeds ReadSeeds;
 };
 
 class ControlProgram : public control::IControlLog {
@@ -57,8 +55,8 @@
   std::optional<Duration> tick();
   void stop();
   void reload();
-  /// Reads the settings again while this VM is no voter or hears no leader: all
-  /// control VMs that they named may be gone.
+  /// Polls the seeds while this VM is no voter or hears no leader: all control
+  /// VMs that the settings named may be gone.
   void reviewSeeds(TimePoint now);
   /// True once calls had their time and this VM's place among the voters is
   /// taken, or won't be.
@@ -72,9 +70,7 @@
   gateway::InstanceProbe Probe;
   control::ControlModule Control;
   std::unique_ptr<http::ICallHandler> Calls;
-  /// Those that the settings named last.
-  std::set<std::string> LastSeeds;
-  TimePoint SeedsReadAt{};
+  SeedReader Seeds;
   /// When the program was told to stop.
   std::optional<TimePoint> StoppingSince;
   /// When the process ends; it takes no calls any more.
--- a/src/node/EntryProgram.cpp
+++ b/src/node/EntryProgram.cpp
@@ -7,7 +7,6 @@
 #include "quota/types/QuotaPriority.h"
 
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_join.h"
 
 #include <utility>
 
@@ -20,16 +19,16 @@
 constexpr Duration BusyTick = milliseconds(10);
 /// The same while nobody waits, for heartbeats and probes.
 constexpr Duration IdleTick = milliseconds(40);
-/// How often the settings are read for other seeds while they are needed.
-constexpr Duration SeedsInterval = milliseconds(1000);
 
 } // namespace
 
 EntryProgram::EntryProgram(const EntryProgramOptions &options,
                            const gateway::ILineCodec &codec,
                            ReadSeeds readSeeds)
-    : Options(options), Seeds(std::move(readSeeds)),
-      LastSeeds(options.Module.Node.SeedIps), Loop(options.NodeName),
+    : Options(options),
+      Seeds(std::move(readSeeds), options.Module.Node.SeedIps,
+            [this](const std::string &line) { decision(line); }),
+      Loop(options.NodeName),
       Sockets(Loop.context(), codec, observe::readClock),
       Entry(Loop.context(), options.Module, Sockets, *this,
             observe::readClock) {}
@@ -59,24 +58,15 @@
 }
 
 void EntryProgram::reload() {
-  auto seeds = Seeds();
-  decision(absl::StrCat("event=reload valid=", seeds.ok()));
-  if (seeds.ok())
-    Entry.setSeeds(LastSeeds = *std::move(seeds));
+  if (auto seeds = Seeds.reload())
+    Entry.setSeeds(*std::move(seeds));
 }
 
 void EntryProgram::reviewSeeds() {
-  const TimePoint now = observe::readClock();
-  if (!Entry.needsSeeds() || now - SeedsReadAt < SeedsInterval)
+  if (!Entry.needsSeeds())
     return;
-  SeedsReadAt = now;
-  const auto seeds = Seeds();
-  if (!seeds.ok() || *seeds == LastSeeds)
-    return;
-  LastSeeds = *seeds;
-  decision(
-      absl::StrCat("event=seeds_read seeds=", absl::StrJoin(LastSeeds, ",")));
-  Entry.setSeeds(LastSeeds);
+  if (auto seeds = Seeds.poll(observe::readClock()))
+    Entry.setSeeds(*std::move(seeds));
 }
 
 void EntryProgram::fillMetrics(observe::MetricsPage &page) {
--- a/src/node/EntryProgram.h
+++ b/src/node/EntryProgram.h
@@ -6,15 +6,13 @@
 #ifndef STEPLEDGE_NODE_ENTRYPROGRAM_H
 #define STEPLEDGE_NODE_ENTRYPROGRAM_H
 
-#include "absl/status/statusor.h"
 #include "entry/EntryModule.h"
 #include "gateway/EntrySockets.h"
 #include "http/IHttpServer.h"
 #include "lines/HostPort.h"
 #include "node/ProgramLoop.h"
+#include "node/SeedReader.h"
 
-#include <functional>
-#include <set>
 #include <string>
 
 namespace stepledge::node {
@@ -31,9 +29,6 @@
 
 class EntryProgram : public proxy::IProxyLog, public http::ICallHandler {
 public:
-  /// The addresses of some control VMs, read anew.
-  using ReadSeeds = std::function<absl::StatusOr<std::set<std::string>>()>;
-
   EntryProgram(const EntryProgramOptions &options,
                const gateway::ILineCodec &codec, ReadSeeds readSeeds);
 
@@ -58,16 +53,13 @@
 private:
   std::optional<Duration> tick();
   void reload();
-  /// Reads the settings again while no control VM with a majority is heard: the
-  /// file may change without a signal.
+  /// Polls the seeds while there is no contact to a majority of the control
+  /// VMs: the file may change without a signal.
   void reviewSeeds();
   void fillMetrics(observe::MetricsPage &page);
 
   EntryProgramOptions Options;
-  ReadSeeds Seeds;
-  TimePoint SeedsReadAt{};
-  /// Those that the settings named last.
-  std::set<std::string> LastSeeds;
+  SeedReader Seeds;
   ProgramLoop Loop;
   gateway::EntrySockets Sockets;
   entry::EntryModule Entry;
