Control discovery: the field's name, and listeners without empty functions

The search for control VMs is called discovery, as elsewhere in the field. IPeerListener's connection events do nothing by default, so listeners that only take messages (QuotaAskerEvents, ControlDiscoveryAskers) need no empty overrides. No behaviour changes; tests of entry pass.

--- a/src/entry/BorrowedConnections.cpp
+++ b/src/entry/BorrowedConnections.cpp
@@ -181,7 +181,7 @@
     return;
   const auto before = std::exchange(kept, std::move(ips));
   // NOTE: a search goes on to other VMs, and would end connected to all.
-  if (purpose == KeptFor::ControlSearch)
+  if (purpose == KeptFor::ControlDiscovery)
     forgetOthers(before);
   keepLenders();
 }
--- a/src/entry/BorrowedConnections.h
+++ b/src/entry/BorrowedConnections.h
@@ -34,7 +34,7 @@
 /// What a connection to another entry VM is kept for, beside borrowing.
 enum class KeptFor {
   Quota,
-  ControlSearch,
+  ControlDiscovery,
 };
 
 class BorrowedConnections : public proxy::IProxyIo, public peer::IPeerListener {
--- a/src/entry/ControlSearch.h
+++ b/src/entry/ControlDiscovery.h
@@ -7,8 +7,8 @@
 /// All control VMs that a VM knows may have been replaced while it was cut off;
 /// others have heard of their successors.
 
-#ifndef STEPLEDGE_ENTRY_CONTROLSEARCH_H
-#define STEPLEDGE_ENTRY_CONTROLSEARCH_H
+#ifndef STEPLEDGE_ENTRY_CONTROLDISCOVERY_H
+#define STEPLEDGE_ENTRY_CONTROLDISCOVERY_H
 
 #include "entry/BorrowedConnections.h"
 #include "entry/EntryNode.h"
@@ -21,46 +21,44 @@
 
 namespace stepledge::entry {
 
-class ControlSearch;
+class ControlDiscovery;
 
 /// The connections by which others ask this VM.
-class ControlSearchAskers : public peer::IPeerListener {
+class ControlDiscoveryAskers : public peer::IPeerListener {
 public:
-  explicit ControlSearchAskers(ControlSearch &search) : Search(search) {}
+  explicit ControlDiscoveryAskers(ControlDiscovery &discovery)
+      : Discovery(discovery) {}
 
-  void setTime(TimePoint now) { (void)now; }
-  void peerConnected(const std::string &ip,
-                     const peer::wire::Hello &hello) override;
-  void peerLost(const std::string &ip, peer::LinkEnd end) override;
   void peerSaid(const std::string &ip,
                 const peer::wire::Message &message) override;
 
 private:
-  ControlSearch &Search;
+  ControlDiscovery &Discovery;
 };
 
 /// Listens to the connections to those that are asked.
-class ControlSearch : public peer::IPeerListener {
+class ControlDiscovery : public peer::IPeerListener {
 public:
-  /// So many VMs are asked at once, and others after the interval: in a large
-  /// fleet that has lost its control VMs, each VM is asked by as few.
-  static constexpr std::size_t AskedAtOnce = 2;
-  static constexpr Duration AskInterval = milliseconds(500);
+  /// VMs that are asked at the same time, so that one that is gone delays
+  /// nothing. Where a whole fleet searches, each VM is asked by as few.
+  static constexpr std::size_t ConcurrentQueries = 2;
+  /// From one choice of VMs to the next: a new connection and its answer take
+  /// some tens of milliseconds.
+  static constexpr Duration QueryInterval = milliseconds(500);
 
   /// \p connections keeps the connections to those that are asked.
-  ControlSearch(EntryNode &node, peer::IPeerSender &asked,
-                peer::IPeerSender &askers, BorrowedConnections &connections,
-                proxy::IProxyLog &log)
+  ControlDiscovery(EntryNode &node, peer::IPeerSender &asked,
+                   peer::IPeerSender &askers, BorrowedConnections &connections,
+                   proxy::IProxyLog &log)
       : Node(node), Asked(asked), Askers(askers), Connections(connections),
         Log(log) {}
 
   void tick(TimePoint now);
+  /// Its events need no time.
   void setTime(TimePoint now) { (void)now; }
   /// The VM at \p ip asks.
   void answer(const std::string &ip);
 
-  void peerConnected(const std::string &ip,
-                     const peer::wire::Hello &hello) override;
   void peerLost(const std::string &ip, peer::LinkEnd end) override;
   void peerSaid(const std::string &ip,
                 const peer::wire::Message &message) override;
@@ -74,7 +72,7 @@
   peer::IPeerSender &Askers;
   BorrowedConnections &Connections;
   proxy::IProxyLog &Log;
-  /// Those that are to be asked now, and those of them that were.
+  /// The VMs to ask in this interval, and those of them that have been asked.
   std::set<std::string> Targets;
   std::set<std::string> AskedIps;
   /// The last VM in the rotation that was asked.
@@ -84,4 +82,4 @@
 
 } // namespace stepledge::entry
 
-#endif // STEPLEDGE_ENTRY_CONTROLSEARCH_H
+#endif // STEPLEDGE_ENTRY_CONTROLDISCOVERY_H
--- a/src/entry/EntryModule.cpp
+++ b/src/entry/EntryModule.cpp
@@ -49,10 +49,11 @@
       Clock(std::move(clock)), LenderEvents(Borrowed, Clock),
       BorrowerEvents(Lending, Clock), ControlEvents(Node, Clock),
       QuotaAskers(Quota), QuotaHomeEvents(Quota, Clock),
-      QuotaAskEvents(QuotaAskers, Clock), SearchAskers(Search),
-      SearchEvents(Search, Clock), SearchAskEvents(SearchAskers, Clock),
-      ToHomes(QuotaHomeEvents, SearchEvents), ToPartners(LenderEvents, ToHomes),
-      FromAskers(QuotaAskEvents, SearchAskEvents),
+      QuotaAskEvents(QuotaAskers, Clock), DiscoveryAskers(Discovery),
+      DiscoveryEvents(Discovery, Clock),
+      ToHomes(QuotaHomeEvents, DiscoveryEvents),
+      ToPartners(LenderEvents, ToHomes),
+      FromAskers(QuotaAskEvents, DiscoveryAskers),
       FromPartners(BorrowerEvents, FromAskers),
       LenderHub(context, helloOf(Options.Node, peer::wire::BORROWER),
                 Options.LendingPort, ToPartners),
@@ -64,7 +65,7 @@
       Hub(context, helloOf(Options.Node, peer::wire::ENTRY), Options.PeerPort,
           ControlEvents),
       Node(Options.Node, Core, Hub, log),
-      Search(Node, LenderHub, BorrowerHub, Borrowed, log) {
+      Discovery(Node, LenderHub, BorrowerHub, Borrowed, log) {
   Borrowed.setProxy(Core);
   Lending.setProxy(Core);
   Quota.wire(Core, Borrowed);
@@ -93,7 +94,7 @@
   Lending.tick(now);
   Quota.tick(now);
   Node.tick(now);
-  Search.tick(now);
+  Discovery.tick(now);
   return Stop && continueStop(now);
 }
 
--- a/src/entry/EntryModule.h
+++ b/src/entry/EntryModule.h
@@ -8,7 +8,7 @@
 #define STEPLEDGE_ENTRY_ENTRYMODULE_H
 
 #include "entry/BorrowedConnections.h"
-#include "entry/ControlSearch.h"
+#include "entry/ControlDiscovery.h"
 #include "entry/EntryNode.h"
 #include "entry/LendingService.h"
 #include "entry/QuotaService.h"
@@ -76,9 +76,8 @@
   QuotaAskerEvents QuotaAskers;
   peer::TimedListener<QuotaService> QuotaHomeEvents;
   peer::TimedListener<QuotaAskerEvents> QuotaAskEvents;
-  ControlSearchAskers SearchAskers;
-  peer::TimedListener<ControlSearch> SearchEvents;
-  peer::TimedListener<ControlSearchAskers> SearchAskEvents;
+  ControlDiscoveryAskers DiscoveryAskers;
+  peer::TimedListener<ControlDiscovery> DiscoveryEvents;
   peer::ListenerPair ToHomes;
   peer::ListenerPair ToPartners;
   peer::ListenerPair FromAskers;
@@ -93,7 +92,7 @@
   proxy::Proxy Core;
   peer::PeerHub Hub;
   EntryNode Node;
-  ControlSearch Search;
+  ControlDiscovery Discovery;
   std::optional<StopPlan> Stop;
   TimePoint LastBusy{};
 };
--- a/src/entry/QuotaService.cpp
+++ b/src/entry/QuotaService.cpp
@@ -26,17 +26,6 @@
 
 void QuotaAskerEvents::setTime(TimePoint now) { Service.setTime(now); }
 
-void QuotaAskerEvents::peerConnected(const std::string &ip,
-                                     const peer::wire::Hello &hello) {
-  (void)ip;
-  (void)hello;
-}
-
-void QuotaAskerEvents::peerLost(const std::string &ip, peer::LinkEnd end) {
-  (void)ip;
-  (void)end;
-}
-
 void QuotaAskerEvents::peerSaid(const std::string &ip,
                                 const peer::wire::Message &message) {
   if (message.has_quota_ask())
--- a/src/entry/QuotaService.h
+++ b/src/entry/QuotaService.h
@@ -26,9 +26,6 @@
   explicit QuotaAskerEvents(QuotaService &service) : Service(service) {}
 
   void setTime(TimePoint now);
-  void peerConnected(const std::string &ip,
-                     const peer::wire::Hello &hello) override;
-  void peerLost(const std::string &ip, peer::LinkEnd end) override;
   void peerSaid(const std::string &ip,
                 const peer::wire::Message &message) override;
 
--- a/src/entry/tests/ControlSearchTest.cpp
+++ b/src/entry/tests/ControlDiscoveryTest.cpp
@@ -3,7 +3,7 @@
 
 /// \file Entry VMs tell each other the addresses of control VMs.
 
-#include "entry/ControlSearch.h"
+#include "entry/ControlDiscovery.h"
 #include "entry/tests/EntryFixture.h"
 
 #include <doctest/doctest.h>
@@ -49,7 +49,7 @@
     constexpr Duration Step = milliseconds(50);
     for (const TimePoint end = Now + time; Now < end;) {
       advance(Step);
-      Search.tick(Now);
+      Discovery.tick(Now);
     }
   }
 
@@ -64,12 +64,13 @@
   FakeHub Asked;
   FakeHub Askers;
   BorrowedConnections Borrowed;
-  ControlSearch Search{Node, Asked, Askers, Borrowed, Io};
+  ControlDiscovery Discovery{Node, Asked, Askers, Borrowed, Io};
 };
 
 } // namespace
 
-TEST_CASE_FIXTURE(Searching, "ControlSearch_AsksNobodyWhileAMajorityIsHeard") {
+TEST_CASE_FIXTURE(Searching,
+                  "ControlDiscovery_AsksNobodyWhileAMajorityIsHeard") {
   for (int i = 0; i < 10; ++i) {
     notice(0, true);
     pass(milliseconds(200));
@@ -78,25 +79,25 @@
   CHECK(Asked.Kept.empty());
 }
 
-TEST_CASE_FIXTURE(Searching, "ControlSearch_AsksAllOthersInTurn") {
+TEST_CASE_FIXTURE(Searching, "ControlDiscovery_AsksAllOthersInTurn") {
   pass(milliseconds(1200));
-  CHECK(askedIps().size() == ControlSearch::AskedAtOnce);
+  CHECK(askedIps().size() == ControlDiscovery::ConcurrentQueries);
   pass(milliseconds(1000));
   // Not itself, which is 10.1.0.1.
   CHECK(askedIps() ==
         std::set<std::string>{"10.1.0.2", "10.1.0.3", "10.1.0.4"});
-  CHECK(Asked.Kept.size() == ControlSearch::AskedAtOnce);
+  CHECK(Asked.Kept.size() == ControlDiscovery::ConcurrentQueries);
 }
 
-TEST_CASE_FIXTURE(Searching, "ControlSearch_ToldAddressesAreConnectedTo") {
+TEST_CASE_FIXTURE(Searching, "ControlDiscovery_ToldAddressesAreConnectedTo") {
   pass(milliseconds(1200));
   peer::wire::Message message;
   message.mutable_control_members()->add_ips("10.0.0.9");
-  Search.peerSaid("10.1.0.2", message);
+  Discovery.peerSaid("10.1.0.2", message);
   CHECK(Control.Ips.contains("10.0.0.9"));
 }
 
-TEST_CASE_FIXTURE(Searching, "ControlSearch_EndsOnceAMajorityIsHeard") {
+TEST_CASE_FIXTURE(Searching, "ControlDiscovery_EndsOnceAMajorityIsHeard") {
   pass(milliseconds(1200));
   CHECK(!Asked.Kept.empty());
   notice(0, true);
@@ -104,8 +105,9 @@
   CHECK(Asked.Kept.empty());
 }
 
-TEST_CASE_FIXTURE(Searching, "ControlSearch_OnlyAVmThatHearsAMajorityAnswers") {
-  ControlSearchAskers askers(Search);
+TEST_CASE_FIXTURE(Searching,
+                  "ControlDiscovery_OnlyAVmThatHearsAMajorityAnswers") {
+  ControlDiscoveryAskers askers(Discovery);
   peer::wire::Message message;
   message.mutable_control_members_wanted();
   askers.peerSaid("10.1.0.2", message);
--- a/src/peer/IPeerListener.h
+++ b/src/peer/IPeerListener.h
@@ -18,9 +18,14 @@
   virtual ~IPeerListener() = default;
 
   /// A connection to \p ip, from either side, can be used.
-  virtual void peerConnected(const std::string &ip,
-                             const wire::Hello &hello) = 0;
-  virtual void peerLost(const std::string &ip, LinkEnd end) = 0;
+  virtual void peerConnected(const std::string &ip, const wire::Hello &hello) {
+    (void)ip;
+    (void)hello;
+  }
+  virtual void peerLost(const std::string &ip, LinkEnd end) {
+    (void)ip;
+    (void)end;
+  }
   /// Bytes have come from \p ip, of a message that needn't be whole yet: it is
   /// there, however long the message takes on the link.
   virtual void peerHeard(const std::string &ip) { (void)ip; }
