Constants of the fetch and of new members have plain names and reasons

StallTimeout and RetryInterval of a fetch, NewMemberGracePeriod, candidates for addresses; comments give the reason, not how a value was found. The test world's events and states have the code's words (fresh, lose and ignore requests). No behaviour changes; tests of entry, control and distribution pass.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -39,14 +39,14 @@
               if (!isCommitted || IsEnding)
                 return onDone(isCommitted);
               const auto end = std::min(Now + SpreadWait::Limit, until);
-              Spread.add({earliestSpread(), end}, version,
+              Spread.add({earliestAcknowledgement(), end}, version,
                          [onDone] { onDone(true); });
             });
 }
 
-TimePoint ControlNode::earliestSpread() const {
+TimePoint ControlNode::earliestAcknowledgement() const {
   const bool isKnown =
-      MemberSince && Now - *MemberSince >= Options.IntroductionTime;
+      MemberSince && Now - *MemberSince >= Options.NewMemberGracePeriod;
   return isKnown ? Now : Now + SpreadWait::Limit;
 }
 
--- a/src/control/ControlNode.h
+++ b/src/control/ControlNode.h
@@ -97,9 +97,10 @@
   std::uint64_t FirstCallNumber = 0;
   /// How often a process that is not a voter asks to become one.
   Duration JoinInterval = milliseconds(500);
-  /// For this long after this VM has become a member, entry VMs that are in
-  /// contact with others may not have connected to it yet.
-  Duration IntroductionTime = milliseconds(500);
+  /// For this long after this VM has become a member, entry VMs may not be
+  /// connected to it yet: they hear of it by the other members' next notice,
+  /// and a connection takes up to 100 ms.
+  Duration NewMemberGracePeriod = milliseconds(500);
 };
 
 class FailoverCoordinator;
@@ -188,9 +189,10 @@
     std::uint64_t Number = 0;
   };
 
-  /// The time before which entry VMs that this VM doesn't hear yet may work by
-  /// an older version than the one just committed.
-  TimePoint earliestSpread() const;
+  /// When a change that has just been committed may be acknowledged at the
+  /// soonest: entry VMs that aren't connected to this VM yet are told of it by
+  /// other members.
+  TimePoint earliestAcknowledgement() const;
   /// Makes a full notice due if it would name other members than the last one.
   void reviewMembers();
   /// Answers the operators whose changes the entry VMs work by, or were waited
--- a/src/distribution/ConfigurationFetch.cpp
+++ b/src/distribution/ConfigurationFetch.cpp
@@ -18,7 +18,7 @@
   const Duration lag =
       now - StartedAt -
       Duration(bytes * MicrosecondsInSecond / MinBytesPerSecond);
-  return now - ProgressAt > Patience || lag > LagLimit;
+  return now - ProgressAt > StallTimeout || lag > LagLimit;
 }
 
 bool ConfigurationFetch::start(TimePoint now, const std::string &ip,
@@ -28,7 +28,8 @@
   const auto known = Attempts.find(ip);
   // NOTE: a part in flight isn't requested again soon: on a narrow link, the
   // copies take all bandwidth, and none arrives in time.
-  if (known != Attempts.end() && now - known->second.ProgressAt <= RepeatAfter)
+  if (known != Attempts.end() &&
+      now - known->second.ProgressAt <= RetryInterval)
     return false;
   const bool isProgressing =
       std::any_of(Attempts.begin(), Attempts.end(),
--- a/src/distribution/ConfigurationFetch.h
+++ b/src/distribution/ConfigurationFetch.h
@@ -2,8 +2,8 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file Fetches configurations on an entry VM, with one part in flight from
-/// each control VM that was asked. One is asked at first, the next one when
-/// those before it don't answer or are slow.
+/// each control VM. A fetch from the next control VM starts when those in
+/// progress are stalled.
 
 #ifndef STEPLEDGE_DISTRIBUTION_CONFIGURATIONFETCH_H
 #define STEPLEDGE_DISTRIBUTION_CONFIGURATIONFETCH_H
@@ -34,32 +34,32 @@
 
 class ConfigurationFetch {
 public:
-  /// Without a part for this time, a control VM isn't waited for: another one
-  /// is asked beside it. It is some thirty times the transfer time of a part on
-  /// a link of 2 Mbit/s.
-  static constexpr Duration Patience = milliseconds(500);
-  /// And the same one is asked again: what it answers may be long on its way.
-  static constexpr Duration RepeatAfter = milliseconds(2000);
-  /// A control VM that is behind MinBytesPerSecond by more than this isn't
-  /// waited for either.
+  /// A fetch without a part for this time is stalled: the next control VM is
+  /// asked as well. A part of 4 KB takes 16 ms on a link of 2 Mbit/s.
+  static constexpr Duration StallTimeout = milliseconds(500);
+  /// A stalled fetch is started again at the same control VM after this time
+  /// without a part: its answer may still be in a full link.
+  static constexpr Duration RetryInterval = milliseconds(2000);
+  /// A fetch that is behind MinBytesPerSecond by more than this is stalled,
+  /// too.
   static constexpr Duration LagLimit = milliseconds(1000);
-  /// Bytes per second: a quarter of a link of 2 Mbit/s. Without it, in a
-  /// simulation, a control VM that sent a part of 4 KB each 0.9 s was kept for
-  /// 11.7 s, while another one could have sent all 13 parts within 0.3 s.
+  /// Bytes per second: a quarter of a link of 2 Mbit/s, so that a slow control
+  /// VM doesn't delay what a faster one could send.
   static constexpr std::int64_t MinBytesPerSecond = 64 << 10;
-  /// From a delta that couldn't be applied to the request for the whole.
+  /// From a delta that couldn't be applied to the request for the whole: more
+  /// than two announcements of each control VM, which would each start a fetch.
   static constexpr Duration DeltaRejectedPause = milliseconds(600);
   /// From a whole configuration that couldn't be applied to the next request,
-  /// and twice as long after each further one, up to the maximum: no control VM
-  /// is likely to have another one.
+  /// and twice as long after each further one, up to the maximum: other control
+  /// VMs would send the same.
   static constexpr Duration WholeRejectedPause = milliseconds(1000);
   static constexpr Duration MaxRejectedPause = milliseconds(8000);
 
   explicit ConfigurationFetch(peer::IPeerSender &peers) : Peers(peers) {}
 
   /// Requests the delta from version \p held at the control VM at \p ip. False
-  /// if this or another one is to be waited for, or the pause after a rejected
-  /// delta isn't over.
+  /// if a fetch is in progress that isn't stalled, or one from \p ip isn't to
+  /// be retried yet, or the pause after a rejected delta isn't over.
   bool start(TimePoint now, const std::string &ip, std::uint64_t held);
   PartResult take(TimePoint now, const std::string &ip,
                   const peer::wire::ConfigurationPart &part);
@@ -67,9 +67,8 @@
   const ConfigurationDelta &delta() const { return Delta; }
   /// The delta was applied, which ends the fetches of it from other VMs.
   void accept();
-  /// The delta could not be applied: the next fetch begins after a pause.
-  /// Without it, 240 fetches went over the link in 10 s when six control VMs
-  /// announced their versions each 250 ms, in a simulation.
+  /// The delta could not be applied: the next fetch begins after a pause, not
+  /// with the next announcement, or fetches would fill the link.
   void reject(TimePoint now);
   /// What is in progress, for a log line.
   std::string describe(TimePoint now) const;
--- a/src/distribution/tests/ConfigurationTransferTest.cpp
+++ b/src/distribution/tests/ConfigurationTransferTest.cpp
@@ -78,7 +78,7 @@
 TEST_CASE("ConfigurationTransfer_PartInFlightIsNotRequestedAgain") {
   Fixture it;
   it.Fetch.start(it.Now, SenderIp, 0);
-  const TimePoint end = it.Now + ConfigurationFetch::Patience;
+  const TimePoint end = it.Now + ConfigurationFetch::StallTimeout;
   for (; it.Now <= end; it.Now += milliseconds(100))
     CHECK(!it.Fetch.start(it.Now, OtherIp, 0));
   CHECK(it.Out.Sent.size() == 1);
@@ -91,7 +91,7 @@
 TEST_CASE("ConfigurationTransfer_SilentControlVmIsNotWaitedFor") {
   Fixture it;
   it.Fetch.start(it.Now, SenderIp, 0);
-  it.Now += ConfigurationFetch::Patience + milliseconds(1);
+  it.Now += ConfigurationFetch::StallTimeout + milliseconds(1);
   CHECK(it.Fetch.start(it.Now, OtherIp, 0));
   CHECK(it.Out.Sent.back().first == OtherIp);
   // The late answer of the first control VM goes on with its own fetch.
@@ -108,7 +108,7 @@
       it.Fetch.start(it.Now, ip, 0);
     if (std::exchange(sent, it.Out.Sent.size()) != it.Out.Sent.size())
       lastAt = it.Now;
-    CHECK(it.Now - lastAt <= ConfigurationFetch::RepeatAfter);
+    CHECK(it.Now - lastAt <= ConfigurationFetch::RetryInterval);
   }
   // Two control VMs that never answer are sent two requests in two seconds.
   CHECK(sent <= 62);
@@ -150,7 +150,7 @@
       if (took % partTime == Duration{})
         CHECK(it.exchange() == PartResult::Taken);
     }
-    CHECK(took > ConfigurationFetch::Patience);
+    CHECK(took > ConfigurationFetch::StallTimeout);
     CHECK(it.Out.Sent.back().first == OtherIp);
   }
 }
--- a/src/entry/ControlAddresses.cpp
+++ b/src/entry/ControlAddresses.cpp
@@ -19,11 +19,11 @@
 
 void ControlAddresses::add(const Ips &ips) {
   for (const auto &ip : ips) {
-    std::erase(Others, ip);
-    Others.push_back(ip);
+    std::erase(Candidates, ip);
+    Candidates.push_back(ip);
   }
-  while (Others.size() > MaxOthers)
-    Others.pop_front();
+  while (Candidates.size() > MaxCandidates)
+    Candidates.pop_front();
 }
 
 ControlAddresses::Ips ControlAddresses::wanted(bool isControlLost,
@@ -34,7 +34,7 @@
   ips.insert(Seeds.begin(), Seeds.end());
   ips.insert(Members.begin(), Members.end());
   if (isControlLost)
-    ips.insert(Others.begin(), Others.end());
+    ips.insert(Candidates.begin(), Candidates.end());
   return ips;
 }
 
--- a/src/entry/ControlAddresses.h
+++ b/src/entry/ControlAddresses.h
@@ -19,9 +19,9 @@
 public:
   using Ips = std::set<std::string>;
 
-  /// More than a group's members have in minutes, even if all of them are
-  /// replaced one after the other.
-  static constexpr std::size_t MaxOthers = 16;
+  /// Five times a group of three, so that former members stay known while all
+  /// are replaced some times.
+  static constexpr std::size_t MaxCandidates = 16;
 
   explicit ControlAddresses(Ips seeds) : Seeds(std::move(seeds)) {}
 
@@ -29,18 +29,19 @@
   void setSeeds(Ips ips);
   /// The members, as a control VM with a majority names them.
   void setMembers(Ips ips);
-  /// Possible addresses: of a control VM whose state may be old, or of another
-  /// entry VM.
+  /// Adds unconfirmed addresses, from a control VM whose state may be old or
+  /// from another entry VM.
   void add(const Ips &ips);
   const Ips &members() const { return Members; }
-  /// While no majority is heard, all addresses that may be of control VMs.
+  /// The addresses to be connected to: while there is no contact to a majority,
+  /// the candidates as well.
   Ips wanted(bool isControlLost, const Ips &connected) const;
 
 private:
   Ips Seeds;
   Ips Members;
-  /// Former members and possible ones, the oldest first.
-  std::deque<std::string> Others;
+  /// Former members and unconfirmed addresses, the oldest first.
+  std::deque<std::string> Candidates;
 };
 
 } // namespace stepledge::entry
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -262,8 +262,8 @@
                      " for_ms=", toMilliseconds(Outdated.lastedFor(Now)),
                      " connected=", absl::StrJoin(Connected, ","),
                      " kept=", absl::StrJoin(KeptIps, ","),
-                     " sure=", absl::StrJoin(Announced.freshIps(), ","), " ",
-                     Fetch.describe(Now)));
+                     " fresh_ips=", absl::StrJoin(Announced.freshIps(), ","),
+                     " ", Fetch.describe(Now)));
 }
 
 void EntryNode::noteContact() {
--- a/src/entry/EntryNode.h
+++ b/src/entry/EntryNode.h
@@ -30,8 +30,9 @@
 struct EntryOptions {
   std::string Hall;
   std::set<std::string> SeedIps;
-  /// Without word of a majority for this long beyond the isolation limit, or
-  /// since the start, addresses of control VMs are looked for.
+  /// Without contact to a majority for this long beyond the isolation limit, or
+  /// since the start, other addresses of control VMs are needed. Connections to
+  /// known ones take up to 100 ms, and their first notice comes at once.
   Duration AddressSearchDelay = milliseconds(250);
   /// How often the control VMs hear of primaries that answer.
   Duration SightInterval = milliseconds(1000);
--- a/src/entry/tests/ControlAddressesTest.cpp
+++ b/src/entry/tests/ControlAddressesTest.cpp
@@ -36,19 +36,19 @@
   CHECK(it.wanted(true, {}) == Ips{"s", "a", "b", "c"});
 }
 
-TEST_CASE("ControlAddresses_PossibleOnesAreWantedWhileControlIsLost") {
+TEST_CASE("ControlAddresses_CandidatesAreWantedWhileControlIsLost") {
   ControlAddresses it({"s"});
   it.add({"x"});
   CHECK(it.wanted(false, {"y"}) == Ips{"s", "y"});
   CHECK(it.wanted(true, {"y"}) == Ips{"s", "x", "y"});
 }
 
-TEST_CASE("ControlAddresses_ManyPossibleOnesPushOutTheOldest") {
+TEST_CASE("ControlAddresses_ManyCandidatesReplaceTheOldest") {
   ControlAddresses it({});
-  for (std::size_t i = 0; i <= ControlAddresses::MaxOthers; ++i)
+  for (std::size_t i = 0; i <= ControlAddresses::MaxCandidates; ++i)
     it.add({"x" + std::to_string(i)});
   const auto wanted = it.wanted(true, {});
-  CHECK(wanted.size() == ControlAddresses::MaxOthers);
+  CHECK(wanted.size() == ControlAddresses::MaxCandidates);
   CHECK(!wanted.contains("x0"));
 }
 
--- a/src/entry/tests/ControlWorld.cpp
+++ b/src/entry/tests/ControlWorld.cpp
@@ -74,11 +74,11 @@
 
 void ControlWorld::updateAll() {
   for (const auto &ip : Members)
-    if (auto &vm = Vms[ip]; vm.IsUp && vm.IsSure)
+    if (auto &vm = Vms[ip]; vm.IsUp && vm.IsFresh)
       update(vm);
 }
 
-void ControlWorld::happen(ControlEvent event) {
+void ControlWorld::apply(ControlEvent event) {
   auto &first = Vms[Order.front()];
   switch (event) {
   case ControlEvent::Change:
@@ -106,15 +106,15 @@
     break;
   case ControlEvent::Reset:
     for (const auto &[ip, it] : std::exchange(Links, {})) {
-      Vms[ip].IsDeaf = false;
+      Vms[ip].LosesRequests = false;
       Node->peerLost(ip, peer::LinkEnd::Reset);
     }
     break;
-  case ControlEvent::Deafen:
-    first.IsDeaf = true;
+  case ControlEvent::LoseRequests:
+    first.LosesRequests = true;
     break;
-  case ControlEvent::Forget:
-    first.IsForgetful = true;
+  case ControlEvent::IgnoreRequests:
+    first.IgnoresRequests = true;
     break;
   case ControlEvent::PowerLoss:
     for (const auto &ip : Members)
@@ -138,15 +138,15 @@
   run(Step);
 }
 
-void ControlWorld::bringUp(const std::string &ip, bool isSure) {
+void ControlWorld::bringUp(const std::string &ip, bool isFresh) {
   auto &vm = Vms[ip];
   // NOTE: its connections of before are reset at the next packet.
   if (!vm.IsUp && Links.erase(ip) > 0)
     Node->peerLost(ip, peer::LinkEnd::Reset);
   if (!vm.IsUp)
-    vm.IsDeaf = vm.IsForgetful = false;
+    vm.LosesRequests = vm.IgnoresRequests = false;
   vm.IsUp = true;
-  vm.IsSure = isSure;
+  vm.IsFresh = isFresh;
 }
 
 void ControlWorld::tellAddresses() {
@@ -157,13 +157,13 @@
     return Node->setSeeds(Seeds);
   const bool isMajorityHeard =
       std::any_of(Members.begin(), Members.end(), [&](const auto &ip) {
-        return Vms[ip].IsUp && Vms[ip].IsSure;
+        return Vms[ip].IsUp && Vms[ip].IsFresh;
       });
   if (isMajorityHeard)
     Node->addControlAddresses(Members);
 }
 
-void ControlWorld::calm() {
+void ControlWorld::recover() {
   IsCut = false;
   Seeds = Members;
   for (const auto &ip : Members)
@@ -252,7 +252,7 @@
   peer::wire::Message message;
   auto &out = *message.mutable_notice();
   out.set_configuration_version(vm.Sender.newest().Version);
-  out.set_is_fresh(vm.IsSure);
+  out.set_is_fresh(vm.IsFresh);
   if (isFull)
     for (const auto &it : vm.Named)
       out.add_control_ips(it);
@@ -265,8 +265,8 @@
   if (link == Links.end())
     return false;
   auto &vm = Vms[ip];
-  const bool isLost = !vm.IsUp || link->second.SilentSince || vm.IsDeaf;
-  if (isLost || vm.IsForgetful || !message.has_configuration_request())
+  const bool isLost = !vm.IsUp || link->second.SilentSince || vm.LosesRequests;
+  if (isLost || vm.IgnoresRequests || !message.has_configuration_request())
     return true;
   auto part = vm.Sender.answer("10.5.0.1", message.configuration_request());
   if (!part)
--- a/src/entry/tests/ControlWorld.h
+++ b/src/entry/tests/ControlWorld.h
@@ -2,7 +2,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file One entry VM and the control VMs that it may be connected to, each of
-/// which is there or not, sure or not, and answers or not.
+/// which is there or not, fresh or not, and answers or not.
 
 #ifndef STEPLEDGE_ENTRY_TESTS_CONTROLWORLD_H
 #define STEPLEDGE_ENTRY_TESTS_CONTROLWORLD_H
@@ -22,7 +22,7 @@
 
 namespace stepledge::entry::tests {
 
-/// Something that happens to the control VMs, or to the entry VM's connections
+/// An event at the control VMs, or to the entry VM's connections
 /// to them.
 enum class ControlEvent {
   /// A change of the configuration is committed.
@@ -37,9 +37,9 @@
   /// The entry VM's connections are reset.
   Reset,
   /// Requests of the entry VM to the first member get lost on their way.
-  Deafen,
+  LoseRequests,
   /// The first member doesn't answer requests any more.
-  Forget,
+  IgnoreRequests,
   /// All control VMs lose power; the first is back alone, with an older state.
   PowerLoss,
   /// The others are back too.
@@ -60,11 +60,11 @@
 public:
   explicit ControlWorld(AddressSource source = AddressSource::OtherEntryVms);
 
-  void happen(ControlEvent event);
+  void apply(ControlEvent event);
   void run(Duration time);
-  /// All members are there and sure, and the entry VM can open connections to
-  /// them; one that is deaf or forgetful stays so.
-  void calm();
+  /// All members are up and fresh, and the entry VM can open connections to
+  /// them; one that loses or ignores requests goes on.
+  void recover();
   /// Runs until the entry VM works by the newest version, \p limit at most.
   bool comesUpToDate(Duration limit);
   /// Until the connections that have fallen silent are found out and closed.
@@ -82,9 +82,9 @@
 private:
   struct ControlVm {
     bool IsUp = true;
-    bool IsSure = true;
-    bool IsDeaf = false;
-    bool IsForgetful = false;
+    bool IsFresh = true;
+    bool LosesRequests = false;
+    bool IgnoresRequests = false;
     std::set<std::string> Named;
     distribution::ConfigurationSender Sender;
     TimePoint NoticeAt{};
@@ -96,7 +96,7 @@
   };
 
   std::string addMember();
-  void bringUp(const std::string &ip, bool isSure);
+  void bringUp(const std::string &ip, bool isFresh);
   /// A member learns the present state.
   void update(ControlVm &vm);
   void updateAll();
--- a/src/entry/tests/ReachableControlTest.cpp
+++ b/src/entry/tests/ReachableControlTest.cpp
@@ -2,7 +2,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
 /// \file An entry VM works by the newest configuration soon after a control VM
-/// that is sure of it can be reached, whatever has happened before.
+/// that is fresh of it can be reached, whatever has happened before.
 
 #include "entry/tests/ControlWorld.h"
 
@@ -29,8 +29,8 @@
     {ControlEvent::OldMemberReturns, "old_member_returns"},
     {ControlEvent::CutOrHeal, "cut_or_heal"},
     {ControlEvent::Reset, "reset"},
-    {ControlEvent::Deafen, "deafen"},
-    {ControlEvent::Forget, "forget"},
+    {ControlEvent::LoseRequests, "lose_requests"},
+    {ControlEvent::IgnoreRequests, "ignore_requests"},
     {ControlEvent::PowerLoss, "power_loss"},
     {ControlEvent::PowerBack, "power_back"},
     {ControlEvent::NewSeeds, "new_seeds"},
@@ -39,8 +39,8 @@
 
 using Events = std::vector<ControlEvent>;
 
-/// From a control VM that is sure and can be reached, with no silent connection
-/// left, to its version.
+/// From a control VM that is fresh and can be reached, with no silent
+/// connection left, to its version.
 constexpr Duration UpToDateLimit = milliseconds(900);
 
 std::string describe(const Events &events) {
@@ -61,11 +61,11 @@
                    const Events &events) {
   ControlWorld world(source);
   for (const auto it : before)
-    world.happen(it);
+    world.apply(it);
   for (const auto it : events)
-    world.happen(it);
-  world.happen(ControlEvent::Change);
-  world.calm();
+    world.apply(it);
+  world.apply(ControlEvent::Change);
+  world.recover();
   return world.comesUpToDate(world.silentFor() + UpToDateLimit);
 }
 
